--- /dev/null
+++ b/internal/backend/engine/relay.go
@@ -0,0 +1,98 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+
+	"teaselmoor/internal/decide/effect"
+	"teaselmoor/internal/decide/owner"
+)
+
+// maxLine bounds one line of a streamed answer.
+const maxLine = 1 << 20
+
+var (
+	dataPrefix = []byte("data:")
+	doneMark   = []byte("[DONE]")
+)
+
+// relay checks an answer and hands it to the sink, chunk by chunk.
+type relay struct {
+	start effect.StartRun
+	sink  Sink
+	index uint64
+}
+
+// chunkIdentity is the part of a chunk that says what produced it.
+type chunkIdentity struct {
+	ID    string `json:"id"`
+	Model string `json:"model"`
+	// Error is set on an error answer, which carries no identity.
+	Error json.RawMessage `json:"error"`
+}
+
+func isStream(response *http.Response) bool {
+	return strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
+}
+
+// stream relays server-sent events. An answer without its closing mark is
+// truncated, whatever the connection says.
+func (relay *relay) stream(ctx context.Context, body io.Reader) owner.Result {
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(make([]byte, 0, 4096), maxLine)
+	for scanner.Scan() {
+		payload, isData := bytes.CutPrefix(scanner.Bytes(), dataPrefix)
+		if !isData {
+			continue
+		}
+		payload = bytes.TrimSpace(payload)
+		if bytes.Equal(payload, doneMark) {
+			return owner.ResultComplete
+		}
+		if !relay.matches(payload) {
+			return owner.ResultWrongAdapter
+		}
+		if relay.sink.Chunk(ctx, bytes.Clone(payload)) != nil {
+			return owner.ResultLost
+		}
+	}
+	if scanner.Err() != nil {
+		return owner.ResultLost
+	}
+	return owner.ResultTruncated
+}
+
+// whole relays an answer that is not streamed, as one chunk.
+func (relay *relay) whole(ctx context.Context, response *http.Response) owner.Result {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
+	if err != nil {
+		return owner.ResultLost
+	}
+	if len(body) > maxAnswer || response.ContentLength < 0 && !json.Valid(body) {
+		return owner.ResultTruncated
+	}
+	if response.StatusCode == http.StatusOK && !relay.matches(body) {
+		return owner.ResultWrongAdapter
+	}
+	if relay.sink.Chunk(ctx, body) != nil {
+		return owner.ResultLost
+	}
+	return owner.ResultComplete
+}
+
+// matches reports whether a chunk names the run, adapter and version asked for.
+func (relay *relay) matches(payload []byte) bool {
+	var identity chunkIdentity
+	if json.Unmarshal(payload, &identity) != nil {
+		return false
+	}
+	if len(identity.Error) > 0 {
+		return true
+	}
+	return identity.ID == relay.start.Stream.String() && identity.Model == relay.start.Request.Adapter.String()
+}
--- /dev/null
+++ b/internal/backend/service/service.go
@@ -0,0 +1,117 @@
+// Package service calls the plain services that stand beside the engines.
+package service
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/decide/message"
+	"teaselmoor/internal/decide/outcome"
+)
+
+// maxAnswer bounds a service's answer.
+const maxAnswer = 8 << 20
+
+// Options bound the client's connections and waits.
+type Options struct {
+	DialTimeout clock.Millis
+	// Timeout is the longest wait for a whole answer.
+	Timeout clock.Millis
+	MaxIdle int
+}
+
+// DefaultOptions returns the limits used when settings name none.
+func DefaultOptions() Options {
+	return Options{DialTimeout: 2 * clock.Second, Timeout: 30 * clock.Second, MaxIdle: 64}
+}
+
+// Call is one request to a service.
+type Call struct {
+	Address     string // IP:port
+	Method      string
+	Path        string // with its query
+	ContentType string
+	RequestID   string
+	Body        []byte
+}
+
+// Client calls services.
+type Client struct {
+	client *http.Client
+}
+
+// New returns a client.
+func New(options Options) *Client {
+	dialer := &net.Dialer{Timeout: options.DialTimeout.Duration()}
+	return &Client{client: &http.Client{
+		Timeout: options.Timeout.Duration(),
+		Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxIdleConnsPerHost: options.MaxIdle,
+			IdleConnTimeout:     time.Minute,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// Do sends a call once. Without an answer, the outcome says whether the service
+// can have received it.
+func (client *Client) Do(ctx context.Context, call Call) (*message.StoredAnswer, outcome.Outcome) {
+	sent := &atomic.Bool{}
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	request, err := newRequest(httptrace.WithClientTrace(ctx, trace), call)
+	if err != nil {
+		return nil, outcome.Refused(outcome.BadRequest, 0)
+	}
+	answer, err := client.exchange(request)
+	switch {
+	case err == nil:
+		return answer, outcome.Done()
+	case sent.Load():
+		return nil, outcome.Lost(outcome.ServiceLost)
+	}
+	return nil, outcome.Refused(outcome.EngineRefused, clock.Second)
+}
+
+func newRequest(ctx context.Context, call Call) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+call.Address+call.Path, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "build service call")
+	}
+	// The transport repeats a request by itself when it can read the body again
+	// and the method or an idempotency header seems to allow it. A body that is
+	// neither nil nor rewindable rules that out, also when it is empty.
+	request.Body = io.NopCloser(bytes.NewReader(call.Body))
+	request.ContentLength = int64(len(call.Body))
+	request.Header.Set("Content-Type", call.ContentType)
+	request.Header.Set("X-Request-Id", call.RequestID)
+	return request, nil
+}
+
+func (client *Client) exchange(request *http.Request) (*message.StoredAnswer, error) {
+	response, err := client.client.Do(request)
+	if err != nil {
+		return nil, errors.Wrap(err, "call service")
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "read service answer")
+	}
+	if len(body) > maxAnswer {
+		return nil, errors.Errorf("service answer exceeds %d bytes", maxAnswer)
+	}
+	return &message.StoredAnswer{
+		Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body,
+	}, nil
+}
--- /dev/null
+++ b/internal/base/lifecycle/lifecycle.go
@@ -0,0 +1,85 @@
+// Package lifecycle turns a looplab/fsm machine into a transition table that
+// many objects share. An fsm instance costs several maps and a mutex; a daemon
+// holds thousands of runs and slots, so each of those keeps only its state, and
+// the table is computed from the fsm once.
+package lifecycle
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/looplab/fsm"
+	"github.com/pkg/errors"
+)
+
+// Table maps a state and an event to the next state. It is immutable after New.
+type Table[State ~string, Event ~string] struct {
+	name string
+	next map[State]map[Event]State
+}
+
+// Transition allows Event in each of From and leads to To.
+type Transition[State ~string, Event ~string] struct {
+	Event Event
+	From  []State
+	To    State
+}
+
+// New computes the table. It panics on a table that fsm rejects, because that
+// is a mistake in the program.
+func New[State ~string, Event ~string](name string, transitions []Transition[State, Event]) *Table[State, Event] {
+	machine := fsm.NewFSM("", descriptions(transitions), fsm.Callbacks{})
+	table := &Table[State, Event]{name: name, next: map[State]map[Event]State{}}
+	for _, transition := range transitions {
+		for _, from := range transition.From {
+			table.add(machine, from, transition.Event)
+		}
+	}
+	return table
+}
+
+func descriptions[State ~string, Event ~string](transitions []Transition[State, Event]) fsm.Events {
+	events := make(fsm.Events, 0, len(transitions))
+	for _, transition := range transitions {
+		sources := make([]string, 0, len(transition.From))
+		for _, from := range transition.From {
+			sources = append(sources, string(from))
+		}
+		events = append(events, fsm.EventDesc{Name: string(transition.Event), Src: sources, Dst: string(transition.To)})
+	}
+	return events
+}
+
+func (table *Table[State, Event]) add(machine *fsm.FSM, from State, event Event) {
+	machine.SetState(string(from))
+	err := machine.Event(context.Background(), string(event))
+	if err != nil && !isNoTransition(err) {
+		panic(fmt.Sprintf("lifecycle %s: %s in %s: %v", table.name, event, from, err))
+	}
+	if table.next[from] == nil {
+		table.next[from] = map[Event]State{}
+	}
+	table.next[from][event] = State(machine.Current())
+}
+
+// isNoTransition reports whether the event is allowed and leaves the state as it is.
+func isNoTransition(err error) bool {
+	var noTransition fsm.NoTransitionError
+	return errors.As(err, &noTransition)
+}
+
+// Next returns the state that event leads to, and whether it is allowed.
+func (table *Table[State, Event]) Next(state State, event Event) (State, bool) {
+	next, ok := table.next[state][event]
+	return next, ok
+}
+
+// Must moves *state and panics when the event is not allowed there: the caller
+// has checked the precondition, so a refusal is a broken invariant.
+func (table *Table[State, Event]) Must(state *State, event Event) {
+	next, ok := table.next[*state][event]
+	if !ok {
+		panic(fmt.Sprintf("lifecycle %s: event %s is not allowed in state %s", table.name, event, *state))
+	}
+	*state = next
+}
--- /dev/null
+++ b/internal/control/members/members.go
@@ -0,0 +1,89 @@
+// Package members holds the published list of VMs and what it says about
+// daemons and backend servers. The list lags and may be stale; its age is part
+// of every reading.
+package members
+
+import (
+	"sort"
+
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/base/ident"
+)
+
+// Role tells what a VM runs.
+type Role string
+
+// Roles of VMs.
+const (
+	EntryRole   Role = "Entry"   // runs a teaselmoor daemon
+	BackendRole Role = "Backend" // a backend server
+)
+
+// State is a VM's state in the list.
+type State string
+
+// States of VMs.
+const (
+	Live    State = "Live"
+	Leaving State = "Leaving"
+)
+
+// VM is one entry of the list.
+type VM struct {
+	Name       string `json:"Name"`
+	Address    string `json:"Address"` // IP:port of the inner protocol, or the server's own
+	Role       Role   `json:"Role"`
+	DataCentre string `json:"DataCentre"`
+	Region     string `json:"Region"`
+	State      State  `json:"State"`
+}
+
+// List is one version of the VM list.
+type List struct {
+	Version uint64 `json:"Version"`
+	VMs     []VM   `json:"VMs"`
+}
+
+// View is a list with the time at which it was read.
+type View struct {
+	List   List
+	ReadAt clock.Millis
+	byName map[string]*VM
+}
+
+// NewView indexes a list read at the given time.
+func NewView(list List, readAt clock.Millis) *View {
+	view := &View{List: list, ReadAt: readAt, byName: make(map[string]*VM, len(list.VMs))}
+	for i := range list.VMs {
+		view.byName[list.VMs[i].Name] = &list.VMs[i]
+	}
+	return view
+}
+
+// VM finds a VM by name.
+func (view *View) VM(name string) (*VM, bool) {
+	vm, ok := view.byName[name]
+	return vm, ok
+}
+
+// Daemon finds a daemon's VM.
+func (view *View) Daemon(daemon ident.DaemonID) (*VM, bool) {
+	vm, ok := view.byName[string(daemon)]
+	if !ok || vm.Role != EntryRole {
+		return nil, false
+	}
+	return vm, true
+}
+
+// Daemons returns the live daemons that the filter accepts, in order of name.
+func (view *View) Daemons(accept func(*VM) bool) []ident.DaemonID {
+	var daemons []ident.DaemonID
+	for i := range view.List.VMs {
+		vm := &view.List.VMs[i]
+		if vm.Role == EntryRole && vm.State == Live && accept(vm) {
+			daemons = append(daemons, ident.DaemonID(vm.Name))
+		}
+	}
+	sort.Slice(daemons, func(i, j int) bool { return daemons[i] < daemons[j] })
+	return daemons
+}
--- /dev/null
+++ b/internal/decide/message/message.go
@@ -0,0 +1,192 @@
+// Package message defines what daemons tell each other. The types are plain
+// data; package link gives them their encoded form and carries them.
+package message
+
+import (
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/base/ident"
+	"teaselmoor/internal/control/config"
+	"teaselmoor/internal/decide/outcome"
+)
+
+// Lane is the connection that a message travels on. Lanes never share a queue.
+type Lane uint8
+
+// Lanes of a connection set.
+const (
+	ControlLane Lane = iota
+	UrgentLane
+	RoutineLane
+	// LaneCount is the number of lanes.
+	LaneCount
+)
+
+// LaneOf returns the lane that carries requests of a class.
+func LaneOf(class config.Class) Lane {
+	if class == config.Urgent {
+		return UrgentLane
+	}
+	return RoutineLane
+}
+
+// Message is one typed message between daemons.
+type Message interface {
+	// Lane says which connection carries the message.
+	Lane() Lane
+}
+
+// Request is what a daemon needs to run a model request for another.
+type Request struct {
+	ID         string
+	Caller     string
+	Adapter    ident.Adapter
+	Class      config.Class
+	Repeatable bool
+	// Path is the engine's API path, for example /v1/completions.
+	Path string
+	// Streaming says that the caller asked for server-sent events.
+	Streaming bool
+	Body      []byte
+}
+
+// Submit asks an engine's owner to run a request.
+type Submit struct {
+	Stream  ident.StreamID
+	Engine  ident.EngineID
+	Request Request
+	// Budget is the span left until the answer must begin. A span, because
+	// daemons' clocks differ.
+	Budget clock.Millis
+	// Resume asks for the rest of a run that the engine may already have.
+	Resume bool
+	// Received is the number of chunks of the run already delivered.
+	Received uint64
+}
+
+// Dispatched tells the entry that the engine has been sent the run.
+type Dispatched struct {
+	Stream ident.StreamID
+	Class  config.Class
+	Fence  ident.Fence
+}
+
+// Ended tells the entry how an attempt ended.
+type Ended struct {
+	Stream  ident.StreamID
+	Class   config.Class
+	Outcome outcome.Outcome
+	// Dispatched tells whether the engine may have received the run.
+	Dispatched bool
+	// Chunks is the number of chunks sent in all, to detect a gap.
+	Chunks uint64
+}
+
+// Cancel asks the owner to give up an attempt.
+type Cancel struct {
+	Stream ident.StreamID
+	Engine ident.EngineID
+	Class  config.Class
+}
+
+// HomeBegin asks the home of an idempotency key for leave to run.
+type HomeBegin struct {
+	Key        string
+	Caller     string
+	BodyHash   string
+	Stream     ident.StreamID
+	IssuedAt   clock.Millis
+	RequestID  string
+	EntryClass config.Class
+}
+
+// HomeVerdict is the home's answer.
+type HomeVerdict struct {
+	Key     string
+	Stream  ident.StreamID
+	Granted bool
+	// Outcome is what the caller is told when leave was not granted.
+	Outcome outcome.Outcome
+	// Stored is the body of the first attempt's answer, when there is one.
+	Stored *StoredAnswer
+}
+
+// StoredAnswer is a complete answer kept for a caller's retry.
+type StoredAnswer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// HomeFinish records the outcome of a granted attempt.
+type HomeFinish struct {
+	Key     string
+	Stream  ident.StreamID
+	Outcome outcome.Outcome
+	Stored  *StoredAnswer
+}
+
+// LoadAsk asks the broker of a weight store for leave to load.
+type LoadAsk struct {
+	Store    string
+	Engine   ident.EngineID
+	Adapter  ident.Adapter
+	Class    config.Class
+	Budget   clock.Millis
+	Waiters  int
+	Withdraw bool
+}
+
+// LoadGrant gives leave to load once, until the lease ends.
+type LoadGrant struct {
+	Store   string
+	Engine  ident.EngineID
+	Adapter ident.Adapter
+	Lease   clock.Millis // span
+}
+
+// LoadDone gives a lease back.
+type LoadDone struct {
+	Store   string
+	Engine  ident.EngineID
+	Adapter ident.Adapter
+	Failed  bool
+}
+
+// Heartbeat shows that a daemon lives, and what it has accepted.
+type Heartbeat struct {
+	From          ident.DaemonID
+	Incarnation   ident.Incarnation
+	ConfigVersion uint64
+	Leaving       bool
+}
+
+// EngineState is an owner's word on one of its engines, for placement.
+type EngineState struct {
+	Engine  ident.EngineID
+	Owner   ident.DaemonID
+	Fence   ident.Fence
+	Version uint64 // rises with every change at this owner
+	// Resident lists adapters that are loaded or being loaded.
+	Resident []ident.Adapter
+	Queued   int
+	Running  int
+	// LoadsWaiting is the number of loads not begun yet.
+	LoadsWaiting int
+	// Reported is the age of the engine's own report when this was sent.
+	ReportAge   clock.Millis
+	Quarantined bool
+}
+
+// Lane implementations.
+func (submit Submit) Lane() Lane         { return LaneOf(submit.Request.Class) }
+func (dispatched Dispatched) Lane() Lane { return LaneOf(dispatched.Class) }
+func (ended Ended) Lane() Lane           { return LaneOf(ended.Class) }
+func (cancel Cancel) Lane() Lane         { return LaneOf(cancel.Class) }
+func (begin HomeBegin) Lane() Lane       { return ControlLane }
+func (verdict HomeVerdict) Lane() Lane   { return ControlLane }
+func (finish HomeFinish) Lane() Lane     { return ControlLane }
+func (ask LoadAsk) Lane() Lane           { return ControlLane }
+func (grant LoadGrant) Lane() Lane       { return ControlLane }
+func (done LoadDone) Lane() Lane         { return ControlLane }
+func (heartbeat Heartbeat) Lane() Lane   { return ControlLane }
+func (state EngineState) Lane() Lane     { return ControlLane }
--- /dev/null
+++ b/internal/decide/node/node.go
@@ -0,0 +1,252 @@
+// Package node joins the decision machines of one daemon: entry, owner, home
+// and load broker. A Node does no I/O, reads no clock and starts no goroutine:
+// Step takes the time and an event, and returns the effects to carry out. A
+// bench can therefore drive many nodes on virtual time; docs/DESIGN.md
+// describes this surface.
+//
+// A Node is not safe for concurrent use.
+package node
+
+import (
+	"maps"
+	"slices"
+
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/base/ident"
+	"teaselmoor/internal/control/config"
+	"teaselmoor/internal/control/members"
+	"teaselmoor/internal/decide/effect"
+	"teaselmoor/internal/decide/home"
+	"teaselmoor/internal/decide/loads"
+	"teaselmoor/internal/decide/message"
+	"teaselmoor/internal/decide/owner"
+	"teaselmoor/internal/decide/placement"
+)
+
+// Options are a daemon's identity and limits.
+type Options struct {
+	Self        ident.DaemonID
+	Incarnation ident.Incarnation
+	DataCentre  string
+	Region      string
+	StartedAt   clock.Millis
+	Owner       owner.Options
+	Home        home.Options
+	Loads       loads.Options
+	Weights     placement.Weights
+	// RetryShare is the number of repeated attempts allowed per first attempt.
+	RetryShare float64
+	// StateInterval is the span between two states sent of an owned engine.
+	StateInterval clock.Millis
+	// ReadInterval is the span between two reads of an owned engine's report.
+	ReadInterval clock.Millis
+}
+
+// DefaultOptions returns options with every limit set, for a daemon to complete.
+func DefaultOptions() Options {
+	return Options{
+		Owner:         owner.DefaultOptions(),
+		Home:          home.DefaultOptions(),
+		Loads:         loads.DefaultOptions(),
+		Weights:       placement.DefaultWeights(),
+		RetryShare:    0.1,
+		StateInterval: 250 * clock.Millisecond,
+		ReadInterval:  clock.Second,
+	}
+}
+
+// Node is the decision state of one daemon.
+type Node struct {
+	options  Options
+	now      clock.Millis
+	sequence uint64
+	config   *config.Snapshot
+	vms      *members.View
+
+	requests map[ident.StreamID]*request // entry role
+	retries  retryBudget
+	owned    map[ident.EngineID]*owned // owner role
+	views    map[ident.EngineID]*placement.View
+	home     *home.Home               // home role
+	brokers  map[string]*loads.Broker // load broker role, by weight store
+
+	draining bool
+	local    []message.Message // sent to itself, not delivered yet
+	effects  []effect.Effect
+}
+
+// owned is an engine that this daemon may give orders to.
+type owned struct {
+	owner   *owner.Owner
+	readAt  clock.Millis // last ReadEngine
+	stateAt clock.Millis // last EngineState sent
+}
+
+// New returns the node of a daemon that knows nothing yet.
+func New(options Options) *Node {
+	return &Node{
+		options:  options,
+		requests: map[ident.StreamID]*request{},
+		retries:  retryBudget{share: options.RetryShare},
+		owned:    map[ident.EngineID]*owned{},
+		views:    map[ident.EngineID]*placement.View{},
+		home:     home.New(options.StartedAt, options.Home),
+		brokers:  map[string]*loads.Broker{},
+	}
+}
+
+// NewStream returns an id for an arriving request.
+func (node *Node) NewStream() ident.StreamID {
+	node.sequence++
+	return ident.StreamID{
+		Daemon:      node.options.Self,
+		Incarnation: node.options.Incarnation,
+		Sequence:    node.sequence,
+	}
+}
+
+// Config returns the configuration in force, nil before the first.
+func (node *Node) Config() *config.Snapshot {
+	return node.config
+}
+
+// Step takes in one event and returns the effects, in order.
+func (node *Node) Step(now clock.Millis, event Event) []effect.Effect {
+	node.now = now
+	node.handle(event)
+	node.deliverLocal()
+	effects := node.effects
+	node.effects = nil
+	return effects
+}
+
+func (node *Node) handle(event Event) {
+	switch event := event.(type) {
+	case Arrived:
+		node.arrived(event)
+	case CallerGone:
+		node.callerGone(event.Stream)
+	case HeadArrived:
+		node.headArrived(event)
+	case ServiceEnded:
+		node.serviceEnded(event)
+	case AnswerReceived:
+		node.answerReceived(event)
+	case Received:
+		node.received(event.From, event.Message)
+	case PeerLost:
+		node.peerLost(event)
+	case RunEnded:
+		node.runEnded(event)
+	case LoadEnded:
+		node.loadEnded(event)
+	case UnloadEnded:
+		node.unloadEnded(event)
+	case EngineReported:
+		node.engineReported(event)
+	case ConfigRead:
+		node.configRead(event.Snapshot)
+	case VMListRead:
+		node.vmListRead(event.View)
+	case Tick:
+		node.tick()
+	case Shutdown:
+		node.shutdown()
+	}
+}
+
+// received routes a message to the role that it is for.
+func (node *Node) received(from ident.DaemonID, received message.Message) {
+	switch received := received.(type) {
+	case message.Submit:
+		node.submitted(from, received)
+	case message.Cancel:
+		node.cancelled(received)
+	case message.Dispatched:
+		node.dispatched(received)
+	case message.Ended:
+		node.attemptEnded(received)
+	case message.HomeBegin:
+		node.homeBegin(from, received)
+	case message.HomeVerdict:
+		node.homeVerdict(received)
+	case message.HomeFinish:
+		node.home.Finish(node.now, received)
+	case message.LoadAsk:
+		node.loadAsk(from, received)
+	case message.LoadGrant:
+		node.loadGrant(received)
+	case message.LoadDone:
+		node.loadDone(received)
+	case message.EngineState:
+		node.engineState(received)
+	}
+}
+
+func (node *Node) emit(next ...effect.Effect) {
+	node.effects = append(node.effects, next...)
+}
+
+// send sends a message; one to itself is delivered within the same step.
+func (node *Node) send(to ident.DaemonID, sent message.Message) {
+	if to == node.options.Self {
+		node.local = append(node.local, sent)
+		return
+	}
+	node.emit(effect.Send{To: to, Message: sent})
+}
+
+func (node *Node) deliverLocal() {
+	for len(node.local) > 0 {
+		next := node.local[0]
+		node.local = node.local[1:]
+		node.received(node.options.Self, next)
+	}
+}
+
+func (node *Node) tick() {
+	node.home.Tick(node.now)
+	for _, store := range slices.Sorted(maps.Keys(node.brokers)) {
+		node.sendGrants(node.brokers[store].Tick(node.now))
+	}
+	for _, engine := range node.ownedInOrder() {
+		node.tickOwned(engine, node.owned[engine])
+	}
+	node.tickRequests()
+}
+
+func (node *Node) configRead(snapshot *config.Snapshot) {
+	if node.config != nil && snapshot.Version() <= node.config.Version() {
+		return
+	}
+	before := uint64(0)
+	if node.config != nil {
+		before = node.config.Version()
+	}
+	node.config = snapshot
+	node.emit(configAudit(node.now, before, snapshot.Version()))
+	node.reviseOwnership()
+}
+
+func (node *Node) vmListRead(view *members.View) {
+	node.vms = view
+	node.reviseOwnership()
+}
+
+func (node *Node) shutdown() {
+	node.draining = true
+	node.emit(effect.Audit{At: node.now, Kind: effect.ShutdownStarted, Object: string(node.options.Self), Cause: "signal"})
+}
+
+// Idle reports whether nothing is in progress, so that a draining daemon may exit.
+func (node *Node) Idle() bool {
+	if len(node.requests) > 0 {
+		return false
+	}
+	for _, held := range node.owned {
+		if held.owner.Busy() {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/decide/nodetest/engine.go
@@ -0,0 +1,243 @@
+package nodetest
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/base/ident"
+	"teaselmoor/internal/control/config"
+	"teaselmoor/internal/decide/effect"
+	"teaselmoor/internal/decide/node"
+	"teaselmoor/internal/decide/owner"
+)
+
+// EngineOptions describe the fake engines and the weight store behind them.
+type EngineOptions struct {
+	// RunSpan is how long a run takes; LoadSpan how long the store takes for a load.
+	RunSpan  clock.Millis
+	LoadSpan clock.Millis
+	// ReportLag is the age of a state report.
+	ReportLag clock.Millis
+	// FailLoadShare is the share of loads that fail, from 0 to 1.
+	FailLoadShare float64
+}
+
+// Engine is a fake model engine. Its ledger and violations are the judge.
+type Engine struct {
+	// Ran counts the runs begun, by request id.
+	Ran map[string]int
+	// Violations lists orders that broke a promise, such as an unload in use.
+	Violations []string
+
+	network *Network
+	config  config.Engine
+	options EngineOptions
+	boots   int
+	fence   ident.Fence
+	loaded  map[ident.Adapter]bool
+	runs    map[ident.StreamID]*run
+	reports []timedReport
+}
+
+type run struct {
+	adapter   ident.Adapter
+	request   string
+	ended     bool
+	cancelled bool
+}
+
+type timedReport struct {
+	at     clock.Millis
+	report owner.Report
+}
+
+// store serves loads one after the other.
+type store struct {
+	freeAt clock.Millis
+	loads  int
+}
+
+func newEngine(network *Network, engine config.Engine, options EngineOptions) *Engine {
+	fake := &Engine{Ran: map[string]int{}, network: network, config: engine, options: options}
+	fake.Restart()
+	return fake
+}
+
+// Restart voids slots and runs, as a cold start does.
+func (engine *Engine) Restart() {
+	engine.boots++
+	engine.loaded = map[ident.Adapter]bool{}
+	engine.runs = map[ident.StreamID]*run{}
+	engine.reports = nil
+}
+
+func (engine *Engine) boot() ident.BootID {
+	return ident.BootID(fmt.Sprintf("%s-%d", engine.config.Name, engine.boots))
+}
+
+// fenced takes in an order's fencing number and reports whether it is refused.
+func (engine *Engine) fenced(fence ident.Fence) bool {
+	if fence < engine.fence && engine.config.ChecksFencing {
+		return true
+	}
+	engine.fence = max(engine.fence, fence)
+	return false
+}
+
+// order carries an order to the engine after the transit time.
+func (engine *Engine) order(do func()) {
+	engine.network.after(engine.network.options.Delay, do)
+}
+
+func (engine *Engine) reply(host *Host, event node.Event) {
+	life := host.life
+	engine.network.after(engine.network.options.Delay, func() {
+		if host.life == life {
+			engine.network.Feed(host, event)
+		}
+	})
+}
+
+func (engine *Engine) replyRun(host *Host, stream ident.StreamID, result owner.Result) {
+	engine.reply(host, node.RunEnded{
+		Engine: engine.config.Name, Result: owner.RunResult{Stream: stream, Result: result},
+	})
+}
+
+func (engine *Engine) start(host *Host, start effect.StartRun) {
+	engine.order(func() {
+		known, found := engine.runs[start.Stream]
+		switch {
+		case engine.fenced(start.Fence):
+			engine.replyRun(host, start.Stream, owner.ResultFenced)
+		case found && known.cancelled:
+			engine.replyRun(host, start.Stream, owner.ResultCancelled)
+		case found && known.ended:
+			engine.replyRun(host, start.Stream, owner.ResultComplete)
+		case found:
+			engine.await(host, start.Stream, known)
+		case start.Resume:
+			engine.replyRun(host, start.Stream, owner.ResultUnknownRun)
+		case !engine.loaded[start.Request.Adapter]:
+			engine.replyRun(host, start.Stream, owner.ResultRefused)
+		default:
+			engine.begin(host, start)
+		}
+	})
+}
+
+func (engine *Engine) begin(host *Host, start effect.StartRun) {
+	began := &run{adapter: start.Request.Adapter, request: start.Request.ID}
+	engine.runs[start.Stream] = began
+	engine.Ran[start.Request.ID]++
+	boots := engine.boots
+	engine.network.after(engine.options.RunSpan, func() {
+		if engine.boots == boots {
+			began.ended = true
+		}
+	})
+	engine.await(host, start.Stream, began)
+}
+
+// await tells a host of the end of a run, or of its loss in a restart.
+func (engine *Engine) await(host *Host, stream ident.StreamID, awaited *run) {
+	boots := engine.boots
+	engine.network.after(engine.options.RunSpan, func() {
+		switch {
+		case engine.boots != boots:
+			engine.replyRun(host, stream, owner.ResultLost)
+		case awaited.cancelled:
+			engine.replyRun(host, stream, owner.ResultCancelled)
+		default:
+			engine.replyRun(host, stream, owner.ResultComplete)
+		}
+	})
+}
+
+func (engine *Engine) cancel(host *Host, cancel effect.CancelRun) {
+	engine.order(func() {
+		if engine.fenced(cancel.Fence) {
+			engine.replyRun(host, cancel.Stream, owner.ResultFenced)
+			return
+		}
+		known, found := engine.runs[cancel.Stream]
+		if !found {
+			known = &run{}
+			engine.runs[cancel.Stream] = known
+		}
+		known.cancelled = known.cancelled || !known.ended
+		known.ended = true
+		engine.replyRun(host, cancel.Stream, owner.ResultCancelled)
+	})
+}
+
+func (engine *Engine) load(host *Host, load effect.Load) {
+	engine.order(func() {
+		store := &engine.network.store
+		store.freeAt = max(store.freeAt, engine.network.Now) + engine.options.LoadSpan
+		store.loads++
+		boots := engine.boots
+		engine.network.after(store.freeAt-engine.network.Now, func() {
+			failed := engine.fenced(load.Fence) || engine.boots != boots ||
+				engine.network.random.Float64() < engine.options.FailLoadShare ||
+				!engine.loaded[load.Adapter] && len(engine.loaded) >= engine.config.Slots
+			if !failed {
+				engine.loaded[load.Adapter] = true
+			}
+			engine.reply(host, node.LoadEnded{Engine: engine.config.Name, Adapter: load.Adapter, Failed: failed})
+		})
+	})
+}
+
+func (engine *Engine) unload(host *Host, unload effect.Unload) {
+	engine.order(func() {
+		failed := engine.fenced(unload.Fence)
+		if !failed {
+			engine.checkUnload(host, unload)
+			delete(engine.loaded, unload.Adapter)
+		}
+		engine.reply(host, node.UnloadEnded{Engine: engine.config.Name, Adapter: unload.Adapter, Failed: failed})
+	})
+}
+
+func (engine *Engine) checkUnload(host *Host, unload effect.Unload) {
+	for stream, running := range engine.runs {
+		if !running.ended && running.adapter == unload.Adapter {
+			engine.Violations = append(engine.Violations, fmt.Sprintf(
+				"%s unloaded %s from %s while run %s used it", host.Name, unload.Adapter, engine.config.Name, stream))
+		}
+	}
+}
+
+func (engine *Engine) read(host *Host) {
+	engine.order(func() {
+		now := engine.network.Now
+		engine.reports = append(engine.reports, timedReport{at: now, report: engine.report()})
+		chosen := 0
+		for i, report := range engine.reports {
+			if now-report.at >= engine.options.ReportLag {
+				chosen = i
+			}
+		}
+		engine.reports = engine.reports[chosen:]
+		report := engine.reports[0].report
+		report.Age = now - engine.reports[0].at
+		engine.reply(host, node.EngineReported{Engine: engine.config.Name, Report: report})
+	})
+}
+
+func (engine *Engine) report() owner.Report {
+	report := owner.Report{Boot: engine.boot()}
+	report.Resident = slices.SortedFunc(maps.Keys(engine.loaded), func(a, b ident.Adapter) int {
+		return strings.Compare(a.String(), b.String())
+	})
+	for _, stream := range slices.SortedFunc(maps.Keys(engine.runs), ident.StreamID.Compare) {
+		if running := engine.runs[stream]; !running.ended {
+			report.Runs = append(report.Runs, owner.ReportedRun{Run: stream.String(), Adapter: running.adapter})
+		}
+	}
+	return report
+}
--- /dev/null
+++ b/internal/decide/nodetest/network.go
@@ -0,0 +1,275 @@
+// Package nodetest drives several nodes of the decision machines in one
+// goroutine on virtual time, joined by a small network and served by fake
+// engines and a fake weight store. It is for tests and replays: everything it
+// does follows from its seed.
+package nodetest
+
+import (
+	"container/heap"
+	"math/rand/v2"
+
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/base/ident"
+	"teaselmoor/internal/control/config"
+	"teaselmoor/internal/control/members"
+	"teaselmoor/internal/decide/effect"
+	"teaselmoor/internal/decide/message"
+	"teaselmoor/internal/decide/node"
+	"teaselmoor/internal/decide/outcome"
+)
+
+// Start is the point in virtual time at which every network begins.
+const Start clock.Millis = 1_000_000_000
+
+// Options describe a network.
+type Options struct {
+	Seed uint64
+	// Delay is the span that a message takes; Jitter is added at random.
+	Delay  clock.Millis
+	Jitter clock.Millis
+	// TickInterval is the span between two ticks of a node.
+	TickInterval clock.Millis
+	Config       config.Config
+	VMs          []members.VM
+	Engine       EngineOptions
+	// Node completes the options of each node; identity is set by the network.
+	Node node.Options
+}
+
+// Network is a set of nodes with everything around them.
+type Network struct {
+	Now     clock.Millis
+	Nodes   map[ident.DaemonID]*Host
+	Engines map[ident.EngineID]*Engine
+	// Answers holds what callers were told, by request id.
+	Answers map[string][]effect.Answer
+	// Audits holds every audited change, in order.
+	Audits []effect.Audit
+	// Ledger counts the calls that plain services ran, by stream.
+	Ledger map[string]int
+	// Blocked lists directions in which nothing arrives.
+	Blocked map[Direction]bool
+	// DropShare is the share of messages that are lost, from 0 to 1.
+	DropShare float64
+
+	options  Options
+	random   *rand.Rand
+	queue    timeline
+	sequence uint64
+	store    store
+	snapshot *config.Snapshot
+}
+
+// Direction is one way between two daemons.
+type Direction struct{ From, To ident.DaemonID }
+
+// Host is one daemon's place in the network.
+type Host struct {
+	Name ident.DaemonID
+	Node *node.Node
+	// Paused hosts keep what arrives until they are resumed.
+	Paused bool
+	Dead   bool
+	VM     members.VM
+
+	life    uint64
+	backlog []node.Event
+	streams map[ident.StreamID]string // request ids by present stream
+}
+
+// New returns a network whose nodes have read the configuration and VM list.
+func New(options Options) (*Network, error) {
+	snapshot, err := config.Compile(options.Config)
+	if err != nil {
+		return nil, err
+	}
+	network := &Network{
+		Now: Start, Nodes: map[ident.DaemonID]*Host{}, Engines: map[ident.EngineID]*Engine{},
+		Answers: map[string][]effect.Answer{}, Ledger: map[string]int{}, Blocked: map[Direction]bool{},
+		options: options, random: rand.New(rand.NewPCG(options.Seed, 0)), snapshot: snapshot,
+	}
+	for _, engine := range options.Config.Engines {
+		network.Engines[engine.Name] = newEngine(network, engine, options.Engine)
+	}
+	for _, vm := range options.VMs {
+		if vm.Role == members.EntryRole {
+			network.Boot(vm)
+		}
+	}
+	return network, nil
+}
+
+// Boot starts a daemon that knows nothing, on a VM of the list.
+func (network *Network) Boot(vm members.VM) *Host {
+	name := ident.DaemonID(vm.Name)
+	options := network.options.Node
+	options.Self, options.DataCentre, options.Region = name, vm.DataCentre, vm.Region
+	options.StartedAt, options.Incarnation = network.Now, ident.Incarnation(network.Now)
+	network.sequence++
+	host := &Host{Name: name, Node: node.New(options), VM: vm, life: network.sequence, streams: map[ident.StreamID]string{}}
+	network.Nodes[name] = host
+	network.Feed(host, node.ConfigRead{Snapshot: network.snapshot})
+	network.Feed(host, node.VMListRead{View: network.view()})
+	network.tick(host)
+	return host
+}
+
+func (network *Network) view() *members.View {
+	return members.NewView(members.List{Version: 1, VMs: network.options.VMs}, network.Now)
+}
+
+// SetVMs changes the VM list for every daemon.
+func (network *Network) SetVMs(vms []members.VM) {
+	network.options.VMs = vms
+	for _, vm := range vms {
+		if host, known := network.Nodes[ident.DaemonID(vm.Name)]; known {
+			network.Feed(host, node.VMListRead{View: network.view()})
+		}
+	}
+}
+
+// Kill ends a daemon without a word. Its peers notice the lost connections.
+func (network *Network) Kill(name ident.DaemonID) {
+	network.Nodes[name].Dead = true
+	for _, host := range network.hosts() {
+		network.loseLanes(host, name)
+	}
+}
+
+func (network *Network) loseLanes(host *Host, peer ident.DaemonID) {
+	for lane := range message.LaneCount {
+		network.after(network.options.Delay, func() { network.Feed(host, node.PeerLost{Peer: peer, Lane: lane}) })
+	}
+}
+
+// Pause freezes a daemon; Resume lets it go on with what arrived meanwhile.
+func (network *Network) Pause(name ident.DaemonID) {
+	network.Nodes[name].Paused = true
+}
+
+// Resume ends a pause.
+func (network *Network) Resume(name ident.DaemonID) {
+	host := network.Nodes[name]
+	host.Paused = false
+	backlog := host.backlog
+	host.backlog = nil
+	for _, event := range backlog {
+		network.Feed(host, event)
+	}
+}
+
+func (network *Network) tick(host *Host) {
+	if !host.Paused {
+		network.Feed(host, node.Tick{})
+	}
+	life := host.life
+	network.after(network.options.TickInterval, func() {
+		if !host.Dead && host.life == life {
+			network.tick(host)
+		}
+	})
+}
+
+// Arrive brings a caller's request to a daemon.
+func (network *Network) Arrive(name ident.DaemonID, arrived node.Arrived) {
+	host := network.Nodes[name]
+	arrived.Stream = host.Node.NewStream()
+	host.streams[arrived.Stream] = arrived.RequestID
+	network.Feed(host, arrived)
+}
+
+// Feed steps a node with an event and carries out what follows.
+func (network *Network) Feed(host *Host, event node.Event) {
+	if host.Dead {
+		return
+	}
+	if host.Paused {
+		host.backlog = append(host.backlog, event)
+		return
+	}
+	for _, next := range host.Node.Step(network.Now, event) {
+		network.perform(host, next)
+	}
+}
+
+func (network *Network) perform(host *Host, next effect.Effect) {
+	switch next := next.(type) {
+	case effect.Send:
+		network.send(host, next)
+	case effect.Answer:
+		request := host.streams[next.Stream]
+		delete(host.streams, next.Stream)
+		network.Answers[request] = append(network.Answers[request], next)
+	case effect.Rebind:
+		host.streams[next.To] = host.streams[next.From]
+		delete(host.streams, next.From)
+	case effect.StartRun:
+		network.Engines[next.Engine].start(host, next)
+	case effect.CancelRun:
+		network.Engines[next.Engine].cancel(host, next)
+	case effect.Load:
+		network.Engines[next.Engine].load(host, next)
+	case effect.Unload:
+		network.Engines[next.Engine].unload(host, next)
+	case effect.ReadEngine:
+		network.Engines[next.Engine].read(host)
+	case effect.CallService:
+		network.Ledger[next.Service+"/"+host.streams[next.Stream]]++
+		network.after(network.options.Delay, func() {
+			network.Feed(host, node.ServiceEnded{
+				Stream: next.Stream, Outcome: outcome.Done(), Stored: &message.StoredAnswer{Status: 200},
+			})
+		})
+	case effect.Audit:
+		network.Audits = append(network.Audits, next)
+	}
+}
+
+func (network *Network) send(from *Host, sent effect.Send) {
+	if network.Blocked[Direction{From: from.Name, To: sent.To}] || network.random.Float64() < network.DropShare {
+		return
+	}
+	network.after(network.transit(), func() {
+		if to, known := network.Nodes[sent.To]; known {
+			network.Feed(to, node.Received{From: from.Name, Message: sent.Message})
+		}
+	})
+}
+
+func (network *Network) transit() clock.Millis {
+	if network.options.Jitter <= 0 {
+		return network.options.Delay
+	}
+	return network.options.Delay + clock.Millis(network.random.Int64N(int64(network.options.Jitter)+1))
+}
+
+// Run lets virtual time pass.
+func (network *Network) Run(span clock.Millis) {
+	end := network.Now + span
+	for len(network.queue) > 0 && network.queue[0].at <= end {
+		next := heap.Pop(&network.queue).(happening)
+		network.Now = next.at
+		next.do()
+	}
+	network.Now = end
+}
+
+// RunUntil lets time pass until the condition holds or the span has passed, and
+// reports whether it holds.
+func (network *Network) RunUntil(span clock.Millis, condition func() bool) bool {
+	end := network.Now + span
+	for !condition() {
+		if len(network.queue) == 0 || network.queue[0].at > end {
+			return false
+		}
+		next := heap.Pop(&network.queue).(happening)
+		network.Now = next.at
+		next.do()
+	}
+	return true
+}
+
+func (network *Network) after(span clock.Millis, do func()) {
+	network.sequence++
+	heap.Push(&network.queue, happening{at: network.Now + span, order: network.sequence, do: do})
+}
--- /dev/null
+++ b/internal/decide/outcome/reason.go
@@ -0,0 +1,87 @@
+package outcome
+
+// Reason is a code from the closed list below. Sentence gives the text for it.
+type Reason string
+
+// Reasons. Callers and regulators see these codes; a code never changes meaning.
+const (
+	Complete            Reason = "Complete"
+	BadRequest          Reason = "BadRequest"
+	Unauthorized        Reason = "Unauthorized"
+	UnknownModel        Reason = "UnknownModel"
+	UnknownService      Reason = "UnknownService"
+	NoRule              Reason = "NoRule"
+	NoEngine            Reason = "NoEngine"
+	NoOwner             Reason = "NoOwner"
+	NoConfiguration     Reason = "NoConfiguration"
+	CallerLimit         Reason = "CallerLimit"
+	QueueFull           Reason = "QueueFull"
+	DeadlineUnreachable Reason = "DeadlineUnreachable"
+	DeadlinePassed      Reason = "DeadlinePassed"
+	LoadFailed          Reason = "LoadFailed"
+	KeyMissing          Reason = "KeyMissing"
+	KeyConflict         Reason = "KeyConflict"
+	KeyInProgress       Reason = "KeyInProgress"
+	KeyNotVouched       Reason = "KeyNotVouched"
+	HomeUnreachable     Reason = "HomeUnreachable"
+	EngineRefused       Reason = "EngineRefused"
+	EngineLost          Reason = "EngineLost"
+	EngineRestarted     Reason = "EngineRestarted"
+	WrongAdapter        Reason = "WrongAdapter"
+	Truncated           Reason = "Truncated"
+	OwnerLost           Reason = "OwnerLost"
+	NotOwner            Reason = "NotOwner"
+	ServiceLost         Reason = "ServiceLost"
+	RetryBudget         Reason = "RetryBudget"
+	CallerGone          Reason = "CallerGone"
+	Cancelled           Reason = "Cancelled"
+	ShuttingDown        Reason = "ShuttingDown"
+)
+
+var sentences = map[Reason]string{
+	Complete:            "The request was answered in full by the adapter and version it addressed.",
+	BadRequest:          "The request was malformed and was not accepted.",
+	Unauthorized:        "The request carried no valid API key.",
+	UnknownModel:        "The adapter or version addressed is not in the configuration in force.",
+	UnknownService:      "The service addressed is not in the configuration in force.",
+	NoRule:              "No rule of the configuration in force permits this request.",
+	NoEngine:            "The rules permit this request on no engine that is in service.",
+	NoOwner:             "No process was in a position to give orders to a permitted engine.",
+	NoConfiguration:     "The process has not received a configuration yet.",
+	CallerLimit:         "The caller exceeded its agreed rate of requests.",
+	QueueFull:           "The queue for the permitted engines was full.",
+	DeadlineUnreachable: "The answer could not have begun by its deadline, so the request was not queued.",
+	DeadlinePassed:      "The deadline passed while the request was still waiting.",
+	LoadFailed:          "The adapter could not be loaded.",
+	KeyMissing:          "A request that must not be repeated needs an idempotency key.",
+	KeyConflict:         "The idempotency key was used before for a different request.",
+	KeyInProgress:       "The first attempt under this idempotency key is still in progress.",
+	KeyNotVouched:       "No surviving record can show that this idempotency key is new, so this attempt was not run.",
+	HomeUnreachable:     "The record of idempotency keys could not be reached, so this attempt was not run.",
+	EngineRefused:       "The engine refused the request before running it.",
+	EngineLost:          "The connection to the engine was lost after the request was sent.",
+	EngineRestarted:     "The engine restarted while it was running the request.",
+	WrongAdapter:        "The engine answered with another adapter or version; that answer was discarded.",
+	Truncated:           "The engine's answer ended before it was complete.",
+	OwnerLost:           "The process in charge of the engine was lost after the request was handed to it.",
+	NotOwner:            "The process addressed is not in charge of the engine.",
+	ServiceLost:         "The connection to the service was lost after the request was sent.",
+	RetryBudget:         "The attempt failed and the allowance for repeated attempts was used up.",
+	CallerGone:          "The caller closed its connection.",
+	Cancelled:           "The run was cancelled to make room for urgent work.",
+	ShuttingDown:        "The process is shutting down and accepts no new requests.",
+}
+
+// Sentence explains the reason in a form fit for a letter.
+func (reason Reason) Sentence() string {
+	return sentences[reason]
+}
+
+// Reasons lists every reason, in no particular order.
+func Reasons() []Reason {
+	reasons := make([]Reason, 0, len(sentences))
+	for reason := range sentences {
+		reasons = append(reasons, reason)
+	}
+	return reasons
+}
--- /dev/null
+++ b/internal/decide/outcome/status.go
@@ -0,0 +1,37 @@
+package outcome
+
+import "net/http"
+
+var statuses = map[Reason]int{
+	BadRequest:          http.StatusBadRequest,
+	Unauthorized:        http.StatusUnauthorized,
+	UnknownModel:        http.StatusNotFound,
+	UnknownService:      http.StatusNotFound,
+	NoRule:              http.StatusForbidden,
+	CallerLimit:         http.StatusTooManyRequests,
+	QueueFull:           http.StatusTooManyRequests,
+	DeadlineUnreachable: http.StatusTooManyRequests,
+	KeyMissing:          http.StatusBadRequest,
+	KeyConflict:         http.StatusUnprocessableEntity,
+	KeyInProgress:       http.StatusConflict,
+	KeyNotVouched:       http.StatusConflict,
+	EngineLost:          http.StatusBadGateway,
+	EngineRestarted:     http.StatusBadGateway,
+	WrongAdapter:        http.StatusBadGateway,
+	Truncated:           http.StatusBadGateway,
+	OwnerLost:           http.StatusBadGateway,
+	ServiceLost:         http.StatusBadGateway,
+}
+
+// Status is the HTTP status of an error answer with this reason.
+func (reason Reason) Status() int {
+	if status, known := statuses[reason]; known {
+		return status
+	}
+	return http.StatusServiceUnavailable
+}
+
+// Retryable reports whether a client may usefully repeat the request by itself.
+func (outcome Outcome) Retryable() bool {
+	return outcome.Kind == NotRun && outcome.RetryAfter > 0
+}
--- /dev/null
+++ b/internal/decide/owner/owner.go
@@ -0,0 +1,189 @@
+// Package owner decides for one model engine: which waiting request it runs
+// next, which adapter it loads and which it evicts. An engine's owner is the
+// single writer of the engine's slots, pins and queue.
+//
+// The machine does no I/O. Every method takes the current time and returns the
+// effects to carry out. Two rules are asserted: an adapter with an unfinished
+// run is never unloaded, and a run is dispatched only to a ready adapter.
+package owner
+
+import (
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/base/ident"
+	"teaselmoor/internal/control/config"
+	"teaselmoor/internal/decide/admission"
+	"teaselmoor/internal/decide/effect"
+	"teaselmoor/internal/decide/message"
+	"teaselmoor/internal/decide/outcome"
+)
+
+// Options are the limits of an owner.
+type Options struct {
+	// QueueLimits bounds the waiting requests of each class.
+	QueueLimits [config.ClassCount]int
+	// UrgentReserve is the number of runs kept free for urgent requests.
+	UrgentReserve int
+	// LoadBackoff is the span during which an adapter is not loaded again after
+	// a failed load, doubled with each failure in a row.
+	LoadBackoff clock.Millis
+	// LoadTries is the number of failed loads after which waiting requests are refused.
+	LoadTries int
+	// ResumeTries is the number of times a lost run is resumed at the engine.
+	ResumeTries int
+	// CancelInterval is the span after which an unconfirmed cancel is repeated.
+	CancelInterval clock.Millis
+}
+
+// DefaultOptions returns the limits used when settings name none.
+func DefaultOptions() Options {
+	return Options{
+		QueueLimits:   [config.ClassCount]int{config.Urgent: 256, config.Routine: 1024},
+		UrgentReserve: 1,
+		LoadBackoff:   2 * clock.Second,
+		LoadTries:     3,
+		ResumeTries:   2,
+
+		CancelInterval: clock.Second,
+	}
+}
+
+// Owner is the state that an owner keeps of its engine.
+type Owner struct {
+	Engine  config.Engine
+	Self    ident.DaemonID
+	Fence   ident.Fence
+	options Options
+
+	boot        ident.BootID
+	quarantined bool
+	draining    bool
+	slots       []slot
+	resident    map[ident.Adapter]int // index into slots
+	waiting     *admission.Queue[*run]
+	runs        map[ident.StreamID]*run
+	wants       map[ident.Adapter]*want
+	running     int
+	version     uint64
+	reportedAt  clock.Millis
+	effects     []effect.Effect
+}
+
+// New returns the owner of an engine whose state is not known yet: nothing is
+// dispatched before the first report.
+func New(self ident.DaemonID, engine config.Engine, fence ident.Fence, options Options) *Owner {
+	return &Owner{
+		Engine:   engine,
+		Self:     self,
+		Fence:    fence,
+		options:  options,
+		slots:    make([]slot, engine.Slots),
+		resident: map[ident.Adapter]int{},
+		waiting:  admission.New[*run](options.QueueLimits),
+		runs:     map[ident.StreamID]*run{},
+		wants:    map[ident.Adapter]*want{},
+	}
+}
+
+func (owner *Owner) emit(next effect.Effect) {
+	owner.effects = append(owner.effects, next)
+}
+
+// take returns the effects gathered since the last call.
+func (owner *Owner) take() []effect.Effect {
+	effects := owner.effects
+	owner.effects = nil
+	return effects
+}
+
+// Tick expires waiting requests, repeats unconfirmed cancels and starts what
+// has become possible.
+func (owner *Owner) Tick(now clock.Millis) []effect.Effect {
+	owner.repeatCancels(now)
+	owner.advance(now)
+	return owner.take()
+}
+
+// Busy reports whether any run here has not ended.
+func (owner *Owner) Busy() bool {
+	return len(owner.runs) > 0
+}
+
+// Known reports whether the engine has reported to this owner yet.
+func (owner *Owner) Known() bool {
+	return owner.boot != ""
+}
+
+// State is the owner's word on its engine, for placement elsewhere.
+func (owner *Owner) State(now clock.Millis) message.EngineState {
+	state := message.EngineState{
+		Engine:       owner.Engine.Name,
+		Owner:        owner.Self,
+		Fence:        owner.Fence,
+		Version:      owner.version,
+		Resident:     make([]ident.Adapter, 0, len(owner.resident)),
+		Queued:       owner.waiting.Total(),
+		Running:      owner.running,
+		LoadsWaiting: len(owner.wants),
+		ReportAge:    now - owner.reportedAt,
+		Quarantined:  owner.quarantined,
+	}
+	for i := range owner.slots {
+		if owner.slots[i].serves() {
+			state.Resident = append(state.Resident, owner.slots[i].adapter)
+		}
+	}
+	return state
+}
+
+// advance does, in this order, what time and room allow: expire, dispatch, ask
+// for loads.
+func (owner *Owner) advance(now clock.Millis) {
+	owner.version++
+	if owner.reportedAt == 0 || owner.quarantined {
+		owner.expire(now)
+		return
+	}
+	owner.waiting.Filter(func(class config.Class, deadline clock.Millis, waiting *run) bool {
+		return owner.consider(now, class, deadline, waiting)
+	})
+}
+
+func (owner *Owner) expire(now clock.Millis) {
+	owner.waiting.Filter(func(_ config.Class, deadline clock.Millis, waiting *run) bool {
+		if deadline > now {
+			return true
+		}
+		owner.refuse(waiting, outcome.Refused(outcome.DeadlinePassed, 0))
+		return false
+	})
+}
+
+// consider decides on one waiting request and reports whether it keeps waiting.
+func (owner *Owner) consider(now clock.Millis, class config.Class, deadline clock.Millis, waiting *run) bool {
+	if deadline <= now {
+		owner.refuse(waiting, outcome.Refused(outcome.DeadlinePassed, 0))
+		return false
+	}
+	at, held := owner.resident[waiting.submit.Request.Adapter]
+	if held && owner.slots[at].state == slotReady {
+		if !owner.room(class) {
+			return true
+		}
+		owner.dispatch(now, waiting, at)
+		return false
+	}
+	if !held && !owner.seekLoad(now, class, deadline, waiting.submit.Request.Adapter) {
+		owner.refuse(waiting, outcome.Refused(outcome.LoadFailed, owner.options.LoadBackoff))
+		return false
+	}
+	return true
+}
+
+// room reports whether a request of the class may join the engine's batch now.
+func (owner *Owner) room(class config.Class) bool {
+	limit := owner.Engine.MaxRuns
+	if class != config.Urgent {
+		limit = max(1, limit-owner.options.UrgentReserve)
+	}
+	return owner.running < limit
+}
--- /dev/null
+++ b/internal/decide/owner/report.go
@@ -0,0 +1,81 @@
+package owner
+
+import (
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/base/ident"
+	"teaselmoor/internal/decide/effect"
+	"teaselmoor/internal/decide/outcome"
+)
+
+// Report is an engine's own account of itself.
+type Report struct {
+	Boot ident.BootID
+	// Resident lists the adapters in the engine's slots.
+	Resident []ident.Adapter
+	// Runs lists the unfinished runs and the adapters that they use.
+	Runs []ReportedRun
+	// Age is how old the report was when it was read.
+	Age clock.Millis
+}
+
+// ReportedRun is one unfinished run in a report.
+type ReportedRun struct {
+	Run     string
+	Adapter ident.Adapter
+}
+
+// Reported takes in a report. The first one fills the slots; a new boot id
+// voids them.
+func (owner *Owner) Reported(now clock.Millis, report Report) []effect.Effect {
+	switch {
+	case owner.boot == "":
+		owner.adopt(now, report)
+	case owner.boot != report.Boot:
+		owner.restarted(now, report)
+	}
+	owner.reportedAt = now - report.Age
+	owner.advance(now)
+	return owner.take()
+}
+
+func (owner *Owner) adopt(now clock.Millis, report Report) {
+	owner.boot = report.Boot
+	for i, adapter := range report.Resident {
+		if i >= len(owner.slots) {
+			break
+		}
+		owner.slots[i] = slot{state: slotReady, adapter: adapter, lastUsed: now}
+		owner.resident[adapter] = i
+	}
+}
+
+// restarted voids everything that the engine's former life held.
+func (owner *Owner) restarted(now clock.Millis, report Report) {
+	owner.emit(effect.Audit{
+		At: now, Kind: effect.EngineRestarted, Object: string(owner.Engine.Name),
+		Cause: "the report carries a new boot id", Before: string(owner.boot), After: string(report.Boot),
+	})
+	for _, found := range owner.sortedRuns() {
+		if found.state == runWaiting {
+			continue
+		}
+		owner.tell(found, outcome.Lost(outcome.EngineRestarted), 0)
+		delete(owner.runs, found.submit.Stream)
+	}
+	owner.running = 0
+	owner.slots = make([]slot, owner.Engine.Slots)
+	clear(owner.resident)
+	clear(owner.wants)
+	owner.quarantined = false
+	owner.adopt(now, report)
+}
+
+func (owner *Owner) quarantine(now clock.Millis, cause string) {
+	if owner.quarantined {
+		return
+	}
+	owner.quarantined = true
+	owner.emit(effect.Audit{
+		At: now, Kind: effect.EngineQuarantined, Object: string(owner.Engine.Name), Cause: cause,
+	})
+}
--- /dev/null
+++ b/internal/serve/daemon/perform.go
@@ -0,0 +1,173 @@
+package daemon
+
+import (
+	"context"
+
+	"teaselmoor/internal/backend/engine"
+	"teaselmoor/internal/base/ident"
+	"teaselmoor/internal/decide/effect"
+	"teaselmoor/internal/decide/message"
+	"teaselmoor/internal/decide/node"
+	"teaselmoor/internal/decide/outcome"
+	"teaselmoor/internal/decide/owner"
+)
+
+// perform carries out one effect. It does not block: calls to engines and
+// services get goroutines of their own.
+func (daemon *Daemon) perform(next effect.Effect) {
+	switch next := next.(type) {
+	case effect.Send:
+		daemon.send(next)
+	case effect.Answer:
+		daemon.answer(next)
+	case effect.Open:
+		daemon.open(next)
+	case effect.Rebind:
+		daemon.streams.rebind(next.From, next.To)
+	case effect.StartRun:
+		daemon.tasks.Go("run", func(ctx context.Context) error { daemon.run(ctx, next); return nil })
+	case effect.CancelRun:
+		daemon.tasks.Go("cancel", func(ctx context.Context) error { daemon.cancelRun(ctx, next); return nil })
+	case effect.Load:
+		daemon.tasks.Go("load", func(ctx context.Context) error { daemon.load(ctx, next); return nil })
+	case effect.Unload:
+		daemon.tasks.Go("unload", func(ctx context.Context) error { daemon.unload(ctx, next); return nil })
+	case effect.ReadEngine:
+		daemon.tasks.Go("report", func(ctx context.Context) error { daemon.readEngine(ctx, next); return nil })
+	case effect.CallService:
+		daemon.tasks.Go("service", func(ctx context.Context) error { daemon.callService(ctx, next); return nil })
+	case effect.Audit:
+		daemon.options.Log.Info("audit", "Kind", next.Kind, "Object", next.Object, "Cause", next.Cause,
+			"Before", next.Before, "After", next.After)
+	}
+}
+
+// send passes a message to a peer. A Submit that no connection takes is known
+// not to have left, so the entry is told at once.
+func (daemon *Daemon) send(next effect.Send) {
+	if daemon.links.Send(next.To, next.Message) {
+		return
+	}
+	submit, isSubmit := next.Message.(message.Submit)
+	if !isSubmit {
+		return
+	}
+	daemon.enqueue(laneOf(submit.Lane()), node.Received{From: next.To, Message: message.Ended{
+		Stream: submit.Stream, Class: submit.Request.Class,
+		Outcome: outcome.Refused(outcome.NoOwner, 0),
+	}})
+}
+
+func laneOf(lane message.Lane) jobLane {
+	if lane == message.RoutineLane {
+		return routineLane
+	}
+	return promptLane
+}
+
+func (daemon *Daemon) answer(next effect.Answer) {
+	ticket, found := daemon.streams.takeTicket(next.Stream)
+	if !found {
+		return
+	}
+	if next.Outcome.Kind != outcome.Answered {
+		daemon.options.Log.Info("refusal", "Record", next.Record)
+	}
+	ticket.Inbox.PutFinal(next)
+}
+
+func (daemon *Daemon) engineAddress(name ident.EngineID) (string, bool) {
+	snapshot := daemon.Config()
+	if snapshot == nil {
+		return "", false
+	}
+	found, known := snapshot.Engine(name)
+	if !known {
+		return "", false
+	}
+	return found.Address, true
+}
+
+// run calls the engine, relays the answer and reports its end.
+func (daemon *Daemon) run(ctx context.Context, start effect.StartRun) {
+	result := owner.ResultNotSent
+	sink := daemon.newSink(start)
+	if address, known := daemon.engineAddress(start.Engine); known {
+		result = daemon.options.Engines.Run(ctx, address, start, sink)
+	}
+	ended := node.RunEnded{Engine: start.Engine, Result: owner.RunResult{
+		Stream: start.Stream, Result: result, Chunks: sink.index,
+	}}
+	daemon.streams.dropWindow(start.Stream)
+	if start.Entry == daemon.Self() {
+		daemon.enqueue(laneOf(sink.lane), daemon.received(start.Stream), ended)
+		return
+	}
+	daemon.enqueue(laneOf(sink.lane), ended)
+}
+
+// received says what the entry has of a stream's answer.
+func (daemon *Daemon) received(stream ident.StreamID) node.AnswerReceived {
+	ticket, found := daemon.streams.ticket(stream)
+	if !found {
+		return node.AnswerReceived{Stream: stream}
+	}
+	return node.AnswerReceived{Stream: stream, Chunks: ticket.Inbox.Chunks(), Stored: ticket.Inbox.Content()}
+}
+
+func (daemon *Daemon) cancelRun(ctx context.Context, cancel effect.CancelRun) {
+	address, known := daemon.engineAddress(cancel.Engine)
+	if !known {
+		return
+	}
+	result := daemon.options.Engines.Cancel(ctx, address, cancel.Stream, cancel.Fence)
+	if result == owner.ResultCancelled {
+		daemon.enqueue(promptLane, node.RunEnded{
+			Engine: cancel.Engine, Result: owner.RunResult{Stream: cancel.Stream, Result: result},
+		})
+	}
+}
+
+func (daemon *Daemon) load(ctx context.Context, order effect.Load) {
+	result := engine.LoadFailed
+	if address, known := daemon.engineAddress(order.Engine); known {
+		result = daemon.options.Engines.Load(ctx, address, order.Adapter, order.Fence)
+	}
+	daemon.enqueue(promptLane, node.LoadEnded{
+		Engine: order.Engine, Adapter: order.Adapter, Failed: result != engine.LoadDone,
+	})
+}
+
+func (daemon *Daemon) unload(ctx context.Context, order effect.Unload) {
+	result := engine.LoadFailed
+	if address, known := daemon.engineAddress(order.Engine); known {
+		result = daemon.options.Engines.Unload(ctx, address, order.Adapter, order.Fence)
+	}
+	daemon.enqueue(promptLane, node.UnloadEnded{
+		Engine: order.Engine, Adapter: order.Adapter, Failed: result != engine.LoadDone,
+	})
+}
+
+func (daemon *Daemon) readEngine(ctx context.Context, read effect.ReadEngine) {
+	address, known := daemon.engineAddress(read.Engine)
+	if !known {
+		return
+	}
+	report, err := daemon.options.Engines.Report(ctx, address)
+	if err != nil {
+		daemon.options.Log.Warn("engine report", "Engine", read.Engine, "Cause", err)
+		return
+	}
+	daemon.enqueue(promptLane, node.EngineReported{Engine: read.Engine, Report: report})
+}
+
+func (daemon *Daemon) callService(ctx context.Context, next effect.CallService) {
+	ticket, found := daemon.streams.ticket(next.Stream)
+	if !found {
+		return
+	}
+	call := ticket.Call
+	call.Address = next.Address
+	stored, ended := daemon.options.Services.Do(ctx, call)
+	daemon.enqueue(promptLane, node.ServiceEnded{Stream: next.Stream, Outcome: ended, Stored: stored})
+}
