node: renew engine states within the request benchmark

Without ticks the count of submissions since the last state grew without bound, and placement went elsewhere: the benchmark failed at 9 engines.

--- a/internal/decide/node/bench_test.go
+++ b/internal/decide/node/bench_test.go
@@ -109,13 +109,21 @@
 			bench := newBenchNode(b, size.daemons, size.engines, 15_000)
 			require.NotEmpty(b, bench.owned)
 			b.ReportAllocs()
-			for b.Loop() {
+			for i := 0; b.Loop(); i++ {
+				if i%ticksEvery == 0 {
+					bench.now += 250
+					bench.step(node.Tick{})
+				}
 				bench.request(b)
 			}
 		})
 	}
 }
 
+// ticksEvery is the number of requests between two ticks, so that the states
+// that placement reads are renewed as in service.
+const ticksEvery = 20
+
 func (bench *benchNode) request(b *testing.B) {
 	effects := bench.step(node.Arrived{
 		Stream: bench.node.NewStream(), RequestID: "r", APIKey: callerKey, Model: "adapter-0@1", Path: "/v1/completions",
