ownership: claims, hold-down, handover, pauses and updates between daemons

An engine's owner was whoever read itself as first candidate, at once and without regard to the age of its list or to a former owner's orders.

Each engine has a tenure now (idle, waiting, owning, yielding). Engines that ignore fencing numbers change hands by the VM list alone, after the hold-down or by a handover; engines that check them as soon as the owner is silent. An owner gives orders while its list is young, and after a pause only once list and report were read anew. The next owner pins reported and handed-over runs, and evicts nothing before a report past the quiet period.

States travel as updates: one relay per origin and data centre, engines listed only when something is new, a digest to notice what was missed.

A resumed run that the engine refuses or cannot be sent was told as not run; it is lost now, and not run only when fencing proves it. A failed unload was ordered again at once; it waits for the next report.

--- a/internal/control/members/members.go
+++ b/internal/control/members/members.go
@@ -4,6 +4,7 @@
 package members
 
 import (
+	"net"
 	"sort"
 
 	"teaselmoor/internal/base/clock"
@@ -49,17 +50,45 @@
 	List   List
 	ReadAt clock.Millis
 	byName map[string]*VM
+	// leaving holds the addresses of backend servers that are leaving.
+	leaving map[string]bool
 }
 
 // NewView indexes a list read at the given time.
 func NewView(list List, readAt clock.Millis) *View {
 	view := &View{List: list, ReadAt: readAt, byName: make(map[string]*VM, len(list.VMs))}
 	for i := range list.VMs {
-		view.byName[list.VMs[i].Name] = &list.VMs[i]
+		vm := &list.VMs[i]
+		view.byName[vm.Name] = vm
+		if vm.Role == BackendRole && vm.State == Leaving {
+			view.noteLeaving(vm.Address)
+		}
 	}
 	return view
 }
 
+func (view *View) noteLeaving(address string) {
+	if view.leaving == nil {
+		view.leaving = map[string]bool{}
+	}
+	view.leaving[address] = true
+}
+
+// ServerLeaving reports whether the backend server at an address (IP:port) is
+// leaving. A list entry without a port stands for every port of its IP number.
+func (view *View) ServerLeaving(address string) bool {
+	if view.leaving[address] {
+		return true
+	}
+	number, _, err := net.SplitHostPort(address)
+	return err == nil && view.leaving[number]
+}
+
+// AnyServerLeaving reports whether any backend server is leaving.
+func (view *View) AnyServerLeaving() bool {
+	return len(view.leaving) > 0
+}
+
 // VM finds a VM by name.
 func (view *View) VM(name string) (*VM, bool) {
 	vm, ok := view.byName[name]
--- a/internal/decide/effect/effect.go
+++ b/internal/decide/effect/effect.go
@@ -52,6 +52,8 @@
 	Request  message.Request
 	Resume   bool
 	Received uint64
+	// Until is when the leave to begin this run ends; a resume has no such end.
+	Until clock.Millis
 }
 
 // CancelRun asks the engine to end a run and to confirm it.
@@ -66,6 +68,8 @@
 	Engine  ident.EngineID
 	Adapter ident.Adapter
 	Fence   ident.Fence
+	// Until is when the leave to give this order ends.
+	Until clock.Millis
 }
 
 // Unload orders an engine to unload an adapter.
@@ -73,14 +77,21 @@
 	Engine  ident.EngineID
 	Adapter ident.Adapter
 	Fence   ident.Fence
+	// Until is when the leave to give this order ends.
+	Until clock.Millis
 }
 
 // ReadEngine asks for the engine's state report.
 type ReadEngine struct {
 	Engine ident.EngineID
 	Fence  ident.Fence
+	// At is when the report was asked for; its event carries it back.
+	At clock.Millis
 }
 
+// ReadVMs asks for the VM list at once.
+type ReadVMs struct{}
+
 // CallService sends a request to a plain service.
 type CallService struct {
 	Stream  ident.StreamID
@@ -127,5 +138,6 @@
 func (Load) effect()        {}
 func (Unload) effect()      {}
 func (ReadEngine) effect()  {}
+func (ReadVMs) effect()     {}
 func (CallService) effect() {}
 func (Audit) effect()       {}
--- /dev/null
+++ b/internal/decide/message/membership.go
@@ -0,0 +1,108 @@
+package message
+
+import (
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/base/ident"
+	"teaselmoor/internal/control/config"
+)
+
+// Update is what a daemon tells the daemons of its region at intervals: that it
+// lives, what it has accepted, and what is new at the engines that it owns. An
+// engine that it lists is also a claim under the number given.
+type Update struct {
+	_           struct{} `cbor:",toarray"`
+	From        ident.DaemonID
+	Incarnation ident.Incarnation
+	// SentAt is the sender's wall clock.
+	SentAt        clock.Millis
+	ConfigVersion uint64
+	Leaving       bool
+	// Relay asks the receiver to pass the update on within its data centre.
+	Relay bool
+	// Full says that every engine owned is listed, with its detail.
+	Full bool
+	// Digest sums up all engines owned, so that a receiver notices what it missed.
+	Digest  uint64
+	Engines []EngineNews
+	// Departing names engines that the sender itself has read to be leaving.
+	Departing []ident.EngineID
+}
+
+// EngineNews is what is new at one engine.
+type EngineNews struct {
+	_       struct{} `cbor:",toarray"`
+	Engine  ident.EngineID
+	Fence   ident.Fence
+	Version uint64
+	// Residency rises with every change of what is loaded.
+	Residency    uint64
+	Queued       int
+	Running      int
+	LoadsWaiting int
+	ReportAge    clock.Millis
+	Flags        NewsFlags
+	// Detail is left out while Residency is as in the update before.
+	Detail *EngineDetail
+}
+
+// NewsFlags are yes-or-no facts on an engine.
+type NewsFlags uint8
+
+// Flags of EngineNews.
+const (
+	NewsQuarantined NewsFlags = 1 << iota
+	NewsLeaving
+)
+
+// EngineDetail is what seldom changes at an engine.
+type EngineDetail struct {
+	_        struct{} `cbor:",toarray"`
+	Resident []ident.Adapter
+	Boot     ident.BootID
+}
+
+// UpdateAsk asks a daemon for a full update, after a gap.
+type UpdateAsk struct {
+	_    struct{} `cbor:",toarray"`
+	From ident.DaemonID
+}
+
+// HandoverAsk asks an owner to pass an engine on: the sender has read a list
+// that makes it the first candidate.
+type HandoverAsk struct {
+	_      struct{} `cbor:",toarray"`
+	Engine ident.EngineID
+}
+
+// Handover passes an engine on: the sender gives it no more orders.
+type Handover struct {
+	Engine ident.EngineID
+	Fence  ident.Fence
+	// SentAt is the sender's wall clock.
+	SentAt clock.Millis
+	Runs   []HandedRun
+}
+
+// Moved tells an entry that its waiting request went on to another owner.
+type Moved struct {
+	_      struct{} `cbor:",toarray"`
+	Stream ident.StreamID
+	Class  config.Class
+	Owner  ident.DaemonID
+}
+
+// HandedRun is an unfinished run, whose adapter stays pinned. The sender goes on
+// relaying its answer.
+type HandedRun struct {
+	_       struct{} `cbor:",toarray"`
+	Stream  ident.StreamID
+	Entry   ident.DaemonID
+	Adapter ident.Adapter
+}
+
+// Lane implementations.
+func (update Update) Lane() Lane     { return ControlLane }
+func (ask UpdateAsk) Lane() Lane     { return ControlLane }
+func (ask HandoverAsk) Lane() Lane   { return ControlLane }
+func (moved Moved) Lane() Lane       { return LaneOf(moved.Class) }
+func (handover Handover) Lane() Lane { return ControlLane }
--- a/internal/decide/message/message.go
+++ b/internal/decide/message/message.go
@@ -61,6 +61,13 @@
 	Resume bool
 	// Received is the number of chunks of the run already delivered.
 	Received uint64
+	// PriorFence and PriorBoot are the owner's number and the engine's boot id
+	// when the entry first handed the attempt on; a resumed attempt that the
+	// engine does not know is judged by them.
+	PriorFence ident.Fence
+	PriorBoot  ident.BootID
+	// Entry is set when an owner passes a waiting request on to the next one.
+	Entry ident.DaemonID
 }
 
 // Dispatched tells the entry that the engine has been sent the run.
@@ -175,6 +182,10 @@
 	// Reported is the age of the engine's own report when this was sent.
 	ReportAge   clock.Millis
 	Quarantined bool
+	// Leaving says that the engine gets no new work.
+	Leaving bool
+	// Boot is the engine's boot id in the owner's last report.
+	Boot ident.BootID
 }
 
 // Lane implementations.
--- a/internal/decide/node/bench_test.go
+++ b/internal/decide/node/bench_test.go
@@ -55,6 +55,19 @@
 	node  *node.Node
 	now   clock.Millis
 	owned []ident.EngineID
+	// daemons is the size of the region.
+	daemons int
+	readAt  clock.Millis // of the VM list
+}
+
+// advance lets time pass, with a reading of the VM list each second.
+func (bench *benchNode) advance(span clock.Millis) []effect.Effect {
+	bench.now += span
+	if bench.now-bench.readAt >= clock.Second {
+		bench.readAt = bench.now
+		bench.step(node.VMListRead{View: regionView(bench.daemons, bench.now)})
+	}
+	return bench.step(node.Tick{})
 }
 
 func newBenchNode(b *testing.B, daemons, engines, adapters int) *benchNode {
@@ -64,7 +77,7 @@
 	options := node.DefaultOptions()
 	options.Self, options.DataCentre, options.Region = "daemon-0", "centre-0", "north"
 	options.StartedAt = clock.Hour
-	bench := &benchNode{node: node.New(options), now: clock.Hour}
+	bench := &benchNode{node: node.New(options), now: clock.Hour, daemons: daemons}
 	bench.step(node.ConfigRead{Snapshot: snapshot})
 	bench.step(node.VMListRead{View: regionView(daemons, bench.now)})
 	bench.settle(engines)
@@ -75,8 +88,7 @@
 // others are told of by a peer.
 func (bench *benchNode) settle(engines int) {
 	for range 200 {
-		bench.now += 50
-		for _, next := range bench.step(node.Tick{}) {
+		for _, next := range bench.advance(50) {
 			if read, isRead := next.(effect.ReadEngine); isRead {
 				bench.step(node.EngineReported{Engine: read.Engine, Report: owner.Report{
 					Boot: "1", Resident: []ident.Adapter{{Name: "adapter-0", Version: "1"}},
@@ -111,8 +123,7 @@
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				if i%ticksEvery == 0 {
-					bench.now += 250
-					bench.step(node.Tick{})
+					bench.advance(250)
 				}
 				bench.request(b)
 			}
@@ -148,8 +159,7 @@
 			bench := newBenchNode(b, 78, engines, 15_000)
 			b.ReportAllocs()
 			for b.Loop() {
-				bench.now += 50
-				bench.step(node.Tick{})
+				bench.advance(50)
 			}
 		})
 	}
--- a/internal/decide/node/event.go
+++ b/internal/decide/node/event.go
@@ -70,6 +70,8 @@
 	Engine  ident.EngineID
 	Adapter ident.Adapter
 	Failed  bool
+	// Fenced says that the engine refused the order for its old number.
+	Fenced bool
 }
 
 // UnloadEnded is the end of an Unload order.
@@ -77,12 +79,16 @@
 	Engine  ident.EngineID
 	Adapter ident.Adapter
 	Failed  bool
+	// Fenced says that the engine refused the order for its old number.
+	Fenced bool
 }
 
 // EngineReported is an engine's state report.
 type EngineReported struct {
 	Engine ident.EngineID
 	Report owner.Report
+	// AskedAt is the time in the ReadEngine effect; zero means now.
+	AskedAt clock.Millis
 }
 
 // ServiceEnded is the end of a CallService.
--- a/internal/decide/node/node.go
+++ b/internal/decide/node/node.go
@@ -20,6 +20,7 @@
 	"teaselmoor/internal/decide/loads"
 	"teaselmoor/internal/decide/message"
 	"teaselmoor/internal/decide/owner"
+	"teaselmoor/internal/decide/ownership"
 	"teaselmoor/internal/decide/placement"
 )
 
@@ -34,9 +35,10 @@
 	Home        home.Options
 	Loads       loads.Options
 	Weights     placement.Weights
+	Ownership   ownership.Options
 	// RetryShare is the number of repeated attempts allowed per first attempt.
 	RetryShare float64
-	// StateInterval is the span between two states sent of an owned engine.
+	// StateInterval is the shortest span between two updates to other daemons.
 	StateInterval clock.Millis
 	// ReadInterval is the span between two reads of an owned engine's report.
 	ReadInterval clock.Millis
@@ -49,6 +51,7 @@
 		Home:          home.DefaultOptions(),
 		Loads:         loads.DefaultOptions(),
 		Weights:       placement.DefaultWeights(),
+		Ownership:     ownership.DefaultOptions(),
 		RetryShare:    0.1,
 		StateInterval: 250 * clock.Millisecond,
 		ReadInterval:  clock.Second,
@@ -65,30 +68,35 @@
 
 	requests map[ident.StreamID]*request // entry role
 	retries  retryBudget
-	owned    map[ident.EngineID]*owned // owner role
+	owning   owning // owner role
+	peers    *members.Peers
+	news     news
 	views    map[ident.EngineID]*placement.View
 	home     *home.Home               // home role
 	brokers  map[string]*loads.Broker // load broker role, by weight store
 
+	// regionNames are the region's live daemons; localNames and remoteNames are
+	// those of the own data centre and of each other one.
+	regionNames []ident.DaemonID
+	localNames  []ident.DaemonID
+	remoteNames map[string][]ident.DaemonID
+
 	draining bool
+	// informed says that every engine of the region was heard of once.
+	informed bool
 	local    []message.Message // sent to itself, not delivered yet
 	effects  []effect.Effect
 }
 
-// owned is an engine that this daemon may give orders to.
-type owned struct {
-	owner   *owner.Owner
-	readAt  clock.Millis // last ReadEngine
-	stateAt clock.Millis // last EngineState sent
-}
-
 // New returns the node of a daemon that knows nothing yet.
 func New(options Options) *Node {
 	return &Node{
 		options:  options,
 		requests: map[ident.StreamID]*request{},
 		retries:  retryBudget{share: options.RetryShare},
-		owned:    map[ident.EngineID]*owned{},
+		owning:   newOwning(),
+		peers:    members.NewPeers(options.StartedAt),
+		news:     newNews(),
 		views:    map[ident.EngineID]*placement.View{},
 		home:     home.New(options.StartedAt, options.Home),
 		brokers:  map[string]*loads.Broker{},
@@ -113,6 +121,7 @@
 // Step takes in one event and returns the effects, in order.
 func (node *Node) Step(now clock.Millis, event Event) []effect.Effect {
 	node.now = now
+	node.checkPause()
 	node.handle(event)
 	node.deliverLocal()
 	effects := node.effects
@@ -135,6 +144,7 @@
 	case Received:
 		node.received(event.From, event.Message)
 	case PeerLost:
+		node.peers.Lost(event.Peer)
 		node.peerLost(event)
 	case RunEnded:
 		node.runEnded(event)
@@ -157,6 +167,7 @@
 
 // received routes a message to the role that it is for.
 func (node *Node) received(from ident.DaemonID, received message.Message) {
+	node.peers.Touch(node.now, from)
 	switch received := received.(type) {
 	case message.Submit:
 		node.submitted(from, received)
@@ -180,6 +191,16 @@
 		node.loadDone(received)
 	case message.EngineState:
 		node.engineState(received)
+	case message.Update:
+		node.updated(received)
+	case message.UpdateAsk:
+		node.updateAsked(received)
+	case message.HandoverAsk:
+		node.handoverAsked(from, received)
+	case message.Moved:
+		node.moved(received)
+	case message.Handover:
+		node.handedOver(from, received)
 	}
 }
 
@@ -209,9 +230,15 @@
 	for _, store := range slices.Sorted(maps.Keys(node.brokers)) {
 		node.sendGrants(node.brokers[store].Tick(node.now))
 	}
+	node.reviseOwnership()
 	for _, engine := range node.ownedInOrder() {
-		node.tickOwned(engine, node.owned[engine])
+		held := node.owning.owned[engine]
+		node.tickOwned(engine, held)
+		node.tickYield(engine, held)
 	}
+	node.expireEarly()
+	node.viewOwn()
+	node.tickNews()
 	node.tickRequests()
 }
 
@@ -225,12 +252,7 @@
 	}
 	node.config = snapshot
 	node.emit(configAudit(node.now, before, snapshot.Version()))
-	node.reviseOwnership()
-}
-
-func (node *Node) vmListRead(view *members.View) {
-	node.vms = view
-	node.reviseOwnership()
+	node.rankCandidates()
 }
 
 func (node *Node) shutdown() {
@@ -243,10 +265,10 @@
 	if len(node.requests) > 0 {
 		return false
 	}
-	for _, held := range node.owned {
+	for _, held := range node.owning.owned {
 		if held.owner.Busy() {
 			return false
 		}
 	}
-	return true
+	return len(node.owning.former) == 0
 }
--- a/internal/decide/node/sharing.go
+++ b/internal/decide/node/sharing.go
@@ -45,11 +45,12 @@
 }
 
 func (node *Node) loadGrant(grant message.LoadGrant) {
-	held, known := node.owned[grant.Engine]
+	held, known := node.owning.owned[grant.Engine]
 	if !known {
 		node.send(node.brokerOf(grant.Store), message.LoadDone{Store: grant.Store, Engine: grant.Engine, Adapter: grant.Adapter})
 		return
 	}
+	node.permit(grant.Engine, held)
 	node.ownerEffects(held, held.owner.Granted(node.now, grant.Adapter))
 }
 
--- a/internal/decide/node/status.go
+++ b/internal/decide/node/status.go
@@ -45,7 +45,7 @@
 		status.VMListAge = now - node.vms.ReadAt
 	}
 	for _, name := range node.ownedInOrder() {
-		status.Owned = append(status.Owned, node.owned[name].owner.State(now))
+		status.Owned = append(status.Owned, node.owning.owned[name].owner.State(now))
 	}
 	for _, view := range node.views {
 		status.Known = append(status.Known, EngineKnowledge{State: view.State, Age: now - view.HeardAt})
@@ -58,5 +58,24 @@
 
 // Ready reports whether the daemon can serve callers.
 func (node *Node) Ready() bool {
-	return node.config != nil && node.vms != nil && !node.draining
+	return node.config != nil && node.vms != nil && !node.draining && (node.informed || node.informedNow())
+}
+
+// warmUp is the span after which a daemon serves callers although it has not
+// heard of every engine.
+const warmUp = 10 * clock.Second
+
+// informedNow reports whether every engine of the region has been heard of, so
+// that a new daemon does not refuse what others would serve.
+func (node *Node) informedNow() bool {
+	if node.now-node.options.StartedAt < warmUp {
+		for i := range node.config.Config.Engines {
+			engine := &node.config.Config.Engines[i]
+			if _, known := node.views[engine.Name]; !known && engine.Region == node.options.Region {
+				return false
+			}
+		}
+	}
+	node.informed = true
+	return true
 }
--- a/internal/decide/nodetest/engine.go
+++ b/internal/decide/nodetest/engine.go
@@ -83,6 +83,10 @@
 	if fence < engine.fence && engine.config.ChecksFencing {
 		return true
 	}
+	if fence < engine.fence {
+		engine.Violations = append(engine.Violations, fmt.Sprintf(
+			"%s: an order with number %d came after one with %d", engine.config.Name, fence, engine.fence))
+	}
 	engine.fence = max(engine.fence, fence)
 	return false
 }
@@ -111,7 +115,7 @@
 	engine.order(func() {
 		known, found := engine.runs[start.Stream]
 		switch {
-		case engine.fenced(start.Fence):
+		case start.Resume && engine.config.ChecksFencing && start.Fence < engine.fence, !start.Resume && engine.fenced(start.Fence):
 			engine.replyRun(host, start.Stream, owner.ResultFenced)
 		case found && known.cancelled:
 			engine.replyRun(host, start.Stream, owner.ResultCancelled)
@@ -159,9 +163,8 @@
 
 func (engine *Engine) cancel(host *Host, cancel effect.CancelRun) {
 	engine.order(func() {
-		if engine.fenced(cancel.Fence) {
-			engine.replyRun(host, cancel.Stream, owner.ResultFenced)
-			return
+		if engine.config.ChecksFencing && engine.fenced(cancel.Fence) {
+			return // no confirmation
 		}
 		known, found := engine.runs[cancel.Stream]
 		if !found {
@@ -176,12 +179,16 @@
 
 func (engine *Engine) load(host *Host, load effect.Load) {
 	engine.order(func() {
+		if engine.fenced(load.Fence) {
+			engine.reply(host, node.LoadEnded{Engine: engine.config.Name, Adapter: load.Adapter, Failed: true, Fenced: true})
+			return
+		}
 		store := &engine.network.store
 		store.freeAt = max(store.freeAt, engine.network.Now) + engine.options.LoadSpan
 		store.loads++
 		boots := engine.boots
 		engine.network.after(store.freeAt-engine.network.Now, func() {
-			failed := engine.fenced(load.Fence) || engine.boots != boots ||
+			failed := engine.boots != boots ||
 				engine.network.random.Float64() < engine.options.FailLoadShare ||
 				!engine.loaded[load.Adapter] && len(engine.loaded) >= engine.config.Slots
 			if !failed {
@@ -199,7 +206,7 @@
 			engine.checkUnload(host, unload)
 			delete(engine.loaded, unload.Adapter)
 		}
-		engine.reply(host, node.UnloadEnded{Engine: engine.config.Name, Adapter: unload.Adapter, Failed: failed})
+		engine.reply(host, node.UnloadEnded{Engine: engine.config.Name, Adapter: unload.Adapter, Failed: failed, Fenced: failed})
 	})
 }
 
@@ -212,7 +219,7 @@
 	}
 }
 
-func (engine *Engine) read(host *Host) {
+func (engine *Engine) read(host *Host, read effect.ReadEngine) {
 	engine.order(func() {
 		now := engine.network.Now
 		engine.reports = append(engine.reports, timedReport{at: now, report: engine.report()})
@@ -225,7 +232,7 @@
 		engine.reports = engine.reports[chosen:]
 		report := engine.reports[0].report
 		report.Age = now - engine.reports[0].at
-		engine.reply(host, node.EngineReported{Engine: engine.config.Name, Report: report})
+		engine.reply(host, node.EngineReported{Engine: engine.config.Name, Report: report, AskedAt: read.At})
 	})
 }
 
--- a/internal/decide/owner/owner.go
+++ b/internal/decide/owner/owner.go
@@ -64,8 +64,10 @@
 	wants       map[ident.Adapter]*want
 	running     int
 	version     uint64
-	reportedAt  clock.Millis
-	effects     []effect.Effect
+	// reportedAt is when the engine took the report last heard of.
+	reportedAt clock.Millis
+	takeover   takeover
+	effects    []effect.Effect
 }
 
 // New returns the owner of an engine whose state is not known yet: nothing is
@@ -126,6 +128,8 @@
 		LoadsWaiting: len(owner.wants),
 		ReportAge:    now - owner.reportedAt,
 		Quarantined:  owner.quarantined,
+		Leaving:      owner.draining,
+		Boot:         owner.boot,
 	}
 	for i := range owner.slots {
 		if owner.slots[i].serves() {
@@ -139,7 +143,7 @@
 // for loads.
 func (owner *Owner) advance(now clock.Millis) {
 	owner.version++
-	if owner.reportedAt == 0 || owner.quarantined {
+	if owner.reportedAt == 0 || owner.quarantined || owner.takeover.suspended {
 		owner.expire(now)
 		return
 	}
--- a/internal/decide/owner/report.go
+++ b/internal/decide/owner/report.go
@@ -27,13 +27,25 @@
 // Reported takes in a report. The first one fills the slots; a new boot id
 // voids them.
 func (owner *Owner) Reported(now clock.Millis, report Report) []effect.Effect {
+	return owner.ReportedAt(now, now-report.Age, report)
+}
+
+// ReportedAt takes in a report that the engine took at or after the given time.
+// One that is older than the last changes nothing.
+func (owner *Owner) ReportedAt(now, takenAt clock.Millis, report Report) []effect.Effect {
+	if takenAt < owner.reportedAt {
+		return nil
+	}
 	switch {
 	case owner.boot == "":
 		owner.adopt(now, report)
 	case owner.boot != report.Boot:
 		owner.restarted(now, report)
 	}
-	owner.reportedAt = now - report.Age
+	owner.reportedAt = takenAt
+	owner.reconcile(now, takenAt, report)
+	owner.trackForeign(takenAt, report)
+	owner.settleUnknown(takenAt)
 	owner.advance(now)
 	return owner.take()
 }
@@ -47,6 +59,17 @@
 		owner.slots[i] = slot{state: slotReady, adapter: adapter, lastUsed: now}
 		owner.resident[adapter] = i
 	}
+	owner.pinResumed()
+}
+
+// pinResumed pins the adapters of runs that were resumed before the slots were
+// known.
+func (owner *Owner) pinResumed() {
+	for _, found := range owner.sortedRuns() {
+		if found.resumed && found.slot == noSlot {
+			found.slot = owner.pinSlot(found.submit.Request.Adapter)
+		}
+	}
 }
 
 // restarted voids everything that the engine's former life held.
@@ -63,6 +86,7 @@
 		delete(owner.runs, found.submit.Stream)
 	}
 	owner.running = 0
+	clear(owner.takeover.foreign)
 	owner.slots = make([]slot, owner.Engine.Slots)
 	clear(owner.resident)
 	clear(owner.wants)
--- a/internal/decide/owner/run.go
+++ b/internal/decide/owner/run.go
@@ -46,6 +46,10 @@
 	submit  message.Submit
 	slot    int // index of the pinned slot, once dispatched
 	resumes int
+	// resumed says that an earlier owner may have dispatched it.
+	resumed bool
+	// unknownAt is when the engine said that it does not know the resumed run.
+	unknownAt clock.Millis
 	// told says that the entry has had its Ended message.
 	told bool
 	// cancelAgain is when an unconfirmed cancel is sent again.
@@ -75,6 +79,8 @@
 	ResultUnknownRun Result = "UnknownRun"
 	// ResultFenced: the engine refused the order for its old fencing number.
 	ResultFenced Result = "Fenced"
+	// resultNeverRan: a resumed run is proved never to have begun.
+	resultNeverRan Result = "NeverRan"
 )
 
 // RunResult reports the end of an engine call or of a cancel.
@@ -93,6 +99,10 @@
 	}
 	arrived := &run{state: runWaiting, entry: entry, submit: submit}
 	owner.runs[submit.Stream] = arrived
+	if submit.Resume {
+		owner.resume(arrived)
+		return owner.take()
+	}
 	switch {
 	case owner.draining:
 		owner.refuse(arrived, outcome.Refused(outcome.ShuttingDown, 0))
@@ -110,7 +120,8 @@
 func (owner *Owner) Cancel(now clock.Millis, stream ident.StreamID) []effect.Effect {
 	found, known := owner.runs[stream]
 	if !known {
-		return nil
+		owner.cancelForeign(stream)
+		return owner.take()
 	}
 	if found.state == runWaiting {
 		owner.removeWaiting(found)
@@ -183,7 +194,15 @@
 	case ResultWrongAdapter:
 		owner.quarantine(now, "an answer named another run, adapter or version")
 		owner.tell(found, outcome.Lost(outcome.WrongAdapter), result.Chunks)
-		owner.cancel(now, found)
+		if owner.takeover.retired {
+			owner.finish(found, result)
+		} else {
+			owner.cancel(now, found)
+		}
+	case ResultUnknownRun:
+		owner.unknownRun(now, found, result)
+	case ResultNotSent, ResultRefused, ResultFenced:
+		owner.notBegun(now, found, result)
 	default:
 		owner.finish(found, result)
 	}
@@ -191,9 +210,27 @@
 	return owner.take()
 }
 
+// notBegun takes in that an order to run had no effect. Only of the first order
+// does that mean that the request did not run.
+func (owner *Owner) notBegun(now clock.Millis, found *run, result RunResult) {
+	again := found.resumed || found.resumes > 0
+	switch {
+	case !again:
+		owner.finish(found, result)
+	case result.Result == ResultFenced:
+		owner.finish(found, RunResult{Stream: result.Stream, Result: ResultLost, Chunks: result.Chunks})
+	default:
+		owner.lost(now, found, result)
+	}
+}
+
 // lost resumes a run whose connection broke, or gives it up: the pin stays
 // until the engine confirms the end.
 func (owner *Owner) lost(now clock.Millis, found *run, result RunResult) {
+	if owner.takeover.retired {
+		owner.finish(found, result)
+		return
+	}
 	if found.state == runDispatched && found.resumes < owner.options.ResumeTries {
 		found.resumes++
 		owner.start(found, true, result.Chunks)
@@ -229,21 +266,19 @@
 }
 
 func (owner *Owner) unpin(found *run) {
-	slot := &owner.slots[found.slot]
-	invariant.Check(slot.pins > 0 && owner.running > 0, "every pin is released once",
-		"run %s, slot %d has %d pins", found.submit.Stream, found.slot, slot.pins)
-	slot.pins--
-	owner.running--
+	owner.release(found.slot)
 }
 
 func outcomeOf(result Result) outcome.Outcome {
 	switch result {
 	case ResultComplete:
 		return outcome.Done()
-	case ResultNotSent, ResultRefused:
+	case ResultNotSent, ResultRefused, resultNeverRan:
 		return outcome.Refused(outcome.EngineRefused, clock.Second)
 	case ResultFenced:
 		return outcome.Refused(outcome.NotOwner, 0)
+	case ResultTruncated:
+		return outcome.Lost(outcome.Truncated)
 	case ResultCancelled:
 		return outcome.Lost(outcome.Cancelled)
 	default:
--- a/internal/decide/owner/slot.go
+++ b/internal/decide/owner/slot.go
@@ -28,6 +28,7 @@
 	failLoad    slotEvent = "FailLoad"
 	beginUnload slotEvent = "BeginUnload"
 	endUnload   slotEvent = "EndUnload"
+	failUnload  slotEvent = "FailUnload"
 )
 
 var slotTable = lifecycle.New("slot", []lifecycle.Transition[slotState, slotEvent]{
@@ -36,6 +37,7 @@
 	{Event: failLoad, From: []slotState{slotLoading}, To: slotEmpty},
 	{Event: beginUnload, From: []slotState{slotReady}, To: slotUnloading},
 	{Event: endUnload, From: []slotState{slotUnloading}, To: slotEmpty},
+	{Event: failUnload, From: []slotState{slotUnloading}, To: slotReady},
 })
 
 // slot is one adapter slot of the engine.
@@ -47,6 +49,8 @@
 	lastUsed clock.Millis
 	// next is the adapter to load once the present one is unloaded.
 	next ident.Adapter
+	// unloadFailed waits for a report to show whether the adapter is still there.
+	unloadFailed bool
 }
 
 // serves reports whether the slot holds, or will shortly hold, its adapter.
@@ -104,7 +108,7 @@
 		if slot.state == slotEmpty {
 			return i
 		}
-		if slot.state != slotReady || slot.pins > 0 {
+		if slot.state != slotReady || slot.pins > 0 || !owner.mayEvict() {
 			continue
 		}
 		if found < 0 || slot.lastUsed < owner.slots[found].lastUsed {
@@ -118,7 +122,7 @@
 func (owner *Owner) Granted(now clock.Millis, adapter ident.Adapter) []effect.Effect {
 	wanted, known := owner.wants[adapter]
 	at := owner.findRoom()
-	if !known || at < 0 {
+	if !known || at < 0 || owner.takeover.suspended {
 		if known {
 			wanted.asked = false
 		}
@@ -164,18 +168,31 @@
 		if slot.state != slotUnloading || slot.adapter != adapter {
 			continue
 		}
-		if failed {
-			owner.emit(effect.Unload{Engine: owner.Engine.Name, Adapter: adapter, Fence: owner.Fence})
-			break
+		owner.takeover.unloadedAt = now
+		if failed || owner.takeover.suspended {
+			slot.unloadFailed = failed
+			owner.abandonLoad(slot.next)
+		}
+		if !failed {
+			slotTable.Must(&slot.state, endUnload)
+		}
+		if !failed && !owner.takeover.suspended {
+			owner.load(i, slot.next)
 		}
-		slotTable.Must(&slot.state, endUnload)
-		owner.load(i, slot.next)
 		break
 	}
 	owner.advance(now)
 	return owner.take()
 }
 
+// abandonLoad gives up a load whose turn has come but which cannot begin.
+func (owner *Owner) abandonLoad(adapter ident.Adapter) {
+	if wanted, known := owner.wants[adapter]; known {
+		wanted.asked, wanted.granted = false, false
+	}
+	owner.returnLease(adapter, false)
+}
+
 // Loaded takes in the end of a load order.
 func (owner *Owner) Loaded(now clock.Millis, adapter ident.Adapter, failed bool) []effect.Effect {
 	at, held := owner.resident[adapter]
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -90,7 +90,7 @@
 // judge rules an engine out, or returns RankedLower for one that may serve.
 func judge(now clock.Millis, engine *config.Engine, view *View, tried []ident.EngineID, weights Weights) outcome.Verdict {
 	switch {
-	case engine.Leaving:
+	case engine.Leaving || view != nil && view.State.Leaving:
 		return outcome.EngineAway
 	case view == nil:
 		return outcome.OwnerUnknown
--- a/internal/inner/link/frame.go
+++ b/internal/inner/link/frame.go
@@ -60,6 +60,11 @@
 	reflect.TypeFor[message.LoadDone](),
 	reflect.TypeFor[message.Heartbeat](),
 	reflect.TypeFor[message.EngineState](),
+	reflect.TypeFor[message.Update](),
+	reflect.TypeFor[message.UpdateAsk](),
+	reflect.TypeFor[message.HandoverAsk](),
+	reflect.TypeFor[message.Handover](),
+	reflect.TypeFor[message.Moved](),
 }
 
 var messageKinds = func() map[reflect.Type]frameKind {
--- a/internal/serve/daemon/perform.go
+++ b/internal/serve/daemon/perform.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"teaselmoor/internal/backend/engine"
+	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/base/ident"
 	"teaselmoor/internal/decide/effect"
 	"teaselmoor/internal/decide/message"
@@ -34,6 +35,8 @@
 		daemon.tasks.Go("unload", func(ctx context.Context) error { daemon.unload(ctx, next); return nil })
 	case effect.ReadEngine:
 		daemon.tasks.Go("report", func(ctx context.Context) error { daemon.readEngine(ctx, next); return nil })
+	case effect.ReadVMs:
+		daemon.tasks.Go("VM list", func(ctx context.Context) error { daemon.readListOnce(ctx); return nil })
 	case effect.CallService:
 		daemon.tasks.Go("service", func(ctx context.Context) error { daemon.callService(ctx, next); return nil })
 	case effect.Audit:
@@ -52,10 +55,15 @@
 	if !isSubmit {
 		return
 	}
-	daemon.enqueue(laneOf(submit.Lane()), node.Received{From: next.To, Message: message.Ended{
+	ended := message.Ended{
 		Stream: submit.Stream, Class: submit.Request.Class,
 		Outcome: outcome.Refused(outcome.NoOwner, 0),
-	}})
+	}
+	if submit.Entry != "" && submit.Entry != daemon.Self() {
+		daemon.links.Send(submit.Entry, ended)
+		return
+	}
+	daemon.enqueue(laneOf(submit.Lane()), node.Received{From: next.To, Message: ended})
 }
 
 func laneOf(lane message.Lane) jobLane {
@@ -92,7 +100,7 @@
 func (daemon *Daemon) run(ctx context.Context, start effect.StartRun) {
 	result := owner.ResultNotSent
 	sink := daemon.newSink(start)
-	if address, known := daemon.engineAddress(start.Engine); known {
+	if address, known := daemon.engineAddress(start.Engine); known && daemon.inTime(start.Until) {
 		result = daemon.options.Engines.Run(ctx, address, start, sink)
 	}
 	ended := node.RunEnded{Engine: start.Engine, Result: owner.RunResult{
@@ -128,23 +136,32 @@
 	}
 }
 
+// inTime reports whether the leave to give an order has not ended. It stands
+// directly before the write, because the process may have been paused since the
+// decision. Zero means no end.
+func (daemon *Daemon) inTime(until clock.Millis) bool {
+	return until == 0 || daemon.options.Now() <= until
+}
+
 func (daemon *Daemon) load(ctx context.Context, order effect.Load) {
 	result := engine.LoadFailed
-	if address, known := daemon.engineAddress(order.Engine); known {
+	if address, known := daemon.engineAddress(order.Engine); known && daemon.inTime(order.Until) {
 		result = daemon.options.Engines.Load(ctx, address, order.Adapter, order.Fence)
 	}
 	daemon.enqueue(promptLane, node.LoadEnded{
-		Engine: order.Engine, Adapter: order.Adapter, Failed: result != engine.LoadDone,
+		Engine: order.Engine, Adapter: order.Adapter,
+		Failed: result != engine.LoadDone, Fenced: result == engine.LoadFenced,
 	})
 }
 
 func (daemon *Daemon) unload(ctx context.Context, order effect.Unload) {
 	result := engine.LoadFailed
-	if address, known := daemon.engineAddress(order.Engine); known {
+	if address, known := daemon.engineAddress(order.Engine); known && daemon.inTime(order.Until) {
 		result = daemon.options.Engines.Unload(ctx, address, order.Adapter, order.Fence)
 	}
 	daemon.enqueue(promptLane, node.UnloadEnded{
-		Engine: order.Engine, Adapter: order.Adapter, Failed: result != engine.LoadDone,
+		Engine: order.Engine, Adapter: order.Adapter,
+		Failed: result != engine.LoadDone, Fenced: result == engine.LoadFenced,
 	})
 }
 
@@ -158,7 +175,7 @@
 		daemon.options.Log.Warn("engine report", "Engine", read.Engine, "Cause", err)
 		return
 	}
-	daemon.enqueue(promptLane, node.EngineReported{Engine: read.Engine, Report: report})
+	daemon.enqueue(promptLane, node.EngineReported{Engine: read.Engine, Report: report, AskedAt: read.At})
 }
 
 func (daemon *Daemon) callService(ctx context.Context, next effect.CallService) {
--- a/internal/serve/daemon/watch.go
+++ b/internal/serve/daemon/watch.go
@@ -51,22 +51,27 @@
 
 // readList reads the VM list at each interval.
 func (daemon *Daemon) readList(ctx context.Context) error {
-	return every(ctx, daemon.options.ListInterval, func() {
-		list, err := daemon.options.Platform.VMs(ctx)
-		if err != nil {
-			daemon.options.Log.Warn("VM list", "Cause", err)
-			return
-		}
-		view := members.NewView(list, daemon.options.Now())
-		daemon.connect(view)
-		daemon.enqueue(promptLane, node.VMListRead{View: view})
-	})
+	return every(ctx, daemon.options.ListInterval, func() { daemon.readListOnce(ctx) })
+}
+
+// readListOnce reads the VM list. Its age counts from before the call, since the
+// list may have changed while the answer was on its way.
+func (daemon *Daemon) readListOnce(ctx context.Context) {
+	askedAt := daemon.options.Now()
+	list, err := daemon.options.Platform.VMs(ctx)
+	if err != nil {
+		daemon.options.Log.Warn("VM list", "Cause", err)
+		return
+	}
+	view := members.NewView(list, askedAt)
+	daemon.connect(view)
+	daemon.enqueue(promptLane, node.VMListRead{View: view})
 }
 
-// connect makes the listed daemons this daemon's peers.
+// connect makes the listed daemons of the own region this daemon's peers.
 func (daemon *Daemon) connect(view *members.View) {
 	var peers []link.Peer
-	for _, name := range view.Daemons(func(*members.VM) bool { return true }) {
+	for _, name := range view.Daemons(func(vm *members.VM) bool { return vm.Region == daemon.options.Node.Region }) {
 		vm, found := view.Daemon(name)
 		if found && name != daemon.Self() {
 			peers = append(peers, link.Peer{Name: name, Address: vm.Address})
