node: proofs of ownership under drawn faults

An adapter that a former owner was still loading could end up in two slots: it came with a report after the load of it had been asked for, and the grant then loaded it again; evicting one of the two hit the runs on the other. Found by a drawn history with a handover during a load. A daemon asked for its state before it had read a VM list stopped.

--- a/internal/decide/node/membership.go
+++ b/internal/decide/node/membership.go
@@ -142,6 +142,8 @@
 	}
 	if node.config != nil {
 		update.ConfigVersion = node.config.Version()
+	}
+	if node.config != nil && node.vms != nil {
 		update.Departing = node.departingRead()
 	}
 	return update
--- a/internal/decide/nodetest/network.go
+++ b/internal/decide/nodetest/network.go
@@ -62,6 +62,9 @@
 	ListLag  map[ident.DaemonID]clock.Millis
 	ListDown map[ident.DaemonID]bool
 	// OnSend sees every message that one daemon sends to another.
+	// Steps counts the events that nodes have taken in.
+	Steps  int
+	// OnSend sees every message that one daemon sends to another.
 	OnSend func(from, to ident.DaemonID, sent message.Message)
 
 	options  Options
@@ -235,6 +238,16 @@
 	network.Feed(host, arrived)
 }
 
+// Leave closes the connection of the caller of a request.
+func (network *Network) Leave(host *Host, request string) {
+	for stream, id := range host.streams {
+		if id == request {
+			network.Feed(host, node.CallerGone{Stream: stream})
+			return
+		}
+	}
+}
+
 // Feed steps a node with an event and carries out what follows.
 func (network *Network) Feed(host *Host, event node.Event) {
 	if host.Dead {
@@ -244,6 +257,7 @@
 		host.backlog = append(host.backlog, event)
 		return
 	}
+	network.Steps++
 	for _, next := range host.Node.Step(network.Now, event) {
 		network.perform(host, next)
 	}
@@ -344,6 +358,11 @@
 	return true
 }
 
+// After does something once the span has passed.
+func (network *Network) After(span clock.Millis, do func()) {
+	network.after(span, do)
+}
+
 func (network *Network) after(span clock.Millis, do func()) {
 	network.sequence++
 	heap.Push(&network.queue, happening{at: network.Now + span, order: network.sequence, do: do})
--- a/internal/decide/owner/slot.go
+++ b/internal/decide/owner/slot.go
@@ -122,7 +122,7 @@
 func (owner *Owner) Granted(now clock.Millis, adapter ident.Adapter) []effect.Effect {
 	wanted, known := owner.wants[adapter]
 	at := owner.findRoom()
-	if !known || at < 0 || owner.takeover.suspended {
+	if !known || at < 0 || owner.takeover.suspended || owner.holds(adapter) {
 		if known {
 			wanted.asked = false
 		}
@@ -140,6 +140,7 @@
 }
 
 func (owner *Owner) load(at int, adapter ident.Adapter) {
+	invariant.Check(!owner.holds(adapter), "an adapter is in one slot at most", "%s, slot %d", adapter, at)
 	slot := &owner.slots[at]
 	slotTable.Must(&slot.state, beginLoad)
 	slot.adapter = adapter
@@ -177,7 +178,7 @@
 			slotTable.Must(&slot.state, endUnload)
 		}
 		if !failed && !owner.takeover.suspended {
-			owner.load(i, slot.next)
+			owner.loadNext(i)
 		}
 		break
 	}
@@ -185,6 +186,23 @@
 	return owner.take()
 }
 
+// holds reports whether a slot holds the adapter. It may have been loaded by a
+// former owner after this one asked for a load of it.
+func (owner *Owner) holds(adapter ident.Adapter) bool {
+	_, held := owner.resident[adapter]
+	return held
+}
+
+// loadNext loads into a slot that has been freed for it.
+func (owner *Owner) loadNext(at int) {
+	next := owner.slots[at].next
+	if owner.holds(next) {
+		owner.abandonLoad(next)
+		return
+	}
+	owner.load(at, next)
+}
+
 // abandonLoad gives up a load whose turn has come but which cannot begin.
 func (owner *Owner) abandonLoad(adapter ident.Adapter) {
 	if wanted, known := owner.wants[adapter]; known {
