config: problems carry the line of the document

An empty or doubled key hash was reported at the path .Name, and a parse error named one line without its path. Parse now lists every mistake, and Locate adds lines to what Validate finds. The fast path of a valid document is unchanged.

--- a/internal/control/config/document.go
+++ b/internal/control/config/document.go
@@ -6,15 +6,18 @@
 
 	"github.com/pkg/errors"
 	"gopkg.in/yaml.v3"
+
+	"teaselmoor/internal/base/document"
 )
 
-// Parse reads a YAML document. Unknown keys and a second document are refused.
+// Parse reads a YAML document. Unknown keys and a second document are refused;
+// the error is then Problems that lists every such mistake.
 func Parse(text []byte) (Config, error) {
 	decoder := yaml.NewDecoder(bytes.NewReader(text))
 	decoder.KnownFields(true)
 	var config Config
 	if err := decoder.Decode(&config); err != nil {
-		return Config{}, errors.Wrap(err, "parse configuration")
+		return Config{}, explainParse(text, err)
 	}
 	var extra yaml.Node
 	if err := decoder.Decode(&extra); !errors.Is(err, io.EOF) {
@@ -23,6 +26,35 @@
 	return config, nil
 }
 
+// explainParse reads a document that failed again, slowly, to name the line and
+// key of each mistake.
+func explainParse(text []byte, cause error) error {
+	var config Config
+	mistakes := document.Decode(text, &config)
+	if len(mistakes) == 0 {
+		return errors.Wrap(cause, "parse configuration")
+	}
+	problems := make(Problems, 0, len(mistakes))
+	for _, mistake := range mistakes {
+		problems = append(problems, Problem{Line: mistake.Line, Path: mistake.Key, Text: mistake.Text})
+	}
+	return problems
+}
+
+// Locate returns the problems with the lines that they have in the document.
+func Locate(text []byte, problems Problems) Problems {
+	parsed, mistakes := document.Parse(text)
+	if mistakes != nil {
+		return problems
+	}
+	located := make(Problems, 0, len(problems))
+	for _, problem := range problems {
+		problem.Line = parsed.Line(problem.Path)
+		located = append(located, problem)
+	}
+	return located
+}
+
 // Format writes the document as YAML.
 func Format(config Config) ([]byte, error) {
 	text, err := yaml.Marshal(config)
--- a/internal/control/config/validate.go
+++ b/internal/control/config/validate.go
@@ -8,15 +8,22 @@
 	"github.com/pkg/errors"
 	"k8s.io/apimachinery/pkg/labels"
 
+	"teaselmoor/internal/base/document"
 	"teaselmoor/internal/base/ident"
 )
 
 // Problem is one mistake in a configuration, at the path of the field.
 type Problem struct {
+	Line int    // in the document that was parsed; 0 when not known
 	Path string // for example Rules[2].Callers
 	Text string
 }
 
+// String formats the problem as line, path and text.
+func (problem Problem) String() string {
+	return document.Mistake{Line: problem.Line, Key: problem.Path, Text: problem.Text}.String()
+}
+
 // Problems lists every mistake of a document. It is an error.
 type Problems []Problem
 
@@ -24,7 +31,7 @@
 func (problems Problems) Error() string {
 	lines := make([]string, 0, len(problems))
 	for _, problem := range problems {
-		lines = append(lines, problem.Path+": "+problem.Text)
+		lines = append(lines, problem.String())
 	}
 	return strings.Join(lines, "\n")
 }
@@ -89,15 +96,16 @@
 	check.problems = append(check.problems, Problem{Path: path, Text: fmt.Sprintf(format, arguments...)})
 }
 
-// unique refuses a second use of the same name within one kind of object.
+// unique refuses an empty name and a second use of the same name within one
+// kind of object.
 func (check *validator) unique(path, kind, name string) {
 	if name == "" {
-		check.add(path+".Name", "must not be empty")
+		check.add(path, "must not be empty")
 		return
 	}
 	key := kind + "/" + name
 	if check.seen[key] {
-		check.add(path+".Name", "%s %q is defined twice", kind, name)
+		check.add(path, "%s %q is defined twice", kind, name)
 	}
 	check.seen[key] = true
 }
@@ -115,14 +123,14 @@
 }
 
 func (check *validator) store(path string, store WeightStore) {
-	check.unique(path, "weight store", store.Name)
+	check.unique(path+".Name", "weight store", store.Name)
 	if store.LoadsPerSecond <= 0 {
 		check.add(path+".LoadsPerSecond", "must be above 0")
 	}
 }
 
 func (check *validator) engine(path string, engine Engine, stores map[string]bool) {
-	check.unique(path, "engine", string(engine.Name))
+	check.unique(path+".Name", "engine", string(engine.Name))
 	check.address(path+".Address", engine.Address)
 	if engine.DataCentre == "" {
 		check.add(path+".DataCentre", "must not be empty")
@@ -145,7 +153,7 @@
 }
 
 func (check *validator) service(path string, service Service) {
-	check.unique(path, "service", service.Name)
+	check.unique(path+".Name", "service", service.Name)
 	if len(service.Addresses) == 0 {
 		check.add(path+".Addresses", "must not be empty")
 	}
@@ -157,8 +165,10 @@
 const hashDigits = 64 // hexadecimal digits of a SHA-256
 
 func (check *validator) caller(path string, caller Caller) {
-	check.unique(path, "caller", caller.Name)
-	check.unique(path, "key hash", caller.KeyHash)
+	check.unique(path+".Name", "caller", caller.Name)
+	if caller.KeyHash != "" {
+		check.unique(path+".KeyHash", "key hash", caller.KeyHash)
+	}
 	if len(caller.KeyHash) != hashDigits || strings.Trim(caller.KeyHash, "0123456789abcdef") != "" {
 		check.add(path+".KeyHash", "want 64 lower-case hexadecimal digits of a SHA-256")
 	}
@@ -174,14 +184,14 @@
 	if _, err := ident.ParseAdapter(adapter.Address().String()); err != nil {
 		check.add(path, "%v", err)
 	}
-	check.unique(path, "adapter", adapter.Address().String())
+	check.unique(path+".Name", "adapter", adapter.Address().String())
 	if !bases[adapter.BaseModel] {
 		check.add(path+".BaseModel", "no engine has base model %q", adapter.BaseModel)
 	}
 }
 
 func (check *validator) rule(path string, rule Rule) {
-	check.unique(path, "rule", rule.Name)
+	check.unique(path+".Name", "rule", rule.Name)
 	check.selector(path+".Callers", rule.Callers)
 	check.selector(path+".Adapters", rule.Adapters)
 	check.selector(path+".Services", rule.Services)
