--- /dev/null
+++ b/internal/base/settings/fields.go
@@ -0,0 +1,205 @@
+package settings
+
+import "teaselmoor/internal/base/clock"
+
+// Settings are one daemon's settings. The tags state the values allowed: min and
+// max bound numbers, oneof lists words, want names a form.
+type Settings struct {
+	// The VM's name, as in the VM list.
+	Name string `yaml:"Name" want:"text"`
+	// The data centre that the VM stands in.
+	DataCentre string `yaml:"DataCentre" want:"text"`
+	// The region that the data centre belongs to.
+	Region string `yaml:"Region" want:"text"`
+	// Where the daemon listens for callers (IP:port).
+	CallerAddress string `yaml:"CallerAddress" want:"address"`
+	// Where the daemon listens for other daemons (IP:port); the VM list publishes it.
+	InnerAddress string `yaml:"InnerAddress" want:"address"`
+	// Where the daemon listens for operators and for metrics collectors (IP:port).
+	// Nothing is asked of who connects there: keep it off the callers' network.
+	OperatorAddress string `yaml:"OperatorAddress" want:"address"`
+	// The platform's configuration service (IP:port).
+	ConfigAddress string `yaml:"ConfigAddress" want:"address"`
+	// The platform's VM list (IP:port).
+	VMListAddress string `yaml:"VMListAddress" want:"address"`
+
+	Callers   Callers   `yaml:"Callers"`
+	Operators Operators `yaml:"Operators"`
+	Runtime   Runtime   `yaml:"Runtime"`
+	Platform  Platform  `yaml:"Platform"`
+	Peers     Peers     `yaml:"Peers"`
+	Engines   Engines   `yaml:"Engines"`
+	Services  Services  `yaml:"Services"`
+	Queue     Queue     `yaml:"Queue"`
+	Loads     Loads     `yaml:"Loads"`
+	Keys      Keys      `yaml:"Keys"`
+	Placement Placement `yaml:"Placement"`
+}
+
+// Callers bounds what callers may send and how long they may take.
+type Callers struct {
+	// Largest body of a request, in bytes.
+	MaxBodyBytes int64 `yaml:"MaxBodyBytes" min:"1024" max:"67108864"`
+	// Largest head of a request, in bytes.
+	MaxHeaderBytes int `yaml:"MaxHeaderBytes" min:"1024" max:"1048576"`
+	// Longest idempotency key, in bytes.
+	MaxKeyBytes int `yaml:"MaxKeyBytes" min:"36" max:"1024"`
+	// Connections open at once; further ones wait to be accepted.
+	MaxConnections int `yaml:"MaxConnections" min:"1" max:"1000000"`
+	// Longest wait for the head of a request, in milliseconds.
+	HeaderTimeoutMillis clock.Millis `yaml:"HeaderTimeoutMillis" min:"100" max:"600000"`
+	// Longest wait for the whole of a request, in milliseconds. Answers are not bounded by it.
+	BodyTimeoutMillis clock.Millis `yaml:"BodyTimeoutMillis" min:"100" max:"600000"`
+	// Span after which a connection without a request is closed, in milliseconds.
+	IdleTimeoutMillis clock.Millis `yaml:"IdleTimeoutMillis" min:"1000" max:"3600000"`
+}
+
+// Operators is about what operators see of the daemon.
+type Operators struct {
+	// Least level of the lines logged. The audit trail is written at every level.
+	LogLevel string `yaml:"LogLevel" oneof:"Debug Info Warn Error"`
+	// Serve profiles of the process under /debug/pprof/ at the operators' address.
+	Profiling bool `yaml:"Profiling"`
+	// Changes kept in memory for the audit command.
+	AuditChanges int `yaml:"AuditChanges" min:"16" max:"1000000"`
+	// Refusals kept in memory for the audit and explain commands.
+	AuditRefusals int `yaml:"AuditRefusals" min:"16" max:"1000000"`
+	// Connections open at once; further ones wait to be accepted.
+	MaxConnections int `yaml:"MaxConnections" min:"1" max:"10000"`
+}
+
+// Runtime is about the daemon's own work.
+type Runtime struct {
+	// Goroutines that step the decision machines.
+	Workers int `yaml:"Workers" min:"1" max:"1024"`
+	// Span between two ticks of the decision machines, in milliseconds.
+	TickIntervalMillis clock.Millis `yaml:"TickIntervalMillis" min:"1" max:"1000"`
+	// Longest wait at shutdown for the requests in progress, in milliseconds.
+	DrainTimeoutMillis clock.Millis `yaml:"DrainTimeoutMillis" min:"0" max:"86400000"`
+	// Repeated attempts allowed for each first attempt, on average.
+	RetryShare float64 `yaml:"RetryShare" min:"0" max:"1"`
+}
+
+// Platform is about reading the platform's services.
+type Platform struct {
+	// Longest wait for an answer of the platform, in milliseconds.
+	TimeoutMillis clock.Millis `yaml:"TimeoutMillis" min:"100" max:"60000"`
+	// Span between two reads of the VM list, in milliseconds.
+	ListIntervalMillis clock.Millis `yaml:"ListIntervalMillis" min:"100" max:"60000"`
+}
+
+// Peers is about the connections between daemons.
+type Peers struct {
+	// Span between two pings, in milliseconds.
+	PingMillis clock.Millis `yaml:"PingMillis" min:"10" max:"60000"`
+	// Span without any word after which a peer counts as lost, in milliseconds.
+	SilenceMillis clock.Millis `yaml:"SilenceMillis" min:"20" max:"600000"`
+	// Span between two tries to connect, in milliseconds.
+	RedialMillis clock.Millis `yaml:"RedialMillis" min:"10" max:"60000"`
+}
+
+// Engines is about calls to model engines.
+type Engines struct {
+	// Longest wait for a connection, in milliseconds.
+	DialTimeoutMillis clock.Millis `yaml:"DialTimeoutMillis" min:"10" max:"60000"`
+	// Longest wait for the head of an answer or the end of an order, in milliseconds.
+	HeadTimeoutMillis clock.Millis `yaml:"HeadTimeoutMillis" min:"100" max:"3600000"`
+	// Idle connections kept to each engine.
+	MaxIdleConnections int `yaml:"MaxIdleConnections" min:"0" max:"10000"`
+	// Span between two reads of an engine's report, in milliseconds.
+	ReportIntervalMillis clock.Millis `yaml:"ReportIntervalMillis" min:"10" max:"60000"`
+	// Span between two words to other daemons on an owned engine, in milliseconds.
+	StateIntervalMillis clock.Millis `yaml:"StateIntervalMillis" min:"10" max:"60000"`
+}
+
+// Services is about calls to plain services.
+type Services struct {
+	// Longest wait for a connection, in milliseconds.
+	DialTimeoutMillis clock.Millis `yaml:"DialTimeoutMillis" min:"10" max:"60000"`
+	// Longest wait for a whole answer, in milliseconds.
+	TimeoutMillis clock.Millis `yaml:"TimeoutMillis" min:"100" max:"3600000"`
+	// Idle connections kept to each address.
+	MaxIdleConnections int `yaml:"MaxIdleConnections" min:"0" max:"10000"`
+}
+
+// Queue is about requests that wait for an engine, at its owner.
+type Queue struct {
+	// Urgent requests that may wait.
+	UrgentLength int `yaml:"UrgentLength" min:"1" max:"1000000"`
+	// Routine requests that may wait.
+	RoutineLength int `yaml:"RoutineLength" min:"1" max:"1000000"`
+	// Runs of each engine kept free for urgent requests.
+	UrgentReserveRuns int `yaml:"UrgentReserveRuns" min:"0" max:"1024"`
+	// Times that a lost run is resumed at its engine.
+	ResumeTries int `yaml:"ResumeTries" min:"0" max:"100"`
+	// Span after which an unconfirmed cancel is repeated, in milliseconds.
+	CancelIntervalMillis clock.Millis `yaml:"CancelIntervalMillis" min:"10" max:"60000"`
+}
+
+// Loads is about loading adapters from weight stores.
+type Loads struct {
+	// Loads granted at once at each weight store.
+	Parallel int `yaml:"Parallel" min:"1" max:"64"`
+	// Span after which a grant that was not returned goes to another load, in milliseconds.
+	LeaseMillis clock.Millis `yaml:"LeaseMillis" min:"100" max:"600000"`
+	// Span during which an adapter is not loaded again after a failed load, in
+	// milliseconds; doubled with each failure in a row.
+	BackoffMillis clock.Millis `yaml:"BackoffMillis" min:"10" max:"600000"`
+	// Failed loads after which the waiting requests are refused or go to another engine.
+	Tries int `yaml:"Tries" min:"1" max:"100"`
+}
+
+// Keys is about idempotency keys, at their home.
+type Keys struct {
+	// Span for which a finished attempt is remembered, in milliseconds.
+	RetentionMillis clock.Millis `yaml:"RetentionMillis" min:"1000" max:"604800000"`
+	// Largest difference between two daemons' clocks, in milliseconds.
+	ClockMarginMillis clock.Millis `yaml:"ClockMarginMillis" min:"0" max:"600000"`
+}
+
+// Placement weighs what an engine costs a request.
+type Placement struct {
+	// Cost of loading the adapter first, in queued requests. A higher one avoids
+	// load stalls; a lower one spreads requests and fills engine steps.
+	LoadCost float64 `yaml:"LoadCost" min:"0" max:"10000"`
+	// Cost of each step down an adapter's order of engines, in queued requests.
+	AffinityCost float64 `yaml:"AffinityCost" min:"0" max:"10000"`
+	// Age from which an engine's state is not relied on, in milliseconds.
+	SilenceMillis clock.Millis `yaml:"SilenceMillis" min:"100" max:"600000"`
+}
+
+// Default returns the settings used where a file names none. Identity and
+// addresses have no default.
+func Default() Settings {
+	return Settings{
+		Callers: Callers{
+			MaxBodyBytes: 4 << 20, MaxHeaderBytes: 64 << 10, MaxKeyBytes: 255, MaxConnections: 4096,
+			HeaderTimeoutMillis: 10 * clock.Second, BodyTimeoutMillis: 30 * clock.Second, IdleTimeoutMillis: 2 * clock.Minute,
+		},
+		Operators: Operators{LogLevel: "Info", AuditChanges: 4096, AuditRefusals: 4096, MaxConnections: 64},
+		Runtime: Runtime{
+			Workers: 8, TickIntervalMillis: 50 * clock.Millisecond,
+			DrainTimeoutMillis: 2 * clock.Minute, RetryShare: 0.1,
+		},
+		Platform: Platform{TimeoutMillis: 5 * clock.Second, ListIntervalMillis: clock.Second},
+		Peers: Peers{
+			PingMillis: clock.Second, SilenceMillis: 3 * clock.Second, RedialMillis: 250 * clock.Millisecond,
+		},
+		Engines: Engines{
+			DialTimeoutMillis: 2 * clock.Second, HeadTimeoutMillis: 2 * clock.Minute, MaxIdleConnections: 64,
+			ReportIntervalMillis: clock.Second, StateIntervalMillis: 250 * clock.Millisecond,
+		},
+		Services: Services{
+			DialTimeoutMillis: 2 * clock.Second, TimeoutMillis: 30 * clock.Second, MaxIdleConnections: 64,
+		},
+		Queue: Queue{
+			UrgentLength: 256, RoutineLength: 1024, UrgentReserveRuns: 1,
+			ResumeTries: 2, CancelIntervalMillis: clock.Second,
+		},
+		Loads: Loads{
+			Parallel: 1, LeaseMillis: 5 * clock.Second, BackoffMillis: 2 * clock.Second, Tries: 3,
+		},
+		Keys:      Keys{RetentionMillis: clock.Hour, ClockMarginMillis: 2 * clock.Second},
+		Placement: Placement{LoadCost: 16, AffinityCost: 4, SilenceMillis: 10 * clock.Second},
+	}
+}
