metrics: count what the decision machines do, from their events and effects

go-metrics keeps the counters; a small writer puts them out in the text exposition format. Spans are histograms with fixed buckets, because the quantiles of several daemons cannot be added. Ruled out: the library's own timers (a sample each, no sum over the process life) and a second metrics library only for its writer.

--- /dev/null
+++ b/internal/serve/metrics/gauges.go
@@ -0,0 +1,120 @@
+package metrics
+
+import (
+	"runtime"
+	"syscall"
+
+	"teaselmoor/internal/decide/message"
+	"teaselmoor/internal/decide/node"
+)
+
+// Gauge is a value as it is at the time of reading.
+type Gauge struct {
+	family family
+	labels []label
+	value  float64
+}
+
+func gauge(name, help string) family {
+	return family{name, help, gaugeKind}
+}
+
+// Families of gauges.
+var (
+	ready         = gauge("teaselmoor_ready", "1 while the daemon is ready for callers.")
+	draining      = gauge("teaselmoor_draining", "1 while the daemon is shutting down.")
+	inProgress    = gauge("teaselmoor_requests_in_progress", "Requests at this entry that have not ended.")
+	keys          = gauge("teaselmoor_idempotency_keys", "Idempotency keys remembered at this home.")
+	configVersion = gauge("teaselmoor_config_version", "Version of the configuration in force.")
+	listVersion   = gauge("teaselmoor_vm_list_version", "Version of the VM list last read.")
+	listAge       = gauge("teaselmoor_vm_list_age_milliseconds", "Span since the VM list was read.")
+	peers         = gauge("teaselmoor_peers", "Daemons with a live control connection.")
+	ownedEngines  = gauge("teaselmoor_engines_owned", "Engines that this daemon gives orders to.")
+	queued        = gauge("teaselmoor_engine_queued", "Requests that wait for an owned engine.")
+	running       = gauge("teaselmoor_engine_running", "Runs at an owned engine.")
+	loadsWaiting  = gauge("teaselmoor_engine_loads_waiting", "Loads of an owned engine that have not begun.")
+	resident      = gauge("teaselmoor_engine_resident", "Adapters in the slots of an owned engine.")
+	reportAge     = gauge("teaselmoor_engine_report_age_milliseconds", "Age of an owned engine's own report.")
+	quarantined   = gauge("teaselmoor_engine_quarantined", "1 while an owned engine is quarantined.")
+	stateAge      = gauge("teaselmoor_engine_state_age_milliseconds", "Age of the oldest knowledge of an engine in use.")
+	goroutines    = gauge("teaselmoor_goroutines", "Goroutines of the process.")
+	heapBytes     = gauge("teaselmoor_heap_bytes", "Bytes of the heap in use.")
+	processorTime = family{"teaselmoor_processor_milliseconds_total", "Processor time that the process has used.", counterKind}
+)
+
+// StatusGauges describes a daemon's status.
+func StatusGauges(status node.Status, isReady bool, peerCount int) []Gauge {
+	one := func(of family, value float64) Gauge { return Gauge{family: of, value: value} }
+	gauges := []Gauge{
+		one(ready, flag(isReady)),
+		one(draining, flag(status.Draining)),
+		one(inProgress, float64(status.Requests)),
+		one(keys, float64(status.Keys)),
+		one(configVersion, float64(status.ConfigVersion)),
+		one(listVersion, float64(status.VMListVersion)),
+		one(listAge, float64(status.VMListAge)),
+		one(peers, float64(peerCount)),
+		one(ownedEngines, float64(len(status.Owned))),
+		one(stateAge, oldest(status)),
+	}
+	return append(gauges, engineGauges(status.Owned)...)
+}
+
+func oldest(status node.Status) float64 {
+	age := 0.0
+	for _, known := range status.Known {
+		age = max(age, float64(known.Age))
+	}
+	return age
+}
+
+// engineGauges lists each family's series together, as the format asks.
+func engineGauges(owned []message.EngineState) []Gauge {
+	columns := []struct {
+		family family
+		value  func(message.EngineState) float64
+	}{
+		{queued, func(state message.EngineState) float64 { return float64(state.Queued) }},
+		{running, func(state message.EngineState) float64 { return float64(state.Running) }},
+		{loadsWaiting, func(state message.EngineState) float64 { return float64(state.LoadsWaiting) }},
+		{resident, func(state message.EngineState) float64 { return float64(len(state.Resident)) }},
+		{reportAge, func(state message.EngineState) float64 { return float64(state.ReportAge) }},
+		{quarantined, func(state message.EngineState) float64 { return flag(state.Quarantined) }},
+	}
+	var gauges []Gauge
+	for _, column := range columns {
+		for _, state := range owned {
+			gauges = append(gauges, Gauge{
+				family: column.family, value: column.value(state), labels: []label{{"engine", string(state.Engine)}},
+			})
+		}
+	}
+	return gauges
+}
+
+// ProcessGauges describes the process.
+func ProcessGauges() []Gauge {
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	return []Gauge{
+		{family: goroutines, value: float64(runtime.NumGoroutine())},
+		{family: heapBytes, value: float64(memory.HeapInuse)},
+		{family: processorTime, value: processorMillis()},
+	}
+}
+
+// processorMillis returns the processor time used, 0 when it cannot be read.
+func processorMillis() float64 {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return float64((usage.Utime.Nano() + usage.Stime.Nano()) / 1_000_000)
+}
+
+func flag(set bool) float64 {
+	if set {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/serve/metrics/metrics_test.go
@@ -0,0 +1,84 @@
+package metrics_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/base/ident"
+	"teaselmoor/internal/control/config"
+	"teaselmoor/internal/decide/effect"
+	"teaselmoor/internal/decide/message"
+	"teaselmoor/internal/decide/node"
+	"teaselmoor/internal/decide/outcome"
+	"teaselmoor/internal/serve/metrics"
+)
+
+func text(t *testing.T, counted *metrics.Metrics, gauges ...metrics.Gauge) string {
+	t.Helper()
+	var out bytes.Buffer
+	require.NoError(t, counted.Write(&out, gauges))
+	return out.String()
+}
+
+func stream(sequence uint64) ident.StreamID {
+	return ident.StreamID{Daemon: "entry-1", Incarnation: 1, Sequence: sequence}
+}
+
+func TestRequestAcrossTwoAttempts(t *testing.T) {
+	counted := metrics.New()
+	observer := metrics.NewObserver(counted)
+	observer.Step(1000, node.Arrived{Stream: stream(1)}, nil)
+	observer.Step(1010, node.Tick{}, []effect.Effect{effect.Rebind{From: stream(1), To: stream(2)}})
+	observer.Step(1040, node.Tick{}, []effect.Effect{effect.Open{Stream: stream(2)}})
+	observer.Step(1300, node.Tick{}, []effect.Effect{effect.Answer{
+		Stream: stream(2), Outcome: outcome.Done(), Record: outcome.Record{Class: "Urgent"},
+	}})
+	written := text(t, counted)
+	require.Contains(t, written, `teaselmoor_requests_total{class="Urgent",outcome="Answered",reason="Complete"} 1`)
+	require.Contains(t, written, `teaselmoor_first_chunk_milliseconds_bucket{class="Urgent",le="20"} 0`)
+	require.Contains(t, written, `teaselmoor_first_chunk_milliseconds_bucket{class="Urgent",le="50"} 1`)
+	require.Contains(t, written, `teaselmoor_request_milliseconds_sum{class="Urgent",outcome="Answered"} 300`)
+	require.Contains(t, written, `teaselmoor_request_milliseconds_bucket{class="Urgent",outcome="Answered",le="+Inf"} 1`)
+}
+
+func TestLoadStall(t *testing.T) {
+	adapter := ident.Adapter{Name: "letters", Version: "1"}
+	start := func(sequence uint64) []effect.Effect {
+		return []effect.Effect{effect.StartRun{
+			Stream: stream(sequence), Engine: "runner-1", Request: message.Request{Adapter: adapter, Class: config.Routine},
+		}}
+	}
+	submit := func(sequence uint64) node.Event {
+		return node.Received{Message: message.Submit{Stream: stream(sequence)}}
+	}
+	counted := metrics.New()
+	observer := metrics.NewObserver(counted)
+	observer.Step(1000, submit(1), nil)
+	observer.Step(1500, node.LoadEnded{Engine: "runner-1", Adapter: adapter}, start(1))
+	observer.Step(1600, submit(2), start(2)) // the adapter is resident: no stall
+	written := text(t, counted)
+	require.Contains(t, written, `teaselmoor_load_stall_milliseconds_sum{class="Routine"} 500`)
+	require.Contains(t, written, `teaselmoor_load_stall_milliseconds_count{class="Routine"} 2`)
+	require.Contains(t, written, `teaselmoor_loads_total{result="done"} 1`)
+}
+
+func TestEachFamilyHasOneHead(t *testing.T) {
+	counted := metrics.New()
+	metrics.NewObserver(counted)
+	status := node.Status{Owned: []message.EngineState{{Engine: "runner-1", Queued: 3}, {Engine: "runner-2"}}, VMListAge: 2 * clock.Second}
+	written := text(t, counted, append(metrics.StatusGauges(status, true, 6), metrics.ProcessGauges()...)...)
+	seen := map[string]bool{}
+	for _, line := range strings.Split(written, "\n") {
+		if strings.HasPrefix(line, "# TYPE ") {
+			require.False(t, seen[line], line)
+			seen[line] = true
+		}
+	}
+	require.Contains(t, written, "teaselmoor_engine_queued{engine=\"runner-1\"} 3\n")
+	require.Contains(t, written, "teaselmoor_vm_list_age_milliseconds 2000\n")
+	require.Contains(t, written, "teaselmoor_peers 6\n")
+}
