serve: refusals are audited, bad input is named, limits come from settings

Callers: unknown paths and methods were plain text, an over-long body was a 400, a wrong JSON type repeated the decoder's words, and a stranger's body was read in full before its key was looked up. Each is now a JSON error with a reason code, the outcome header and a decision record. The limit on reading a body is a deadline on the connection during the read only: the server's ReadTimeout would go on to end answers that take longer.

Operators: audit trail with filter and long poll, decision records by request id, metrics, profiles behind a setting. The audit trail passes every log level.

--- a/internal/decide/outcome/outcome.go
+++ b/internal/decide/outcome/outcome.go
@@ -86,9 +86,12 @@
 	ConfigVersion uint64
 	Caller        string
 	Target        string
-	Rule          string
-	Class         string
-	Repeatable    bool
+	// Detail says what was wrong with a malformed request. It holds no API key
+	// and nothing of the body.
+	Detail     string `json:",omitempty"`
+	Rule       string
+	Class      string
+	Repeatable bool
 	// Deadline is the point in time by which the answer had to begin.
 	Deadline   clock.Millis
 	Candidates []Candidate
--- a/internal/decide/outcome/reason.go
+++ b/internal/decide/outcome/reason.go
@@ -7,6 +7,11 @@
 const (
 	Complete            Reason = "Complete"
 	BadRequest          Reason = "BadRequest"
+	BodyTooLarge        Reason = "BodyTooLarge"
+	BodyTimeout         Reason = "BodyTimeout"
+	UnsupportedType     Reason = "UnsupportedType"
+	UnknownPath         Reason = "UnknownPath"
+	WrongMethod         Reason = "WrongMethod"
 	Unauthorized        Reason = "Unauthorized"
 	UnknownModel        Reason = "UnknownModel"
 	UnknownService      Reason = "UnknownService"
@@ -41,6 +46,11 @@
 var sentences = map[Reason]string{
 	Complete:            "The request was answered in full by the adapter and version it addressed.",
 	BadRequest:          "The request was malformed and was not accepted.",
+	BodyTooLarge:        "The request was larger than the limit and was not accepted.",
+	BodyTimeout:         "The request did not arrive in full within the time allowed and was not accepted.",
+	UnsupportedType:     "The request's content type is not supported and it was not accepted.",
+	UnknownPath:         "The path addressed does not exist.",
+	WrongMethod:         "The path addressed does not accept this method.",
 	Unauthorized:        "The request carried no valid API key.",
 	UnknownModel:        "The adapter or version addressed is not in the configuration in force.",
 	UnknownService:      "The service addressed is not in the configuration in force.",
--- a/internal/decide/outcome/status.go
+++ b/internal/decide/outcome/status.go
@@ -4,6 +4,11 @@
 
 var statuses = map[Reason]int{
 	BadRequest:          http.StatusBadRequest,
+	BodyTooLarge:        http.StatusRequestEntityTooLarge,
+	BodyTimeout:         http.StatusRequestTimeout,
+	UnsupportedType:     http.StatusUnsupportedMediaType,
+	UnknownPath:         http.StatusNotFound,
+	WrongMethod:         http.StatusMethodNotAllowed,
 	Unauthorized:        http.StatusUnauthorized,
 	UnknownModel:        http.StatusNotFound,
 	UnknownService:      http.StatusNotFound,
--- a/internal/serve/callers/answer.go
+++ b/internal/serve/callers/answer.go
@@ -15,11 +15,6 @@
 	"teaselmoor/internal/serve/relay"
 )
 
-var (
-	errBadIssued = errors.New(IssuedHeader + ": want milliseconds since the Unix epoch")
-	errNoIssued  = errors.New(KeyHeader + ": want a UUID of version 7, or " + IssuedHeader + " beside it")
-)
-
 // errorBody is the body of every answer that is not an answer of the model.
 type errorBody struct {
 	Error errorDetail `json:"error"`
@@ -158,8 +153,30 @@
 }
 
 // refuse answers a request that never reached the decision machines.
-func refuse(writer http.ResponseWriter, requestID string, refusal outcome.Outcome, text string) {
-	writeError(writer, requestID, refusal, text, nil)
+func (api *API) refuse(writer http.ResponseWriter, arrived node.Arrived, cause error) {
+	reason := outcome.BadRequest
+	var found mistake
+	if errors.As(cause, &found) {
+		reason = found.reason
+	}
+	record := api.record(arrived, outcome.Refused(reason, 0))
+	record.Detail = found.detail
+	record = api.daemon.Refused(record)
+	if reason == outcome.BodyTooLarge || reason == outcome.BodyTimeout {
+		writer.Header().Set("Connection", "close") // the rest of the body stays unread
+	}
+	writeError(writer, arrived.RequestID, record.Outcome, cause.Error(), &record)
+}
+
+func (api *API) record(arrived node.Arrived, refusal outcome.Outcome) outcome.Record {
+	record := outcome.Record{Request: arrived.RequestID, Target: arrived.Model + arrived.Service, Outcome: refusal}
+	if snapshot := api.daemon.Config(); snapshot != nil {
+		record.ConfigVersion = snapshot.Version()
+		if caller, known := snapshot.CallerByKey(arrived.APIKey); known {
+			record.Caller = caller.Name
+		}
+	}
+	return record
 }
 
 func writeError(writer http.ResponseWriter, requestID string, final outcome.Outcome, text string, record *outcome.Record) {
--- a/internal/serve/callers/models.go
+++ b/internal/serve/callers/models.go
@@ -22,14 +22,20 @@
 
 // models lists the adapter versions that some rule lets the caller use.
 func (api *API) models(writer http.ResponseWriter, request *http.Request) {
+	arrived := newArrival(request)
 	snapshot := api.daemon.Config()
 	if snapshot == nil {
-		refuse(writer, requestID(request), outcome.Refused(outcome.NoConfiguration, 0), outcome.NoConfiguration.Sentence())
+		api.refuse(writer, arrived, mistake{outcome.NoConfiguration, ""})
 		return
 	}
-	caller, known := snapshot.CallerByKey(apiKey(request))
-	if !known {
-		refuse(writer, requestID(request), outcome.Refused(outcome.Unauthorized, 0), outcome.Unauthorized.Sentence())
+	key, err := api.authorize(request)
+	if err != nil {
+		api.refuse(writer, arrived, err)
+		return
+	}
+	caller, known := snapshot.CallerByKey(key)
+	if !known { // the configuration has changed in between
+		api.refuse(writer, arrived, mistake{outcome.Unauthorized, ""})
 		return
 	}
 	list := modelList{Object: "list", Data: []modelItem{}}
@@ -42,5 +48,6 @@
 		}
 	}
 	writer.Header().Set("Content-Type", "application/json")
+	writer.Header().Set(RequestHeader, arrived.RequestID)
 	_ = json.NewEncoder(writer).Encode(list)
 }
--- a/internal/serve/daemon/daemon.go
+++ b/internal/serve/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,9 +21,12 @@
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/base/ident"
 	"teaselmoor/internal/base/task"
+	"teaselmoor/internal/control/audit"
 	"teaselmoor/internal/control/config"
+	"teaselmoor/internal/decide/effect"
 	"teaselmoor/internal/decide/node"
 	"teaselmoor/internal/inner/link"
+	"teaselmoor/internal/serve/metrics"
 )
 
 // Options are the parts and limits of a daemon.
@@ -34,6 +38,10 @@
 	Platform *platform.Client
 	Timing   link.Timing
 	Log      *slog.Logger
+	// Audit takes in every change and every refusal.
+	Audit *audit.Trail
+	// Observer counts what the daemon does.
+	Observer *metrics.Observer
 	// Workers is the number of goroutines that step the node.
 	Workers int
 	// TickInterval is the span between two ticks of the node.
@@ -106,11 +114,21 @@
 	return daemon.node.Ready()
 }
 
+// Status is what a daemon knows, with the peers that it is connected to.
+type Status struct {
+	node.Status
+	Ready bool
+	// Peers have a live control connection, in order of name.
+	Peers []ident.DaemonID
+}
+
 // Status describes the daemon, for operators.
-func (daemon *Daemon) Status() node.Status {
+func (daemon *Daemon) Status() Status {
+	peers := daemon.links.Peers()
+	slices.Sort(peers)
 	daemon.mutex.Lock()
 	defer daemon.mutex.Unlock()
-	return daemon.node.Status(daemon.options.Now())
+	return Status{Status: daemon.node.Status(daemon.options.Now()), Ready: daemon.node.Ready(), Peers: peers}
 }
 
 // Drain refuses new requests and waits until those in progress have ended, or
@@ -154,8 +172,15 @@
 // step feeds one event to the node and carries out what follows.
 func (daemon *Daemon) step(event node.Event) {
 	daemon.mutex.Lock()
-	effects := daemon.node.Step(daemon.options.Now(), event)
+	now := daemon.options.Now()
+	effects := daemon.node.Step(now, event)
 	daemon.mutex.Unlock()
+	daemon.follow(now, event, effects)
+}
+
+// follow counts a step and carries out its effects.
+func (daemon *Daemon) follow(now clock.Millis, event node.Event, effects []effect.Effect) {
+	daemon.options.Observer.Step(now, event, effects)
 	for _, next := range effects {
 		daemon.perform(next)
 	}
--- a/internal/serve/daemon/perform.go
+++ b/internal/serve/daemon/perform.go
@@ -37,8 +37,7 @@
 	case effect.CallService:
 		daemon.tasks.Go("service", func(ctx context.Context) error { daemon.callService(ctx, next); return nil })
 	case effect.Audit:
-		daemon.options.Log.Info("audit", "Kind", next.Kind, "Object", next.Object, "Cause", next.Cause,
-			"Before", next.Before, "After", next.After)
+		daemon.options.Audit.Change(next)
 	}
 }
 
@@ -66,13 +65,15 @@
 }
 
 func (daemon *Daemon) answer(next effect.Answer) {
+	if next.Outcome.Kind != outcome.Answered {
+		daemon.options.Audit.Refusal(next.Record)
+	}
+	daemon.options.Log.Debug("request ended", "Request", next.Record.Request, "Stream", next.Stream.String(),
+		"Outcome", next.Outcome.Kind, "Reason", next.Outcome.Reason)
 	ticket, found := daemon.streams.takeTicket(next.Stream)
 	if !found {
 		return
 	}
-	if next.Outcome.Kind != outcome.Answered {
-		daemon.options.Log.Info("refusal", "Record", next.Record)
-	}
 	ticket.Inbox.PutFinal(next)
 }
 
--- a/internal/serve/daemon/requests.go
+++ b/internal/serve/daemon/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"teaselmoor/internal/decide/node"
+	"teaselmoor/internal/decide/outcome"
 	"teaselmoor/internal/serve/relay"
 )
 
@@ -11,11 +12,20 @@
 	daemon.mutex.Lock()
 	arrived.Stream = daemon.node.NewStream()
 	daemon.streams.addTicket(arrived.Stream, ticket)
-	effects := daemon.node.Step(daemon.options.Now(), arrived)
+	now := daemon.options.Now()
+	effects := daemon.node.Step(now, arrived)
 	daemon.mutex.Unlock()
-	for _, next := range effects {
-		daemon.perform(next)
-	}
+	daemon.follow(now, arrived, effects)
+}
+
+// Refused notes a request that was refused before the decision machines saw it.
+// It returns the record with daemon and time filled in.
+func (daemon *Daemon) Refused(record outcome.Record) outcome.Record {
+	record.Daemon = daemon.Self()
+	record.At = daemon.options.Now()
+	daemon.options.Observer.Refused(record.Outcome)
+	daemon.options.Audit.Refusal(record)
+	return record
 }
 
 // Gone says that a ticket's caller closed its connection.
--- a/internal/serve/daemon/sink.go
+++ b/internal/serve/daemon/sink.go
@@ -52,6 +52,7 @@
 	}
 	index := sink.index
 	sink.index++
+	sink.daemon.options.Observer.Relayed(sink.lane, len(payload))
 	if sink.entry == sink.daemon.Self() {
 		sink.daemon.putChunk(sink.stream, index, payload)
 		return nil
@@ -79,9 +80,12 @@
 }
 
 func (daemon *Daemon) putChunk(stream ident.StreamID, index uint64, payload []byte) {
-	if ticket, found := daemon.streams.ticket(stream); found {
-		ticket.Inbox.PutChunk(index, payload)
+	ticket, found := daemon.streams.ticket(stream)
+	if !found {
+		daemon.options.Observer.LateFrame()
+		return
 	}
+	ticket.Inbox.PutChunk(index, payload)
 }
 
 // grant gives credit for a stream to the daemon that sends it.
--- a/internal/serve/operators/operators.go
+++ b/internal/serve/operators/operators.go
@@ -1,37 +1,104 @@
-// Package operators is the API for operators: health, readiness and status.
-// It only reads; no call acts on anything.
+// Package operators is the API for operators: health, readiness, status, the
+// audit trail, decision records and metrics. It only reads; no call acts on
+// anything, because operators act through the published configuration.
 package operators
 
 import (
 	"encoding/json"
 	"net/http"
+	"net/http/pprof"
 
+	"teaselmoor/internal/control/audit"
 	"teaselmoor/internal/serve/daemon"
+	"teaselmoor/internal/serve/metrics"
 )
 
 // Paths of the operators' API.
 const (
-	HealthPath = "/health"
-	ReadyPath  = "/ready"
-	StatusPath = "/status"
+	HealthPath  = "/health"
+	ReadyPath   = "/ready"
+	StatusPath  = "/status"
+	AuditPath   = "/audit"
+	RecordsPath = "/records/" // and a request id
+	MetricsPath = "/metrics"
+	ProfilePath = "/debug/pprof/"
 )
 
+// Options say what the API offers.
+type Options struct {
+	// Profiling serves profiles of the process.
+	Profiling bool
+}
+
+// Daemon is what the API shows.
+type Daemon interface {
+	Ready() bool
+	Status() daemon.Status
+}
+
+// API serves operators.
+type API struct {
+	daemon  Daemon
+	trail   *audit.Trail
+	metrics *metrics.Metrics
+}
+
 // New returns the API's handler.
-func New(serving *daemon.Daemon) http.Handler {
+func New(serving Daemon, trail *audit.Trail, counted *metrics.Metrics, options Options) http.Handler {
+	api := &API{daemon: serving, trail: trail, metrics: counted}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+HealthPath, func(writer http.ResponseWriter, _ *http.Request) {
-		_, _ = writer.Write([]byte("ok\n"))
-	})
-	mux.HandleFunc("GET "+ReadyPath, func(writer http.ResponseWriter, _ *http.Request) {
-		if !serving.Ready() {
-			http.Error(writer, "not ready", http.StatusServiceUnavailable)
-			return
-		}
-		_, _ = writer.Write([]byte("ready\n"))
-	})
-	mux.HandleFunc("GET "+StatusPath, func(writer http.ResponseWriter, _ *http.Request) {
-		writer.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(writer).Encode(serving.Status())
-	})
+	mux.HandleFunc("GET "+HealthPath, api.health)
+	mux.HandleFunc("GET "+ReadyPath, api.ready)
+	mux.HandleFunc("GET "+StatusPath, api.status)
+	mux.HandleFunc("GET "+AuditPath, api.audit)
+	mux.HandleFunc("GET "+RecordsPath+"{request}", api.record)
+	mux.HandleFunc("GET "+MetricsPath, api.counters)
+	if options.Profiling {
+		addProfiles(mux)
+	}
 	return mux
 }
+
+func addProfiles(mux *http.ServeMux) {
+	mux.HandleFunc(ProfilePath, pprof.Index)
+	mux.HandleFunc(ProfilePath+"cmdline", pprof.Cmdline)
+	mux.HandleFunc(ProfilePath+"profile", pprof.Profile)
+	mux.HandleFunc(ProfilePath+"symbol", pprof.Symbol)
+	mux.HandleFunc(ProfilePath+"trace", pprof.Trace)
+}
+
+// health answers as long as the process serves at all.
+func (api *API) health(writer http.ResponseWriter, _ *http.Request) {
+	_, _ = writer.Write([]byte("ok\n"))
+}
+
+// ready tells the balancer whether to send callers here.
+func (api *API) ready(writer http.ResponseWriter, _ *http.Request) {
+	if !api.daemon.Ready() {
+		http.Error(writer, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = writer.Write([]byte("ready\n"))
+}
+
+func (api *API) status(writer http.ResponseWriter, _ *http.Request) {
+	writeJSON(writer, http.StatusOK, api.daemon.Status())
+}
+
+func (api *API) counters(writer http.ResponseWriter, _ *http.Request) {
+	status := api.daemon.Status()
+	gauges := metrics.StatusGauges(status.Status, status.Ready, len(status.Peers))
+	writer.Header().Set("Content-Type", metrics.ContentType)
+	_ = api.metrics.Write(writer, append(gauges, metrics.ProcessGauges()...))
+}
+
+// errorBody is the answer to a call that failed.
+type errorBody struct {
+	Error string
+}
+
+func writeJSON(writer http.ResponseWriter, status int, body any) {
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	_ = json.NewEncoder(writer).Encode(body)
+}
--- /dev/null
+++ b/internal/serve/program/options.go
@@ -0,0 +1,108 @@
+package program
+
+import (
+	"context"
+	"log/slog"
+
+	"teaselmoor/internal/backend/engine"
+	"teaselmoor/internal/backend/service"
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/base/ident"
+	"teaselmoor/internal/base/settings"
+	"teaselmoor/internal/control/audit"
+	"teaselmoor/internal/control/config"
+	"teaselmoor/internal/decide/node"
+	"teaselmoor/internal/inner/link"
+	"teaselmoor/internal/serve/callers"
+)
+
+// Options are what the parts of a daemon take from the settings.
+type Options struct {
+	Node     node.Options
+	Engines  engine.Options
+	Services service.Options
+	Timing   link.Timing
+	Callers  callers.Options
+	Audit    audit.Options
+}
+
+// OptionsOf translates settings. What no setting names keeps its default.
+func OptionsOf(settings settings.Settings) Options {
+	return Options{
+		Node: nodeOptions(settings),
+		Engines: engine.Options{
+			DialTimeout: settings.Engines.DialTimeoutMillis, HeadTimeout: settings.Engines.HeadTimeoutMillis,
+			MaxIdle: settings.Engines.MaxIdleConnections,
+		},
+		Services: service.Options{
+			DialTimeout: settings.Services.DialTimeoutMillis, Timeout: settings.Services.TimeoutMillis,
+			MaxIdle: settings.Services.MaxIdleConnections,
+		},
+		Timing: link.Timing{
+			Ping: settings.Peers.PingMillis, Silence: settings.Peers.SilenceMillis, Redial: settings.Peers.RedialMillis,
+		},
+		Callers: callers.Options{MaxBody: settings.Callers.MaxBodyBytes, MaxKey: settings.Callers.MaxKeyBytes, BodyTimeout: settings.Callers.BodyTimeoutMillis},
+		Audit: audit.Options{
+			Daemon:  ident.DaemonID(settings.Name),
+			Changes: settings.Operators.AuditChanges, Refusals: settings.Operators.AuditRefusals,
+		},
+	}
+}
+
+func nodeOptions(settings settings.Settings) node.Options {
+	options := node.DefaultOptions()
+	options.Self = ident.DaemonID(settings.Name)
+	options.DataCentre = settings.DataCentre
+	options.Region = settings.Region
+	options.RetryShare = settings.Runtime.RetryShare
+	options.StateInterval = settings.Engines.StateIntervalMillis
+	options.ReadInterval = settings.Engines.ReportIntervalMillis
+	options.Owner.QueueLimits[config.Urgent] = settings.Queue.UrgentLength
+	options.Owner.QueueLimits[config.Routine] = settings.Queue.RoutineLength
+	options.Owner.UrgentReserve = settings.Queue.UrgentReserveRuns
+	options.Owner.ResumeTries = settings.Queue.ResumeTries
+	options.Owner.CancelInterval = settings.Queue.CancelIntervalMillis
+	options.Owner.LoadBackoff = settings.Loads.BackoffMillis
+	options.Owner.LoadTries = settings.Loads.Tries
+	options.Loads.Lease = settings.Loads.LeaseMillis
+	options.Loads.Parallel = settings.Loads.Parallel
+	options.Home.Retention = settings.Keys.RetentionMillis
+	options.Home.ClockMargin = settings.Keys.ClockMarginMillis
+	options.Weights.Load = settings.Placement.LoadCost
+	options.Weights.Affinity = settings.Placement.AffinityCost
+	options.Weights.Silence = settings.Placement.SilenceMillis
+	return options
+}
+
+// started completes the options with the start of this life of the daemon.
+func started(options node.Options) node.Options {
+	options.StartedAt = clock.System()
+	options.Incarnation = ident.Incarnation(options.StartedAt)
+	return options
+}
+
+// levels are the words for log levels in the settings.
+var levels = map[string]slog.Level{
+	"Debug": slog.LevelDebug, "Info": slog.LevelInfo, "Warn": slog.LevelWarn, "Error": slog.LevelError,
+}
+
+// levelHandler drops lines below a level. The audit trail does not pass it.
+type levelHandler struct {
+	slog.Handler
+	least slog.Level
+}
+
+// Enabled implements slog.Handler.
+func (handler levelHandler) Enabled(ctx context.Context, level slog.Level) bool {
+	return level >= handler.least && handler.Handler.Enabled(ctx, level)
+}
+
+// WithAttrs implements slog.Handler.
+func (handler levelHandler) WithAttrs(attributes []slog.Attr) slog.Handler {
+	return levelHandler{Handler: handler.Handler.WithAttrs(attributes), least: handler.least}
+}
+
+// WithGroup implements slog.Handler.
+func (handler levelHandler) WithGroup(name string) slog.Handler {
+	return levelHandler{Handler: handler.Handler.WithGroup(name), least: handler.least}
+}
--- a/internal/serve/program/path_test.go
+++ b/internal/serve/program/path_test.go
@@ -28,6 +28,12 @@
 
 // startSite runs a site and its daemons in this process until the test ends.
 func startSite(t testing.TB, options site.Options) *site.Site {
+	t.Helper()
+	return startLoggedSite(t, options, slog.New(slog.DiscardHandler))
+}
+
+// startLoggedSite is startSite with a log.
+func startLoggedSite(t testing.TB, options site.Options, log *slog.Logger) *site.Site {
 	t.Helper()
 	standIns, endStandIns := context.WithCancel(context.Background())
 	running, err := site.New(standIns, options)
@@ -35,7 +41,7 @@
 	daemons, endDaemons := context.WithCancel(context.Background())
 	ends := make(chan error, len(running.Settings))
 	for _, each := range running.Settings {
-		go func() { ends <- program.Serve(daemons, each, slog.New(slog.DiscardHandler)) }()
+		go func() { ends <- program.Serve(daemons, each, log) }()
 	}
 	t.Cleanup(func() {
 		endDaemons()
--- a/internal/serve/program/program.go
+++ b/internal/serve/program/program.go
@@ -5,44 +5,32 @@
 import (
 	"context"
 	"log/slog"
-	"net"
-	"net/http"
-	"time"
-
-	"github.com/pkg/errors"
 
 	"teaselmoor/internal/backend/engine"
 	"teaselmoor/internal/backend/platform"
 	"teaselmoor/internal/backend/service"
 	"teaselmoor/internal/base/clock"
-	"teaselmoor/internal/base/ident"
 	"teaselmoor/internal/base/settings"
 	"teaselmoor/internal/base/task"
-	"teaselmoor/internal/decide/node"
-	"teaselmoor/internal/inner/link"
+	"teaselmoor/internal/control/audit"
 	"teaselmoor/internal/serve/callers"
 	"teaselmoor/internal/serve/daemon"
+	"teaselmoor/internal/serve/metrics"
 	"teaselmoor/internal/serve/operators"
 )
 
-const (
-	workers         = 8
-	tickInterval    = 50 * clock.Millisecond
-	listInterval    = clock.Second
-	platformTimeout = 5 * clock.Second
-	drainTimeout    = 2 * time.Minute
-	headerTimeout   = 10 * time.Second
-	idleTimeout     = 2 * time.Minute
-)
-
 // Serve runs a daemon until the context ends, then lets the requests in
-// progress end before it returns.
+// progress end before it returns. The log's handler writes every level; the
+// settings say what passes, except for the audit trail, which always does.
 func Serve(ctx context.Context, settings settings.Settings, log *slog.Logger) error {
 	log = log.With("Daemon", settings.Name)
 	life, endLife := context.WithCancel(context.WithoutCancel(ctx))
 	defer endLife()
-	serving := daemon.New(life, daemonOptions(settings, log))
-	servers, err := listen(settings, serving, log)
+	trail := audit.New(OptionsOf(settings).Audit, log)
+	log = slog.New(levelHandler{Handler: log.Handler(), least: levels[settings.Operators.LogLevel]})
+	counted := metrics.New()
+	serving := daemon.New(life, daemonOptions(settings, log, trail, metrics.NewObserver(counted)))
+	servers, err := listen(endpoints(settings, serving, trail, counted, log), settings.Callers)
 	if err != nil {
 		return err
 	}
@@ -53,7 +41,7 @@
 	}
 	running.Go("shutdown", func(context.Context) error {
 		<-ctx.Done()
-		drain(serving, servers)
+		drain(serving, servers, settings.Runtime.DrainTimeoutMillis)
 		endLife()
 		return nil
 	})
@@ -67,8 +55,8 @@
 }
 
 // drain refuses new requests, waits for those in progress and closes the servers.
-func drain(serving *daemon.Daemon, servers []*server) {
-	limit, cancel := context.WithTimeout(context.Background(), drainTimeout)
+func drain(serving *daemon.Daemon, servers []*server, longest clock.Millis) {
+	limit, cancel := context.WithTimeout(context.Background(), longest.Duration())
 	defer cancel()
 	serving.Drain(limit)
 	for _, server := range servers {
@@ -76,60 +64,34 @@
 	}
 }
 
-func daemonOptions(settings settings.Settings, log *slog.Logger) daemon.Options {
-	options := node.DefaultOptions()
-	options.Self = ident.DaemonID(settings.Name)
-	options.DataCentre = settings.DataCentre
-	options.Region = settings.Region
-	options.StartedAt = clock.System()
-	options.Incarnation = ident.Incarnation(options.StartedAt)
+func daemonOptions(settings settings.Settings, log *slog.Logger, trail *audit.Trail, observer *metrics.Observer) daemon.Options {
+	options := OptionsOf(settings)
 	return daemon.Options{
-		Node:         options,
+		Node:         started(options.Node),
 		Now:          clock.System,
-		Engines:      engine.New(engine.DefaultOptions()),
-		Services:     service.New(service.DefaultOptions()),
-		Platform:     platform.New(settings.ConfigAddress, settings.VMListAddress, platformTimeout),
-		Timing:       link.DefaultTiming(),
+		Engines:      engine.New(options.Engines),
+		Services:     service.New(options.Services),
+		Platform:     platform.New(settings.ConfigAddress, settings.VMListAddress, settings.Platform.TimeoutMillis),
+		Timing:       options.Timing,
 		Log:          log,
-		Workers:      workers,
-		TickInterval: tickInterval,
-		ListInterval: listInterval,
+		Audit:        trail,
+		Observer:     observer,
+		Workers:      settings.Runtime.Workers,
+		TickInterval: settings.Runtime.TickIntervalMillis,
+		ListInterval: settings.Platform.ListIntervalMillis,
 	}
 }
 
-// server is one HTTP server with its listener.
-type server struct {
-	http     *http.Server
-	listener net.Listener
-}
-
-func (server *server) serve() error {
-	err := server.http.Serve(server.listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return errors.Wrapf(err, "serve %s", server.listener.Addr())
-}
-
-// listen opens the three listeners, so that a taken address stops the start.
-func listen(settings settings.Settings, serving *daemon.Daemon, log *slog.Logger) ([]*server, error) {
-	handlers := []struct {
-		address string
-		handler http.Handler
-	}{
-		{settings.CallerAddress, callers.New(serving, callers.DefaultOptions(), log)},
-		{settings.InnerAddress, serving.Inner()},
-		{settings.OperatorAddress, operators.New(serving)},
-	}
-	servers := make([]*server, 0, len(handlers))
-	for _, each := range handlers {
-		listener, err := net.Listen("tcp", each.address)
-		if err != nil {
-			return nil, errors.Wrap(err, "listen")
-		}
-		servers = append(servers, &server{listener: listener, http: &http.Server{
-			Handler: each.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		}})
+func endpoints(settings settings.Settings, serving *daemon.Daemon, trail *audit.Trail, counted *metrics.Metrics, log *slog.Logger) []endpoint {
+	return []endpoint{
+		{
+			address: settings.CallerAddress, handler: callers.New(serving, OptionsOf(settings).Callers, log),
+			maxConnections: settings.Callers.MaxConnections,
+		},
+		{address: settings.InnerAddress, handler: serving.Inner()},
+		{
+			address: settings.OperatorAddress, maxConnections: settings.Operators.MaxConnections,
+			handler: operators.New(serving, trail, counted, operators.Options{Profiling: settings.Operators.Profiling}),
+		},
 	}
-	return servers, nil
 }
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -34,6 +34,8 @@
 	// LoadSpan is how long the weight store takes for one load.
 	LoadSpan time.Duration
 	ListLag  time.Duration
+	// LogLevel is the daemons' setting.
+	LogLevel string
 }
 
 // Names that sites use.
@@ -50,7 +52,7 @@
 // DefaultOptions returns a site of three daemons and three engines.
 func DefaultOptions() Options {
 	return Options{
-		Daemons: 3, Engines: 3, Adapters: 30, Engine: modelengine.DefaultOptions(), LoadSpan: 20 * time.Millisecond,
+		Daemons: 3, Engines: 3, Adapters: 30, Engine: modelengine.DefaultOptions(), LoadSpan: 20 * time.Millisecond, LogLevel: "Info",
 	}
 }
 
@@ -85,7 +87,7 @@
 		return nil, err
 	}
 	site.addAdapters(options.Adapters)
-	if err := site.addDaemons(options.Daemons, platformAddress); err != nil {
+	if err := site.addDaemons(options.Daemons, options.LogLevel, platformAddress); err != nil {
 		return nil, err
 	}
 	return site, site.Publish()
@@ -180,7 +182,7 @@
 	}
 }
 
-func (site *Site) addDaemons(count int, platformAddress string) error {
+func (site *Site) addDaemons(count int, logLevel, platformAddress string) error {
 	var vms []members.VM
 	for i := range count {
 		addresses, err := freeAddresses(3)
@@ -188,11 +190,12 @@
 			return err
 		}
 		name := fmt.Sprintf("daemon-%d", i)
-		site.Settings = append(site.Settings, settings.Settings{
-			Name: name, DataCentre: DataCentre, Region: Region,
-			CallerAddress: addresses[0], InnerAddress: addresses[1], OperatorAddress: addresses[2],
-			ConfigAddress: platformAddress, VMListAddress: platformAddress,
-		})
+		each := settings.Default()
+		each.Name, each.DataCentre, each.Region = name, DataCentre, Region
+		each.CallerAddress, each.InnerAddress, each.OperatorAddress = addresses[0], addresses[1], addresses[2]
+		each.ConfigAddress, each.VMListAddress = platformAddress, platformAddress
+		each.Operators.LogLevel = logLevel
+		site.Settings = append(site.Settings, each)
 		vms = append(vms, members.VM{
 			Name: name, Address: addresses[1], Role: members.EntryRole, DataCentre: DataCentre, Region: Region, State: members.Live,
 		})
