command: check, publish-pack, status, audit, explain, settings and version

Both deployments are shipped as example settings and configurations, held by a test of their priorities.

--- a/cmd/teaselmoor/main.go
+++ b/cmd/teaselmoor/main.go
@@ -2,15 +2,12 @@
 package main
 
 import (
-	"fmt"
+	"context"
 	"os"
 
 	"teaselmoor/internal/serve/command"
 )
 
 func main() {
-	if err := command.New().Run(os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "teaselmoor:", err)
-		os.Exit(1)
-	}
+	os.Exit(command.Run(context.Background(), os.Args, os.Stdin, os.Stdout, os.Stderr))
 }
--- /dev/null
+++ b/internal/serve/command/command_test.go
@@ -0,0 +1,162 @@
+package command_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"teaselmoor/internal/base/settings"
+	"teaselmoor/internal/control/config"
+	"teaselmoor/internal/serve/command"
+)
+
+// result is how a run of the program ended.
+type result struct {
+	code int
+	out  string
+	err  string
+}
+
+func run(t testing.TB, in string, arguments ...string) result {
+	t.Helper()
+	var out, errOut bytes.Buffer
+	code := command.Run(t.Context(), append([]string{"teaselmoor"}, arguments...), strings.NewReader(in), &out, &errOut)
+	return result{code: code, out: out.String(), err: errOut.String()}
+}
+
+func writeFile(t testing.TB, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "file.yaml")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+const examples = "../../../examples/"
+
+var deployments = []string{"cantabrica", "ramcharan"}
+
+func TestExitCodes(t *testing.T) {
+	cases := []struct {
+		name      string
+		arguments []string
+		code      int
+		err       string
+	}{
+		{"help", nil, command.ExitDone, ""},
+		{"unknown command", []string{"unload"}, command.ExitUsage, "unknown command"},
+		{"unknown flag", []string{"status", "-engine", "x"}, command.ExitUsage, "flag provided but not defined"},
+		{"flag missing", []string{"serve"}, command.ExitUsage, "-settings must be given"},
+		{"no file", []string{"serve", "-settings", "/nonexistent"}, command.ExitFailed, "no such file"},
+		{"bad address", []string{"status", "-daemon", "here"}, command.ExitUsage, "IP number and port"},
+		{"daemon away", []string{"status", "-daemon", "127.0.0.1:1"}, command.ExitUnreachable, "refused"},
+		{"bad time", []string{"audit", "-daemon", "127.0.0.1:1", "-since", "noon"}, command.ExitUsage, "RFC 3339"},
+		{"bad audience", []string{"explain", "-audience", "press"}, command.ExitUsage, "want member"},
+		{"bad shell", []string{"completion", "csh"}, command.ExitUsage, "want bash or zsh"},
+		{"nothing to check", []string{"check"}, command.ExitUsage, "give -settings"},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			ended := run(t, "", each.arguments...)
+			require.Equal(t, each.code, ended.code, ended.err)
+			require.Contains(t, ended.err, each.err)
+		})
+	}
+}
+
+func TestServeNamesEveryMistake(t *testing.T) {
+	ended := run(t, "", "serve", "-settings", writeFile(t, "Name: a\nRegoin: b\n"))
+	require.Equal(t, command.ExitMistakes, ended.code)
+	require.Contains(t, ended.err, "line 2: Regoin: unknown key")
+	require.Contains(t, ended.err, "line 1: DataCentre: must not be empty")
+}
+
+func TestExamplesAreValid(t *testing.T) {
+	for _, deployment := range deployments {
+		t.Run(deployment, func(t *testing.T) {
+			ended := run(t, "", "check", "-settings", examples+deployment+"/settings.yaml",
+				"-configuration", examples+deployment+"/configuration.yaml")
+			require.Equal(t, command.ExitDone, ended.code, ended.out)
+		})
+	}
+}
+
+// TestExamplesKeepThePriorities decides requests by the shipped configurations.
+func TestExamplesKeepThePriorities(t *testing.T) {
+	cases := []struct {
+		deployment, caller, target string // of a service when it has no @
+		rule                       string // empty: refused
+		class                      config.Class
+		repeatable                 bool
+	}{
+		{"cantabrica", "payroll-minera-nalon", "contract-review-general@11", "contract-reviews", config.Urgent, true},
+		{"cantabrica", "trustees", "escalation-summary@2", "trustee-escalations", config.Urgent, true},
+		{"cantabrica", "payroll-minera-nalon", "payroll-run-general@3", "payroll-runs", config.Urgent, true},
+		{"cantabrica", "payroll-minera-nalon", "eligibility-check-general@5", "eligibility-checks", config.Routine, true},
+		{"cantabrica", "hr-minera-nalon", "enrolment-notice-general@8", "notices", config.Routine, true},
+		{"cantabrica", "enrolment-desk", "register", "registrations", config.Urgent, false},
+		{"cantabrica", "payroll-minera-nalon", "register", "", 0, false},
+		{"ramcharan", "survey-vans", "defect-report-cast-iron@2", "defect-reports", config.Urgent, true},
+		{"ramcharan", "office", "quote-estate@4", "quotes", config.Routine, false},
+		{"ramcharan", "field-crews", "crew-app", "crew-app", config.Urgent, true},
+		{"ramcharan", "estate-managers", "quote-estate@4", "", 0, false},
+	}
+	for _, each := range cases {
+		t.Run(each.deployment+"/"+each.caller+"/"+each.target, func(t *testing.T) {
+			decision, permitted := decide(t, each.deployment, each.caller, each.target)
+			require.Equal(t, each.rule != "", permitted)
+			require.Equal(t, each.rule, decision.Rule)
+			require.Equal(t, each.class, decision.Class)
+			require.Equal(t, each.repeatable, decision.Repeatable)
+		})
+	}
+}
+
+func decide(t testing.TB, deployment, callerName, target string) (config.Decision, bool) {
+	t.Helper()
+	text, err := os.ReadFile(examples + deployment + "/configuration.yaml")
+	require.NoError(t, err)
+	parsed, err := config.Parse(text)
+	require.NoError(t, err)
+	snapshot, err := config.Compile(parsed)
+	require.NoError(t, err)
+	caller, found := snapshot.Caller(callerName)
+	require.True(t, found)
+	for i := range parsed.Adapters {
+		if parsed.Adapters[i].Address().String() == target {
+			return snapshot.DecideModel(caller, &parsed.Adapters[i])
+		}
+	}
+	service, found := snapshot.Service(target)
+	require.True(t, found)
+	return snapshot.DecideService(caller, service)
+}
+
+func TestSettingsTemplateIsRead(t *testing.T) {
+	ended := run(t, "", "settings")
+	require.Equal(t, command.ExitDone, ended.code)
+	require.Contains(t, ended.out, "MaxBodyBytes: 4194304")
+	var entries []settings.Entry
+	require.NoError(t, json.Unmarshal([]byte(run(t, "", "settings", "-json").out), &entries))
+	require.Equal(t, "Name", entries[0].Key)
+}
+
+func TestCompletionNamesCommands(t *testing.T) {
+	former := os.Args // the library looks there for the word before
+	defer func() { os.Args = former }()
+	os.Args = []string{"teaselmoor", "--generate-bash-completion"}
+	ended := run(t, "", "--generate-bash-completion")
+	for _, name := range []string{"serve", "check", "publish-pack", "status", "audit", "explain", "settings", "version"} {
+		require.Contains(t, ended.out, name)
+	}
+	require.Contains(t, run(t, "", "completion", "bash").out, "complete ")
+}
+
+func TestVersion(t *testing.T) {
+	require.Contains(t, run(t, "", "version").out, "teaselmoor ")
+	require.Contains(t, run(t, "", "version", "-json").out, `"Go":`)
+}
--- /dev/null
+++ b/internal/serve/command/daemon_test.go
@@ -0,0 +1,115 @@
+package command_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"teaselmoor/internal/serve/callers"
+	"teaselmoor/internal/serve/command"
+	"teaselmoor/internal/serve/program"
+	"teaselmoor/internal/standin/site"
+)
+
+const patience = 30 * time.Second
+
+// startDaemon runs one daemon on a site and returns it once it is ready.
+func startDaemon(t testing.TB) *site.Site {
+	t.Helper()
+	standIns, endStandIns := context.WithCancel(context.Background())
+	options := site.DefaultOptions()
+	options.Daemons = 1
+	running, err := site.New(standIns, options)
+	require.NoError(t, err)
+	daemons, endDaemons := context.WithCancel(context.Background())
+	ended := make(chan error)
+	go func() { ended <- program.Serve(daemons, running.Settings[0], slog.New(slog.DiscardHandler)) }()
+	t.Cleanup(func() {
+		endDaemons()
+		require.NoError(t, <-ended)
+		endStandIns()
+		running.Wait()
+	})
+	require.Eventually(t, func() bool {
+		return strings.Contains(run(t, "", "status", "-daemon", running.Settings[0].OperatorAddress).out, ": ready")
+	}, patience, 10*time.Millisecond)
+	return running
+}
+
+// refuse sends a request that is refused and returns its id and error body.
+func refuse(t testing.TB, running *site.Site) (string, string) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost,
+		"http://"+running.Settings[0].CallerAddress+callers.CompletionsPath, strings.NewReader(`{"model":"nothing@1"}`))
+	require.NoError(t, err)
+	request.Header.Set("Authorization", "Bearer "+site.CallerKey)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	var body bytes.Buffer
+	_, err = body.ReadFrom(response.Body)
+	require.NoError(t, err)
+	return response.Header.Get(callers.RequestHeader), body.String()
+}
+
+// TestDaemonIsRead reads a daemon with each reading command.
+func TestDaemonIsRead(t *testing.T) {
+	running := startDaemon(t)
+	address := running.Settings[0].OperatorAddress
+	request, body := refuse(t, running)
+
+	status := run(t, "", "status", "-daemon", address)
+	require.Contains(t, status.out, "configuration version 1")
+	require.Contains(t, status.out, "engine-2")
+	require.True(t, json.Valid([]byte(run(t, "", "status", "-json", "-daemon", address).out)))
+
+	audited := run(t, "", "audit", "-daemon", address, "-kind", "RequestRefused")
+	require.Equal(t, command.ExitDone, audited.code, audited.err)
+	require.Contains(t, audited.out, "RequestRefused "+request+" because of UnknownModel")
+	require.NotContains(t, audited.out, "ConfigAccepted")
+	require.Contains(t, run(t, "", "audit", "-daemon", address).out, "ConfigAccepted")
+	require.Empty(t, run(t, "", "audit", "-daemon", address, "-since", "2100-01-01T00:00:00Z").out)
+
+	line := run(t, "", "audit", "-json", "-daemon", address, "-object", request).out
+	want := run(t, "", "explain", "-daemon", address, "-request", request, "-audience", "regulator")
+	require.Equal(t, command.ExitDone, want.code, want.err)
+	require.Contains(t, want.out, "under version 1 of the published configuration")
+	require.Equal(t, want, run(t, line, "explain", "-audience", "regulator"), "from the audit trail")
+	require.Equal(t, want, run(t, "", "explain", "-audience", "regulator", writeFile(t, body)), "from the caller's answer")
+
+	require.Equal(t, command.ExitNotFound, run(t, "", "explain", "-daemon", address, "-request", "other").code)
+	require.Equal(t, command.ExitMistakes, run(t, "{}", "explain").code)
+}
+
+// TestAuditFollows waits for an event that comes after the command has begun.
+func TestAuditFollows(t *testing.T) {
+	running := startDaemon(t)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	lines := make(chan string, 1)
+	codes := make(chan int, 1)
+	go func() {
+		codes <- command.Run(ctx, []string{
+			"teaselmoor", "audit", "-follow", "-kind", "RequestRefused", "-daemon", running.Settings[0].OperatorAddress,
+		}, strings.NewReader(""), lineWriter(lines), &bytes.Buffer{})
+	}()
+	request, _ := refuse(t, running)
+	require.Contains(t, <-lines, request)
+	stop()
+	require.Equal(t, command.ExitDone, <-codes)
+}
+
+// lineWriter passes on each line written.
+type lineWriter chan string
+
+func (lines lineWriter) Write(text []byte) (int, error) {
+	lines <- string(text)
+	return len(text), nil
+}
--- /dev/null
+++ b/internal/serve/explain/explain.go
@@ -0,0 +1,213 @@
+// Package explain renders the decision record of a refused request as sentences
+// for one of three audiences. It uses nothing but the record, because VMs keep
+// nothing and the daemon that decided may be gone.
+//
+// A member reads what happened and what to do. An employer, who runs the calling
+// systems, reads in addition which rule applied and whether to call again. A
+// regulator reads everything that the decision rested on.
+package explain
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/decide/outcome"
+)
+
+// Audience is who an explanation is for.
+type Audience string
+
+// Audiences, from the least detail to the most.
+const (
+	Member    Audience = "member"
+	Employer  Audience = "employer"
+	Regulator Audience = "regulator"
+)
+
+// ParseAudience reads the name of an audience.
+func ParseAudience(text string) (Audience, error) {
+	switch audience := Audience(text); audience {
+	case Member, Employer, Regulator:
+		return audience, nil
+	}
+	return "", errors.Errorf("audience %q: want member, employer or regulator", text)
+}
+
+// Render explains a record as paragraphs of plain text.
+func Render(record outcome.Record, audience Audience) string {
+	paragraphs := []string{what(record), ran(record), next(record)}
+	if audience != Member {
+		paragraphs = append(paragraphs, rule(record), repeatable(record))
+	}
+	if audience == Regulator {
+		paragraphs = append(paragraphs, basis(record), candidates(record), attempts(record), code(record))
+	}
+	var written []string
+	for _, paragraph := range paragraphs {
+		if paragraph != "" {
+			written = append(written, paragraph)
+		}
+	}
+	return strings.Join(written, "\n\n") + "\n"
+}
+
+const timeLayout = "2 January 2006 at 15:04:05 UTC"
+
+func at(millis clock.Millis) string {
+	return millis.Time().Format(timeLayout)
+}
+
+func what(record outcome.Record) string {
+	text := fmt.Sprintf("On %s, request %s", at(record.At), record.Request)
+	if record.Target != "" {
+		text += " to " + record.Target
+	}
+	if record.Outcome.Kind == outcome.Answered {
+		return text + " was answered in full."
+	}
+	text += " was not answered. " + record.Outcome.Reason.Sentence()
+	if record.Detail != "" {
+		text += " (" + record.Detail + ")"
+	}
+	return text
+}
+
+func ran(record outcome.Record) string {
+	switch record.Outcome.Kind {
+	case outcome.NotRun:
+		return "The request was not run anywhere, and nothing was changed by it."
+	case outcome.Unknown:
+		return "It is not known whether the request ran. The system has not repeated it and will not do so."
+	}
+	return ""
+}
+
+func next(record outcome.Record) string {
+	switch {
+	case record.Outcome.Retryable():
+		return fmt.Sprintf("The request may be sent again after %s.", span(record.Outcome.RetryAfter))
+	case record.Outcome.Kind == outcome.Unknown && !record.Repeatable:
+		return "Before the request is sent again, its effect should be looked up where it would be registered."
+	case record.Outcome.Kind == outcome.Unknown:
+		return "The request may be sent again; running it twice does no harm."
+	case record.Outcome.Kind == outcome.NotRun:
+		return "Sending the same request again is not expected to help until the reason is removed."
+	}
+	return ""
+}
+
+func rule(record outcome.Record) string {
+	caller := "The caller could not be identified"
+	if record.Caller != "" {
+		caller = "The caller was " + record.Caller
+	}
+	if record.Rule == "" {
+		return caller + "; no rule was applied."
+	}
+	text := fmt.Sprintf("%s; rule %q was applied. The request was treated as %s.", caller, record.Rule, strings.ToLower(record.Class))
+	if record.Deadline != 0 {
+		text += fmt.Sprintf(" Its answer had to begin by %s.", at(record.Deadline))
+	}
+	return text
+}
+
+func repeatable(record outcome.Record) string {
+	if record.Rule == "" {
+		return ""
+	}
+	if record.Repeatable {
+		return "By the rule, the request may be run more than once."
+	}
+	return "By the rule or the caller's wish, the request must not be run more than once."
+}
+
+func basis(record outcome.Record) string {
+	if record.ConfigVersion == 0 {
+		return fmt.Sprintf("The decision was made by daemon %s, which had no configuration.", record.Daemon)
+	}
+	return fmt.Sprintf("The decision was made by daemon %s under version %d of the published configuration.",
+		record.Daemon, record.ConfigVersion)
+}
+
+// verdicts explain why an engine was chosen or passed over.
+var verdicts = map[outcome.Verdict]string{
+	outcome.Chosen:       "was chosen",
+	outcome.RankedLower:  "could have run the request, but another ranked higher",
+	outcome.EngineAway:   "was leaving service",
+	outcome.EngineSilent: "had not been heard of recently",
+	outcome.OwnerUnknown: "had no known owner",
+	outcome.Quarantined:  "was quarantined",
+	outcome.TriedBefore:  "had failed in an earlier attempt",
+	outcome.LoadsFail:    "had failed to load the adapter",
+}
+
+func candidates(record outcome.Record) string {
+	if len(record.Candidates) == 0 {
+		return "No engine was considered."
+	}
+	lines := []string{"These engines were considered at the last placement:"}
+	for _, candidate := range record.Candidates {
+		verdict, known := verdicts[candidate.Verdict]
+		if !known {
+			verdict = "was judged " + string(candidate.Verdict)
+		}
+		line := fmt.Sprintf("- %s %s", candidate.Engine, verdict)
+		if candidate.Age > 0 {
+			line += fmt.Sprintf(" (knowledge %s old)", span(candidate.Age))
+		}
+		lines = append(lines, line+".")
+	}
+	return strings.Join(lines, "\n")
+}
+
+func attempts(record outcome.Record) string {
+	if len(record.Attempts) == 0 {
+		return "No attempt was made."
+	}
+	lines := []string{"These attempts were made:"}
+	for _, attempt := range record.Attempts {
+		lines = append(lines, "- "+attemptLine(attempt))
+	}
+	return strings.Join(lines, "\n")
+}
+
+func attemptLine(attempt outcome.Attempt) string {
+	where := "at a service"
+	if attempt.Engine != "" {
+		where = fmt.Sprintf("at engine %s, in the charge of daemon %s", attempt.Engine, attempt.Owner)
+	}
+	sent := "the request is not known to have been sent"
+	if attempt.Dispatched {
+		sent = "the request was sent"
+	}
+	ended := "its end was not heard of"
+	if attempt.Outcome.Kind != "" {
+		ended = fmt.Sprintf("it ended as %s: %s", attempt.Outcome.Kind, attempt.Outcome.Reason.Sentence())
+	}
+	return fmt.Sprintf("%s, %s (run %s): %s; %s", at(attempt.At), where, attempt.Stream, sent, ended)
+}
+
+func code(record outcome.Record) string {
+	return fmt.Sprintf("Outcome %s, reason code %s.", record.Outcome.Kind, record.Outcome.Reason)
+}
+
+// span writes a span of time in words.
+func span(millis clock.Millis) string {
+	switch {
+	case millis < clock.Second:
+		return plural(int64(millis), "millisecond")
+	case millis < 2*clock.Minute:
+		return plural(int64((millis+clock.Second-1)/clock.Second), "second")
+	}
+	return plural(int64((millis+clock.Minute-1)/clock.Minute), "minute")
+}
+
+func plural(count int64, unit string) string {
+	if count == 1 {
+		return "1 " + unit
+	}
+	return fmt.Sprintf("%d %ss", count, unit)
+}
--- /dev/null
+++ b/internal/serve/explain/explain_test.go
@@ -0,0 +1,97 @@
+package explain_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/decide/outcome"
+	"teaselmoor/internal/serve/explain"
+)
+
+const noon clock.Millis = 1_781_179_200_000 // 11 June 2026 at 12:00 UTC
+
+func refusedRecord() outcome.Record {
+	return outcome.Record{
+		Request: "r-17", Daemon: "entry-2", At: noon, ConfigVersion: 12, Caller: "payroll-astur",
+		Target: "enrolment-notice@3", Rule: "notices", Class: "Routine", Repeatable: true, Deadline: noon + 30*clock.Second,
+		Candidates: []outcome.Candidate{
+			{Engine: "runner-1", Verdict: outcome.EngineSilent, Age: 12 * clock.Second},
+			{Engine: "runner-2", Verdict: outcome.Chosen, Age: 200},
+		},
+		Attempts: []outcome.Attempt{{
+			Stream: "entry-2-1-9", Engine: "runner-2", Owner: "entry-5", At: noon,
+			Outcome: outcome.Refused(outcome.QueueFull, 0),
+		}},
+		Outcome: outcome.Refused(outcome.QueueFull, 1500),
+	}
+}
+
+func TestMember(t *testing.T) {
+	require.Equal(t, `On 11 June 2026 at 12:00:00 UTC, request r-17 to enrolment-notice@3 was not answered. The queue for the permitted engines was full.
+
+The request was not run anywhere, and nothing was changed by it.
+
+The request may be sent again after 2 seconds.
+`, explain.Render(refusedRecord(), explain.Member))
+}
+
+func TestEmployerReadsTheRule(t *testing.T) {
+	text := explain.Render(refusedRecord(), explain.Employer)
+	require.Contains(t, text, `The caller was payroll-astur; rule "notices" was applied. The request was treated as routine.`)
+	require.Contains(t, text, "may be run more than once")
+	require.NotContains(t, text, "runner-1")
+}
+
+func TestRegulatorReadsEverything(t *testing.T) {
+	text := explain.Render(refusedRecord(), explain.Regulator)
+	for _, want := range []string{
+		"daemon entry-2 under version 12", "runner-1 had not been heard of recently (knowledge 12 seconds old)",
+		"runner-2 was chosen (knowledge 200 milliseconds old)",
+		"at engine runner-2, in the charge of daemon entry-5 (run entry-2-1-9): the request is not known to have been sent; it ended as NotRun",
+		"Outcome NotRun, reason code QueueFull.",
+	} {
+		require.Contains(t, text, want)
+	}
+}
+
+func TestUnknownIsNotCalledNotRun(t *testing.T) {
+	record := refusedRecord()
+	record.Outcome, record.Repeatable = outcome.Lost(outcome.EngineLost), false
+	text := explain.Render(record, explain.Member)
+	require.Contains(t, text, "It is not known whether the request ran.")
+	require.NotContains(t, text, "not run anywhere")
+	require.Contains(t, text, "looked up")
+}
+
+// TestEveryReasonHasASentence renders each code of the closed list.
+func TestEveryReasonHasASentence(t *testing.T) {
+	for _, reason := range outcome.Reasons() {
+		record := outcome.Record{Request: "r", Outcome: outcome.Refused(reason, 0)}
+		require.NotEmpty(t, reason.Sentence(), reason)
+		require.Contains(t, explain.Render(record, explain.Member), reason.Sentence())
+	}
+}
+
+func TestParse(t *testing.T) {
+	record := refusedRecord()
+	alone, err := json.Marshal(record)
+	require.NoError(t, err)
+	for name, text := range map[string]string{
+		"alone":       string(alone),
+		"error body":  `{"error":{"code":"QueueFull"},"record":` + string(alone) + `}`,
+		"audit event": `{"Kind":"RequestRefused","Record":` + string(alone) + `}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			parsed, err := explain.Parse([]byte(text))
+			require.NoError(t, err)
+			require.Equal(t, record, parsed)
+		})
+	}
+	for _, bad := range []string{"", "[]", "{}", `{"Kind":"AdapterLoaded"}`} {
+		_, err := explain.Parse([]byte(bad))
+		require.Error(t, err, bad)
+	}
+}
