config: a version is published as a manifest and parts

15,000 adapters and 300 engines are 2,120,689 bytes of YAML and do not fit into one value of a megabyte. Parts are named by content, so that two publications at once never overwrite each other's parts, and objects are spread by the hash of their names, so that a change of one adapter alters one part of about 64 KB: cuts at a fixed size in document order were ruled out, because an inserted adapter would shift every later part.

--- a/internal/control/config/config.go
+++ b/internal/control/config/config.go
@@ -33,13 +33,13 @@
 // Config is one published version of the configuration.
 type Config struct {
 	// Version rises with every publication; a lower one is never accepted.
-	Version      uint64        `yaml:"Version"`
-	WeightStores []WeightStore `yaml:"WeightStores"`
-	Engines      []Engine      `yaml:"Engines"`
-	Services     []Service     `yaml:"Services"`
-	Callers      []Caller      `yaml:"Callers"`
-	Adapters     []Adapter     `yaml:"Adapters"`
-	Rules        []Rule        `yaml:"Rules"`
+	Version      uint64        `yaml:"Version,omitempty"`
+	WeightStores []WeightStore `yaml:"WeightStores,omitempty"`
+	Engines      []Engine      `yaml:"Engines,omitempty"`
+	Services     []Service     `yaml:"Services,omitempty"`
+	Callers      []Caller      `yaml:"Callers,omitempty"`
+	Adapters     []Adapter     `yaml:"Adapters,omitempty"`
+	Rules        []Rule        `yaml:"Rules,omitempty"`
 }
 
 // WeightStore is a store that engines load adapters from.
--- /dev/null
+++ b/internal/control/config/pack_test.go
@@ -0,0 +1,156 @@
+package config_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"teaselmoor/internal/base/ident"
+	"teaselmoor/internal/control/config"
+)
+
+// largeConfig has the size that two years from now asks for.
+func largeConfig(adapters, engines int) config.Config {
+	published := config.Config{
+		Version:      7,
+		WeightStores: []config.WeightStore{{Name: "weights", LoadsPerSecond: 2}},
+		Callers:      []config.Caller{{Name: "clerk", KeyHash: config.HashKey("key")}},
+		Rules:        []config.Rule{{Name: "all", Class: "Urgent", DeadlineMillis: 20_000, Repeatable: true}},
+	}
+	for i := range engines {
+		published.Engines = append(published.Engines, config.Engine{
+			Name: ident.EngineID(fmt.Sprintf("engine-%04d", i)), Address: "127.0.0.1:1", DataCentre: "a", Region: "north",
+			BaseModel: fmt.Sprintf("base-%d", i%5), Store: "weights", Slots: 4, MaxRuns: 8,
+		})
+	}
+	for i := range adapters {
+		published.Adapters = append(published.Adapters, config.Adapter{
+			Name: fmt.Sprintf("employer-%05d", i), Version: "3", BaseModel: fmt.Sprintf("base-%d", i%5),
+			Labels: map[string]string{"task": "review", "employer": fmt.Sprintf("employer-%05d", i)},
+		})
+	}
+	return published
+}
+
+// packed packs a document and returns its parts by name.
+func packed(t testing.TB, published config.Config) (config.Manifest, map[string][]byte) {
+	t.Helper()
+	manifest, parts, err := config.Pack(published)
+	require.NoError(t, err)
+	byName := map[string][]byte{}
+	for _, part := range parts {
+		byName[part.Name] = part.Body
+	}
+	return manifest, byName
+}
+
+func TestPackAndAssemble(t *testing.T) {
+	published := largeConfig(15_000, 300)
+	manifest, parts := packed(t, published)
+	for name, body := range parts {
+		require.LessOrEqual(t, len(body), config.MaxPart, name)
+	}
+	text, err := config.FormatManifest(manifest)
+	require.NoError(t, err)
+	require.LessOrEqual(t, len(text), config.MaxPart)
+	read, err := config.ParseManifest(text)
+	require.NoError(t, err)
+	assembled, err := config.Assemble(read, parts)
+	require.NoError(t, err)
+	require.Equal(t, published, assembled)
+}
+
+// TestSmallChangeAltersOnePart counts the parts that a changed adapter alters.
+func TestSmallChangeAltersOnePart(t *testing.T) {
+	published := largeConfig(3_000, 100)
+	_, before := packed(t, published)
+	published.Version++
+	published.Adapters = slices.Clone(published.Adapters)
+	published.Adapters[77].Labels = map[string]string{"task": "quote"}
+	_, after := packed(t, published)
+	fresh := 0
+	for name := range after {
+		if before[name] == nil {
+			fresh++
+		}
+	}
+	require.Equal(t, 1, fresh)
+}
+
+func TestAssembleTakesAllOrNothing(t *testing.T) {
+	manifest, parts := packed(t, largeConfig(10, 5))
+	first := manifest.Parts[0].Name
+	tests := map[string]struct {
+		spoil func(manifest *config.Manifest, parts map[string][]byte)
+		cause string
+	}{
+		"part missing": {func(_ *config.Manifest, parts map[string][]byte) { delete(parts, first) }, "is missing"},
+		"part cut":     {func(_ *config.Manifest, parts map[string][]byte) { parts[first] = parts[first][1:] }, "bytes, the manifest says"},
+		"part of another": {func(_ *config.Manifest, parts map[string][]byte) {
+			parts[first] = []byte(strings.ToUpper(string(parts[first])))
+		}, "its hash is not"},
+		"no version": {func(manifest *config.Manifest, _ map[string][]byte) { manifest.Version = 0 }, "Version: must be above 0"},
+		"part twice": {func(manifest *config.Manifest, _ map[string][]byte) {
+			manifest.Parts = append(manifest.Parts, manifest.Parts[0])
+		}, "named twice"},
+		"part too large": {func(manifest *config.Manifest, _ map[string][]byte) { manifest.Parts[0].Size = config.MaxPart + 1 }, "at most"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			spoiled := config.Manifest{Version: manifest.Version, Parts: slices.Clone(manifest.Parts)}
+			left := map[string][]byte{}
+			for name, body := range parts {
+				left[name] = body
+			}
+			test.spoil(&spoiled, left)
+			_, err := config.Assemble(spoiled, left)
+			require.ErrorContains(t, err, test.cause)
+		})
+	}
+}
+
+// FuzzAssemble feeds arbitrary text as manifest and part: whatever parses must
+// pack and assemble again, and nothing may panic.
+func FuzzAssemble(f *testing.F) {
+	manifest, parts, err := config.Pack(largeConfig(3, 2))
+	require.NoError(f, err)
+	text, err := config.FormatManifest(manifest)
+	require.NoError(f, err)
+	f.Add(text, parts[0].Body)
+	f.Add([]byte("Version: 1"), []byte("Rules: [{Name: a}]"))
+	f.Fuzz(func(t *testing.T, manifestText, body []byte) {
+		if read, err := config.ParseManifest(manifestText); err == nil {
+			_, _ = config.Assemble(read, map[string][]byte{read.Parts[0].Name: body})
+		}
+		parsed, err := config.Parse(body)
+		if err != nil {
+			return
+		}
+		_, _ = config.Compile(parsed)
+		manifest, parts, err := config.Pack(parsed)
+		if err != nil {
+			return
+		}
+		byName := map[string][]byte{}
+		for _, part := range parts {
+			byName[part.Name] = part.Body
+		}
+		assembled, err := config.Assemble(manifest, byName)
+		require.NoError(t, err)
+		require.Len(t, assembled.Adapters, len(parsed.Adapters))
+	})
+}
+
+func BenchmarkAssembleAndCompile(b *testing.B) {
+	manifest, parts := packed(b, largeConfig(15_000, 300))
+	b.ReportAllocs()
+	for b.Loop() {
+		assembled, err := config.Assemble(manifest, parts)
+		require.NoError(b, err)
+		_, err = config.Compile(assembled)
+		require.NoError(b, err)
+	}
+}
