rollout: daemons accept, fetch and pass on whole configurations

Every daemon watched the service for one value, accepted any version above its own, and knew nothing while the service was down. Now a machine per daemon decides: the first two daemons of each data centre, by rendezvous order, watch; the others get offers from them, watch in their place after a silence, and read the service once a minute. Parts come from the daemons that offered a version, and from the service. A version is switched to as a whole, assembled and validated outside the node's lock; a bad one is refused with an audit event and keeps no good one back. Publications are ordered by version and then by the manifest's digest, so that two with the same number end as one everywhere. A new daemon asks its peers before it is ready.

--- /dev/null
+++ b/internal/decide/node/configuration_test.go
@@ -0,0 +1,171 @@
+package node_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/base/ident"
+	"teaselmoor/internal/control/config"
+	"teaselmoor/internal/control/members"
+	"teaselmoor/internal/decide/effect"
+	"teaselmoor/internal/decide/node"
+	"teaselmoor/internal/decide/nodetest"
+)
+
+// publishedNetwork is a network whose daemons learn the configuration from the
+// service, spread over data centres.
+func publishedNetwork(t testing.TB, seed uint64, daemons, centres int) *nodetest.Network {
+	t.Helper()
+	var vms []members.VM
+	for i := range daemons {
+		vms = append(vms, members.VM{
+			Name: fmt.Sprintf("daemon-%02d", i), Role: members.EntryRole, DataCentre: fmt.Sprintf("dc-%d", i%centres),
+			Region: "north", State: members.Live,
+		})
+	}
+	network, err := nodetest.New(nodetest.Options{
+		Seed: seed, Delay: 1, Jitter: 2, TickInterval: 50, Config: smallConfig(2), VMs: vms, Published: true,
+		Engine: nodetest.EngineOptions{RunSpan: 200, LoadSpan: 500}, Node: node.DefaultOptions(),
+	})
+	require.NoError(t, err)
+	return network
+}
+
+func versioned(version uint64) config.Config {
+	published := smallConfig(2)
+	published.Version = version
+	return published
+}
+
+const configSpan = 3 * clock.Second // in which a version is in force everywhere
+
+func requireEverywhere(t testing.TB, network *nodetest.Network, version uint64, within clock.Millis) clock.Millis {
+	t.Helper()
+	start := network.Now
+	require.True(t, network.RunUntil(within, func() bool { return network.Everywhere(version) }),
+		"version %d within %d ms, in force: %v", version, within, network.InForce())
+	return network.Now - start
+}
+
+func refusals(network *nodetest.Network) map[string]int {
+	causes := map[string]int{}
+	for _, audit := range network.Audits {
+		if audit.Kind == effect.ConfigRefused {
+			causes[audit.Cause]++
+		}
+	}
+	return causes
+}
+
+func TestConfigInForceInSeconds(t *testing.T) {
+	for _, size := range []struct{ daemons, centres int }{{7, 4}, {78, 3}} {
+		t.Run(fmt.Sprintf("%d daemons", size.daemons), func(t *testing.T) {
+			network := publishedNetwork(t, 1, size.daemons, size.centres)
+			requireEverywhere(t, network, 1, 5*clock.Second)
+			network.Run(20 * clock.Second)
+			calls := network.Service.Calls
+			network.Run(100 * clock.Second)
+			t.Logf("calls a second with nothing published: %.1f", float64(network.Service.Calls-calls)/100)
+			require.NoError(t, network.Service.Publish(versioned(2)))
+			t.Logf("service up: in force everywhere after %d ms", requireEverywhere(t, network, 2, configSpan))
+		})
+	}
+}
+
+// TestConfigSpreadsWithoutService lets one daemon alone see a version before
+// the service goes down.
+func TestConfigSpreadsWithoutService(t *testing.T) {
+	for _, size := range []struct{ daemons, centres int }{{7, 4}, {78, 3}} {
+		t.Run(fmt.Sprintf("%d daemons", size.daemons), func(t *testing.T) {
+			network := publishedNetwork(t, 1, size.daemons, size.centres)
+			requireEverywhere(t, network, 1, 5*clock.Second)
+			for _, name := range network.HostNames() {
+				network.Service.Unreachable[name] = name != "daemon-03"
+			}
+			network.Service.SetMode(nodetest.ServiceUp)
+			network.Run(10 * clock.Second)
+			require.NoError(t, network.Service.Publish(versioned(2)))
+			seen := network.RunUntil(20*clock.Second, func() bool { return network.Nodes["daemon-03"].Node.Config().Version() == 2 })
+			require.True(t, seen)
+			network.Service.SetMode(nodetest.ServiceDown)
+			t.Logf("one daemon has it: in force everywhere after %d ms", requireEverywhere(t, network, 2, configSpan))
+			calls := network.Service.Calls
+			network.Run(100 * clock.Second)
+			t.Logf("calls a second while down: %.1f", float64(network.Service.Calls-calls)/100)
+		})
+	}
+}
+
+// TestNewDaemonAsksPeers restarts a daemon while the service is stale.
+func TestNewDaemonAsksPeers(t *testing.T) {
+	network := publishedNetwork(t, 1, 5, 2)
+	requireEverywhere(t, network, 1, 5*clock.Second)
+	network.Service.SetMode(nodetest.ServiceStale)
+	network.Service.SetMode(nodetest.ServiceUp)
+	require.NoError(t, network.Service.Publish(versioned(2)))
+	requireEverywhere(t, network, 2, configSpan)
+	network.Service.SetMode(nodetest.ServiceStale)
+	network.Kill("daemon-01")
+	network.Run(clock.Second)
+	host := network.Boot(network.Nodes["daemon-01"].VM)
+	ready := network.RunUntil(configSpan, func() bool { return host.Node.Ready() })
+	require.True(t, ready)
+	require.Equal(t, uint64(2), host.Node.Config().Version())
+}
+
+func TestBadConfigIsRefusedWhole(t *testing.T) {
+	bad := versioned(2)
+	bad.Rules[0].Class = "Later"
+	network := publishedNetwork(t, 1, 3, 1)
+	requireEverywhere(t, network, 1, 5*clock.Second)
+	require.NoError(t, network.Service.Publish(bad))
+	network.Run(configSpan)
+	require.Equal(t, map[uint64]int{1: 3}, network.InForce())
+	require.NotEmpty(t, refusals(network))
+	require.NoError(t, network.Service.Publish(versioned(3)))
+	requireEverywhere(t, network, 3, configSpan)
+}
+
+// TestMissingPartIsWaitedFor publishes a manifest before one of its parts.
+func TestMissingPartIsWaitedFor(t *testing.T) {
+	network := publishedNetwork(t, 1, 3, 1)
+	requireEverywhere(t, network, 1, 5*clock.Second)
+	changed := versioned(2)
+	changed.Callers[0].RequestsPerSecond = 5
+	manifest, parts, err := config.Pack(changed)
+	require.NoError(t, err)
+	text, err := config.FormatManifest(manifest)
+	require.NoError(t, err)
+	network.Service.PutManifest(text)
+	network.Run(5 * clock.Second)
+	require.Equal(t, map[uint64]int{1: 3}, network.InForce())
+	require.NotEmpty(t, refusals(network))
+	for _, part := range parts {
+		network.Service.Put(part.Name, part.Body)
+	}
+	requireEverywhere(t, network, 2, 12*clock.Second)
+}
+
+// TestTwoPublicationsOfOneVersion lets two operators publish the same number
+// with different content, each seen by other daemons first.
+func TestTwoPublicationsOfOneVersion(t *testing.T) {
+	network := publishedNetwork(t, 1, 7, 2)
+	requireEverywhere(t, network, 1, 5*clock.Second)
+	other := versioned(2)
+	other.Callers[0].RequestsPerSecond = 5
+	half := map[ident.DaemonID]bool{"daemon-00": true, "daemon-02": true, "daemon-04": true, "daemon-06": true}
+	network.Service.Unreachable = half
+	require.NoError(t, network.Service.Publish(versioned(2)))
+	network.Service.Unreachable = map[ident.DaemonID]bool{"daemon-01": true, "daemon-03": true, "daemon-05": true}
+	require.NoError(t, network.Service.Publish(other))
+	network.Service.Unreachable = map[ident.DaemonID]bool{}
+	network.Run(10 * clock.Second)
+	rates := map[float64]int{}
+	for _, name := range network.HostNames() {
+		rates[network.Nodes[name].Node.Config().Config.Callers[0].RequestsPerSecond]++
+	}
+	require.Len(t, rates, 1, "one publication in force everywhere")
+}
--- a/internal/decide/node/node.go
+++ b/internal/decide/node/node.go
@@ -21,6 +21,7 @@
 	"teaselmoor/internal/decide/message"
 	"teaselmoor/internal/decide/owner"
 	"teaselmoor/internal/decide/placement"
+	"teaselmoor/internal/decide/rollout"
 )
 
 // Options are a daemon's identity and limits.
@@ -34,6 +35,7 @@
 	Home        home.Options
 	Loads       loads.Options
 	Weights     placement.Weights
+	Rollout     rollout.Options
 	// RetryShare is the number of repeated attempts allowed per first attempt.
 	RetryShare float64
 	// StateInterval is the span between two states sent of an owned engine.
@@ -49,6 +51,7 @@
 		Home:          home.DefaultOptions(),
 		Loads:         loads.DefaultOptions(),
 		Weights:       placement.DefaultWeights(),
+		Rollout:       rollout.DefaultOptions(),
 		RetryShare:    0.1,
 		StateInterval: 250 * clock.Millisecond,
 		ReadInterval:  clock.Second,
@@ -60,7 +63,8 @@
 	options  Options
 	now      clock.Millis
 	sequence uint64
-	config   *config.Snapshot
+	config   *config.Snapshot // what rollout has accepted
+	rollout  *rollout.Rollout
 	vms      *members.View
 
 	requests map[ident.StreamID]*request // entry role
@@ -86,6 +90,7 @@
 func New(options Options) *Node {
 	return &Node{
 		options:  options,
+		rollout:  rollout.New(options.Self, options.Rollout),
 		requests: map[ident.StreamID]*request{},
 		retries:  retryBudget{share: options.RetryShare},
 		owned:    map[ident.EngineID]*owned{},
@@ -145,7 +150,13 @@
 	case EngineReported:
 		node.engineReported(event)
 	case ConfigRead:
-		node.configRead(event.Snapshot)
+		node.configEffects(node.rollout.Adopt(node.now, event.Snapshot))
+	case ConfigWatched:
+		node.configEffects(node.rollout.Watched(node.now, event.Result))
+	case ConfigPartRead:
+		node.configEffects(node.rollout.PartRead(node.now, event.Name, event.Body, event.Failed))
+	case ConfigAssembled:
+		node.configEffects(node.rollout.Assembled(node.now, event.Mark, event.Snapshot, event.Cause))
 	case VMListRead:
 		node.vmListRead(event.View)
 	case Tick:
@@ -180,6 +191,12 @@
 		node.loadDone(received)
 	case message.EngineState:
 		node.engineState(received)
+	case message.ConfigOffer:
+		node.configEffects(node.rollout.Offered(node.now, from, received))
+	case message.ConfigFetch:
+		node.configEffects(node.rollout.Fetched(node.now, from, received))
+	case message.ConfigPart:
+		node.configEffects(node.rollout.Part(node.now, received))
 	}
 }
 
@@ -205,6 +222,7 @@
 }
 
 func (node *Node) tick() {
+	node.configEffects(node.rollout.Tick(node.now))
 	node.home.Tick(node.now)
 	for _, store := range slices.Sorted(maps.Keys(node.brokers)) {
 		node.sendGrants(node.brokers[store].Tick(node.now))
@@ -215,21 +233,9 @@
 	node.tickRequests()
 }
 
-func (node *Node) configRead(snapshot *config.Snapshot) {
-	if node.config != nil && snapshot.Version() <= node.config.Version() {
-		return
-	}
-	before := uint64(0)
-	if node.config != nil {
-		before = node.config.Version()
-	}
-	node.config = snapshot
-	node.emit(configAudit(node.now, before, snapshot.Version()))
-	node.reviseOwnership()
-}
-
 func (node *Node) vmListRead(view *members.View) {
 	node.vms = view
+	node.configEffects(node.rollout.Peers(node.now, view, node.options.DataCentre, node.options.Region))
 	node.reviseOwnership()
 }
 
--- a/internal/decide/node/retry.go
+++ b/internal/decide/node/retry.go
@@ -3,9 +3,6 @@
 import (
 	"maps"
 	"slices"
-
-	"teaselmoor/internal/base/clock"
-	"teaselmoor/internal/decide/effect"
 )
 
 // retryBudget allows repeated attempts as a share of first ones, so that a
@@ -37,10 +34,3 @@
 		return a.stream.Compare(b.stream)
 	})
 }
-
-func configAudit(now clock.Millis, before, after uint64) effect.Audit {
-	return effect.Audit{
-		At: now, Kind: effect.ConfigAccepted, Object: "configuration", Cause: "published",
-		Before: versionText(before), After: versionText(after),
-	}
-}
--- a/internal/decide/nodetest/network.go
+++ b/internal/decide/nodetest/network.go
@@ -32,6 +32,9 @@
 	Config       config.Config
 	VMs          []members.VM
 	Engine       EngineOptions
+	// Published says that daemons learn the configuration from the network's
+	// configuration service; otherwise it is handed to each at its start.
+	Published bool
 	// Node completes the options of each node; identity is set by the network.
 	Node node.Options
 }
@@ -41,6 +44,7 @@
 	Now     clock.Millis
 	Nodes   map[ident.DaemonID]*Host
 	Engines map[ident.EngineID]*Engine
+	Service *ConfigService
 	// Answers holds what callers were told, by request id.
 	Answers map[string][]effect.Answer
 	// Audits holds every audited change, in order.
@@ -88,6 +92,10 @@
 		Answers: map[string][]effect.Answer{}, Ledger: map[string]int{}, Blocked: map[Direction]bool{},
 		options: options, random: rand.New(rand.NewPCG(options.Seed, 0)), snapshot: snapshot,
 	}
+	network.Service = newConfigService(network)
+	if err := network.Service.Publish(options.Config); err != nil {
+		return nil, err
+	}
 	for _, engine := range options.Config.Engines {
 		network.Engines[engine.Name] = newEngine(network, engine, options.Engine)
 	}
@@ -108,7 +116,9 @@
 	network.sequence++
 	host := &Host{Name: name, Node: node.New(options), VM: vm, life: network.sequence, streams: map[ident.StreamID]string{}}
 	network.Nodes[name] = host
-	network.Feed(host, node.ConfigRead{Snapshot: network.snapshot})
+	if !network.options.Published {
+		network.Feed(host, node.ConfigRead{Snapshot: network.snapshot})
+	}
 	network.Feed(host, node.VMListRead{View: network.view()})
 	network.tick(host)
 	return host
@@ -220,6 +230,8 @@
 				Stream: next.Stream, Outcome: outcome.Done(), Stored: &message.StoredAnswer{Status: 200},
 			})
 		})
+	case effect.WatchConfig, effect.ReadConfigPart, effect.AssembleConfig:
+		network.performConfig(host, next)
 	case effect.Audit:
 		network.Audits = append(network.Audits, next)
 	}
--- a/internal/inner/link/frame.go
+++ b/internal/inner/link/frame.go
@@ -60,6 +60,9 @@
 	reflect.TypeFor[message.LoadDone](),
 	reflect.TypeFor[message.Heartbeat](),
 	reflect.TypeFor[message.EngineState](),
+	reflect.TypeFor[message.ConfigOffer](),
+	reflect.TypeFor[message.ConfigFetch](),
+	reflect.TypeFor[message.ConfigPart](),
 }
 
 var messageKinds = func() map[reflect.Type]frameKind {
--- a/internal/serve/daemon/daemon.go
+++ b/internal/serve/daemon/daemon.go
@@ -78,7 +78,6 @@
 		daemon.tasks.Go("worker", daemon.work)
 	}
 	daemon.tasks.Go("ticker", daemon.tick)
-	daemon.tasks.Go("configuration watch", daemon.watchConfig)
 	daemon.tasks.Go("VM list", daemon.readList)
 	daemon.tasks.Go("job queue closer", func(ctx context.Context) error {
 		<-ctx.Done()
--- a/internal/serve/daemon/perform.go
+++ b/internal/serve/daemon/perform.go
@@ -36,6 +36,15 @@
 		daemon.tasks.Go("report", func(ctx context.Context) error { daemon.readEngine(ctx, next); return nil })
 	case effect.CallService:
 		daemon.tasks.Go("service", func(ctx context.Context) error { daemon.callService(ctx, next); return nil })
+	case effect.WatchConfig:
+		daemon.tasks.Go("configuration watch", func(ctx context.Context) error { daemon.watchConfig(ctx, next); return nil })
+	case effect.ReadConfigPart:
+		daemon.tasks.Go("configuration part", func(ctx context.Context) error { daemon.readConfigPart(ctx, next); return nil })
+	case effect.AssembleConfig:
+		daemon.tasks.Go("configuration assembly", func(context.Context) error {
+			daemon.enqueue(promptLane, node.Assemble(next))
+			return nil
+		})
 	case effect.Audit:
 		daemon.options.Log.Info("audit", "Kind", next.Kind, "Object", next.Object, "Cause", next.Cause,
 			"Before", next.Before, "After", next.After)
--- a/internal/serve/daemon/watch.go
+++ b/internal/serve/daemon/watch.go
@@ -2,51 +2,37 @@
 
 import (
 	"context"
-	"time"
 
-	"teaselmoor/internal/base/clock"
-	"teaselmoor/internal/control/config"
 	"teaselmoor/internal/control/members"
+	"teaselmoor/internal/decide/effect"
 	"teaselmoor/internal/decide/node"
+	"teaselmoor/internal/decide/rollout"
 	"teaselmoor/internal/inner/link"
 )
 
-// ConfigKey is the value under which the configuration is published.
+// ConfigKey is the value under which the manifest of the configuration is published.
 const ConfigKey = "teaselmoor"
 
-const (
-	watchWait  = 20 * clock.Second
-	watchRetry = time.Second
-)
-
-// watchConfig reads each new version of the configuration.
-func (daemon *Daemon) watchConfig(ctx context.Context) error {
-	after := uint64(0)
-	for ctx.Err() == nil {
-		value, changed, err := daemon.options.Platform.Watch(ctx, ConfigKey, after, watchWait)
-		if err != nil {
-			daemon.options.Log.Warn("configuration watch", "Cause", err)
-			pause(ctx, watchRetry)
-			continue
-		}
-		if changed {
-			after = value.Version
-			daemon.acceptConfig(value.Body)
-		}
+// watchConfig reads the manifest as the node asked.
+func (daemon *Daemon) watchConfig(ctx context.Context, watch effect.WatchConfig) {
+	var result rollout.WatchResult
+	value, changed, err := daemon.options.Platform.Watch(ctx, ConfigKey, watch.After, watch.Wait)
+	if err != nil {
+		result.Cause = err.Error()
+		daemon.options.Log.Warn("configuration watch", "Cause", err)
+	} else {
+		result = rollout.WatchResult{Version: value.Version, Body: value.Body, Changed: changed}
 	}
-	return nil
+	daemon.enqueue(promptLane, node.ConfigWatched{Result: result})
 }
 
-func (daemon *Daemon) acceptConfig(text []byte) {
-	parsed, err := config.Parse(text)
-	if err == nil {
-		var snapshot *config.Snapshot
-		if snapshot, err = config.Compile(parsed); err == nil {
-			daemon.enqueue(promptLane, node.ConfigRead{Snapshot: snapshot})
-			return
-		}
+// readConfigPart reads one part of a configuration.
+func (daemon *Daemon) readConfigPart(ctx context.Context, read effect.ReadConfigPart) {
+	value, err := daemon.options.Platform.Read(ctx, read.Name)
+	if err != nil {
+		daemon.options.Log.Warn("configuration part", "Part", read.Name, "Cause", err)
 	}
-	daemon.options.Log.Error("configuration refused", "Cause", err)
+	daemon.enqueue(promptLane, node.ConfigPartRead{Name: read.Name, Body: value.Body, Failed: err != nil})
 }
 
 // readList reads the VM list at each interval.
@@ -74,11 +60,3 @@
 	}
 	daemon.links.Connect(peers)
 }
-
-// pause waits for the span or the context's end.
-func pause(ctx context.Context, span time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(span):
-	}
-}
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -224,7 +224,16 @@
 // Publish publishes the site's configuration as its next version.
 func (site *Site) Publish() error {
 	site.Config.Version++
-	text, err := config.Format(site.Config)
+	manifest, parts, err := config.Pack(site.Config)
+	if err != nil {
+		return err
+	}
+	for _, part := range parts {
+		if err := site.Platform.Publish(part.Name, part.Body); err != nil {
+			return err
+		}
+	}
+	text, err := config.FormatManifest(manifest)
 	if err != nil {
 		return err
 	}
