standin: engines, stores and services run as separate processes

Tests with real processes need each stand-in as a program with a ledger that judges. Engines now obey an unload of an adapter in use when told to be of that kind, and mark the run as violated; keep a prefix cache whose events come late and with gaps; note prompt and fencing number of each run; and do not carry a load over a cold restart. The VM list can be down.

The demo publishes both organisations with their data centres. Daemons were given ports that had been free a moment before; with more stand-ins starting in between, one daemon in the demo found its port taken. Each process now gets a loopback IP of its own.

--- a/internal/serve/program/path_test.go
+++ b/internal/serve/program/path_test.go
@@ -189,10 +189,10 @@
 	require.NoError(t, err)
 	leave()
 	_ = response.Body.Close()
-	waitFor(t, func() bool { return ended(running.Engines["engine-0"]) == "Cancelled" })
+	waitFor(t, func() bool { return ended(running.Engines["engine-0"]) == modelengine.Cancelled })
 }
 
-func ended(engine *modelengine.Engine) string {
+func ended(engine *modelengine.Engine) modelengine.Ending {
 	ledger := engine.Ledger()
 	if len(ledger) == 0 {
 		return ""
--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -8,8 +8,10 @@
 // New returns the command line application.
 func New() *cli.App {
 	return &cli.App{
-		Name:     "standins",
-		Usage:    "run stand-ins of the systems around teaselmoor",
-		Commands: []*cli.Command{demoCommand()},
+		Name:  "standins",
+		Usage: "run stand-ins of the systems around teaselmoor",
+		Commands: []*cli.Command{
+			demoCommand(), engineCommand(), weightStoreCommand(), platformCommand(), recordsCommand(),
+		},
 	}
 }
--- a/internal/standin/command/demo.go
+++ b/internal/standin/command/demo.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -19,6 +20,7 @@
 	"github.com/urfave/cli/v2"
 
 	"teaselmoor/internal/base/settings"
+	"teaselmoor/internal/decide/outcome"
 	"teaselmoor/internal/serve/callers"
 	"teaselmoor/internal/serve/operators"
 	"teaselmoor/internal/serve/program"
@@ -28,7 +30,7 @@
 func demoCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "demo",
-		Usage: "run a small site with three daemons in this process, send a few requests, and stay up",
+		Usage: "run a small site of two organisations in this process, send a few requests, and stay up",
 		Flags: []cli.Flag{
 			&cli.BoolFlag{Name: "once", Usage: "stop after the requests"},
 			&cli.StringFlag{Name: "log", Usage: "write the daemons' logs to `FILE`", Value: os.DevNull},
@@ -50,11 +52,12 @@
 	log := slog.New(slog.NewJSONHandler(logFile, nil))
 	standIns, endStandIns := context.WithCancel(context.WithoutCancel(ctx))
 	defer endStandIns()
-	running, err := site.New(standIns, site.DefaultOptions())
+	running, err := site.New(standIns, demoOptions())
 	if err != nil {
 		return err
 	}
 	daemons, endDaemons := context.WithCancel(ctx)
+	defer endDaemons()
 	var ended sync.WaitGroup
 	for _, each := range running.Settings {
 		ended.Add(1)
@@ -62,13 +65,14 @@
 			defer ended.Done()
 			if err := program.Serve(daemons, each, log); err != nil {
 				_, _ = fmt.Fprintln(out, "daemon failed:", err)
+				endDaemons()
 			}
 		}()
 	}
-	err = show(ctx, running, out)
+	err = show(daemons, running, out)
 	if err == nil && !once {
-		_, _ = fmt.Fprintln(out, "The site stays up; interrupt to end it.")
-		<-ctx.Done()
+		printCurl(running, out)
+		<-daemons.Done()
 	}
 	endDaemons()
 	ended.Wait()
@@ -77,56 +81,129 @@
 	return err
 }
 
+// demoOptions describe both organisations, with a few adapters each.
+func demoOptions() site.Options {
+	options := site.DefaultOptions()
+	options.Deployments = site.PublishedDeployments()
+	options.Daemons, options.Engines, options.Adapters = 4, 9, 60
+	return options
+}
+
+// step is one request of the demo.
+type step struct {
+	title  string
+	entry  settings.Settings
+	apiKey string
+	path   string
+	body   string
+	keyed  bool
+}
+
 // show sends a few requests and prints what came back.
 func show(ctx context.Context, running *site.Site, out io.Writer) error {
 	for _, each := range running.Settings {
 		if err := waitReady(ctx, each); err != nil {
 			return err
 		}
-		_, _ = fmt.Fprintf(out, "%s: callers at http://%s, operators at http://%s\n", each.Name, each.CallerAddress, each.OperatorAddress)
-	}
-	model := func(address string) string {
-		return fmt.Sprintf(`{"model":%q,"prompt":"hello","max_tokens":4}`, address)
-	}
-	steps := []struct{ title, path, body, key string }{
-		{"an urgent review", "/v1/completions", model(running.Adapter("review")), ""},
-		{"a routine draft", "/v1/completions", model(running.Adapter("draft")), ""},
-		{"a quote without an idempotency key", "/v1/completions", model(running.Adapter("quote")), ""},
-		{"a quote with its key", "/v1/completions", model(running.Adapter("quote")), uuid.Must(uuid.NewV7()).String()},
-		{"a record", callers.ServicesPath + site.Service + "/opt-outs", `{"member":1}`, uuid.Must(uuid.NewV7()).String()},
-		{"an unknown adapter", "/v1/completions", model("nothing@1"), ""},
-	}
-	for i, step := range steps {
-		entry := running.Settings[i%len(running.Settings)]
-		if err := showOne(ctx, entry, step.title, step.path, step.body, step.key, out); err != nil {
-			return err
+		_, _ = fmt.Fprintf(out, "%s in %s: callers at http://%s, operators at http://%s\n",
+			each.Name, each.DataCentre, each.CallerAddress, each.OperatorAddress)
+	}
+	for _, step := range demoSteps(running) {
+		if err := showOne(ctx, step, out); err != nil {
+			return errors.Wrap(err, step.title)
 		}
 	}
 	return nil
 }
 
-func showOne(ctx context.Context, entry settings.Settings, title, path, body, key string, out io.Writer) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry.CallerAddress+path, bytes.NewReader([]byte(body)))
+func demoSteps(running *site.Site) []step {
+	deployments := site.PublishedDeployments()
+	pensions, drains := deployments[0], deployments[1]
+	first, last := running.Settings[0], running.Settings[len(running.Settings)-1]
+	model := func(task string) string {
+		return fmt.Sprintf(`{"model":%q,"prompt":"hello","max_tokens":4}`, running.Adapter(task))
+	}
+	const completions = "/v1/completions"
+	return []step{
+		{"an urgent contract review", first, pensions.CallerKey, completions, model("cantabrica-contract-review"), false},
+		{"a routine enrolment notice", running.Settings[1], pensions.CallerKey, completions, model("cantabrica-enrolment-notice"), false},
+		{"an opt-out at the records service", first, pensions.CallerKey, callers.ServicesPath + pensions.Service + "/opt-outs", `{"member":1}`, true},
+		{"an urgent defect report", last, drains.CallerKey, completions, model("ramcharan-defect-report"), false},
+		{"a quote with its idempotency key", last, drains.CallerKey, completions, model("ramcharan-quote"), true},
+		{"a quote without one", last, drains.CallerKey, completions, model("ramcharan-quote"), false},
+		{"an adapter of the other organisation", last, drains.CallerKey, completions, model("cantabrica-contract-review"), false},
+		{"an unknown adapter", first, pensions.CallerKey, completions, `{"model":"nothing@1"}`, false},
+	}
+}
+
+func printCurl(running *site.Site, out io.Writer) {
+	pensions := site.PublishedDeployments()[0]
+	_, _ = fmt.Fprintf(out, "The site stays up; interrupt to end it. For example:\n"+
+		"curl http://%s/v1/completions -H 'Authorization: Bearer %s' -d '{\"model\":%q,\"stream\":true}'\n",
+		running.Settings[0].CallerAddress, pensions.CallerKey, running.Adapter("cantabrica-contract-review"))
+}
+
+// showOne sends one request. A key that no home can vouch for yet, because it
+// was issued too soon after the daemons' start, did not run: a new one is tried.
+func showOne(ctx context.Context, step step, out io.Writer) error {
+	for {
+		shown, err := send(ctx, step)
+		if err != nil {
+			return err
+		}
+		if shown.reason != string(outcome.KeyNotVouched) {
+			_, _ = fmt.Fprintf(out, "%s via %s: %d %s %s\n  %s\n",
+				step.title, step.entry.Name, shown.status, shown.outcome, shown.reason, shown.summary())
+			return nil
+		}
+		if err := rest(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+// answer is what came back for a request of the demo.
+type answer struct {
+	status  int
+	outcome string
+	reason  string
+	body    []byte
+}
+
+// summary is the sentence of a refusal, or the answer itself.
+func (answer answer) summary() string {
+	var refusal struct {
+		Error struct {
+			Message string `json:"message"`
+		} `json:"error"`
+	}
+	if json.Unmarshal(answer.body, &refusal) == nil && refusal.Error.Message != "" {
+		return refusal.Error.Message
+	}
+	return string(bytes.TrimSpace(answer.body))
+}
+
+func send(ctx context.Context, step step) (answer, error) {
+	target := "http://" + step.entry.CallerAddress + step.path
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target, strings.NewReader(step.body))
 	if err != nil {
-		return err
+		return answer{}, err
 	}
-	request.Header.Set("Authorization", "Bearer "+site.CallerKey)
+	request.Header.Set("Authorization", "Bearer "+step.apiKey)
 	request.Header.Set("Content-Type", "application/json")
-	if key != "" {
-		request.Header.Set(callers.KeyHeader, key)
+	if step.keyed {
+		request.Header.Set(callers.KeyHeader, uuid.Must(uuid.NewV7()).String())
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return errors.Wrap(err, title)
+		return answer{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	var answer json.RawMessage
-	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
-		return errors.Wrap(err, title)
-	}
-	_, _ = fmt.Fprintf(out, "%s via %s: %d %s/%s\n  %s\n", title, entry.Name, response.StatusCode,
-		response.Header.Get(callers.OutcomeHeader), response.Header.Get(callers.ReasonHeader), answer)
-	return nil
+	body, err := io.ReadAll(response.Body)
+	return answer{
+		status: response.StatusCode, body: body,
+		outcome: response.Header.Get(callers.OutcomeHeader), reason: response.Header.Get(callers.ReasonHeader),
+	}, err
 }
 
 const readyPoll = 20 * time.Millisecond
@@ -140,10 +217,18 @@
 				return nil
 			}
 		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(readyPoll):
+		if err := rest(ctx); err != nil {
+			return err
 		}
 	}
 }
+
+// rest pauses between two tries.
+func rest(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(readyPoll):
+		return nil
+	}
+}
--- a/internal/standin/modelengine/api.go
+++ b/internal/standin/modelengine/api.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"sort"
@@ -17,6 +18,19 @@
 	Model     string `json:"model"`
 	Stream    bool   `json:"stream"`
 	MaxTokens int    `json:"max_tokens"`
+	Prompt    string `json:"prompt"`
+	Messages  []struct {
+		Content string `json:"content"`
+	} `json:"messages"`
+}
+
+// prompt joins what the request asks, for both APIs.
+func (asked *completionRequest) prompt() string {
+	text := asked.Prompt
+	for _, message := range asked.Messages {
+		text += message.Content
+	}
+	return text
 }
 
 // completion is an answer or one chunk of it, for both APIs.
@@ -56,6 +70,7 @@
 	engine.mux.HandleFunc("POST "+protocol.LoadPath, engine.load)
 	engine.mux.HandleFunc("POST "+protocol.UnloadPath, engine.unload)
 	engine.mux.HandleFunc("GET "+protocol.StatePath, engine.state)
+	engine.mux.HandleFunc("GET "+EventsPath, engine.events)
 }
 
 // admitted checks an order's fencing number and answers a refused one.
@@ -83,7 +98,11 @@
 		asked.MaxTokens = engine.options.DefaultTokens
 	}
 	priority, _ := strconv.Atoi(request.Header.Get(protocol.PriorityHeader))
-	started, err := engine.begin(request.Header.Get(protocol.RunHeader), asked.Model, priority, asked.MaxTokens)
+	fence, _ := strconv.ParseUint(request.Header.Get(protocol.FenceHeader), 10, 64)
+	started, err := engine.begin(askedRun{
+		id: request.Header.Get(protocol.RunHeader), model: asked.Model, prompt: asked.prompt(),
+		priority: priority, tokens: asked.MaxTokens, fence: fence,
+	})
 	if err != nil {
 		writer.Header().Set(protocol.NotRunHeader, "not loaded")
 		http.Error(writer, err.Error(), http.StatusNotFound)
@@ -229,7 +248,7 @@
 	defer engine.mutex.Unlock()
 	id := request.PathValue("id")
 	if known, found := engine.runs[id]; found {
-		known.abort()
+		known.abort(Cancelled)
 	} else {
 		// A run that is cancelled before it arrives must not begin later.
 		engine.runs[id] = cancelledRun(id)
@@ -252,19 +271,28 @@
 		http.Error(writer, "no free slot, or the adapter is being loaded", http.StatusConflict)
 		return
 	}
+	boot := engine.Boot()
 	err := engine.fetch(request)
 	if engine.takeLoadFault() {
-		err = fmt.Errorf("load failed on request")
+		err = errors.New("load failed on request")
 	}
+	if err = engine.endLoad(order.LoraName, boot, err); err != nil {
+		http.Error(writer, err.Error(), http.StatusInternalServerError)
+	}
+}
+
+// endLoad fills or frees the slot of a load that began in the given boot.
+func (engine *Engine) endLoad(model, boot string, failure error) error {
 	engine.mutex.Lock()
-	delete(engine.loading, order.LoraName)
-	if err == nil {
-		engine.loaded[order.LoraName] = true
+	defer engine.mutex.Unlock()
+	if engine.boot != boot {
+		return errors.New("the engine restarted during the load")
 	}
-	engine.mutex.Unlock()
-	if err != nil {
-		http.Error(writer, err.Error(), http.StatusInternalServerError)
+	delete(engine.loading, model)
+	if failure == nil {
+		engine.loaded[model] = true
 	}
+	return failure
 }
 
 func decodeOrder(writer http.ResponseWriter, request *http.Request, order *protocol.AdapterOrder) bool {
@@ -313,8 +341,11 @@
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
 	if engine.inUse(order.LoraName) {
-		http.Error(writer, "the adapter is in use", http.StatusConflict)
-		return
+		if !engine.options.ObeysUnload {
+			http.Error(writer, "the adapter is in use", http.StatusConflict)
+			return
+		}
+		engine.violate(order.LoraName)
 	}
 	delete(engine.loaded, order.LoraName)
 }
--- a/internal/standin/modelengine/engine.go
+++ b/internal/standin/modelengine/engine.go
@@ -21,6 +21,15 @@
 	MaxRuns       int
 	StepInterval  time.Duration
 	ChecksFencing bool
+	// ObeysUnload makes the engine unload an adapter that a run uses, as some
+	// engines do. The ledger then marks the run as violated.
+	ObeysUnload bool
+	// CachedPrefixes is the number of prompt prefixes that the engine keeps.
+	CachedPrefixes int
+	// EventLag is how late a cache event is shown.
+	EventLag time.Duration
+	// EventGap loses one cache event in that many; 0 loses none.
+	EventGap int
 	// StoreURL is where weights are loaded from; empty means at once.
 	StoreURL string
 	// ReportLag is how old a state report is.
@@ -31,7 +40,7 @@
 
 // DefaultOptions returns a small, fast engine.
 func DefaultOptions() Options {
-	return Options{Slots: 8, MaxRuns: 16, StepInterval: 2 * time.Millisecond, DefaultTokens: 8}
+	return Options{Slots: 8, MaxRuns: 16, StepInterval: 2 * time.Millisecond, DefaultTokens: 8, CachedPrefixes: 64}
 }
 
 // LedgerEntry is one run that the engine began.
@@ -40,10 +49,25 @@
 	Model string
 	// Served is the adapter that really produced the answer.
 	Served string
+	// Prompt is what the request asked, by which tests know it again.
+	Prompt string
+	Fence  uint64
 	Boot   string
-	Ended  string // Complete, Cancelled, or empty while running
+	Ended  Ending
+	// Violated says that the adapter was unloaded while the run used it.
+	Violated bool
 }
 
+// Ending is how a run ended; empty while it runs.
+type Ending string
+
+// Endings of runs.
+const (
+	Complete  Ending = "Complete"
+	Cancelled Ending = "Cancelled"
+	Restarted Ending = "Restarted"
+)
+
 // Engine is the stand-in. It serves HTTP; Run drives its steps.
 type Engine struct {
 	options Options
@@ -61,6 +85,7 @@
 	shared  uint64
 	faults  Faults
 	reports []timedReport
+	cache   *prefixCache
 }
 
 // New returns an engine that has just started.
@@ -103,7 +128,7 @@
 
 func (engine *Engine) restart() {
 	for _, running := range engine.order {
-		running.abort()
+		running.abort(Restarted)
 	}
 	engine.boot = uuid.NewString()
 	engine.loaded = map[string]bool{}
@@ -111,6 +136,7 @@
 	engine.runs = map[string]*run{}
 	engine.order = nil
 	engine.reports = nil
+	engine.cache = newPrefixCache(engine.options)
 }
 
 // Boot returns the boot id.
@@ -154,31 +180,53 @@
 	engine.order = left
 }
 
+// askedRun is a run as a request asked for it.
+type askedRun struct {
+	id       string
+	model    string
+	prompt   string
+	priority int
+	tokens   int
+	fence    uint64
+}
+
 // begin starts a run, or finds the one that began under the same id.
-func (engine *Engine) begin(id, model string, priority, tokens int) (*run, error) {
+func (engine *Engine) begin(asked askedRun) (*run, error) {
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
-	if known, found := engine.runs[id]; found {
+	if known, found := engine.runs[asked.id]; found {
 		return known, nil
 	}
-	if !engine.loaded[model] {
-		return nil, fmt.Errorf("adapter %s is not loaded", model)
+	if !engine.loaded[asked.model] {
+		return nil, fmt.Errorf("adapter %s is not loaded", asked.model)
 	}
-	served := model
+	served := asked.model
 	if engine.faults.SwapTo != "" {
 		served = engine.faults.SwapTo
 	}
-	entry := &LedgerEntry{RunID: id, Model: model, Served: served, Boot: engine.boot}
+	entry := &LedgerEntry{
+		RunID: asked.id, Model: asked.model, Served: served, Prompt: asked.prompt, Fence: asked.fence, Boot: engine.boot,
+	}
 	engine.ledger = append(engine.ledger, entry)
-	started := newRun(entry, priority, tokens)
-	engine.runs[id] = started
-	at := sort.Search(len(engine.order), func(i int) bool { return engine.order[i].priority > priority })
+	engine.cache.use(asked.model, asked.prompt)
+	started := newRun(entry, asked.priority, asked.tokens)
+	engine.runs[asked.id] = started
+	at := sort.Search(len(engine.order), func(i int) bool { return engine.order[i].priority > asked.priority })
 	engine.order = append(engine.order, nil)
 	copy(engine.order[at+1:], engine.order[at:])
 	engine.order[at] = started
 	return started, nil
 }
 
+// violate marks the unfinished runs of an adapter that is being unloaded.
+func (engine *Engine) violate(model string) {
+	for _, running := range engine.order {
+		if running.entry.Model == model {
+			running.entry.Violated = true
+		}
+	}
+}
+
 // inUse reports whether an unfinished run uses the adapter.
 func (engine *Engine) inUse(model string) bool {
 	for _, running := range engine.order {
--- a/internal/standin/modelengine/run.go
+++ b/internal/standin/modelengine/run.go
@@ -26,7 +26,7 @@
 // cancelledRun stands for a run that was cancelled before it arrived.
 func cancelledRun(id string) *run {
 	cancelled := newRun(&LedgerEntry{RunID: id}, 0, 0)
-	cancelled.abort()
+	cancelled.abort(Cancelled)
 	return cancelled
 }
 
@@ -53,20 +53,20 @@
 	run.made++
 	if run.made >= run.tokens {
 		run.ended, run.whole = true, true
-		run.entry.Ended = "Complete"
+		run.entry.Ended = Complete
 	}
 	run.wake()
 }
 
 // abort ends the run before its last token. The engine's lock is held.
-func (run *run) abort() {
+func (run *run) abort(ending Ending) {
 	run.mutex.Lock()
 	defer run.mutex.Unlock()
 	if run.ended {
 		return
 	}
 	run.ended = true
-	run.entry.Ended = "Cancelled"
+	run.entry.Ended = ending
 	run.wake()
 }
 
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -8,7 +8,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -43,7 +42,9 @@
 	changed chan struct{}             // closed at each change
 	list    members.List
 	listLag time.Duration
-	history []listVersion
+	// listDown makes reads of the VM list fail.
+	listDown bool
+	history  []listVersion
 }
 
 type listVersion struct {
@@ -110,8 +111,7 @@
 	case request.Method != http.MethodGet:
 		http.Error(writer, "only reads", http.StatusMethodNotAllowed)
 	case request.URL.Path == platform.VMsPath:
-		writer.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(writer).Encode(stand.visibleList())
+		stand.serveList(writer)
 	case strings.HasPrefix(request.URL.Path, platform.ValuesPath):
 		stand.calls.Add(1)
 		stand.serveValue(writer, request)
@@ -120,6 +120,25 @@
 	}
 }
 
+// SetListDown makes reads of the VM list fail, or work again.
+func (stand *Platform) SetListDown(down bool) {
+	stand.mutex.Lock()
+	defer stand.mutex.Unlock()
+	stand.listDown = down
+}
+
+func (stand *Platform) serveList(writer http.ResponseWriter) {
+	stand.mutex.Lock()
+	down := stand.listDown
+	stand.mutex.Unlock()
+	if down {
+		http.Error(writer, "down", http.StatusServiceUnavailable)
+		return
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(writer).Encode(stand.visibleList())
+}
+
 func (stand *Platform) visibleList() members.List {
 	stand.mutex.Lock()
 	defer stand.mutex.Unlock()
@@ -172,35 +191,3 @@
 	}
 	return value, found, stand.mode != Down, stand.changed
 }
-
-// Admin serves the operators' side: PUT /values/KEY, PUT /vms and PUT /mode.
-func (stand *Platform) Admin() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("PUT "+platform.ValuesPath+"{key}", func(writer http.ResponseWriter, request *http.Request) {
-		body, err := io.ReadAll(request.Body)
-		if err == nil {
-			err = stand.Publish(request.PathValue("key"), body)
-		}
-		if err != nil {
-			http.Error(writer, err.Error(), http.StatusBadRequest)
-		}
-	})
-	mux.HandleFunc("PUT "+platform.VMsPath, func(writer http.ResponseWriter, request *http.Request) {
-		var vms []members.VM
-		if err := json.NewDecoder(request.Body).Decode(&vms); err != nil {
-			http.Error(writer, err.Error(), http.StatusBadRequest)
-			return
-		}
-		stand.SetVMs(vms)
-	})
-	mux.HandleFunc("PUT /mode/{mode}", func(writer http.ResponseWriter, request *http.Request) {
-		modes := map[string]Mode{"up": Up, "down": Down, "stale": Stale}
-		mode, known := modes[request.PathValue("mode")]
-		if !known {
-			http.Error(writer, "want up, down or stale", http.StatusBadRequest)
-			return
-		}
-		stand.SetMode(mode)
-	})
-	return mux
-}
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -22,11 +21,12 @@
 	"teaselmoor/internal/standin/modelengine"
 	"teaselmoor/internal/standin/platform"
 	"teaselmoor/internal/standin/records"
-	"teaselmoor/internal/standin/weightstore"
 )
 
 // Options describe a site.
 type Options struct {
+	Deployments []Deployment
+	// Daemons, Engines and Adapters are numbers for each deployment.
 	Daemons  int
 	Engines  int
 	Adapters int
@@ -36,21 +36,23 @@
 	ListLag  time.Duration
 }
 
-// Names that sites use.
+// Names of the default deployment.
 const (
-	CallerName = "clerk"
 	CallerKey  = "clerk-key"
-	Region     = "north"
 	DataCentre = "north-a"
-	BaseModel  = "base"
-	StoreName  = "weights"
 	Service    = "records"
 )
 
+const (
+	baseModel = "base"
+	storeName = "weights"
+)
+
 // DefaultOptions returns a site of three daemons and three engines.
 func DefaultOptions() Options {
 	return Options{
-		Daemons: 3, Engines: 3, Adapters: 30, Engine: modelengine.DefaultOptions(), LoadSpan: 20 * time.Millisecond,
+		Deployments: []Deployment{DefaultDeployment()}, Daemons: 3, Engines: 3, Adapters: 30,
+		Engine: modelengine.DefaultOptions(), LoadSpan: 20 * time.Millisecond,
 	}
 }
 
@@ -58,11 +60,11 @@
 type Site struct {
 	Platform *platform.Platform
 	Engines  map[ident.EngineID]*modelengine.Engine
-	Store    *weightstore.Store
 	Records  *records.Service
 	Settings []settings.Settings
 	Config   config.Config
 
+	vms     []members.VM
 	ctx     context.Context
 	servers []*http.Server
 	ended   sync.WaitGroup
@@ -73,7 +75,6 @@
 	site := &Site{
 		Platform: platform.New(options.ListLag),
 		Engines:  map[ident.EngineID]*modelengine.Engine{},
-		Store:    weightstore.New(options.LoadSpan),
 		Records:  records.New(0),
 		ctx:      ctx,
 	}
@@ -81,13 +82,16 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := site.startBackends(options); err != nil {
+	recordsAddress, err := site.start(site.Records)
+	if err != nil {
 		return nil, err
 	}
-	site.addAdapters(options.Adapters)
-	if err := site.addDaemons(options.Daemons, platformAddress); err != nil {
-		return nil, err
+	for _, deployment := range options.Deployments {
+		if err := site.add(deployment, options, recordsAddress, platformAddress); err != nil {
+			return nil, err
+		}
 	}
+	site.Platform.SetVMs(site.vms)
 	return site, site.Publish()
 }
 
@@ -117,110 +121,6 @@
 	site.ended.Wait()
 }
 
-func (site *Site) startBackends(options Options) error {
-	storeAddress, err := site.start(site.Store)
-	if err != nil {
-		return err
-	}
-	recordsAddress, err := site.start(site.Records)
-	if err != nil {
-		return err
-	}
-	site.Config = config.Config{
-		WeightStores: []config.WeightStore{{Name: StoreName, LoadsPerSecond: 1 / max(options.LoadSpan.Seconds(), 0.001)}},
-		Services:     []config.Service{{Name: Service, Addresses: []string{recordsAddress}, Labels: map[string]string{"kind": "records"}}},
-		Callers: []config.Caller{{
-			Name: CallerName, KeyHash: config.HashKey(CallerKey), Labels: map[string]string{"team": "enrolment"},
-		}},
-		Rules: []config.Rule{
-			{Name: "urgent-reviews", Adapters: "task=review", Class: "Urgent", DeadlineMillis: 10_000, Repeatable: true},
-			{Name: "drafts", Adapters: "task=draft", Class: "Routine", DeadlineMillis: 30_000, Repeatable: true},
-			{Name: "quotes", Adapters: "task=quote", Class: "Routine", DeadlineMillis: 30_000},
-			{Name: "records", Services: "kind=records", Class: "Urgent", DeadlineMillis: 10_000},
-		},
-	}
-	for i := range options.Engines {
-		if err := site.addEngine(i, options.Engine, storeAddress); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (site *Site) addEngine(i int, options modelengine.Options, storeAddress string) error {
-	name := ident.EngineID(fmt.Sprintf("engine-%d", i))
-	options.StoreURL = "http://" + storeAddress + weightstore.LoadPath
-	engine := modelengine.New(options)
-	address, err := site.start(engine)
-	if err != nil {
-		return err
-	}
-	site.Engines[name] = engine
-	site.ended.Add(1)
-	go func() {
-		defer site.ended.Done()
-		_ = engine.Run(site.ctx)
-	}()
-	site.Config.Engines = append(site.Config.Engines, config.Engine{
-		Name: name, Address: address, DataCentre: DataCentre, Region: Region, BaseModel: BaseModel, Store: StoreName,
-		ChecksFencing: options.ChecksFencing, Slots: options.Slots, MaxRuns: options.MaxRuns,
-	})
-	return nil
-}
-
-// tasks are the labels that adapters are given in turn.
-var tasks = []string{"review", "draft", "quote"}
-
-func (site *Site) addAdapters(count int) {
-	for i := range count {
-		task := tasks[i%len(tasks)]
-		site.Config.Adapters = append(site.Config.Adapters, config.Adapter{
-			Name: fmt.Sprintf("%s-%d", task, i), Version: "1", BaseModel: BaseModel, Labels: map[string]string{"task": task},
-		})
-	}
-}
-
-func (site *Site) addDaemons(count int, platformAddress string) error {
-	var vms []members.VM
-	for i := range count {
-		addresses, err := freeAddresses(3)
-		if err != nil {
-			return err
-		}
-		name := fmt.Sprintf("daemon-%d", i)
-		site.Settings = append(site.Settings, settings.Settings{
-			Name: name, DataCentre: DataCentre, Region: Region,
-			CallerAddress: addresses[0], InnerAddress: addresses[1], OperatorAddress: addresses[2],
-			ConfigAddress: platformAddress, VMListAddress: platformAddress,
-		})
-		vms = append(vms, members.VM{
-			Name: name, Address: addresses[1], Role: members.EntryRole, DataCentre: DataCentre, Region: Region, State: members.Live,
-		})
-	}
-	site.Platform.SetVMs(vms)
-	return nil
-}
-
-// freeAddresses finds loopback ports that nothing listens on at the moment.
-func freeAddresses(count int) ([]string, error) {
-	addresses := make([]string, 0, count)
-	listeners := make([]net.Listener, 0, count)
-	defer func() {
-		for _, listener := range listeners {
-			_ = listener.Close()
-		}
-	}()
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Wrap(err, "find a free port")
-		}
-		listeners = append(listeners, listener)
-		addresses = append(addresses, listener.Addr().String())
-	}
-	return addresses, nil
-}
-
 // Publish publishes the site's configuration as its next version.
 func (site *Site) Publish() error {
 	site.Config.Version++
