--- a/internal/base/settings/fields.go
+++ b/internal/base/settings/fields.go
@@ -27,6 +27,7 @@
 	Operators Operators `yaml:"Operators"`
 	Runtime   Runtime   `yaml:"Runtime"`
 	Platform  Platform  `yaml:"Platform"`
+	Rollout   Rollout   `yaml:"Rollout"`
 	Peers     Peers     `yaml:"Peers"`
 	Engines   Engines   `yaml:"Engines"`
 	Services  Services  `yaml:"Services"`
@@ -88,6 +89,29 @@
 	ListIntervalMillis clock.Millis `yaml:"ListIntervalMillis" min:"100" max:"60000"`
 }
 
+// Rollout is about taking in published configurations.
+type Rollout struct {
+	// Daemons of a data centre that watch the configuration service.
+	Watchers int `yaml:"Watchers" min:"1" max:"100"`
+	// Longest wait of one watch call, in milliseconds.
+	WatchWaitMillis clock.Millis `yaml:"WatchWaitMillis" min:"100" max:"60000"`
+	// Span after which a watcher repeats a failed call, in milliseconds.
+	RetryIntervalMillis clock.Millis `yaml:"RetryIntervalMillis" min:"10" max:"60000"`
+	// Longest span between the calls of a daemon that watches only because the
+	// watchers are silent, in milliseconds.
+	MaxRetryIntervalMillis clock.Millis `yaml:"MaxRetryIntervalMillis" min:"10" max:"600000"`
+	// Span between two reads by daemons that do not watch, in milliseconds.
+	PollIntervalMillis clock.Millis `yaml:"PollIntervalMillis" min:"1000" max:"3600000"`
+	// Silence of all watchers of the data centre after which others watch, in milliseconds.
+	ContactTimeoutMillis clock.Millis `yaml:"ContactTimeoutMillis" min:"100" max:"60000"`
+	// Span between two offers to other daemons, in milliseconds.
+	OfferIntervalMillis clock.Millis `yaml:"OfferIntervalMillis" min:"10" max:"60000"`
+	// Span after which a part is asked for elsewhere, in milliseconds.
+	FetchTimeoutMillis clock.Millis `yaml:"FetchTimeoutMillis" min:"10" max:"60000"`
+	// Longest wait of a new daemon for its peers' offers, in milliseconds.
+	InquirySpanMillis clock.Millis `yaml:"InquirySpanMillis" min:"10" max:"60000"`
+}
+
 // Peers is about the connections between daemons.
 type Peers struct {
 	// Span between two pings, in milliseconds.
@@ -182,6 +206,12 @@
 			DrainTimeoutMillis: 2 * clock.Minute, RetryShare: 0.1,
 		},
 		Platform: Platform{TimeoutMillis: 5 * clock.Second, ListIntervalMillis: clock.Second},
+		Rollout: Rollout{
+			Watchers: 2, WatchWaitMillis: 5 * clock.Second, RetryIntervalMillis: clock.Second,
+			MaxRetryIntervalMillis: 10 * clock.Second, PollIntervalMillis: clock.Minute,
+			ContactTimeoutMillis: 2500 * clock.Millisecond, OfferIntervalMillis: clock.Second,
+			FetchTimeoutMillis: 400 * clock.Millisecond, InquirySpanMillis: clock.Second,
+		},
 		Peers: Peers{
 			PingMillis: clock.Second, SilenceMillis: 3 * clock.Second, RedialMillis: 250 * clock.Millisecond,
 		},
--- a/internal/serve/program/options.go
+++ b/internal/serve/program/options.go
@@ -12,6 +12,7 @@
 	"teaselmoor/internal/control/audit"
 	"teaselmoor/internal/control/config"
 	"teaselmoor/internal/decide/node"
+	"teaselmoor/internal/decide/rollout"
 	"teaselmoor/internal/inner/link"
 	"teaselmoor/internal/serve/callers"
 )
@@ -49,8 +50,19 @@
 	}
 }
 
+func rolloutOptions(settings settings.Rollout) rollout.Options {
+	return rollout.Options{
+		Watchers: settings.Watchers, WatchWait: settings.WatchWaitMillis,
+		RetryInterval: settings.RetryIntervalMillis, MaxRetryInterval: settings.MaxRetryIntervalMillis,
+		PollInterval: settings.PollIntervalMillis, ContactTimeout: settings.ContactTimeoutMillis,
+		OfferInterval: settings.OfferIntervalMillis, FetchTimeout: settings.FetchTimeoutMillis,
+		InquirySpan: settings.InquirySpanMillis,
+	}
+}
+
 func nodeOptions(settings settings.Settings) node.Options {
 	options := node.DefaultOptions()
+	options.Rollout = rolloutOptions(settings.Rollout)
 	options.Self = ident.DaemonID(settings.Name)
 	options.DataCentre = settings.DataCentre
 	options.Region = settings.Region
