replay: the decisions under load, replayed on virtual time with baselines

Every later change of placement, admission, eviction and the load broker is to be measured, on the daemons' own decision code. The replay drives node.Node through package nodetest; engines now batch in steps, and policies of placement, eviction and load order are interfaces, so that random, least loaded and residency first (with perfect knowledge and LRU eviction) run in the same code.

A daemon's views are indexed by adapter, for the policies to come.

Ruled out: a separate queueing model, because it would not be the product's code.

--- a/internal/decide/loads/broker.go
+++ b/internal/decide/loads/broker.go
@@ -17,6 +17,9 @@
 	Lease clock.Millis
 	// Parallel is the number of loads granted at once.
 	Parallel int
+	// ArrivalOrder grants loads in order of arrival, whatever their class and
+	// deadline. It is a baseline.
+	ArrivalOrder bool
 }
 
 // DefaultOptions returns the limits used when settings name none.
@@ -68,6 +71,10 @@
 
 // insert keeps the waiting loads in order of class, then deadline.
 func (broker *Broker) insert(arrived wait) {
+	if broker.options.ArrivalOrder {
+		broker.waiting = append(broker.waiting, arrived)
+		return
+	}
 	at, _ := slices.BinarySearchFunc(broker.waiting, arrived, func(a, b wait) int {
 		if a.ask.Class != b.ask.Class {
 			return int(a.ask.Class) - int(b.ask.Class)
--- a/internal/decide/node/entry.go
+++ b/internal/decide/node/entry.go
@@ -195,13 +195,13 @@
 		return
 	}
 	query := placement.Query{Adapter: placed.adapter, Pool: placed.rule.Pool, Tried: placed.tried}
-	engine, candidates := placement.Choose(node.now, query, node.views, node.options.Weights)
+	engine, candidates := node.policy.Choose(node.now, query, node.views)
 	placed.record.Candidates = candidates
 	if engine == nil {
 		node.answer(placed, outcome.Refused(outcome.NoEngine, clock.Second))
 		return
 	}
-	view := node.views[engine.Name]
+	view := node.views.View(engine.Name)
 	view.Sent++
 	placed.engine, placed.owner = engine.Name, view.State.Owner
 	requestTable.Must(&placed.state, submitRequest)
--- a/internal/decide/node/node.go
+++ b/internal/decide/node/node.go
@@ -34,6 +34,8 @@
 	Home        home.Options
 	Loads       loads.Options
 	Weights     placement.Weights
+	// Placement makes the placement policy; nil makes the product's own, from Weights.
+	Placement func() placement.Policy
 	// RetryShare is the number of repeated attempts allowed per first attempt.
 	RetryShare float64
 	// StateInterval is the span between two states sent of an owned engine.
@@ -66,7 +68,8 @@
 	requests map[ident.StreamID]*request // entry role
 	retries  retryBudget
 	owned    map[ident.EngineID]*owned // owner role
-	views    map[ident.EngineID]*placement.View
+	views    *placement.Views
+	policy   placement.Policy
 	home     *home.Home               // home role
 	brokers  map[string]*loads.Broker // load broker role, by weight store
 
@@ -89,12 +92,20 @@
 		requests: map[ident.StreamID]*request{},
 		retries:  retryBudget{share: options.RetryShare},
 		owned:    map[ident.EngineID]*owned{},
-		views:    map[ident.EngineID]*placement.View{},
+		views:    placement.NewViews(),
+		policy:   options.policy(),
 		home:     home.New(options.StartedAt, options.Home),
 		brokers:  map[string]*loads.Broker{},
 	}
 }
 
+func (options *Options) policy() placement.Policy {
+	if options.Placement != nil {
+		return options.Placement()
+	}
+	return placement.New(options.Weights)
+}
+
 // NewStream returns an id for an arriving request.
 func (node *Node) NewStream() ident.StreamID {
 	node.sequence++
--- a/internal/decide/node/owning.go
+++ b/internal/decide/node/owning.go
@@ -13,7 +13,6 @@
 	"teaselmoor/internal/decide/outcome"
 	"teaselmoor/internal/decide/owner"
 	"teaselmoor/internal/decide/ownership"
-	"teaselmoor/internal/decide/placement"
 )
 
 func versionText(version uint64) string {
@@ -159,12 +158,7 @@
 	}
 }
 
-// engineState takes in an owner's word on its engine; the higher fencing number
-// wins, then the later version.
+// engineState takes in an owner's word on its engine.
 func (node *Node) engineState(state message.EngineState) {
-	view, known := node.views[state.Engine]
-	if known && (state.Fence < view.State.Fence || state.Fence == view.State.Fence && state.Version < view.State.Version) {
-		return
-	}
-	node.views[state.Engine] = placement.NewView(state, node.now)
+	node.views.Update(node.now, state)
 }
--- a/internal/decide/node/status.go
+++ b/internal/decide/node/status.go
@@ -1,9 +1,6 @@
 package node
 
 import (
-	"cmp"
-	"slices"
-
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/base/ident"
 	"teaselmoor/internal/decide/message"
@@ -47,12 +44,9 @@
 	for _, name := range node.ownedInOrder() {
 		status.Owned = append(status.Owned, node.owned[name].owner.State(now))
 	}
-	for _, view := range node.views {
+	for view := range node.views.All() {
 		status.Known = append(status.Known, EngineKnowledge{State: view.State, Age: now - view.HeardAt})
 	}
-	slices.SortFunc(status.Known, func(a, b EngineKnowledge) int {
-		return cmp.Compare(a.State.Engine, b.State.Engine)
-	})
 	return status
 }
 
--- a/internal/decide/nodetest/engine.go
+++ b/internal/decide/nodetest/engine.go
@@ -23,6 +23,8 @@
 	ReportLag clock.Millis
 	// FailLoadShare is the share of loads that fail, from 0 to 1.
 	FailLoadShare float64
+	// Step describes continuous batching.
+	Step StepOptions
 }
 
 // Engine is a fake model engine. Its ledger and violations are the judge.
@@ -40,6 +42,9 @@
 	loaded  map[ident.Adapter]bool
 	runs    map[ident.StreamID]*run
 	reports []timedReport
+
+	batch    []*run
+	stepping bool
 }
 
 type run struct {
@@ -47,6 +52,10 @@
 	request   string
 	ended     bool
 	cancelled bool
+	// tokens is the number of steps left, with batching.
+	tokens int
+	// waiters are called at the end, with batching.
+	waiters []func()
 }
 
 type timedReport struct {
@@ -68,10 +77,16 @@
 
 // Restart voids slots and runs, as a cold start does.
 func (engine *Engine) Restart() {
+	lost := engine.runs
 	engine.boots++
 	engine.loaded = map[ident.Adapter]bool{}
 	engine.runs = map[ident.StreamID]*run{}
 	engine.reports = nil
+	engine.batch = nil
+	engine.stepping = false
+	for _, stream := range slices.SortedFunc(maps.Keys(lost), ident.StreamID.Compare) {
+		engine.wake(lost[stream])
+	}
 }
 
 func (engine *Engine) boot() ident.BootID {
@@ -133,6 +148,13 @@
 	began := &run{adapter: start.Request.Adapter, request: start.Request.ID}
 	engine.runs[start.Stream] = began
 	engine.Ran[start.Request.ID]++
+	engine.network.options.Observer.began(engine.network.Now, start.Request.ID, engine.config.Name)
+	if engine.options.Step.Base > 0 {
+		began.tokens = tokensOf(start.Request.Body)
+		engine.await(host, start.Stream, began)
+		engine.join(began)
+		return
+	}
 	boots := engine.boots
 	engine.network.after(engine.options.RunSpan, func() {
 		if engine.boots == boots {
@@ -145,7 +167,7 @@
 // await tells a host of the end of a run, or of its loss in a restart.
 func (engine *Engine) await(host *Host, stream ident.StreamID, awaited *run) {
 	boots := engine.boots
-	engine.network.after(engine.options.RunSpan, func() {
+	ended := func() {
 		switch {
 		case engine.boots != boots:
 			engine.replyRun(host, stream, owner.ResultLost)
@@ -154,7 +176,12 @@
 		default:
 			engine.replyRun(host, stream, owner.ResultComplete)
 		}
-	})
+	}
+	if engine.options.Step.Base > 0 {
+		awaited.waiters = append(awaited.waiters, ended)
+		return
+	}
+	engine.network.after(engine.options.RunSpan, ended)
 }
 
 func (engine *Engine) cancel(host *Host, cancel effect.CancelRun) {
@@ -170,6 +197,7 @@
 		}
 		known.cancelled = known.cancelled || !known.ended
 		known.ended = true
+		engine.wake(known)
 		engine.replyRun(host, cancel.Stream, owner.ResultCancelled)
 	})
 }
@@ -187,6 +215,7 @@
 			if !failed {
 				engine.loaded[load.Adapter] = true
 			}
+			engine.network.options.Observer.loaded(engine.network.Now, engine.config.Name, load.Adapter, failed)
 			engine.reply(host, node.LoadEnded{Engine: engine.config.Name, Adapter: load.Adapter, Failed: failed})
 		})
 	})
@@ -198,6 +227,7 @@
 		if !failed {
 			engine.checkUnload(host, unload)
 			delete(engine.loaded, unload.Adapter)
+			engine.network.options.Observer.unloaded(engine.network.Now, engine.config.Name, unload.Adapter)
 		}
 		engine.reply(host, node.UnloadEnded{Engine: engine.config.Name, Adapter: unload.Adapter, Failed: failed})
 	})
--- a/internal/decide/nodetest/network.go
+++ b/internal/decide/nodetest/network.go
@@ -34,6 +34,11 @@
 	Engine       EngineOptions
 	// Node completes the options of each node; identity is set by the network.
 	Node node.Options
+	// Observer is told what happens.
+	Observer Observer
+	// Instant gives every daemon the present state of every engine before each
+	// arrival: the perfect knowledge that baselines of a replay have.
+	Instant bool
 }
 
 // Network is a set of nodes with everything around them.
@@ -173,6 +178,9 @@
 // Arrive brings a caller's request to a daemon.
 func (network *Network) Arrive(name ident.DaemonID, arrived node.Arrived) {
 	host := network.Nodes[name]
+	if network.options.Instant {
+		network.refresh(host)
+	}
 	arrived.Stream = host.Node.NewStream()
 	host.streams[arrived.Stream] = arrived.RequestID
 	network.Feed(host, arrived)
@@ -200,6 +208,7 @@
 		request := host.streams[next.Stream]
 		delete(host.streams, next.Stream)
 		network.Answers[request] = append(network.Answers[request], next)
+		network.options.Observer.answered(network.Now, request, next)
 	case effect.Rebind:
 		host.streams[next.To] = host.streams[next.From]
 		delete(host.streams, next.From)
--- a/internal/decide/owner/owner.go
+++ b/internal/decide/owner/owner.go
@@ -32,6 +32,8 @@
 	ResumeTries int
 	// CancelInterval is the span after which an unconfirmed cancel is repeated.
 	CancelInterval clock.Millis
+	// Eviction ranks the adapters that could give up their slot.
+	Eviction Eviction
 }
 
 // DefaultOptions returns the limits used when settings name none.
@@ -44,6 +46,7 @@
 		ResumeTries:   2,
 
 		CancelInterval: clock.Second,
+		Eviction:       LeastRecentlyUsed{},
 	}
 }
 
--- a/internal/decide/owner/slot.go
+++ b/internal/decide/owner/slot.go
@@ -80,7 +80,7 @@
 		}
 		wanted.failures = 0
 	}
-	if wanted.asked || now < wanted.notBefore || owner.findRoom() < 0 {
+	if wanted.asked || now < wanted.notBefore || owner.findRoom(now) < 0 {
 		return true
 	}
 	wanted.asked = true
@@ -95,10 +95,10 @@
 	return true
 }
 
-// findRoom returns a slot to load into: an empty one, else the least recently
-// used one that is ready and not pinned; -1 when there is none.
-func (owner *Owner) findRoom() int {
-	found := -1
+// findRoom returns a slot to load into: an empty one, else the one of least
+// worth that is ready and not pinned; -1 when there is none.
+func (owner *Owner) findRoom(now clock.Millis) int {
+	found, least := -1, 0.0
 	for i := range owner.slots {
 		slot := &owner.slots[i]
 		if slot.state == slotEmpty {
@@ -107,8 +107,9 @@
 		if slot.state != slotReady || slot.pins > 0 {
 			continue
 		}
-		if found < 0 || slot.lastUsed < owner.slots[found].lastUsed {
-			found = i
+		worth := owner.options.Eviction.Worth(now, Use{Adapter: slot.adapter, LastUsed: slot.lastUsed})
+		if found < 0 || worth < least {
+			found, least = i, worth
 		}
 	}
 	return found
@@ -117,7 +118,7 @@
 // Granted takes in the broker's leave to load an adapter now.
 func (owner *Owner) Granted(now clock.Millis, adapter ident.Adapter) []effect.Effect {
 	wanted, known := owner.wants[adapter]
-	at := owner.findRoom()
+	at := owner.findRoom(now)
 	if !known || at < 0 {
 		if known {
 			wanted.asked = false
--- /dev/null
+++ b/internal/decide/placement/views.go
@@ -0,0 +1,96 @@
+package placement
+
+import (
+	"iter"
+	"maps"
+	"slices"
+
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/base/ident"
+	"teaselmoor/internal/decide/message"
+)
+
+// View is what a daemon knows of one engine.
+type View struct {
+	State message.EngineState
+	// HeardAt is when the state was received.
+	HeardAt clock.Millis
+	// Sent is the number of requests submitted since, which the state cannot show.
+	Sent int
+}
+
+// Views is what a daemon knows of all engines, indexed by adapter.
+type Views struct {
+	byEngine map[ident.EngineID]*View
+	holders  map[ident.Adapter][]ident.EngineID
+}
+
+// NewViews returns views of no engine.
+func NewViews() *Views {
+	return &Views{byEngine: map[ident.EngineID]*View{}, holders: map[ident.Adapter][]ident.EngineID{}}
+}
+
+// View returns what is known of an engine, nil when nothing is.
+func (views *Views) View(engine ident.EngineID) *View {
+	return views.byEngine[engine]
+}
+
+// All returns the views in order of the engines' names.
+func (views *Views) All() iter.Seq[*View] {
+	return func(yield func(*View) bool) {
+		for _, engine := range slices.Sorted(maps.Keys(views.byEngine)) {
+			if !yield(views.byEngine[engine]) {
+				return
+			}
+		}
+	}
+}
+
+// Holders lists the engines known to hold an adapter or to be loading it.
+func (views *Views) Holders(adapter ident.Adapter) []ident.EngineID {
+	return views.holders[adapter]
+}
+
+// Update takes in an owner's word on its engine and reports whether it is news;
+// the higher fencing number wins, then the later version.
+func (views *Views) Update(now clock.Millis, state message.EngineState) bool {
+	known := views.byEngine[state.Engine]
+	if known == nil {
+		known = &View{}
+		views.byEngine[state.Engine] = known
+	}
+	if state.Fence < known.State.Fence || state.Fence == known.State.Fence && state.Version < known.State.Version {
+		return false
+	}
+	views.reindex(state.Engine, known.State.Resident, state.Resident)
+	*known = View{State: state, HeardAt: now}
+	return true
+}
+
+// reindex moves an engine between the holders of adapters.
+func (views *Views) reindex(engine ident.EngineID, before, after []ident.Adapter) {
+	for _, adapter := range before {
+		if !slices.Contains(after, adapter) {
+			views.removeHolder(adapter, engine)
+		}
+	}
+	for _, adapter := range after {
+		if !slices.Contains(before, adapter) {
+			views.holders[adapter] = append(views.holders[adapter], engine)
+		}
+	}
+}
+
+func (views *Views) removeHolder(adapter ident.Adapter, engine ident.EngineID) {
+	holders := views.holders[adapter]
+	at := slices.Index(holders, engine)
+	if at < 0 {
+		return
+	}
+	holders = slices.Delete(holders, at, at+1)
+	if len(holders) == 0 {
+		delete(views.holders, adapter)
+		return
+	}
+	views.holders[adapter] = holders
+}
--- /dev/null
+++ b/internal/replay/experiment/policy.go
@@ -0,0 +1,73 @@
+package experiment
+
+import (
+	"math/rand/v2"
+
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/decide/node"
+	"teaselmoor/internal/decide/owner"
+	"teaselmoor/internal/decide/placement"
+	"teaselmoor/internal/replay/workload"
+)
+
+// Policy is a named way to decide: the product's, a baseline, or the product's
+// with one element changed.
+type Policy struct {
+	Name string
+	// Apply changes the product's options; nil leaves them.
+	Apply func(options *node.Options, knowledge Knowledge)
+	// Instant gives daemons perfect knowledge of residency and queues.
+	Instant bool
+}
+
+// Knowledge is what a policy may be built from, besides the options.
+type Knowledge struct {
+	// Trace is the future; only a clairvoyant policy may use it.
+	Trace []workload.Request
+	// Start is the point in time at which the trace begins.
+	Start clock.Millis
+	Seed  uint64
+}
+
+// silence is the age from which a baseline does not rely on an engine's state.
+const silence = 10 * clock.Second
+
+// Product returns the product's own policy, with each daemon's stale views.
+func Product() Policy {
+	return Policy{Name: "product"}
+}
+
+// Baselines returns the policies that the product is compared with. All have
+// perfect knowledge of residency; the last is the strong one.
+func Baselines() []Policy {
+	return []Policy{
+		{Name: "random", Instant: true, Apply: func(options *node.Options, knowledge Knowledge) {
+			baseline(options, func() placement.Policy {
+				return placement.Random(rand.New(rand.NewPCG(knowledge.Seed, 3)), silence)
+			})
+		}},
+		{Name: "least loaded", Instant: true, Apply: func(options *node.Options, _ Knowledge) {
+			baseline(options, func() placement.Policy { return placement.LeastLoaded(silence) })
+		}},
+		ResidencyFirst(),
+	}
+}
+
+// ResidencyFirst returns the strong baseline: residency first with perfect
+// knowledge, least recently used eviction, loads in order of arrival.
+func ResidencyFirst() Policy {
+	return Policy{Name: "residency first", Instant: true, Apply: func(options *node.Options, _ Knowledge) {
+		baseline(options, func() placement.Policy { return placement.ResidencyFirst(silence) })
+	}}
+}
+
+func baseline(options *node.Options, policy func() placement.Policy) {
+	options.Placement = policy
+	options.Owner.Eviction = owner.LeastRecentlyUsed{}
+	options.Loads.ArrivalOrder = true
+}
+
+// Policies returns every policy, the baselines first.
+func Policies() []Policy {
+	return append(Baselines(), Product())
+}
