owner: index waiting requests by what they wait for

An owner looked at its whole queue at every event, and went on asking for loads that nobody waited for any more: past the store's limit most loads came too late for their requests.

Requests now wait either for room in the batch or for their adapter; an event touches only those it may concern. A want ends, and its load is withdrawn, with its last waiting request; the broker is told again when class, deadline or number of the waiting requests change.

--- a/internal/base/ident/ident.go
+++ b/internal/base/ident/ident.go
@@ -89,6 +89,11 @@
 	return adapter.Name + "@" + adapter.Version
 }
 
+// Compare orders adapters, for iteration in a fixed order.
+func (adapter Adapter) Compare(other Adapter) int {
+	return cmp.Or(cmp.Compare(adapter.Name, other.Name), cmp.Compare(adapter.Version, other.Version))
+}
+
 // ParseAdapter reads name@version.
 func ParseAdapter(text string) (Adapter, error) {
 	name, version, found := strings.Cut(text, "@")
--- a/internal/decide/owner/owner.go
+++ b/internal/decide/owner/owner.go
@@ -11,10 +11,8 @@
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/base/ident"
 	"teaselmoor/internal/control/config"
-	"teaselmoor/internal/decide/admission"
 	"teaselmoor/internal/decide/effect"
 	"teaselmoor/internal/decide/message"
-	"teaselmoor/internal/decide/outcome"
 )
 
 // Options are the limits of an owner.
@@ -62,9 +60,9 @@
 	draining    bool
 	slots       []slot
 	resident    map[ident.Adapter]int // index into slots
-	waiting     *admission.Queue[*run]
+	backlog     backlog
 	runs        map[ident.StreamID]*run
-	wants       map[ident.Adapter]*want
+	failures    map[ident.Adapter]failure
 	running     int
 	version     uint64
 	reportedAt  clock.Millis
@@ -81,9 +79,9 @@
 		options:  options,
 		slots:    make([]slot, engine.Slots),
 		resident: map[ident.Adapter]int{},
-		waiting:  admission.New[*run](options.QueueLimits),
+		backlog:  newBacklog(options.QueueLimits),
 		runs:     map[ident.StreamID]*run{},
-		wants:    map[ident.Adapter]*want{},
+		failures: map[ident.Adapter]failure{},
 	}
 }
 
@@ -124,9 +122,9 @@
 		Fence:        owner.Fence,
 		Version:      owner.version,
 		Resident:     make([]ident.Adapter, 0, len(owner.resident)),
-		Queued:       owner.waiting.Total(),
+		Queued:       owner.backlog.bound.Total(),
 		Running:      owner.running,
-		LoadsWaiting: len(owner.wants),
+		LoadsWaiting: len(owner.backlog.wants),
 		ReportAge:    now - owner.reportedAt,
 		Quarantined:  owner.quarantined,
 	}
@@ -138,48 +136,23 @@
 	return state
 }
 
+// usable reports whether the engine may be given work now.
+func (owner *Owner) usable() bool {
+	return owner.reportedAt != 0 && !owner.quarantined
+}
+
 // advance does, in this order, what time and room allow: expire, dispatch, ask
-// for loads.
+// for loads. It looks at every wanted adapter; events that concern one request
+// use a shorter way.
 func (owner *Owner) advance(now clock.Millis) {
 	owner.version++
-	if owner.reportedAt == 0 || owner.quarantined {
-		owner.expire(now)
+	owner.expire(now)
+	if !owner.usable() {
 		return
 	}
-	owner.waiting.Filter(func(class config.Class, deadline clock.Millis, waiting *run) bool {
-		return owner.consider(now, class, deadline, waiting)
-	})
-}
-
-func (owner *Owner) expire(now clock.Millis) {
-	owner.waiting.Filter(func(_ config.Class, deadline clock.Millis, waiting *run) bool {
-		if deadline > now {
-			return true
-		}
-		owner.refuse(waiting, outcome.Refused(outcome.DeadlinePassed, 0))
-		return false
-	})
-}
-
-// consider decides on one waiting request and reports whether it keeps waiting.
-func (owner *Owner) consider(now clock.Millis, class config.Class, deadline clock.Millis, waiting *run) bool {
-	if deadline <= now {
-		owner.refuse(waiting, outcome.Refused(outcome.DeadlinePassed, 0))
-		return false
-	}
-	at, held := owner.resident[waiting.submit.Request.Adapter]
-	if held && owner.slots[at].state == slotReady {
-		if !owner.room(class) {
-			return true
-		}
-		owner.dispatch(now, waiting, at)
-		return false
-	}
-	if !held && !owner.seekLoad(now, class, deadline, waiting.submit.Request.Adapter) {
-		owner.refuse(waiting, outcome.Refused(outcome.LoadFailed, owner.options.LoadBackoff))
-		return false
-	}
-	return true
+	owner.settle()
+	owner.dispatchReady(now)
+	owner.seekLoads(now)
 }
 
 // room reports whether a request of the class may join the engine's batch now.
@@ -190,3 +163,13 @@
 	}
 	return owner.running < limit
 }
+
+// advanceOne does what an event that concerns one adapter allows.
+func (owner *Owner) advanceOne(now clock.Millis, adapter ident.Adapter) {
+	owner.version++
+	if !owner.usable() {
+		return
+	}
+	owner.dispatchReady(now)
+	owner.seekLoad(now, adapter)
+}
--- a/internal/decide/owner/report.go
+++ b/internal/decide/owner/report.go
@@ -65,7 +65,7 @@
 	owner.running = 0
 	owner.slots = make([]slot, owner.Engine.Slots)
 	clear(owner.resident)
-	clear(owner.wants)
+	owner.park()
 	owner.quarantined = false
 	owner.adopt(now, report)
 }
--- a/internal/decide/owner/run.go
+++ b/internal/decide/owner/run.go
@@ -8,7 +8,6 @@
 	"teaselmoor/internal/base/ident"
 	"teaselmoor/internal/base/invariant"
 	"teaselmoor/internal/base/lifecycle"
-	"teaselmoor/internal/control/config"
 	"teaselmoor/internal/decide/effect"
 	"teaselmoor/internal/decide/message"
 	"teaselmoor/internal/decide/outcome"
@@ -45,6 +44,8 @@
 	entry   ident.DaemonID
 	submit  message.Submit
 	slot    int // index of the pinned slot, once dispatched
+	// deadline is the point in time by which the answer has to begin.
+	deadline clock.Millis
 	resumes int
 	// told says that the entry has had its Ended message.
 	told bool
@@ -91,17 +92,19 @@
 	if _, known := owner.runs[submit.Stream]; known {
 		return nil
 	}
-	arrived := &run{state: runWaiting, entry: entry, submit: submit}
+	arrived := &run{state: runWaiting, entry: entry, submit: submit, deadline: now + submit.Budget}
 	owner.runs[submit.Stream] = arrived
 	switch {
 	case owner.draining:
 		owner.refuse(arrived, outcome.Refused(outcome.ShuttingDown, 0))
 	case owner.quarantined:
 		owner.refuse(arrived, outcome.Refused(outcome.NoEngine, 0))
-	case !owner.waiting.Push(submit.Request.Class, now+submit.Budget, arrived):
+	case !owner.backlog.bound.Enter(submit.Request.Class):
 		owner.refuse(arrived, outcome.Refused(outcome.QueueFull, clock.Second))
+	default:
+		owner.enqueue(arrived)
 	}
-	owner.advance(now)
+	owner.advanceOne(now, submit.Request.Adapter)
 	return owner.take()
 }
 
@@ -113,12 +116,12 @@
 		return nil
 	}
 	if found.state == runWaiting {
-		owner.removeWaiting(found)
+		owner.dequeue(found)
 		owner.refuse(found, outcome.Refused(outcome.CallerGone, 0))
 	} else {
 		owner.cancel(now, found)
 	}
-	owner.advance(now)
+	owner.advanceOne(now, found.submit.Request.Adapter)
 	return owner.take()
 }
 
@@ -129,10 +132,6 @@
 	})
 }
 
-func (owner *Owner) removeWaiting(gone *run) {
-	owner.waiting.Filter(func(_ config.Class, _ clock.Millis, waiting *run) bool { return waiting != gone })
-}
-
 // cancel asks the engine to end a run. It is repeated until the engine confirms.
 func (owner *Owner) cancel(now clock.Millis, found *run) {
 	runTable.Must(&found.state, cancelRun)
@@ -187,7 +186,7 @@
 	default:
 		owner.finish(found, result)
 	}
-	owner.advance(now)
+	owner.advanceOne(now, found.submit.Request.Adapter)
 	return owner.take()
 }
 
--- a/internal/decide/owner/slot.go
+++ b/internal/decide/owner/slot.go
@@ -5,9 +5,7 @@
 	"teaselmoor/internal/base/ident"
 	"teaselmoor/internal/base/invariant"
 	"teaselmoor/internal/base/lifecycle"
-	"teaselmoor/internal/control/config"
 	"teaselmoor/internal/decide/effect"
-	"teaselmoor/internal/decide/message"
 )
 
 type slotState string
@@ -43,7 +41,9 @@
 	state   slotState
 	adapter ident.Adapter
 	// pins counts runs that the engine has not confirmed as over.
-	pins     int
+	pins int
+	// queued counts ready requests that wait for room in the batch.
+	queued   int
 	lastUsed clock.Millis
 	// next is the adapter to load once the present one is unloaded.
 	next ident.Adapter
@@ -58,45 +58,14 @@
 	slot.lastUsed = now
 }
 
-// want is an adapter that waiting requests need and no slot holds.
-type want struct {
-	failures  int
-	notBefore clock.Millis
-	asked     bool
-	granted   bool
-}
-
-// seekLoad asks the weight store's broker for a load of the adapter, once. It
-// reports false when loads of it have failed too often.
-func (owner *Owner) seekLoad(now clock.Millis, class config.Class, deadline clock.Millis, adapter ident.Adapter) bool {
-	wanted, known := owner.wants[adapter]
-	if !known {
-		wanted = &want{}
-		owner.wants[adapter] = wanted
-	}
-	if wanted.failures >= owner.options.LoadTries {
-		if now < wanted.notBefore {
-			return false
-		}
-		wanted.failures = 0
-	}
-	if wanted.asked || now < wanted.notBefore || owner.findRoom(now) < 0 {
-		return true
-	}
-	wanted.asked = true
-	owner.emit(effect.Send{Message: message.LoadAsk{
-		Store:   owner.Engine.Store,
-		Engine:  owner.Engine.Name,
-		Adapter: adapter,
-		Class:   class,
-		Budget:  deadline - now,
-		Waiters: 1,
-	}})
-	return true
+// readySlot finds the slot that an adapter can run from now.
+func (owner *Owner) readySlot(adapter ident.Adapter) (at int, ready bool) {
+	at, held := owner.resident[adapter]
+	return at, held && owner.slots[at].state == slotReady
 }
 
 // findRoom returns a slot to load into: an empty one, else the one of least
-// worth that is ready and not pinned; -1 when there is none.
+// worth that is ready and not in use; -1 when there is none.
 func (owner *Owner) findRoom(now clock.Millis) int {
 	found, least := -1, 0.0
 	for i := range owner.slots {
@@ -104,7 +73,7 @@
 		if slot.state == slotEmpty {
 			return i
 		}
-		if slot.state != slotReady || slot.pins > 0 {
+		if slot.state != slotReady || slot.pins > 0 || slot.queued > 0 {
 			continue
 		}
 		worth := owner.options.Eviction.Worth(now, Use{Adapter: slot.adapter, LastUsed: slot.lastUsed})
@@ -115,27 +84,6 @@
 	return found
 }
 
-// Granted takes in the broker's leave to load an adapter now.
-func (owner *Owner) Granted(now clock.Millis, adapter ident.Adapter) []effect.Effect {
-	wanted, known := owner.wants[adapter]
-	at := owner.findRoom(now)
-	if !known || at < 0 {
-		if known {
-			wanted.asked = false
-		}
-		owner.returnLease(adapter, false)
-		return owner.take()
-	}
-	wanted.granted = true
-	if owner.slots[at].state == slotEmpty {
-		owner.load(at, adapter)
-	} else {
-		owner.evict(now, at, adapter)
-	}
-	owner.advance(now)
-	return owner.take()
-}
-
 func (owner *Owner) load(at int, adapter ident.Adapter) {
 	slot := &owner.slots[at]
 	slotTable.Must(&slot.state, beginLoad)
@@ -170,55 +118,21 @@
 			break
 		}
 		slotTable.Must(&slot.state, endUnload)
-		owner.load(i, slot.next)
+		owner.loadNext(i)
 		break
 	}
 	owner.advance(now)
 	return owner.take()
 }
 
-// Loaded takes in the end of a load order.
-func (owner *Owner) Loaded(now clock.Millis, adapter ident.Adapter, failed bool) []effect.Effect {
-	at, held := owner.resident[adapter]
-	if !held || owner.slots[at].state != slotLoading {
-		return nil
-	}
-	owner.returnLease(adapter, failed)
-	if failed {
-		owner.loadFailed(now, at, adapter)
-	} else {
-		slotTable.Must(&owner.slots[at].state, endLoad)
-		owner.slots[at].use(now)
-		delete(owner.wants, adapter)
-		owner.emit(effect.Audit{
-			At: now, Kind: effect.AdapterLoaded, Object: string(owner.Engine.Name),
-			Cause: "requested", After: adapter.String(),
-		})
-	}
-	owner.advance(now)
-	return owner.take()
-}
-
-func (owner *Owner) loadFailed(now clock.Millis, at int, adapter ident.Adapter) {
-	slotTable.Must(&owner.slots[at].state, failLoad)
-	delete(owner.resident, adapter)
-	wanted, known := owner.wants[adapter]
-	if !known {
-		wanted = &want{}
-		owner.wants[adapter] = wanted
+// loadNext loads what a slot was emptied for, unless nobody waits for it now.
+func (owner *Owner) loadNext(at int) {
+	adapter := owner.slots[at].next
+	wanted := owner.backlog.wants[adapter]
+	if wanted != nil && wanted.queue.Total() > 0 {
+		owner.load(at, adapter)
+		return
 	}
-	wanted.asked = false
-	wanted.granted = false
-	wanted.notBefore = now + owner.options.LoadBackoff<<wanted.failures
-	wanted.failures++
-	owner.emit(effect.Audit{
-		At: now, Kind: effect.LoadFailed, Object: string(owner.Engine.Name),
-		Cause: "the engine reported a failed load", Before: adapter.String(),
-	})
-}
-
-func (owner *Owner) returnLease(adapter ident.Adapter, failed bool) {
-	owner.emit(effect.Send{Message: message.LoadDone{
-		Store: owner.Engine.Store, Engine: owner.Engine.Name, Adapter: adapter, Failed: failed,
-	}})
+	delete(owner.backlog.wants, adapter)
+	owner.returnLease(adapter, false)
 }
--- a/internal/replay/report/summary.go
+++ b/internal/replay/report/summary.go
@@ -115,4 +115,3 @@
 func allStallP99(result experiment.Result) float64 {
 	return float64(result.AllStalls().ValueAtQuantile(99))
 }
-
