owner: evict by decayed frequency

The adapter asked for least gives up its slot, where a request counts half after five minutes; the count of an adapter outlives its eviction. Least recently used stays as a policy for baselines.

--- a/internal/decide/owner/owner.go
+++ b/internal/decide/owner/owner.go
@@ -32,6 +32,8 @@
 	CancelInterval clock.Millis
 	// Eviction ranks the adapters that could give up their slot.
 	Eviction Eviction
+	// HalfLife is the span after which a request counts half for eviction.
+	HalfLife clock.Millis
 }
 
 // DefaultOptions returns the limits used when settings name none.
@@ -44,7 +46,8 @@
 		ResumeTries:   2,
 
 		CancelInterval: clock.Second,
-		Eviction:       LeastRecentlyUsed{},
+		Eviction:       DecayedFrequency{},
+		HalfLife:       5 * clock.Minute,
 	}
 }
 
@@ -63,6 +66,7 @@
 	backlog     backlog
 	runs        map[ident.StreamID]*run
 	failures    map[ident.Adapter]failure
+	frequency   frequency
 	running     int
 	version     uint64
 	reportedAt  clock.Millis
@@ -82,6 +86,8 @@
 		backlog:  newBacklog(options.QueueLimits),
 		runs:     map[ident.StreamID]*run{},
 		failures: map[ident.Adapter]failure{},
+
+		frequency: newFrequency(options.HalfLife),
 	}
 }
 
--- a/internal/decide/owner/run.go
+++ b/internal/decide/owner/run.go
@@ -40,13 +40,13 @@
 // run is one attempt, from its arrival at the owner to the engine's word that
 // it is over.
 type run struct {
-	state   runState
-	entry   ident.DaemonID
-	submit  message.Submit
-	slot    int // index of the pinned slot, once dispatched
+	state  runState
+	entry  ident.DaemonID
+	submit message.Submit
+	slot   int // index of the pinned slot, once dispatched
 	// deadline is the point in time by which the answer has to begin.
 	deadline clock.Millis
-	resumes int
+	resumes  int
 	// told says that the entry has had its Ended message.
 	told bool
 	// cancelAgain is when an unconfirmed cancel is sent again.
@@ -94,6 +94,7 @@
 	}
 	arrived := &run{state: runWaiting, entry: entry, submit: submit, deadline: now + submit.Budget}
 	owner.runs[submit.Stream] = arrived
+	owner.frequency.add(now, submit.Request.Adapter)
 	switch {
 	case owner.draining:
 		owner.refuse(arrived, outcome.Refused(outcome.ShuttingDown, 0))
--- a/internal/decide/owner/slot.go
+++ b/internal/decide/owner/slot.go
@@ -58,6 +58,13 @@
 	slot.lastUsed = now
 }
 
+// worth is what keeping a slot's adapter is worth.
+func (owner *Owner) worth(now clock.Millis, slot *slot) float64 {
+	return owner.options.Eviction.Worth(now, Use{
+		Adapter: slot.adapter, LastUsed: slot.lastUsed, Count: owner.frequency.count(now, slot.adapter),
+	})
+}
+
 // readySlot finds the slot that an adapter can run from now.
 func (owner *Owner) readySlot(adapter ident.Adapter) (at int, ready bool) {
 	at, held := owner.resident[adapter]
@@ -76,7 +83,7 @@
 		if slot.state != slotReady || slot.pins > 0 || slot.queued > 0 {
 			continue
 		}
-		worth := owner.options.Eviction.Worth(now, Use{Adapter: slot.adapter, LastUsed: slot.lastUsed})
+		worth := owner.worth(now, slot)
 		if found < 0 || worth < least {
 			found, least = i, worth
 		}
--- a/internal/replay/experiment/policy.go
+++ b/internal/replay/experiment/policy.go
@@ -67,7 +67,22 @@
 	options.Loads.ArrivalOrder = true
 }
 
-// Policies returns every policy, the baselines first.
+// Policies returns every policy: baselines, the product's, and ablations.
 func Policies() []Policy {
-	return append(Baselines(), Product())
+	return append(append(Baselines(), Product()), Ablations()...)
+}
+
+// Ablations returns the product's policy with one element changed in each.
+func Ablations() []Policy {
+	return []Policy{
+		{Name: "lru eviction", Apply: func(options *node.Options, _ Knowledge) {
+			options.Owner.Eviction = owner.LeastRecentlyUsed{}
+		}},
+		{Name: "half-life 1 min", Apply: func(options *node.Options, _ Knowledge) {
+			options.Owner.HalfLife = clock.Minute
+		}},
+		{Name: "half-life 20 min", Apply: func(options *node.Options, _ Knowledge) {
+			options.Owner.HalfLife = 20 * clock.Minute
+		}},
+	}
 }
