replay: an offline bound with the whole trace known

Belady's rule over one pool of all slots with a serial store. It bounds the number of loads of any policy that serves in order of arrival.

--- a/internal/replay/experiment/experiment.go
+++ b/internal/replay/experiment/experiment.go
@@ -81,6 +81,9 @@
 		setup: setup, trace: trace, random: rand.New(rand.NewPCG(setup.Seed, 2)),
 		vms: setup.Site.vms(), meter: newMeter(setup, trace),
 	}
+	if setup.Policy.offline {
+		return runOffline(running.meter), nil
+	}
 	options := node.DefaultOptions()
 	if setup.Policy.Apply != nil {
 		setup.Policy.Apply(&options, Knowledge{Trace: trace, Start: nodetest.Start + settle, Seed: setup.Seed})
--- a/internal/replay/experiment/policy.go
+++ b/internal/replay/experiment/policy.go
@@ -18,6 +18,8 @@
 	Apply func(options *node.Options, knowledge Knowledge)
 	// Instant gives daemons perfect knowledge of residency and queues.
 	Instant bool
+
+	offline bool
 }
 
 // Knowledge is what a policy may be built from, besides the options.
@@ -69,7 +71,7 @@
 
 // Policies returns every policy: baselines, the product's, and ablations.
 func Policies() []Policy {
-	return append(append(Baselines(), Product()), Ablations()...)
+	return append(append(Baselines(), Product(), Offline()), Ablations()...)
 }
 
 // Ablations returns the product's policy with one element changed in each.
