--- a/internal/control/members/peers.go
+++ b/internal/control/members/peers.go
@@ -70,6 +70,16 @@
 	return true
 }
 
+// AnyHeard reports whether anything has come in from any daemon.
+func (peers *Peers) AnyHeard() bool {
+	for _, peer := range peers.peers {
+		if peer.HeardAt > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Silent reports whether nothing has come from a daemon for longer than the span.
 func (peers *Peers) Silent(now clock.Millis, daemon ident.DaemonID, span clock.Millis) bool {
 	heardAt := peers.listenSince
--- a/internal/decide/node/authority.go
+++ b/internal/decide/node/authority.go
@@ -101,6 +101,7 @@
 	if former != nil && view.ReadAt-former.ReadAt > node.options.Ownership.ViewAge {
 		node.interrupt()
 	}
+	node.configEffects(node.rollout.Peers(node.now, view, node.options.DataCentre, node.options.Region))
 	node.groupDaemons()
 	node.rankCandidates()
 }
--- a/internal/decide/node/membership.go
+++ b/internal/decide/node/membership.go
@@ -13,7 +13,6 @@
 	"teaselmoor/internal/decide/message"
 	"teaselmoor/internal/decide/owner"
 	"teaselmoor/internal/decide/ownership"
-	"teaselmoor/internal/decide/placement"
 )
 
 // Spans of updates. The span between two updates with news grows with the
@@ -36,11 +35,46 @@
 	due    bool
 	local  channel // daemons of the same data centre
 	remote channel // one relay in each other data centre of the region
-	// mismatches counts wrong digests in a row, by origin.
-	mismatches map[ident.DaemonID]int
-	fullAsked  map[ident.DaemonID]clock.Millis
-	// residency is the number that an engine's known residency stands for.
-	residency map[ident.EngineID]uint64
+	// origins is what is known of each daemon's engines by its own word.
+	origins map[ident.DaemonID]*origin
+}
+
+// origin is what a daemon has told of its engines.
+type origin struct {
+	engines map[ident.EngineID]toldEngine
+	// digest sums up engines.
+	digest uint64
+	// mismatches counts updates in a row whose digest was another.
+	mismatches int
+	askedAt    clock.Millis // last ask for everything
+}
+
+// toldEngine is which state of an engine has been told.
+type toldEngine struct {
+	fence     ident.Fence
+	residency uint64
+}
+
+func (origin *origin) set(name ident.EngineID, told toldEngine) {
+	origin.remove(name)
+	origin.engines[name] = told
+	origin.digest ^= digestEngine(name, told.fence, told.residency)
+}
+
+func (origin *origin) remove(name ident.EngineID) {
+	if told, known := origin.engines[name]; known {
+		origin.digest ^= digestEngine(name, told.fence, told.residency)
+		delete(origin.engines, name)
+	}
+}
+
+func (news *news) origin(daemon ident.DaemonID) *origin {
+	found, known := news.origins[daemon]
+	if !known {
+		found = &origin{engines: map[ident.EngineID]toldEngine{}}
+		news.origins[daemon] = found
+	}
+	return found
 }
 
 // channel is one set of receivers that are told the same.
@@ -51,10 +85,7 @@
 }
 
 func newNews() news {
-	return news{
-		mismatches: map[ident.DaemonID]int{}, fullAsked: map[ident.DaemonID]clock.Millis{},
-		residency: map[ident.EngineID]uint64{},
-	}
+	return news{origins: map[ident.DaemonID]*origin{}}
 }
 
 // newsInterval is the span between two updates with news of engines.
@@ -270,57 +301,51 @@
 	if known && news.Fence < claim.Fence {
 		return
 	}
+	if known && claim.Owner != update.From {
+		node.news.origin(claim.Owner).remove(news.Engine)
+	}
 	node.owning.claims[news.Engine] = ownership.Heard{Owner: update.From, Incarnation: update.Incarnation, Fence: news.Fence}
 	node.outbid(news.Engine, "a higher claim was heard of")
-	view := node.views[news.Engine]
 	state := message.EngineState{
 		Engine: news.Engine, Owner: update.From, Fence: news.Fence, Version: news.Version,
 		Queued: news.Queued, Running: news.Running, LoadsWaiting: news.LoadsWaiting, ReportAge: news.ReportAge,
 		Quarantined: news.Flags&message.NewsQuarantined != 0, Leaving: news.Flags&message.NewsLeaving != 0,
 	}
-	switch {
-	case news.Detail != nil:
+	origin := node.news.origin(update.From)
+	told := toldEngine{fence: news.Fence, residency: origin.engines[news.Engine].residency}
+	if news.Detail != nil {
 		state.Resident, state.Boot = news.Detail.Resident, news.Detail.Boot
-		node.news.residency[news.Engine] = news.Residency
-		node.views[news.Engine] = placement.NewView(state, node.now)
-	case view != nil && view.State.Fence == news.Fence:
+		told.residency = news.Residency
+	} else if view := node.views.View(news.Engine); view != nil && view.State.Fence == news.Fence {
 		state.Resident, state.Boot = view.State.Resident, view.State.Boot
-		*view = placement.View{State: state, Resident: view.Resident, HeardAt: node.now}
-	default:
-		node.news.residency[news.Engine] = 0
-		node.views[news.Engine] = placement.NewView(state, node.now)
 	}
+	origin.set(news.Engine, told)
+	node.views.Update(node.now, state)
 }
 
 // checkDigest compares what is known of a daemon's engines with its word, and
 // asks for all of it when updates have been missed.
 func (node *Node) checkDigest(update message.Update) {
-	digest := uint64(0)
-	for name, view := range node.views {
-		if view.State.Owner == update.From {
-			digest ^= digestEngine(name, view.State.Fence, node.news.residency[name])
-		}
-	}
-	if digest == update.Digest {
-		delete(node.news.mismatches, update.From)
-		node.renewViews(update.From)
-		return
-	}
+	origin := node.news.origin(update.From)
 	if update.Full {
-		node.dropMissing(update)
+		node.dropMissing(origin, update)
+	}
+	if origin.digest == update.Digest {
+		origin.mismatches = 0
+		node.renewViews(origin)
 		return
 	}
-	node.news.mismatches[update.From]++
-	if node.news.mismatches[update.From] >= mismatchTries && node.now-node.news.fullAsked[update.From] >= fullAskInterval {
-		node.news.fullAsked[update.From] = node.now
+	origin.mismatches++
+	if origin.mismatches >= mismatchTries && node.now-origin.askedAt >= fullAskInterval {
+		origin.askedAt = node.now
 		node.send(update.From, message.UpdateAsk{From: node.options.Self})
 	}
 }
 
 // renewViews notes that nothing else is new at a daemon's engines.
-func (node *Node) renewViews(origin ident.DaemonID) {
-	for _, view := range node.views {
-		if view.State.Owner == origin && view.HeardAt < node.now {
+func (node *Node) renewViews(origin *origin) {
+	for name := range origin.engines {
+		if view := node.views.View(name); view != nil && view.HeardAt < node.now {
 			view.HeardAt = node.now
 			view.Sent = 0
 		}
@@ -328,11 +353,11 @@
 }
 
 // dropMissing forgets engines that their owner no longer lists.
-func (node *Node) dropMissing(update message.Update) {
-	for name, view := range node.views {
-		listed := slices.ContainsFunc(update.Engines, func(news message.EngineNews) bool { return news.Engine == name })
-		if view.State.Owner == update.From && !listed {
-			delete(node.views, name)
+func (node *Node) dropMissing(origin *origin, update message.Update) {
+	for name := range origin.engines {
+		if !slices.ContainsFunc(update.Engines, func(news message.EngineNews) bool { return news.Engine == name }) {
+			origin.remove(name)
+			node.views.Drop(name)
 		}
 	}
 }
@@ -356,7 +381,7 @@
 // viewOwn keeps this daemon's own engines among the views that it places by.
 func (node *Node) viewOwn() {
 	for _, name := range node.ownedInOrder() {
-		held, view := node.owning.owned[name], node.views[name]
+		held, view := node.owning.owned[name], node.views.View(name)
 		due := view == nil || view.State.Fence != held.owner.Fence || node.now-view.HeardAt >= node.options.StateInterval
 		if held.owner.Known() && (due || node.news.due) {
 			node.engineState(held.owner.State(node.now))
--- a/internal/decide/node/node.go
+++ b/internal/decide/node/node.go
@@ -22,6 +22,7 @@
 	"teaselmoor/internal/decide/owner"
 	"teaselmoor/internal/decide/ownership"
 	"teaselmoor/internal/decide/placement"
+	"teaselmoor/internal/decide/rollout"
 )
 
 // Options are a daemon's identity and limits.
@@ -35,7 +36,10 @@
 	Home        home.Options
 	Loads       loads.Options
 	Weights     placement.Weights
-	Ownership   ownership.Options
+	Rollout     rollout.Options
+	// Placement makes the placement policy; nil makes the product's own, from Weights.
+	Placement func() placement.Policy
+	Ownership ownership.Options
 	// RetryShare is the number of repeated attempts allowed per first attempt.
 	RetryShare float64
 	// StateInterval is the shortest span between two updates to other daemons.
@@ -51,6 +55,7 @@
 		Home:          home.DefaultOptions(),
 		Loads:         loads.DefaultOptions(),
 		Weights:       placement.DefaultWeights(),
+		Rollout:       rollout.DefaultOptions(),
 		Ownership:     ownership.DefaultOptions(),
 		RetryShare:    0.1,
 		StateInterval: 250 * clock.Millisecond,
@@ -63,7 +68,8 @@
 	options  Options
 	now      clock.Millis
 	sequence uint64
-	config   *config.Snapshot
+	config   *config.Snapshot // what rollout has accepted
+	rollout  *rollout.Rollout
 	vms      *members.View
 
 	requests map[ident.StreamID]*request // entry role
@@ -71,7 +77,8 @@
 	owning   owning // owner role
 	peers    *members.Peers
 	news     news
-	views    map[ident.EngineID]*placement.View
+	views    *placement.Views
+	policy   placement.Policy
 	home     *home.Home               // home role
 	brokers  map[string]*loads.Broker // load broker role, by weight store
 
@@ -92,17 +99,26 @@
 func New(options Options) *Node {
 	return &Node{
 		options:  options,
+		rollout:  rollout.New(options.Self, options.Rollout),
 		requests: map[ident.StreamID]*request{},
 		retries:  retryBudget{share: options.RetryShare},
 		owning:   newOwning(),
 		peers:    members.NewPeers(options.StartedAt),
 		news:     newNews(),
-		views:    map[ident.EngineID]*placement.View{},
+		views:    placement.NewViews(),
+		policy:   options.policy(),
 		home:     home.New(options.StartedAt, options.Home),
 		brokers:  map[string]*loads.Broker{},
 	}
 }
 
+func (options *Options) policy() placement.Policy {
+	if options.Placement != nil {
+		return options.Placement()
+	}
+	return placement.New(options.Weights)
+}
+
 // NewStream returns an id for an arriving request.
 func (node *Node) NewStream() ident.StreamID {
 	node.sequence++
@@ -155,7 +171,13 @@
 	case EngineReported:
 		node.engineReported(event)
 	case ConfigRead:
-		node.configRead(event.Snapshot)
+		node.configEffects(node.rollout.Adopt(node.now, event.Snapshot))
+	case ConfigWatched:
+		node.configEffects(node.rollout.Watched(node.now, event.Result))
+	case ConfigPartRead:
+		node.configEffects(node.rollout.PartRead(node.now, event.Name, event.Body, event.Failed))
+	case ConfigAssembled:
+		node.configEffects(node.rollout.Assembled(node.now, event.Mark, event.Snapshot, event.Cause))
 	case VMListRead:
 		node.vmListRead(event.View)
 	case Tick:
@@ -191,6 +213,12 @@
 		node.loadDone(received)
 	case message.EngineState:
 		node.engineState(received)
+	case message.ConfigOffer:
+		node.configEffects(node.rollout.Offered(node.now, from, received))
+	case message.ConfigFetch:
+		node.configEffects(node.rollout.Fetched(node.now, from, received))
+	case message.ConfigPart:
+		node.configEffects(node.rollout.Part(node.now, received))
 	case message.Update:
 		node.updated(received)
 	case message.UpdateAsk:
@@ -226,6 +254,7 @@
 }
 
 func (node *Node) tick() {
+	node.configEffects(node.rollout.Tick(node.now))
 	node.home.Tick(node.now)
 	for _, store := range slices.Sorted(maps.Keys(node.brokers)) {
 		node.sendGrants(node.brokers[store].Tick(node.now))
@@ -242,19 +271,6 @@
 	node.tickRequests()
 }
 
-func (node *Node) configRead(snapshot *config.Snapshot) {
-	if node.config != nil && snapshot.Version() <= node.config.Version() {
-		return
-	}
-	before := uint64(0)
-	if node.config != nil {
-		before = node.config.Version()
-	}
-	node.config = snapshot
-	node.emit(configAudit(node.now, before, snapshot.Version()))
-	node.rankCandidates()
-}
-
 func (node *Node) shutdown() {
 	node.draining = true
 	node.emit(effect.Audit{At: node.now, Kind: effect.ShutdownStarted, Object: string(node.options.Self), Cause: "signal"})
--- a/internal/decide/node/owning.go
+++ b/internal/decide/node/owning.go
@@ -14,7 +14,6 @@
 	"teaselmoor/internal/decide/outcome"
 	"teaselmoor/internal/decide/owner"
 	"teaselmoor/internal/decide/ownership"
-	"teaselmoor/internal/decide/placement"
 )
 
 // owning is the owner role of a daemon.
@@ -114,7 +113,7 @@
 			delete(node.owning.claims, name)
 			delete(node.owning.tenures, name)
 			delete(node.owning.handed, name)
-			delete(node.views, name)
+			node.views.Drop(name)
 		}
 	}
 }
@@ -417,12 +416,7 @@
 	node.ownerEffects(held, held.owner.ReportedAt(node.now, askedAt-event.Report.Age, event.Report))
 }
 
-// engineState takes in an owner's word on its engine; the higher fencing number
-// wins, then the later version.
+// engineState takes in an owner's word on its engine.
 func (node *Node) engineState(state message.EngineState) {
-	view, known := node.views[state.Engine]
-	if known && (state.Fence < view.State.Fence || state.Fence == view.State.Fence && state.Version < view.State.Version) {
-		return
-	}
-	node.views[state.Engine] = placement.NewView(state, node.now)
+	node.views.Update(node.now, state)
 }
--- a/internal/decide/node/status.go
+++ b/internal/decide/node/status.go
@@ -1,9 +1,6 @@
 package node
 
 import (
-	"cmp"
-	"slices"
-
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/base/ident"
 	"teaselmoor/internal/decide/message"
@@ -47,18 +44,15 @@
 	for _, name := range node.ownedInOrder() {
 		status.Owned = append(status.Owned, node.owning.owned[name].owner.State(now))
 	}
-	for _, view := range node.views {
+	for view := range node.views.All() {
 		status.Known = append(status.Known, EngineKnowledge{State: view.State, Age: now - view.HeardAt})
 	}
-	slices.SortFunc(status.Known, func(a, b EngineKnowledge) int {
-		return cmp.Compare(a.State.Engine, b.State.Engine)
-	})
 	return status
 }
 
 // Ready reports whether the daemon can serve callers.
 func (node *Node) Ready() bool {
-	return node.config != nil && node.vms != nil && !node.draining && (node.informed || node.informedNow())
+	return node.rollout.Ready() && node.config != nil && node.vms != nil && !node.draining && (node.informed || node.informedNow())
 }
 
 // warmUp is the span after which a daemon serves callers although it has not
@@ -66,12 +60,14 @@
 const warmUp = 10 * clock.Second
 
 // informedNow reports whether every engine of the region has been heard of, so
-// that a new daemon does not refuse what others would serve.
+// that a new daemon does not refuse what others would serve. Where others are
+// heard from, the engines that it waits to own itself do not count.
 func (node *Node) informedNow() bool {
 	if node.now-node.options.StartedAt < warmUp {
 		for i := range node.config.Config.Engines {
 			engine := &node.config.Config.Engines[i]
-			if _, known := node.views[engine.Name]; !known && engine.Region == node.options.Region {
+			own := node.peers.AnyHeard() && node.firstCandidate(engine) == node.options.Self
+			if node.views.View(engine.Name) == nil && engine.Region == node.options.Region && !own {
 				return false
 			}
 		}
--- a/internal/decide/nodetest/network.go
+++ b/internal/decide/nodetest/network.go
@@ -33,8 +33,16 @@
 	Config       config.Config
 	VMs          []members.VM
 	Engine       EngineOptions
+	// Published says that daemons learn the configuration from the network's
+	// configuration service; otherwise it is handed to each at its start.
+	Published bool
 	// Node completes the options of each node; identity is set by the network.
 	Node node.Options
+	// Observer is told what happens.
+	Observer Observer
+	// Instant gives every daemon the present state of every engine before each
+	// arrival: the perfect knowledge that baselines of a replay have.
+	Instant bool
 }
 
 // Network is a set of nodes with everything around them.
@@ -42,6 +50,7 @@
 	Now     clock.Millis
 	Nodes   map[ident.DaemonID]*Host
 	Engines map[ident.EngineID]*Engine
+	Service *ConfigService
 	// Answers holds what callers were told, by request id.
 	Answers map[string][]effect.Answer
 	// Audits holds every audited change, in order.
@@ -63,7 +72,7 @@
 	ListDown map[ident.DaemonID]bool
 	// OnSend sees every message that one daemon sends to another.
 	// Steps counts the events that nodes have taken in.
-	Steps  int
+	Steps int
 	// OnSend sees every message that one daemon sends to another.
 	OnSend func(from, to ident.DaemonID, sent message.Message)
 
@@ -110,6 +119,10 @@
 		ListLag: map[ident.DaemonID]clock.Millis{}, ListDown: map[ident.DaemonID]bool{},
 		options: options, random: rand.New(rand.NewPCG(options.Seed, 0)), snapshot: snapshot,
 	}
+	network.Service = newConfigService(network)
+	if err := network.Service.Publish(options.Config); err != nil {
+		return nil, err
+	}
 	network.publishVMs()
 	for _, engine := range options.Config.Engines {
 		network.Engines[engine.Name] = newEngine(network, engine, options.Engine)
@@ -131,7 +144,9 @@
 	network.sequence++
 	host := &Host{Name: name, Node: node.New(options), VM: vm, life: network.sequence, streams: map[ident.StreamID]string{}}
 	network.Nodes[name] = host
-	network.Feed(host, node.ConfigRead{Snapshot: network.snapshot})
+	if !network.options.Published {
+		network.Feed(host, node.ConfigRead{Snapshot: network.snapshot})
+	}
 	network.readLists(host)
 	network.tick(host)
 	return host
@@ -233,6 +248,9 @@
 // Arrive brings a caller's request to a daemon.
 func (network *Network) Arrive(name ident.DaemonID, arrived node.Arrived) {
 	host := network.Nodes[name]
+	if network.options.Instant {
+		network.refresh(host)
+	}
 	arrived.Stream = host.Node.NewStream()
 	host.streams[arrived.Stream] = arrived.RequestID
 	network.Feed(host, arrived)
@@ -271,6 +289,7 @@
 		request := host.streams[next.Stream]
 		delete(host.streams, next.Stream)
 		network.Answers[request] = append(network.Answers[request], next)
+		network.options.Observer.answered(network.Now, request, next)
 	case effect.Rebind:
 		host.streams[next.To] = host.streams[next.From]
 		delete(host.streams, next.From)
@@ -293,6 +312,8 @@
 				Stream: next.Stream, Outcome: outcome.Done(), Stored: &message.StoredAnswer{Status: 200},
 			})
 		})
+	case effect.WatchConfig, effect.ReadConfigPart, effect.AssembleConfig:
+		network.performConfig(host, next)
 	case effect.Audit:
 		network.Audits = append(network.Audits, next)
 	}
--- a/internal/decide/owner/owner.go
+++ b/internal/decide/owner/owner.go
@@ -11,10 +11,8 @@
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/base/ident"
 	"teaselmoor/internal/control/config"
-	"teaselmoor/internal/decide/admission"
 	"teaselmoor/internal/decide/effect"
 	"teaselmoor/internal/decide/message"
-	"teaselmoor/internal/decide/outcome"
 )
 
 // Options are the limits of an owner.
@@ -32,6 +30,10 @@
 	ResumeTries int
 	// CancelInterval is the span after which an unconfirmed cancel is repeated.
 	CancelInterval clock.Millis
+	// Eviction ranks the adapters that could give up their slot.
+	Eviction Eviction
+	// HalfLife is the span after which a request counts half for eviction.
+	HalfLife clock.Millis
 }
 
 // DefaultOptions returns the limits used when settings name none.
@@ -44,6 +46,8 @@
 		ResumeTries:   2,
 
 		CancelInterval: clock.Second,
+		Eviction:       DecayedFrequency{},
+		HalfLife:       5 * clock.Minute,
 	}
 }
 
@@ -59,9 +63,10 @@
 	draining    bool
 	slots       []slot
 	resident    map[ident.Adapter]int // index into slots
-	waiting     *admission.Queue[*run]
+	backlog     backlog
 	runs        map[ident.StreamID]*run
-	wants       map[ident.Adapter]*want
+	failures    map[ident.Adapter]failure
+	frequency   frequency
 	running     int
 	version     uint64
 	// reportedAt is when the engine took the report last heard of.
@@ -80,9 +85,11 @@
 		options:  options,
 		slots:    make([]slot, engine.Slots),
 		resident: map[ident.Adapter]int{},
-		waiting:  admission.New[*run](options.QueueLimits),
+		backlog:  newBacklog(options.QueueLimits),
 		runs:     map[ident.StreamID]*run{},
-		wants:    map[ident.Adapter]*want{},
+		failures: map[ident.Adapter]failure{},
+
+		frequency: newFrequency(options.HalfLife),
 	}
 }
 
@@ -123,9 +130,9 @@
 		Fence:        owner.Fence,
 		Version:      owner.version,
 		Resident:     make([]ident.Adapter, 0, len(owner.resident)),
-		Queued:       owner.waiting.Total(),
+		Queued:       owner.backlog.bound.Total(),
 		Running:      owner.running,
-		LoadsWaiting: len(owner.wants),
+		LoadsWaiting: len(owner.backlog.wants),
 		ReportAge:    now - owner.reportedAt,
 		Quarantined:  owner.quarantined,
 		Leaving:      owner.draining,
@@ -139,48 +146,23 @@
 	return state
 }
 
+// usable reports whether the engine may be given work now.
+func (owner *Owner) usable() bool {
+	return owner.reportedAt != 0 && !owner.quarantined && !owner.takeover.suspended
+}
+
 // advance does, in this order, what time and room allow: expire, dispatch, ask
-// for loads.
+// for loads. It looks at every wanted adapter; events that concern one request
+// use a shorter way.
 func (owner *Owner) advance(now clock.Millis) {
 	owner.version++
-	if owner.reportedAt == 0 || owner.quarantined || owner.takeover.suspended {
-		owner.expire(now)
+	owner.expire(now)
+	if !owner.usable() {
 		return
 	}
-	owner.waiting.Filter(func(class config.Class, deadline clock.Millis, waiting *run) bool {
-		return owner.consider(now, class, deadline, waiting)
-	})
-}
-
-func (owner *Owner) expire(now clock.Millis) {
-	owner.waiting.Filter(func(_ config.Class, deadline clock.Millis, waiting *run) bool {
-		if deadline > now {
-			return true
-		}
-		owner.refuse(waiting, outcome.Refused(outcome.DeadlinePassed, 0))
-		return false
-	})
-}
-
-// consider decides on one waiting request and reports whether it keeps waiting.
-func (owner *Owner) consider(now clock.Millis, class config.Class, deadline clock.Millis, waiting *run) bool {
-	if deadline <= now {
-		owner.refuse(waiting, outcome.Refused(outcome.DeadlinePassed, 0))
-		return false
-	}
-	at, held := owner.resident[waiting.submit.Request.Adapter]
-	if held && owner.slots[at].state == slotReady {
-		if !owner.room(class) {
-			return true
-		}
-		owner.dispatch(now, waiting, at)
-		return false
-	}
-	if !held && !owner.seekLoad(now, class, deadline, waiting.submit.Request.Adapter) {
-		owner.refuse(waiting, outcome.Refused(outcome.LoadFailed, owner.options.LoadBackoff))
-		return false
-	}
-	return true
+	owner.settle()
+	owner.dispatchReady(now)
+	owner.seekLoads(now)
 }
 
 // room reports whether a request of the class may join the engine's batch now.
@@ -191,3 +173,13 @@
 	}
 	return owner.running < limit
 }
+
+// advanceOne does what an event that concerns one adapter allows.
+func (owner *Owner) advanceOne(now clock.Millis, adapter ident.Adapter) {
+	owner.version++
+	if !owner.usable() {
+		return
+	}
+	owner.dispatchReady(now)
+	owner.seekLoad(now, adapter)
+}
--- a/internal/decide/owner/takeover.go
+++ b/internal/decide/owner/takeover.go
@@ -7,7 +7,6 @@
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/base/ident"
 	"teaselmoor/internal/base/invariant"
-	"teaselmoor/internal/control/config"
 	"teaselmoor/internal/decide/effect"
 	"teaselmoor/internal/decide/message"
 	"teaselmoor/internal/decide/outcome"
@@ -104,17 +103,20 @@
 }
 
 // TakeWaiting removes the requests that have not been dispatched and returns
-// them in the order of the queue, for the next owner.
+// them in order of their streams, for the next owner.
 func (owner *Owner) TakeWaiting(now clock.Millis) []message.Submit {
 	var submits []message.Submit
-	owner.waiting.Filter(func(_ config.Class, deadline clock.Millis, waiting *run) bool {
-		submit := waiting.submit
-		submit.Budget, submit.Entry = deadline-now, waiting.entry
+	for _, found := range owner.sortedRuns() {
+		if found.state != runWaiting {
+			continue
+		}
+		owner.dequeue(found)
+		submit := found.submit
+		submit.Budget, submit.Entry = found.deadline-now, found.entry
 		submits = append(submits, submit)
-		runTable.Must(&waiting.state, endRun)
+		runTable.Must(&found.state, endRun)
 		delete(owner.runs, submit.Stream)
-		return false
-	})
+	}
 	return submits
 }
 
@@ -131,7 +133,7 @@
 func (owner *Owner) refuseWaiting(reason outcome.Reason) {
 	for _, found := range owner.sortedRuns() {
 		if found.state == runWaiting {
-			owner.removeWaiting(found)
+			owner.dequeue(found)
 			owner.refuse(found, outcome.Refused(reason, 0))
 		}
 	}
@@ -270,7 +272,7 @@
 func (owner *Owner) reconcileSlot(at int, takenAt clock.Millis, present map[ident.Adapter]bool) {
 	slot := &owner.slots[at]
 	switch {
-	case slot.state == slotReady && slot.pins == 0 && takenAt > slot.lastUsed && !present[slot.adapter]:
+	case slot.state == slotReady && slot.pins == 0 && slot.queued == 0 && takenAt > slot.lastUsed && !present[slot.adapter]:
 		delete(owner.resident, slot.adapter)
 		*slot = emptySlot()
 	case slot.state == slotUnloading && slot.unloadFailed && takenAt > owner.takeover.unloadedAt:
