--- a/internal/base/settings/fields.go
+++ b/internal/base/settings/fields.go
@@ -171,6 +171,8 @@
 	BackoffMillis clock.Millis `yaml:"BackoffMillis" min:"10" max:"600000"`
 	// Failed loads after which the waiting requests are refused or go to another engine.
 	Tries int `yaml:"Tries" min:"1" max:"100"`
+	// Span after which a use of an adapter counts half when a slot is needed, in milliseconds.
+	HalfLifeMillis clock.Millis `yaml:"HalfLifeMillis" min:"1000" max:"86400000"`
 }
 
 // Keys is about idempotency keys, at their home.
@@ -228,6 +230,7 @@
 		},
 		Loads: Loads{
 			Parallel: 1, LeaseMillis: 5 * clock.Second, BackoffMillis: 2 * clock.Second, Tries: 3,
+			HalfLifeMillis: 5 * clock.Minute,
 		},
 		Keys:      Keys{RetentionMillis: clock.Hour, ClockMarginMillis: 2 * clock.Second},
 		Placement: Placement{LoadCost: 16, AffinityCost: 4, SilenceMillis: 10 * clock.Second},
--- a/internal/serve/program/options.go
+++ b/internal/serve/program/options.go
@@ -76,6 +76,7 @@
 	options.Owner.CancelInterval = settings.Queue.CancelIntervalMillis
 	options.Owner.LoadBackoff = settings.Loads.BackoffMillis
 	options.Owner.LoadTries = settings.Loads.Tries
+	options.Owner.HalfLife = settings.Loads.HalfLifeMillis
 	options.Loads.Lease = settings.Loads.LeaseMillis
 	options.Loads.Parallel = settings.Loads.Parallel
 	options.Home.Retention = settings.Keys.RetentionMillis
