serve: status and metrics show how fresh the configuration is

The age of the configuration and of the last word of the configuration service come from the runtime's events; the decision machines keep no more for it. A rule that an earlier one shadows is now a mistake.

--- a/internal/control/config/validate.go
+++ b/internal/control/config/validate.go
@@ -88,6 +88,7 @@
 	}
 	for i, rule := range config.Rules {
 		check.rule(fmt.Sprintf("Rules[%d]", i), rule)
+		check.shadowed(i, config.Rules)
 	}
 	return check.problems
 }
@@ -206,3 +207,15 @@
 		check.add(path+".DeadlineMillis", "must be above 0")
 	}
 }
+
+// shadowed refuses a rule that never decides, because an earlier one selects the
+// same requests.
+func (check *validator) shadowed(i int, rules []Rule) {
+	rule := rules[i]
+	for earlier, other := range rules[:i] {
+		if other.Callers == rule.Callers && other.Adapters == rule.Adapters && other.Services == rule.Services {
+			check.add(fmt.Sprintf("Rules[%d]", i), "never decides: Rules[%d] (%s) selects the same requests", earlier, other.Name)
+			return
+		}
+	}
+}
--- a/internal/control/config/validate_test.go
+++ b/internal/control/config/validate_test.go
@@ -23,6 +23,11 @@
   DeadlineMillis: 1000
 - Name: first
   Class: Soon
+- Name: second
+  Callers: team in
+  Engines: site=north
+  Class: Urgent
+  DeadlineMillis: 1000
 `
 
 func TestProblemsNameLineAndPath(t *testing.T) {
@@ -37,6 +42,7 @@
 		"line 6: Callers[0].KeyHash: x", "line 7: Callers[1].Name: x",
 		"line 11: Rules[0].Callers: x", "line 14: Rules[1].Name: x",
 		"line 15: Rules[1].Class: x", "line 14: Rules[1].DeadlineMillis: x",
+		"line 17: Rules[2].Callers: x", "line 16: Rules[2]: x",
 	}, places)
 }
 
--- a/internal/serve/command/status.go
+++ b/internal/serve/command/status.go
@@ -44,8 +44,9 @@
 		state = "ready"
 	}
 	writeLine(invocation, "daemon %s in %s, %s: %s", status.Daemon, status.DataCentre, status.Region, state)
-	writeLine(invocation, "configuration version %d; VM list version %d, read %s ago",
-		status.ConfigVersion, status.VMListVersion, age(status.VMListAge))
+	writeLine(invocation, "configuration version %d, accepted %s ago; the service last answered %s ago",
+		status.ConfigVersion, age(status.ConfigAge), age(status.ConfigContactAge))
+	writeLine(invocation, "VM list version %d, read %s ago", status.VMListVersion, age(status.VMListAge))
 	peers := make([]string, 0, len(status.Peers))
 	for _, peer := range status.Peers {
 		peers = append(peers, string(peer))
--- a/internal/serve/daemon/daemon.go
+++ b/internal/serve/daemon/daemon.go
@@ -117,6 +117,11 @@
 type Status struct {
 	node.Status
 	Ready bool
+	// ConfigAge is the span since the configuration in force was accepted.
+	ConfigAge clock.Millis
+	// ConfigContactAge is the span since this daemon, or a peer that it heard
+	// from, last had an answer of the configuration service.
+	ConfigContactAge clock.Millis
 	// Peers have a live control connection, in order of name.
 	Peers []ident.DaemonID
 }
@@ -125,9 +130,21 @@
 func (daemon *Daemon) Status() Status {
 	peers := daemon.links.Peers()
 	slices.Sort(peers)
+	now, times := daemon.options.Now(), daemon.options.Observer.Config()
 	daemon.mutex.Lock()
 	defer daemon.mutex.Unlock()
-	return Status{Status: daemon.node.Status(daemon.options.Now()), Ready: daemon.node.Ready(), Peers: peers}
+	return Status{
+		Status: daemon.node.Status(now), Ready: daemon.node.Ready(), Peers: peers,
+		ConfigAge: ageOf(times.AcceptedAt, now), ConfigContactAge: ageOf(times.ContactAt, now),
+	}
+}
+
+// ageOf returns the span since a point in time, 0 when there is none.
+func ageOf(at, now clock.Millis) clock.Millis {
+	if at == 0 {
+		return 0
+	}
+	return max(0, now-at)
 }
 
 // Drain refuses new requests and waits until those in progress have ended, or
--- a/internal/serve/metrics/gauges.go
+++ b/internal/serve/metrics/gauges.go
@@ -4,6 +4,7 @@
 	"runtime"
 	"syscall"
 
+	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/decide/message"
 	"teaselmoor/internal/decide/node"
 )
@@ -26,6 +27,8 @@
 	inProgress    = gauge("teaselmoor_requests_in_progress", "Requests at this entry that have not ended.")
 	keys          = gauge("teaselmoor_idempotency_keys", "Idempotency keys remembered at this home.")
 	configVersion = gauge("teaselmoor_config_version", "Version of the configuration in force.")
+	configAge     = gauge("teaselmoor_config_age_milliseconds", "Span since the configuration in force was accepted.")
+	contactAge    = gauge("teaselmoor_config_contact_age_milliseconds", "Span since the configuration service last answered this daemon or a peer.")
 	listVersion   = gauge("teaselmoor_vm_list_version", "Version of the VM list last read.")
 	listAge       = gauge("teaselmoor_vm_list_age_milliseconds", "Span since the VM list was read.")
 	peers         = gauge("teaselmoor_peers", "Daemons with a live control connection.")
@@ -40,20 +43,33 @@
 	goroutines    = gauge("teaselmoor_goroutines", "Goroutines of the process.")
 	heapBytes     = gauge("teaselmoor_heap_bytes", "Bytes of the heap in use.")
 	processorTime = family{"teaselmoor_processor_milliseconds_total", "Processor time that the process has used.", counterKind}
+	gaugesOrder   = []family{
+		ready, draining, inProgress, keys, configVersion, configAge, contactAge, listVersion, listAge, peers, ownedEngines, queued, running, loadsWaiting, resident, reportAge, quarantined, stateAge, goroutines, heapBytes, processorTime,
+	}
 )
 
+// Standing is what the runtime knows beside the node's status.
+type Standing struct {
+	Ready            bool
+	Peers            int
+	ConfigAge        clock.Millis
+	ConfigContactAge clock.Millis
+}
+
 // StatusGauges describes a daemon's status.
-func StatusGauges(status node.Status, isReady bool, peerCount int) []Gauge {
+func StatusGauges(status node.Status, standing Standing) []Gauge {
 	one := func(of family, value float64) Gauge { return Gauge{family: of, value: value} }
 	gauges := []Gauge{
-		one(ready, flag(isReady)),
+		one(ready, flag(standing.Ready)),
 		one(draining, flag(status.Draining)),
 		one(inProgress, float64(status.Requests)),
 		one(keys, float64(status.Keys)),
 		one(configVersion, float64(status.ConfigVersion)),
+		one(configAge, float64(standing.ConfigAge)),
+		one(contactAge, float64(standing.ConfigContactAge)),
 		one(listVersion, float64(status.VMListVersion)),
 		one(listAge, float64(status.VMListAge)),
-		one(peers, float64(peerCount)),
+		one(peers, float64(standing.Peers)),
 		one(ownedEngines, float64(len(status.Owned))),
 		one(stateAge, oldest(status)),
 	}
--- a/internal/serve/metrics/metrics.go
+++ b/internal/serve/metrics/metrics.go
@@ -43,6 +43,18 @@
 	familiesOrder = []family{requests, requestSpan, firstChunk, loadStall, loads, changes, messages, relayed, lateFrames}
 )
 
+// Names lists every metric, for the page that explains them.
+func Names() []string {
+	var names []string
+	for _, each := range familiesOrder {
+		names = append(names, each.name)
+	}
+	for _, each := range gaugesOrder {
+		names = append(names, each.name)
+	}
+	return names
+}
+
 // bounds are the upper bounds of the buckets of a histogram, in milliseconds.
 var bounds = []int64{1, 2, 5, 10, 20, 50, 100, 200, 380, 500, 1000, 2000, 5000, 10_000, 20_000, 60_000}
 
--- a/internal/serve/metrics/metrics_test.go
+++ b/internal/serve/metrics/metrics_test.go
@@ -14,6 +14,7 @@
 	"teaselmoor/internal/decide/message"
 	"teaselmoor/internal/decide/node"
 	"teaselmoor/internal/decide/outcome"
+	"teaselmoor/internal/decide/rollout"
 	"teaselmoor/internal/serve/metrics"
 )
 
@@ -70,7 +71,7 @@
 	counted := metrics.New()
 	metrics.NewObserver(counted)
 	status := node.Status{Owned: []message.EngineState{{Engine: "runner-1", Queued: 3}, {Engine: "runner-2"}}, VMListAge: 2 * clock.Second}
-	written := text(t, counted, append(metrics.StatusGauges(status, true, 6), metrics.ProcessGauges()...)...)
+	written := text(t, counted, append(metrics.StatusGauges(status, metrics.Standing{Ready: true, Peers: 6}), metrics.ProcessGauges()...)...)
 	seen := map[string]bool{}
 	for _, line := range strings.Split(written, "\n") {
 		if strings.HasPrefix(line, "# TYPE ") {
@@ -82,3 +83,15 @@
 	require.Contains(t, written, "teaselmoor_vm_list_age_milliseconds 2000\n")
 	require.Contains(t, written, "teaselmoor_peers 6\n")
 }
+
+func TestConfigTimes(t *testing.T) {
+	observer := metrics.NewObserver(metrics.New())
+	require.Zero(t, observer.Config())
+	observer.Step(10, node.ConfigWatched{Result: rollout.WatchResult{Cause: "refused"}}, nil)
+	require.Zero(t, observer.Config().ContactAt)
+	observer.Step(20, node.ConfigWatched{}, []effect.Effect{effect.Audit{Kind: effect.ConfigAccepted}})
+	require.Equal(t, metrics.ConfigTimes{AcceptedAt: 20, ContactAt: 20}, observer.Config())
+	observer.Step(30, node.Received{Message: message.ConfigOffer{Contact: true}}, nil)
+	observer.Step(40, node.Received{Message: message.ConfigOffer{}}, nil)
+	require.Equal(t, metrics.ConfigTimes{AcceptedAt: 20, ContactAt: 30}, observer.Config())
+}
--- a/internal/serve/metrics/observe.go
+++ b/internal/serve/metrics/observe.go
@@ -27,6 +27,23 @@
 	inFlight map[ident.StreamID]flight
 	waiting  map[ident.StreamID]clock.Millis // submission of a request at its owner
 	loadEnds map[loadKey]clock.Millis
+	config   ConfigTimes
+}
+
+// ConfigTimes tells how fresh a daemon's configuration is.
+type ConfigTimes struct {
+	// AcceptedAt is when the configuration in force was accepted.
+	AcceptedAt clock.Millis
+	// ContactAt is when this daemon, or a peer that it heard from, last had an
+	// answer of the configuration service.
+	ContactAt clock.Millis
+}
+
+// Config returns the times of the configuration; 0 means never.
+func (observer *Observer) Config() ConfigTimes {
+	observer.mutex.Lock()
+	defer observer.mutex.Unlock()
+	return observer.config
 }
 
 // flight is a request at its entry.
@@ -88,14 +105,27 @@
 		observer.inFlight[event.Stream] = flight{arrivedAt: now}
 	case node.Received:
 		observer.metrics.counter(messages, label{"direction", "received"}, laneLabel(event.Message.Lane())).Inc(1)
-		if submit, isSubmit := event.Message.(message.Submit); isSubmit {
-			observer.waiting[submit.Stream] = now
+		observer.received(now, event.Message)
+	case node.ConfigWatched:
+		if event.Result.Cause == "" {
+			observer.config.ContactAt = now
 		}
 	case node.LoadEnded:
 		observer.loadEnded(now, event)
 	}
 }
 
+func (observer *Observer) received(now clock.Millis, received message.Message) {
+	switch received := received.(type) {
+	case message.Submit:
+		observer.waiting[received.Stream] = now
+	case message.ConfigOffer:
+		if received.Contact {
+			observer.config.ContactAt = now
+		}
+	}
+}
+
 func (observer *Observer) loadEnded(now clock.Millis, event node.LoadEnded) {
 	if event.Failed {
 		observer.metrics.counter(loads, label{"result", "failed"}).Inc(1)
@@ -133,6 +163,9 @@
 		}
 	case effect.Audit:
 		observer.metrics.counter(changes, label{"kind", string(next.Kind)}).Inc(1)
+		if next.Kind == effect.ConfigAccepted {
+			observer.config.AcceptedAt = now
+		}
 	}
 }
 
--- a/internal/serve/operators/operators.go
+++ b/internal/serve/operators/operators.go
@@ -87,7 +87,10 @@
 
 func (api *API) counters(writer http.ResponseWriter, _ *http.Request) {
 	status := api.daemon.Status()
-	gauges := metrics.StatusGauges(status.Status, status.Ready, len(status.Peers))
+	gauges := metrics.StatusGauges(status.Status, metrics.Standing{
+		Ready: status.Ready, Peers: len(status.Peers),
+		ConfigAge: status.ConfigAge, ConfigContactAge: status.ConfigContactAge,
+	})
 	writer.Header().Set("Content-Type", metrics.ContentType)
 	_ = api.metrics.Write(writer, append(gauges, metrics.ProcessGauges()...))
 }
