audit: keep 1,024 refusals by default

A refusal that considered 300 engines keeps 13,010 bytes (BenchmarkRefusal); 4,096 of them would take 53 MB of the 128 MB that control may use.

--- a/internal/base/settings/fields.go
+++ b/internal/base/settings/fields.go
@@ -202,7 +202,7 @@
 			MaxBodyBytes: 4 << 20, MaxHeaderBytes: 64 << 10, MaxKeyBytes: 255, MaxConnections: 4096,
 			HeaderTimeoutMillis: 10 * clock.Second, BodyTimeoutMillis: 30 * clock.Second, IdleTimeoutMillis: 2 * clock.Minute,
 		},
-		Operators: Operators{LogLevel: "Info", AuditChanges: 4096, AuditRefusals: 4096, MaxConnections: 64},
+		Operators: Operators{LogLevel: "Info", AuditChanges: 4096, AuditRefusals: 1024, MaxConnections: 64},
 		Runtime: Runtime{
 			Workers: 8, TickIntervalMillis: 50 * clock.Millisecond,
 			DrainTimeoutMillis: 2 * clock.Minute, RetryShare: 0.1,
