--- a/internal/base/document/document_test.go
+++ b/internal/base/document/document_test.go
@@ -46,3 +46,16 @@
 	require.Equal(t, 4, parsed.Line("Engines[1].Labels"), "the nearest thing around a key that is missing")
 	require.Equal(t, 1, parsed.Line("Rules[3].Name"))
 }
+
+// FuzzDecode looks for texts that stop the reader, or mistakes without a text.
+func FuzzDecode(f *testing.F) {
+	for _, seed := range []string{"Open: true", "null", "- 1", "&a [*a]", "Engines: &x [{Name: a}]\nOpen: *x", "? {a: b}\n: c", "<<: {Open: true}", "\x00", "Open: !!binary x"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var into site
+		for _, mistake := range document.Decode(text, &into) {
+			require.NotEmpty(t, mistake.Text)
+		}
+	})
+}
--- a/internal/serve/daemon/perform.go
+++ b/internal/serve/daemon/perform.go
@@ -77,8 +77,7 @@
 	if next.Outcome.Kind != outcome.Answered {
 		daemon.options.Audit.Refusal(next.Record)
 	}
-	daemon.options.Log.Debug("request ended", "Request", next.Record.Request, "Stream", next.Stream.String(),
-		"Outcome", next.Outcome.Kind, "Reason", next.Outcome.Reason)
+	daemon.logEnd(next)
 	ticket, found := daemon.streams.takeTicket(next.Stream)
 	if !found {
 		return
@@ -105,6 +104,7 @@
 	if address, known := daemon.engineAddress(start.Engine); known {
 		result = daemon.options.Engines.Run(ctx, address, start, sink)
 	}
+	daemon.logRun(start, result)
 	ended := node.RunEnded{Engine: start.Engine, Result: owner.RunResult{
 		Stream: start.Stream, Result: result, Chunks: sink.index,
 	}}
--- a/internal/serve/program/observe_test.go
+++ b/internal/serve/program/observe_test.go
@@ -52,7 +52,9 @@
 // audit trail, the record, the counters and the log.
 func TestRefusalsAreExplained(t *testing.T) {
 	log := &logBuffer{}
-	running := startLoggedSite(t, site.DefaultOptions(), slog.New(slog.NewJSONHandler(log, &slog.HandlerOptions{Level: slog.LevelDebug})))
+	options := site.DefaultOptions()
+	options.LogLevel = "Debug"
+	running := startLoggedSite(t, options, slog.New(slog.NewJSONHandler(log, &slog.HandlerOptions{Level: slog.LevelDebug})))
 	entry := running.Settings[0]
 	require.Equal(t, http.StatusOK, post(t, entry, callers.CompletionsPath, "", `{"model":"`+running.Adapter("review")+`"}`).status)
 	refused := post(t, entry, callers.CompletionsPath, "", `{"model":"nothing@1","prompt":"private words"}`)
@@ -86,6 +88,7 @@
 	require.Equal(t, http.StatusNotFound, status, "profiles are off by default")
 
 	require.Contains(t, log.String(), page.Events[0].Object, "the audit line names the request")
+	require.Contains(t, log.String(), `"msg":"run ended"`)
 	require.NotContains(t, log.String(), site.CallerKey)
 	require.NotContains(t, log.String(), "private words")
 }
