--- a/internal/standin/command/demo.go
+++ b/internal/standin/command/demo.go
@@ -139,7 +139,7 @@
 func printCurl(running *site.Site, out io.Writer) {
 	pensions := site.PublishedDeployments()[0]
 	_, _ = fmt.Fprintf(out, "The site stays up; interrupt to end it. For example:\n"+
-		"curl http://%s/v1/completions -H 'Authorization: Bearer %s' -d '{\"model\":%q,\"stream\":true}'\n",
+		"curl http://%s/v1/completions -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' -d '{\"model\":%q,\"stream\":true}'\n",
 		running.Settings[0].CallerAddress, pensions.CallerKey, running.Adapter("cantabrica-contract-review"))
 }
 
