--- a/internal/control/compare/compare.go
+++ b/internal/control/compare/compare.go
@@ -2,16 +2,14 @@
 // which would be refused, moved to other engines, or treated otherwise.
 //
 // A kind of request is one caller with one adapter version or service. There may
-// be hundreds of millions of them, so callers and targets with equal labels are
-// decided once and counted together.
+// be hundreds of millions of them, so callers and targets that the same selectors
+// of the same rules select are decided once and counted together.
 package compare
 
 import (
 	"cmp"
 	"fmt"
-	"maps"
 	"slices"
-	"strings"
 
 	"teaselmoor/internal/control/config"
 )
@@ -64,7 +62,10 @@
 
 // Compare tells what going from one configuration to another does.
 func Compare(before, after *config.Snapshot) Report {
-	comparison := &comparison{before: before, after: after, effects: map[Kind]*Effect{}}
+	comparison := &comparison{
+		before: before, after: after, effects: map[Kind]*Effect{},
+		selectedBefore: newSelection(before), selectedAfter: newSelection(after),
+	}
 	comparison.compareCallers()
 	callers, targets := comparison.callerGroups(), comparison.targetGroups()
 	for _, caller := range callers {
@@ -82,9 +83,10 @@
 }
 
 type comparison struct {
-	before, after *config.Snapshot
-	requests      int
-	effects       map[Kind]*Effect
+	before, after                 *config.Snapshot
+	selectedBefore, selectedAfter *selection
+	requests                      int
+	effects                       map[Kind]*Effect
 }
 
 func (comparison *comparison) add(kind Kind, count int, example Example) {
@@ -123,7 +125,7 @@
 	return fmt.Sprintf("%g a second, burst %d", caller.RequestsPerSecond, caller.Burst)
 }
 
-// callerGroup is the callers whose labels are equal before and after.
+// callerGroup is the callers that the same rules select before and after.
 type callerGroup struct {
 	before, after *config.Caller // one of them; nil where there is none
 	count         int
@@ -141,7 +143,7 @@
 	visit := func(name string) {
 		before, _ := comparison.before.Caller(name)
 		after, _ := comparison.after.Caller(name)
-		group := groups.at(callerLabels(before) + "|" + callerLabels(after))
+		group := groups.at(comparison.selectedBefore.caller(before) + "|" + comparison.selectedAfter.caller(after))
 		group.before, group.after = cmp.Or(group.before, before), cmp.Or(group.after, after)
 		group.count++
 	}
@@ -151,13 +153,6 @@
 	return groups.list
 }
 
-func callerLabels(caller *config.Caller) string {
-	if caller == nil {
-		return "absent"
-	}
-	return labelText(caller.Labels)
-}
-
 // groups finds groups by key and lists them in the order of their first member.
 type groups[Group any] struct {
 	byKey map[string]*Group
@@ -190,11 +185,3 @@
 	}
 	return all
 }
-
-func labelText(labels map[string]string) string {
-	var text strings.Builder
-	for _, name := range slices.Sorted(maps.Keys(labels)) {
-		fmt.Fprintf(&text, "%q=%q,", name, labels[name])
-	}
-	return text.String()
-}
--- a/internal/control/compare/compare_test.go
+++ b/internal/control/compare/compare_test.go
@@ -109,3 +109,29 @@
 		})
 	}
 }
+
+// BenchmarkCompare compares two configurations of the size expected, in which
+// every adapter and every caller has a label of its own.
+func BenchmarkCompare(b *testing.B) {
+	large := document()
+	for i := range 15_000 {
+		large.Adapters = append(large.Adapters, config.Adapter{
+			Name: fmt.Sprintf("own-%d", i), Version: "1", BaseModel: "base",
+			Labels: map[string]string{"task": []string{"review", "draft"}[i%2], "employer": fmt.Sprint(i)},
+		})
+	}
+	for i := range 1000 {
+		large.Callers = append(large.Callers, config.Caller{
+			Name: fmt.Sprintf("own-%d", i), KeyHash: config.HashKey(fmt.Sprint("own", i)), Labels: map[string]string{"employer": fmt.Sprint(i)},
+		})
+	}
+	before, err := config.Compile(large)
+	require.NoError(b, err)
+	large.Version++
+	large.Rules = large.Rules[1:]
+	after, err := config.Compile(large)
+	require.NoError(b, err)
+	for b.Loop() {
+		require.Len(b, compare.Compare(before, after).Effects, 1)
+	}
+}
--- a/internal/control/compare/target.go
+++ b/internal/control/compare/target.go
@@ -19,17 +19,6 @@
 	return target.adapter != nil || target.service != nil
 }
 
-// key is equal for targets that every rule treats alike.
-func (target target) key() string {
-	switch {
-	case target.adapter != nil:
-		return "adapter " + target.adapter.BaseModel + " " + labelText(target.adapter.Labels)
-	case target.service != nil:
-		return "service " + strings.Join(target.service.Addresses, ",") + " " + labelText(target.service.Labels)
-	}
-	return "absent"
-}
-
 // targetGroup is the targets whose keys are equal before and after.
 type targetGroup struct {
 	name          string // of the first
@@ -40,7 +29,7 @@
 func (comparison *comparison) targetGroups() []*targetGroup {
 	groups := newGroups[targetGroup]()
 	add := func(name string, before, after target) {
-		group := groups.at(before.key() + "|" + after.key())
+		group := groups.at(comparison.selectedBefore.target(before) + "|" + comparison.selectedAfter.target(after))
 		group.name = cmp.Or(group.name, name)
 		group.before, group.after = before, after
 		group.count++
--- a/internal/serve/callers/callers.go
+++ b/internal/serve/callers/callers.go
@@ -43,6 +43,9 @@
 	ModelsPath      = "/v1/models"
 	// ServicesPath is the prefix of calls to plain services.
 	ServicesPath = "/services/"
+	// HealthPath and ReadyPath are for a balancer that asks where callers call.
+	HealthPath = "/health"
+	ReadyPath  = "/ready"
 )
 
 // Options bound what a caller may send.
@@ -66,6 +69,7 @@
 	// Refused notes a refusal and returns its record completed.
 	Refused(record outcome.Record) outcome.Record
 	Config() *config.Snapshot
+	Ready() bool
 }
 
 // API serves callers.
@@ -83,6 +87,8 @@
 	mux.HandleFunc(ChatPath, api.only(http.MethodPost, api.model))
 	mux.HandleFunc(ModelsPath, api.only(http.MethodGet, api.models))
 	mux.HandleFunc(ServicesPath, api.service)
+	mux.HandleFunc(HealthPath, api.only(http.MethodGet, health))
+	mux.HandleFunc(ReadyPath, api.only(http.MethodGet, api.ready))
 	mux.HandleFunc("/", api.unknownPath)
 	return mux
 }
@@ -99,6 +105,18 @@
 	}
 }
 
+func health(writer http.ResponseWriter, _ *http.Request) {
+	_, _ = writer.Write([]byte("ok\n"))
+}
+
+func (api *API) ready(writer http.ResponseWriter, _ *http.Request) {
+	if !api.daemon.Ready() {
+		http.Error(writer, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = writer.Write([]byte("ready\n"))
+}
+
 func (api *API) unknownPath(writer http.ResponseWriter, request *http.Request) {
 	api.refuse(writer, newArrival(request), mistake{outcome.UnknownPath, ""})
 }
--- a/internal/serve/callers/callers_test.go
+++ b/internal/serve/callers/callers_test.go
@@ -26,6 +26,7 @@
 	t        testing.TB
 	snapshot *config.Snapshot
 	refused  []outcome.Record
+	ready    bool
 }
 
 func (fake *fakeDaemon) Begin(arrived node.Arrived, _ *daemon.Ticket) {
@@ -34,6 +35,8 @@
 
 func (fake *fakeDaemon) Gone(*daemon.Ticket) {}
 
+func (fake *fakeDaemon) Ready() bool { return fake.ready }
+
 func (fake *fakeDaemon) Config() *config.Snapshot { return fake.snapshot }
 
 func (fake *fakeDaemon) Refused(record outcome.Record) outcome.Record {
@@ -164,3 +167,18 @@
 	require.Equal(t, http.StatusRequestTimeout, response.StatusCode)
 	require.Equal(t, "BodyTimeout", response.Header.Get(callers.ReasonHeader))
 }
+
+// TestBalancerIsAnswered asks for readiness without an API key.
+func TestBalancerIsAnswered(t *testing.T) {
+	fake := newFake(t)
+	handler := callers.New(fake, callers.DefaultOptions(), slog.New(slog.DiscardHandler))
+	status := func(path string) int {
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, path, nil))
+		return recorder.Code
+	}
+	require.Equal(t, http.StatusOK, status(callers.HealthPath))
+	require.Equal(t, http.StatusServiceUnavailable, status(callers.ReadyPath))
+	fake.ready = true
+	require.Equal(t, http.StatusOK, status(callers.ReadyPath))
+}
--- a/internal/serve/metrics/metrics.go
+++ b/internal/serve/metrics/metrics.go
@@ -62,9 +62,10 @@
 type Metrics struct {
 	registry gometrics.Registry
 
-	mutex    sync.RWMutex // guards counters, histograms, order
-	counters map[string]gometrics.Counter
-	spans    map[string]*span
+	mutex    sync.RWMutex // guards all below
+	counters map[seriesKey]gometrics.Counter
+	spans    map[seriesKey]*span
+	byName   map[string]gometrics.Counter
 	order    map[string][]string // full names of a family's series, as created
 }
 
@@ -72,8 +73,9 @@
 func New() *Metrics {
 	return &Metrics{
 		registry: gometrics.NewRegistry(),
-		counters: map[string]gometrics.Counter{},
-		spans:    map[string]*span{},
+		counters: map[seriesKey]gometrics.Counter{},
+		spans:    map[seriesKey]*span{},
+		byName:   map[string]gometrics.Counter{},
 		order:    map[string][]string{},
 	}
 }
@@ -101,26 +103,47 @@
 	return name + "{" + strings.Join(parts, ",") + "}"
 }
 
+// maxLabels is the largest number of labels of a series.
+const maxLabels = 3
+
+// seriesKey finds a series without building its name. A family's series have the
+// same labels, so that their values suffice.
+type seriesKey struct {
+	family string
+	values [maxLabels]string
+}
+
+func keyOf(of family, labels []label) seriesKey {
+	key := seriesKey{family: of.name}
+	for i, each := range labels {
+		key.values[i] = each.value
+	}
+	return key
+}
+
 // counter returns a family's counter with the given labels, new at first use.
 func (metrics *Metrics) counter(of family, labels ...label) gometrics.Counter {
-	name := series(of.name, labels...)
+	key := keyOf(of, labels)
 	metrics.mutex.RLock()
-	found := metrics.counters[name]
+	found := metrics.counters[key]
 	metrics.mutex.RUnlock()
 	if found != nil {
 		return found
 	}
 	metrics.mutex.Lock()
 	defer metrics.mutex.Unlock()
-	return metrics.addCounter(of, name)
+	added := metrics.addCounter(of, series(of.name, labels...))
+	metrics.counters[key] = added
+	return added
 }
 
+// addCounter returns the counter with a full name. The caller holds the lock.
 func (metrics *Metrics) addCounter(of family, name string) gometrics.Counter {
-	if found := metrics.counters[name]; found != nil {
+	if found := metrics.byName[name]; found != nil {
 		return found
 	}
 	added := gometrics.NewRegisteredCounter(name, metrics.registry)
-	metrics.counters[name] = added
+	metrics.byName[name] = added
 	metrics.order[of.name] = append(metrics.order[of.name], name)
 	return added
 }
@@ -134,7 +157,7 @@
 
 // span returns a family's histogram with the given labels, new at first use.
 func (metrics *Metrics) span(of family, labels ...label) *span {
-	key := series(of.name, labels...)
+	key := keyOf(of, labels)
 	metrics.mutex.RLock()
 	found := metrics.spans[key]
 	metrics.mutex.RUnlock()
--- a/internal/serve/metrics/metrics_test.go
+++ b/internal/serve/metrics/metrics_test.go
@@ -95,3 +95,16 @@
 	observer.Step(40, node.Received{Message: message.ConfigOffer{}}, nil)
 	require.Equal(t, metrics.ConfigTimes{AcceptedAt: 20, ContactAt: 30}, observer.Config())
 }
+
+// BenchmarkObserver counts one answered request at its entry.
+func BenchmarkObserver(b *testing.B) {
+	observer := metrics.NewObserver(metrics.New())
+	opened := []effect.Effect{effect.Open{Stream: stream(1)}}
+	ended := []effect.Effect{effect.Answer{Stream: stream(1), Outcome: outcome.Done(), Record: outcome.Record{Class: "Urgent"}}}
+	b.ReportAllocs()
+	for b.Loop() {
+		observer.Step(1000, node.Arrived{Stream: stream(1)}, nil)
+		observer.Step(1010, node.Tick{}, opened)
+		observer.Step(1300, node.Tick{}, ended)
+	}
+}
--- a/internal/serve/metrics/text.go
+++ b/internal/serve/metrics/text.go
@@ -30,7 +30,7 @@
 		}
 		writeHead(out, each)
 		for _, name := range names {
-			fmt.Fprintf(out, "%s %d\n", name, metrics.counters[name].Count())
+			fmt.Fprintf(out, "%s %d\n", name, metrics.byName[name].Count())
 		}
 	}
 }
