callers: a service's path is passed on as the caller wrote it

The path was unescaped before it was passed on, so that an escaped slash or question mark reached the service as another address. Paths that the mux would redirect are refused with a reason code, because a caller could not tell the redirect from a service's answer.

--- a/internal/serve/callers/callers.go
+++ b/internal/serve/callers/callers.go
@@ -9,6 +9,8 @@
 	"encoding/json"
 	"log/slog"
 	"net/http"
+	"net/url"
+	"path"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -90,7 +92,23 @@
 	mux.HandleFunc(HealthPath, api.only(http.MethodGet, health))
 	mux.HandleFunc(ReadyPath, api.only(http.MethodGet, api.ready))
 	mux.HandleFunc("/", api.unknownPath)
-	return mux
+	return api.cleanPaths(mux)
+}
+
+// cleanPaths refuses paths that the mux would answer with a redirect, which a
+// caller could not tell from an answer of a service.
+func (api *API) cleanPaths(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		cleaned := path.Clean(request.URL.Path)
+		if cleaned != "/" && strings.HasSuffix(request.URL.Path, "/") {
+			cleaned += "/"
+		}
+		if cleaned != request.URL.Path {
+			api.refuse(writer, newArrival(request), mistake{outcome.UnknownPath, "want a path without empty or dot segments"})
+			return
+		}
+		next.ServeHTTP(writer, request)
+	})
 }
 
 // only refuses every other method.
@@ -174,7 +192,7 @@
 
 func (api *API) service(writer http.ResponseWriter, request *http.Request) {
 	arrived, err := api.take(writer, request)
-	name, path, _ := strings.Cut(strings.TrimPrefix(request.URL.Path, ServicesPath), "/")
+	name, target := serviceTarget(request.URL)
 	arrived.Service = name
 	if err == nil && name == "" {
 		err = mistake{outcome.UnknownPath, "want " + ServicesPath + "NAME/..."}
@@ -183,10 +201,6 @@
 		api.refuse(writer, arrived, err)
 		return
 	}
-	target := "/" + path
-	if request.URL.RawQuery != "" {
-		target += "?" + request.URL.RawQuery
-	}
 	ticket := &daemon.Ticket{}
 	ticket.Call.Method = request.Method
 	ticket.Call.Path = target
@@ -195,3 +209,18 @@
 	ticket.Call.Body = arrived.Body
 	api.answer(writer, request, arrived, ticket)
 }
+
+// serviceTarget returns a service's name and what is asked of it: path and
+// query, escaped as the caller wrote them.
+func serviceTarget(of *url.URL) (name, target string) {
+	rawName, rest, _ := strings.Cut(strings.TrimPrefix(of.EscapedPath(), ServicesPath), "/")
+	name, err := url.PathUnescape(rawName)
+	if err != nil {
+		return "", ""
+	}
+	target = "/" + rest
+	if of.RawQuery != "" {
+		target += "?" + of.RawQuery
+	}
+	return name, target
+}
--- a/internal/serve/callers/callers_test.go
+++ b/internal/serve/callers/callers_test.go
@@ -13,23 +13,31 @@
 
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/control/config"
+	"teaselmoor/internal/decide/effect"
+	"teaselmoor/internal/decide/message"
 	"teaselmoor/internal/decide/node"
 	"teaselmoor/internal/decide/outcome"
 	"teaselmoor/internal/serve/callers"
 	"teaselmoor/internal/serve/daemon"
+	"teaselmoor/internal/serve/relay"
 )
 
 const apiKey = "clerk-secret"
 
-// fakeDaemon takes in no request; it keeps the refusals.
+// fakeDaemon keeps the refusals. It takes in no request unless begin is set.
 type fakeDaemon struct {
+	begin    func(arrived node.Arrived, ticket *daemon.Ticket)
 	t        testing.TB
 	snapshot *config.Snapshot
 	refused  []outcome.Record
 	ready    bool
 }
 
-func (fake *fakeDaemon) Begin(arrived node.Arrived, _ *daemon.Ticket) {
+func (fake *fakeDaemon) Begin(arrived node.Arrived, ticket *daemon.Ticket) {
+	if fake.begin != nil {
+		fake.begin(arrived, ticket)
+		return
+	}
 	fake.t.Errorf("request %s reached the decision machines", arrived.RequestID)
 }
 
@@ -71,6 +79,8 @@
 	{name: "unknown path", path: "/v2/completions", status: 404, reason: outcome.UnknownPath},
 	{name: "wrong method", method: http.MethodGet, status: 405, reason: outcome.WrongMethod, detail: "want POST"},
 	{name: "no service named", path: "/services/", status: 404, reason: outcome.UnknownPath, detail: "/services/NAME"},
+	{name: "dot segments", path: "/services/records/../other", status: 404, reason: outcome.UnknownPath, detail: "dot segments"},
+	{name: "empty segment", path: "/v1//completions", status: 404, reason: outcome.UnknownPath, detail: "empty"},
 	{name: "no API key", headers: map[string]string{"Authorization": ""}, status: 401, reason: outcome.Unauthorized},
 	{name: "unknown API key", headers: map[string]string{"Authorization": "Bearer other"}, status: 401, reason: outcome.Unauthorized},
 	{name: "API key without its scheme", headers: map[string]string{"Authorization": apiKey}, status: 401, reason: outcome.Unauthorized, detail: "Bearer"},
@@ -182,3 +192,33 @@
 	fake.ready = true
 	require.Equal(t, http.StatusOK, status(callers.ReadyPath))
 }
+
+// TestServicePathIsPassedOn looks at what a service would be asked for.
+func TestServicePathIsPassedOn(t *testing.T) {
+	cases := []struct{ path, name, target string }{
+		{"/services/records", "records", "/"},
+		{"/services/records/", "records", "/"},
+		{"/services/records/opt-outs?member=1&all", "records", "/opt-outs?member=1&all"},
+		{"/services/records/a%20b%2Fc%3Fd", "records", "/a%20b%2Fc%3Fd"},
+		{"/services/crew%20app/shifts/7/", "crew app", "/shifts/7/"},
+	}
+	for _, each := range cases {
+		t.Run(each.path, func(t *testing.T) {
+			fake := newFake(t)
+			var name, target string
+			fake.begin = func(arrived node.Arrived, ticket *daemon.Ticket) {
+				name, target = arrived.Service, ticket.Call.Path
+				ticket.Inbox = relay.NewInbox(false)
+				ticket.Inbox.PutFinal(effect.Answer{Outcome: outcome.Done(), Stored: &message.StoredAnswer{Status: http.StatusCreated}})
+			}
+			handler := callers.New(fake, callers.DefaultOptions(), slog.New(slog.DiscardHandler))
+			request := httptest.NewRequest(http.MethodPost, each.path, nil)
+			request.Header.Set("Authorization", "Bearer "+apiKey)
+			recorder := httptest.NewRecorder()
+			handler.ServeHTTP(recorder, request)
+			require.Equal(t, http.StatusCreated, recorder.Code, recorder.Body)
+			require.Equal(t, each.name, name)
+			require.Equal(t, each.target, target)
+		})
+	}
+}
