platform: read the VM list only when it has changed

Every daemon reads the list each second. At 1,890 VMs it has about 280 KB, twenty times the budget of control traffic, and nearly all reads bring the list already known. Reads are conditional now; an unchanged answer renews the age of the view without building it anew.

--- a/internal/backend/platform/platform.go
+++ b/internal/backend/platform/platform.go
@@ -109,21 +109,43 @@
 	return client.client.Do(request)
 }
 
-// VMs reads the VM list.
-func (client *Client) VMs(ctx context.Context) (members.List, error) {
+// ListReading is what a read of the VM list brought.
+type ListReading struct {
+	// List is unset when it is still the one that the tag stands for.
+	List    members.List
+	Changed bool
+	// Tag stands for the list in the next read.
+	Tag string
+}
+
+// VMs reads the VM list unless it is still the one that the tag stands for: at
+// the size of a fleet the list is far larger than everything else that a daemon
+// reads in a second. An empty tag reads it in any case.
+func (client *Client) VMs(ctx context.Context, tag string) (ListReading, error) {
 	ctx, cancel := context.WithTimeout(ctx, client.timeout.Duration())
 	defer cancel()
-	response, err := client.fetch(ctx, "http://"+client.vmAddress+VMsPath)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+client.vmAddress+VMsPath, nil)
+	if err != nil {
+		return ListReading{}, errors.Wrap(err, "read VM list")
+	}
+	if tag != "" {
+		request.Header.Set("If-None-Match", tag)
+	}
+	response, err := client.client.Do(request)
 	if err != nil {
-		return members.List{}, errors.Wrap(err, "read VM list")
+		return ListReading{}, errors.Wrap(err, "read VM list")
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return members.List{}, errors.Errorf("read VM list: status %d", response.StatusCode)
+	switch response.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotModified:
+		return ListReading{Tag: tag}, nil
+	default:
+		return ListReading{}, errors.Errorf("read VM list: status %d", response.StatusCode)
 	}
-	var list members.List
-	if err := json.NewDecoder(io.LimitReader(response.Body, MaxValue)).Decode(&list); err != nil {
-		return members.List{}, errors.Wrap(err, "decode VM list")
+	reading := ListReading{Changed: true, Tag: response.Header.Get("ETag")}
+	if err := json.NewDecoder(io.LimitReader(response.Body, MaxValue)).Decode(&reading.List); err != nil {
+		return ListReading{}, errors.Wrap(err, "decode VM list")
 	}
-	return list, nil
+	return reading, nil
 }
--- /dev/null
+++ b/internal/backend/platform/platform_test.go
@@ -0,0 +1,40 @@
+package platform_test
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"teaselmoor/internal/backend/platform"
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/control/members"
+	standin "teaselmoor/internal/standin/platform"
+)
+
+// TestVMListIsReadOnlyWhenItChanged reads the list twice, and again after a change.
+func TestVMListIsReadOnlyWhenItChanged(t *testing.T) {
+	stand := standin.New(0)
+	server := httptest.NewServer(stand)
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	client := platform.New(address, address, clock.Second)
+	stand.SetVMs([]members.VM{{Name: "a", Role: members.EntryRole, State: members.Live}})
+
+	first, err := client.VMs(t.Context(), "")
+	require.NoError(t, err)
+	require.True(t, first.Changed)
+	require.Len(t, first.List.VMs, 1)
+
+	second, err := client.VMs(t.Context(), first.Tag)
+	require.NoError(t, err)
+	require.False(t, second.Changed)
+	require.Equal(t, first.Tag, second.Tag)
+
+	stand.SetVMs([]members.VM{{Name: "a", Role: members.EntryRole, State: members.Leaving}})
+	third, err := client.VMs(t.Context(), second.Tag)
+	require.NoError(t, err)
+	require.True(t, third.Changed)
+	require.Equal(t, members.Leaving, third.List.VMs[0].State)
+}
--- a/internal/control/members/members.go
+++ b/internal/control/members/members.go
@@ -67,6 +67,13 @@
 	return view
 }
 
+// Renewed returns the same list as read again at a later time.
+func (view *View) Renewed(readAt clock.Millis) *View {
+	renewed := *view
+	renewed.ReadAt = readAt
+	return &renewed
+}
+
 func (view *View) noteLeaving(address string) {
 	if view.leaving == nil {
 		view.leaving = map[string]bool{}
--- a/internal/serve/daemon/daemon.go
+++ b/internal/serve/daemon/daemon.go
@@ -57,6 +57,7 @@
 	links   *link.Set
 	jobs    *jobQueue
 	streams *streamTable
+	list    listReader
 
 	mutex sync.Mutex // guards node
 	node  *node.Node
--- a/internal/serve/daemon/watch.go
+++ b/internal/serve/daemon/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"teaselmoor/internal/control/members"
 	"teaselmoor/internal/decide/effect"
@@ -44,14 +45,29 @@
 // list may have changed while the answer was on its way.
 func (daemon *Daemon) readListOnce(ctx context.Context) {
 	askedAt := daemon.options.Now()
-	list, err := daemon.options.Platform.VMs(ctx)
+	daemon.list.mutex.Lock()
+	defer daemon.list.mutex.Unlock()
+	reading, err := daemon.options.Platform.VMs(ctx, daemon.list.tag)
 	if err != nil {
 		daemon.options.Log.Warn("VM list", "Cause", err)
 		return
 	}
-	view := members.NewView(list, askedAt)
-	daemon.connect(view)
-	daemon.enqueue(promptLane, node.VMListRead{View: view})
+	daemon.list.tag = reading.Tag
+	if reading.Changed {
+		daemon.list.view = members.NewView(reading.List, askedAt)
+		daemon.connect(daemon.list.view)
+	} else {
+		daemon.list.view = daemon.list.view.Renewed(askedAt)
+	}
+	daemon.enqueue(promptLane, node.VMListRead{View: daemon.list.view})
+}
+
+// listReader is the last reading of the VM list. Its mutex is held during a
+// read, so that two reads never overtake each other; nothing else waits for it.
+type listReader struct {
+	mutex sync.Mutex // guards tag, view
+	tag   string
+	view  *members.View
 }
 
 // connect makes the listed daemons of the own region this daemon's peers.
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -111,7 +111,7 @@
 	case request.Method != http.MethodGet:
 		http.Error(writer, "only reads", http.StatusMethodNotAllowed)
 	case request.URL.Path == platform.VMsPath:
-		stand.serveList(writer)
+		stand.serveList(writer, request)
 	case strings.HasPrefix(request.URL.Path, platform.ValuesPath):
 		stand.calls.Add(1)
 		stand.serveValue(writer, request)
@@ -127,7 +127,7 @@
 	stand.listDown = down
 }
 
-func (stand *Platform) serveList(writer http.ResponseWriter) {
+func (stand *Platform) serveList(writer http.ResponseWriter, request *http.Request) {
 	stand.mutex.Lock()
 	down := stand.listDown
 	stand.mutex.Unlock()
@@ -135,8 +135,15 @@
 		http.Error(writer, "down", http.StatusServiceUnavailable)
 		return
 	}
+	list := stand.visibleList()
+	tag := strconv.Quote(strconv.FormatUint(list.Version, 10))
+	writer.Header().Set("ETag", tag)
+	if request.Header.Get("If-None-Match") == tag {
+		writer.WriteHeader(http.StatusNotModified)
+		return
+	}
 	writer.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(writer).Encode(stand.visibleList())
+	_ = json.NewEncoder(writer).Encode(list)
 }
 
 func (stand *Platform) visibleList() members.List {
