--- a/internal/serve/daemon/daemon.go
+++ b/internal/serve/daemon/daemon.go
@@ -4,7 +4,7 @@
 // Events go through a pool of workers, urgent ones first. Each worker holds the
 // node's lock for one step and carries out the effects after letting it go.
 // Lock order: node, then streams, then the locks of a single inbox, window or
-// connection. No lock is held during I/O.
+// connection. No lock but that of the VM list reader is held during I/O.
 package daemon
 
 import (
