--- a/internal/base/settings/fields.go
+++ b/internal/base/settings/fields.go
@@ -29,6 +29,7 @@
 	Platform  Platform  `yaml:"Platform"`
 	Rollout   Rollout   `yaml:"Rollout"`
 	Peers     Peers     `yaml:"Peers"`
+	Ownership Ownership `yaml:"Ownership"`
 	Engines   Engines   `yaml:"Engines"`
 	Services  Services  `yaml:"Services"`
 	Queue     Queue     `yaml:"Queue"`
@@ -122,6 +123,31 @@
 	RedialMillis clock.Millis `yaml:"RedialMillis" min:"10" max:"60000"`
 }
 
+// Ownership is about which daemon gives orders to an engine. ListLagMillis,
+// ClockMarginMillis, OrderSpanMillis and ReportLagMillis are assumptions about
+// the platform: of engines that ignore fencing numbers, exclusive ownership holds
+// only while they do.
+type Ownership struct {
+	// Age of the VM list up to which an owner gives orders, in milliseconds.
+	ViewAgeMillis clock.Millis `yaml:"ViewAgeMillis" min:"100" max:"600000"`
+	// Longest span by which the VM list lags behind the truth, in milliseconds.
+	ListLagMillis clock.Millis `yaml:"ListLagMillis" min:"0" max:"600000"`
+	// Largest difference between the clocks of two VMs, in milliseconds.
+	ClockMarginMillis clock.Millis `yaml:"ClockMarginMillis" min:"0" max:"600000"`
+	// Age up to which a handover replaces the waiting period, in milliseconds.
+	HandoverSpanMillis clock.Millis `yaml:"HandoverSpanMillis" min:"10" max:"60000"`
+	// Longest span from the decision to give an order to its arrival at the
+	// engine, in milliseconds.
+	OrderSpanMillis clock.Millis `yaml:"OrderSpanMillis" min:"10" max:"60000"`
+	// Longest span by which an engine's report is older than it says, in milliseconds.
+	ReportLagMillis clock.Millis `yaml:"ReportLagMillis" min:"0" max:"60000"`
+	// Silence after which a daemon is passed over for engines that check fencing
+	// numbers, in milliseconds.
+	SuspicionMillis clock.Millis `yaml:"SuspicionMillis" min:"100" max:"600000"`
+	// Gap between two steps that counts as a pause of the process, in milliseconds.
+	PauseMillis clock.Millis `yaml:"PauseMillis" min:"100" max:"60000"`
+}
+
 // Engines is about calls to model engines.
 type Engines struct {
 	// Longest wait for a connection, in milliseconds.
@@ -217,6 +243,11 @@
 		Peers: Peers{
 			PingMillis: clock.Second, SilenceMillis: 3 * clock.Second, RedialMillis: 250 * clock.Millisecond,
 		},
+		Ownership: Ownership{
+			ViewAgeMillis: 2 * clock.Second, ListLagMillis: clock.Second, ClockMarginMillis: 250 * clock.Millisecond,
+			HandoverSpanMillis: 250 * clock.Millisecond, OrderSpanMillis: 250 * clock.Millisecond,
+			ReportLagMillis: 500 * clock.Millisecond, SuspicionMillis: 2 * clock.Second, PauseMillis: 500 * clock.Millisecond,
+		},
 		Engines: Engines{
 			DialTimeoutMillis: 2 * clock.Second, HeadTimeoutMillis: 2 * clock.Minute, MaxIdleConnections: 64,
 			ReportIntervalMillis: clock.Second, StateIntervalMillis: 250 * clock.Millisecond,
--- a/internal/base/settings/settings.go
+++ b/internal/base/settings/settings.go
@@ -57,6 +57,12 @@
 	if settings.Peers.SilenceMillis <= settings.Peers.PingMillis {
 		check.add("Peers.SilenceMillis", "must be above PingMillis")
 	}
+	if settings.Runtime.TickIntervalMillis >= settings.Ownership.PauseMillis {
+		check.add("Ownership.PauseMillis", "must be above Runtime.TickIntervalMillis")
+	}
+	if settings.Platform.ListIntervalMillis >= settings.Ownership.ViewAgeMillis {
+		check.add("Ownership.ViewAgeMillis", "must be above Platform.ListIntervalMillis")
+	}
 	return check.mistakes
 }
 
--- a/internal/decide/node/status.go
+++ b/internal/decide/node/status.go
@@ -3,6 +3,7 @@
 import (
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/base/ident"
+	"teaselmoor/internal/control/members"
 	"teaselmoor/internal/decide/message"
 )
 
@@ -18,8 +19,26 @@
 	Draining  bool
 	Requests  int
 	Keys      int
-	Owned     []message.EngineState
-	Known     []EngineKnowledge
+	// Members are the daemons of the region, as listed and as heard of.
+	Members []Member
+	Owned   []message.EngineState
+	Known   []EngineKnowledge
+}
+
+// Member is what a daemon knows of another of its region.
+type Member struct {
+	Daemon     ident.DaemonID
+	DataCentre string
+	// Listed is its state in the VM list.
+	Listed members.State
+	// Heard tells whether anything has come from it; Age is the span since.
+	Heard bool
+	Age   clock.Millis
+	// ConfigVersion is the configuration that it said to be in force.
+	ConfigVersion uint64
+	// Leaving says that it told of its shutdown; Lost, that its connection broke.
+	Leaving bool
+	Lost    bool
 }
 
 // EngineKnowledge is what a daemon knows of one engine, and how old that is.
@@ -40,6 +59,7 @@
 	if node.vms != nil {
 		status.VMListVersion = node.vms.List.Version
 		status.VMListAge = now - node.vms.ReadAt
+		status.Members = node.membersAt(now)
 	}
 	for _, name := range node.ownedInOrder() {
 		status.Owned = append(status.Owned, node.owning.owned[name].owner.State(now))
@@ -50,6 +70,24 @@
 	return status
 }
 
+// membersAt describes the listed daemons of the region, in the list's order.
+func (node *Node) membersAt(now clock.Millis) []Member {
+	var listed []Member
+	for i := range node.vms.List.VMs {
+		vm := &node.vms.List.VMs[i]
+		if vm.Role != members.EntryRole || vm.Region != node.options.Region || vm.Name == string(node.options.Self) {
+			continue
+		}
+		member := Member{Daemon: ident.DaemonID(vm.Name), DataCentre: vm.DataCentre, Listed: vm.State}
+		if peer, known := node.peers.Peer(member.Daemon); known && peer.HeardAt > 0 {
+			member.Heard, member.Age = true, now-peer.HeardAt
+			member.ConfigVersion, member.Leaving, member.Lost = peer.ConfigVersion, peer.Leaving, peer.Lost
+		}
+		listed = append(listed, member)
+	}
+	return listed
+}
+
 // Ready reports whether the daemon can serve callers.
 func (node *Node) Ready() bool {
 	return node.rollout.Ready() && node.config != nil && node.vms != nil && !node.draining && (node.informed || node.informedNow())
--- a/internal/serve/command/status.go
+++ b/internal/serve/command/status.go
@@ -53,10 +53,31 @@
 	}
 	writeLine(invocation, "%d requests in progress, %d idempotency keys, %d peers connected: %s",
 		status.Requests, status.Keys, len(peers), orNone(strings.Join(peers, " ")))
+	printMembers(invocation, status)
 	printOwned(invocation, status)
 	printKnown(invocation, status)
 }
 
+func printMembers(invocation *cli.Context, status daemon.Status) {
+	writeLine(invocation, "\nother daemons of the region:")
+	table := newTable(invocation)
+	table.row("DAEMON", "DATA CENTRE", "LISTED", "CONFIGURATION", "LAST HEARD", "STATE")
+	for _, member := range status.Members {
+		heard, state := "never", "silent so far"
+		if member.Heard {
+			heard, state = age(member.Age)+" ago", "heard"
+		}
+		switch {
+		case member.Leaving:
+			state = "leaving"
+		case member.Lost:
+			state = "connection lost"
+		}
+		table.row(member.Daemon, member.DataCentre, member.Listed, member.ConfigVersion, heard, state)
+	}
+	table.flush()
+}
+
 func printOwned(invocation *cli.Context, status daemon.Status) {
 	writeLine(invocation, "\nowned engines:")
 	table := newTable(invocation)
--- a/internal/serve/metrics/observe.go
+++ b/internal/serve/metrics/observe.go
@@ -13,8 +13,12 @@
 	"teaselmoor/internal/decide/outcome"
 )
 
-// maxLoadEnds bounds the loads remembered for the measure of load stalls.
-const maxLoadEnds = 16384
+// Bounds of what is remembered for the measure of load stalls. A map that
+// reaches its bound is emptied: some stalls then go uncounted.
+const (
+	maxLoadEnds = 16384
+	maxWaiting  = 65536
+)
 
 // Observer derives the counters from a node's events and effects. Safe for
 // concurrent use.
@@ -118,6 +122,9 @@
 func (observer *Observer) received(now clock.Millis, received message.Message) {
 	switch received := received.(type) {
 	case message.Submit:
+		if len(observer.waiting) >= maxWaiting {
+			clear(observer.waiting)
+		}
 		observer.waiting[received.Stream] = now
 	case message.ConfigOffer:
 		if received.Contact {
@@ -158,9 +165,7 @@
 		delete(observer.loadEnds, loadKey{next.Engine, next.Adapter})
 	case effect.Send:
 		observer.metrics.counter(messages, label{"direction", "sent"}, laneLabel(next.Message.Lane())).Inc(1)
-		if ended, isEnd := next.Message.(message.Ended); isEnd {
-			delete(observer.waiting, ended.Stream)
-		}
+		observer.sent(next.Message)
 	case effect.Audit:
 		observer.metrics.counter(changes, label{"kind", string(next.Kind)}).Inc(1)
 		if next.Kind == effect.ConfigAccepted {
@@ -169,6 +174,17 @@
 	}
 }
 
+// sent forgets requests that wait at this owner no longer: ended ones, and those
+// passed on to another owner.
+func (observer *Observer) sent(next message.Message) {
+	switch sent := next.(type) {
+	case message.Ended:
+		delete(observer.waiting, sent.Stream)
+	case message.Submit:
+		delete(observer.waiting, sent.Stream)
+	}
+}
+
 func (observer *Observer) answer(now clock.Millis, ended effect.Answer) {
 	passed := observer.inFlight[ended.Stream]
 	delete(observer.inFlight, ended.Stream)
--- a/internal/serve/program/options.go
+++ b/internal/serve/program/options.go
@@ -12,6 +12,7 @@
 	"teaselmoor/internal/control/audit"
 	"teaselmoor/internal/control/config"
 	"teaselmoor/internal/decide/node"
+	"teaselmoor/internal/decide/ownership"
 	"teaselmoor/internal/decide/rollout"
 	"teaselmoor/internal/inner/link"
 	"teaselmoor/internal/serve/callers"
@@ -60,9 +61,18 @@
 	}
 }
 
+func ownershipOptions(settings settings.Ownership) ownership.Options {
+	return ownership.Options{
+		ViewAge: settings.ViewAgeMillis, ListLag: settings.ListLagMillis, ClockMargin: settings.ClockMarginMillis,
+		HandoverSpan: settings.HandoverSpanMillis, OrderSpan: settings.OrderSpanMillis,
+		ReportLag: settings.ReportLagMillis, Suspicion: settings.SuspicionMillis, Pause: settings.PauseMillis,
+	}
+}
+
 func nodeOptions(settings settings.Settings) node.Options {
 	options := node.DefaultOptions()
 	options.Rollout = rolloutOptions(settings.Rollout)
+	options.Ownership = ownershipOptions(settings.Ownership)
 	options.Self = ident.DaemonID(settings.Name)
 	options.DataCentre = settings.DataCentre
 	options.Region = settings.Region
