--- a/internal/serve/explain/explain.go
+++ b/internal/serve/explain/explain.go
@@ -75,9 +75,19 @@
 	return text
 }
 
+// aboutKey are the reasons for which an earlier attempt under the same
+// idempotency key may have run: "not run" is then said of this attempt only.
+var aboutKey = map[outcome.Reason]bool{
+	outcome.KeyConflict: true, outcome.KeyInProgress: true, outcome.KeyNotVouched: true, outcome.HomeUnreachable: true,
+}
+
 func ran(record outcome.Record) string {
 	switch record.Outcome.Kind {
 	case outcome.NotRun:
+		if aboutKey[record.Outcome.Reason] {
+			return "This attempt was not run, and nothing was changed by it. An earlier attempt under the same " +
+				"idempotency key may have run; this answer does not say."
+		}
 		return "The request was not run anywhere, and nothing was changed by it."
 	case outcome.Unknown:
 		return "It is not known whether the request ran. The system has not repeated it and will not do so."
@@ -93,6 +103,8 @@
 		return "Before the request is sent again, its effect should be looked up where it would be registered."
 	case record.Outcome.Kind == outcome.Unknown:
 		return "The request may be sent again; running it twice does no harm."
+	case record.Outcome.Reason == outcome.KeyNotVouched:
+		return "Before the request is sent under a new key, it should be looked up whether an earlier attempt took effect."
 	case record.Outcome.Kind == outcome.NotRun:
 		return "Sending the same request again is not expected to help until the reason is removed."
 	}
--- a/internal/serve/explain/explain_test.go
+++ b/internal/serve/explain/explain_test.go
@@ -95,3 +95,14 @@
 		require.Error(t, err, bad)
 	}
 }
+
+// TestKeyReasonsSpeakOfThisAttempt holds the sentences against what a home can
+// know: an earlier attempt may have run.
+func TestKeyReasonsSpeakOfThisAttempt(t *testing.T) {
+	for _, reason := range []outcome.Reason{outcome.KeyConflict, outcome.KeyInProgress, outcome.KeyNotVouched, outcome.HomeUnreachable} {
+		record := outcome.Record{Request: "r", Outcome: outcome.Refused(reason, 0)}
+		text := explain.Render(record, explain.Member)
+		require.NotContains(t, text, "not run anywhere", reason)
+		require.Contains(t, text, "An earlier attempt under the same idempotency key may have run", reason)
+	}
+}
