integration: daemons as real processes behind a fault proxy

Daemons run as processes; the stand-ins run in the test, so that their ledgers judge what callers were told. A proxy stands between each two daemons and before each engine, and every daemon reads a VM list of its own, so that lists of different age and one-way losses can be brought about. First proofs: owner killed, owner frozen and woken, entry killed, entry restarted.

Seen while writing: a request whose idempotency home is not connected is held back for its whole deadline (30 s) before it is refused.

--- /dev/null
+++ b/internal/integration/daemons/killed_test.go
@@ -0,0 +1,118 @@
+package daemons_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"teaselmoor/internal/decide/outcome"
+	"teaselmoor/internal/integration/harness"
+)
+
+// beginLong begins a streamed answer at an entry and reads its first tokens.
+func beginLong(t *testing.T, entry *harness.Daemon, call harness.Call) *harness.Open {
+	t.Helper()
+	open, told := entry.Begin(call)
+	require.NotNil(t, open, "told %+v", told)
+	readSome(open)
+	return open
+}
+
+// waitVouched waits until a key that is issued now is vouched for.
+func waitVouched(running *harness.Site, entry *harness.Daemon, model string) {
+	running.WaitFor("keys vouched for", func() bool {
+		call := harness.NewCall(model, 1).Keyed()
+		told := entry.Do(call)
+		running.Judge(call, told)
+		return told.Kind == outcome.Answered
+	})
+}
+
+// TestOwnerKilled kills the owner of an engine in the middle of an answer. The
+// caller is told the truth, and a run that must not be repeated runs once.
+func TestOwnerKilled(t *testing.T) {
+	for _, task := range []string{"review", "quote"} {
+		t.Run(task, func(t *testing.T) {
+			running := harness.New(t, oneEngine())
+			owner, entry := ownerAndEntry(running)
+			model := running.Adapter(task)
+			waitVouched(running, running.Daemons[entry], model)
+			call := harness.NewCall(model, longTokens).Streamed().Keyed()
+			open := beginLong(t, running.Daemons[entry], call)
+			running.Daemons[owner].Kill()
+			running.SetVMs(running.Without(owner))
+			told := open.Finish()
+			require.NotEmpty(t, told.Kind, "the caller is told something")
+			running.Judge(call, told)
+			running.JudgeEngines()
+		})
+	}
+}
+
+// TestEntryKilled kills the entry in the middle of an answer. The run ends at
+// the engine, and the owner serves on.
+func TestEntryKilled(t *testing.T) {
+	running := harness.New(t, oneEngine())
+	owner, entry := ownerAndEntry(running)
+	model := running.Adapter("review")
+	call := harness.NewCall(model, 100*longTokens).Streamed()
+	open := beginLong(t, running.Daemons[entry], call)
+	running.Daemons[entry].Kill()
+	told := open.Finish()
+	require.Empty(t, told.Kind)
+	running.Judge(call, told)
+	running.WaitFor("the run to be cancelled", func() bool {
+		ran := running.Ran(call)
+		return len(ran) == 1 && ran[0].Ended != ""
+	})
+	next := harness.NewCall(model, 3)
+	told = running.Daemons[owner].Do(next)
+	require.Equal(t, outcome.Answered, told.Kind)
+	running.Judge(next, told)
+	running.JudgeEngines()
+}
+
+// TestEntryRestarted kills and restarts the entry: stream ids of its former
+// life must not be taken for those of the new one.
+func TestEntryRestarted(t *testing.T) {
+	running := harness.New(t, oneEngine())
+	_, entry := ownerAndEntry(running)
+	daemon := running.Daemons[entry]
+	former := harness.NewCall(running.Adapter("review"), longTokens).Streamed()
+	open := beginLong(t, daemon, former)
+	daemon.Kill()
+	running.Judge(former, open.Finish())
+	daemon.Start()
+	daemon.WaitReady()
+	call := harness.NewCall(running.Adapter("draft"), longTokens).Streamed()
+	told := daemon.Do(call)
+	require.Equal(t, outcome.Answered, told.Kind, "%+v", told)
+	running.Judge(call, told)
+}
+
+// TestOwnerFrozen freezes the owner in the middle of an answer and wakes it
+// after the entry has given up on it.
+func TestOwnerFrozen(t *testing.T) {
+	for _, task := range []string{"review", "quote"} {
+		t.Run(task, func(t *testing.T) {
+			running := harness.New(t, oneEngine())
+			owner, entry := ownerAndEntry(running)
+			model := running.Adapter(task)
+			waitVouched(running, running.Daemons[entry], model)
+			call := harness.NewCall(model, longTokens).Streamed().Keyed()
+			open := beginLong(t, running.Daemons[entry], call)
+			running.Daemons[owner].Freeze()
+			told := open.Finish()
+			require.NotEmpty(t, told.Kind, "a frozen peer is noticed")
+			running.Daemons[owner].Wake()
+			running.Judge(call, told)
+			running.WaitFor("service again", func() bool {
+				next := harness.NewCall(model, 3).Keyed()
+				told := running.Daemons[entry].Do(next)
+				running.Judge(next, told)
+				return told.Kind == outcome.Answered
+			})
+			running.JudgeEngines()
+		})
+	}
+}
--- /dev/null
+++ b/internal/integration/harness/norace.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package harness
+
+const raceEnabled = false
