--- a/internal/decide/owner/owner.go
+++ b/internal/decide/owner/owner.go
@@ -69,8 +69,10 @@
 	frequency   frequency
 	running     int
 	version     uint64
-	reportedAt  clock.Millis
-	effects     []effect.Effect
+	// reportedAt is when the engine took the report last heard of.
+	reportedAt clock.Millis
+	takeover   takeover
+	effects    []effect.Effect
 }
 
 // New returns the owner of an engine whose state is not known yet: nothing is
@@ -133,6 +135,8 @@
 		LoadsWaiting: len(owner.backlog.wants),
 		ReportAge:    now - owner.reportedAt,
 		Quarantined:  owner.quarantined,
+		Leaving:      owner.draining,
+		Boot:         owner.boot,
 	}
 	for i := range owner.slots {
 		if owner.slots[i].serves() {
@@ -144,7 +148,7 @@
 
 // usable reports whether the engine may be given work now.
 func (owner *Owner) usable() bool {
-	return owner.reportedAt != 0 && !owner.quarantined
+	return owner.reportedAt != 0 && !owner.quarantined && !owner.takeover.suspended
 }
 
 // advance does, in this order, what time and room allow: expire, dispatch, ask
--- a/internal/decide/placement/policy.go
+++ b/internal/decide/placement/policy.go
@@ -30,7 +30,7 @@
 // From an age of silence on, an engine's state is not relied on.
 func judge(now clock.Millis, engine *config.Engine, view *View, tried []ident.EngineID, silence clock.Millis) outcome.Verdict {
 	switch {
-	case engine.Leaving:
+	case engine.Leaving || view != nil && view.State.Leaving:
 		return outcome.EngineAway
 	case view == nil:
 		return outcome.OwnerUnknown
