node: a daemon that missed a higher claim is told of it

A daemon that was paused while another claimed its engine woke as owner under the old number. Others dropped its word, nobody else claimed, and requests were refused as NotOwner until it restarted. Found by a drawn history that ends with a request at every daemon; that check stays.

--- a/internal/decide/message/membership.go
+++ b/internal/decide/message/membership.go
@@ -67,6 +67,16 @@
 	From ident.DaemonID
 }
 
+// Outbid tells a daemon that claims an engine of a claim with a higher number,
+// which it may have missed.
+type Outbid struct {
+	_           struct{} `cbor:",toarray"`
+	Engine      ident.EngineID
+	Owner       ident.DaemonID
+	Incarnation ident.Incarnation
+	Fence       ident.Fence
+}
+
 // HandoverAsk asks an owner to pass an engine on: the sender has read a list
 // that makes it the first candidate.
 type HandoverAsk struct {
@@ -104,5 +114,6 @@
 func (update Update) Lane() Lane     { return ControlLane }
 func (ask UpdateAsk) Lane() Lane     { return ControlLane }
 func (ask HandoverAsk) Lane() Lane   { return ControlLane }
+func (outbid Outbid) Lane() Lane     { return ControlLane }
 func (moved Moved) Lane() Lane       { return LaneOf(moved.Class) }
 func (handover Handover) Lane() Lane { return ControlLane }
--- a/internal/decide/node/handover.go
+++ b/internal/decide/node/handover.go
@@ -96,10 +96,11 @@
 
 // handedOver takes in a handover. An owner only takes note of the runs.
 func (node *Node) handedOver(from ident.DaemonID, handover message.Handover) {
-	if held, known := node.owning.owned[handover.Engine]; known {
+	if held, known := node.owning.owned[handover.Engine]; known && held.owner.Fence > handover.Fence {
 		held.owner.TakeOver(0, handover.Runs)
 		return
 	}
+	node.outbidHeard(message.Outbid{Engine: handover.Engine, Owner: from, Fence: handover.Fence})
 	claim, known := node.owning.claims[handover.Engine]
 	if known && (claim.Fence > handover.Fence || claim.Owner != from && claim.Fence == handover.Fence) {
 		return
@@ -113,6 +114,18 @@
 	}
 }
 
+// outbidHeard takes in word of a claim with a higher number. An owner that has
+// missed it, because it was paused or cut off, gives its engine up.
+func (node *Node) outbidHeard(outbid message.Outbid) {
+	if outbid.Fence <= node.owning.claims[outbid.Engine].Fence {
+		return
+	}
+	node.owning.claims[outbid.Engine] = ownership.Heard{
+		Owner: outbid.Owner, Incarnation: outbid.Incarnation, Fence: outbid.Fence,
+	}
+	node.outbid(outbid.Engine, "a higher claim was heard of")
+}
+
 // freshHandover returns a handover that is young enough to replace the hold-down.
 func (node *Node) freshHandover(name ident.EngineID) (message.Handover, bool) {
 	handover, known := node.owning.handed[name]
--- a/internal/decide/node/membership.go
+++ b/internal/decide/node/membership.go
@@ -299,6 +299,9 @@
 func (node *Node) engineNewsReceived(update message.Update, news message.EngineNews) {
 	claim, known := node.owning.claims[news.Engine]
 	if known && news.Fence < claim.Fence {
+		node.send(update.From, message.Outbid{
+			Engine: news.Engine, Owner: claim.Owner, Incarnation: claim.Incarnation, Fence: claim.Fence,
+		})
 		return
 	}
 	if known && claim.Owner != update.From {
--- a/internal/decide/node/node.go
+++ b/internal/decide/node/node.go
@@ -225,6 +225,8 @@
 		node.updateAsked(received)
 	case message.HandoverAsk:
 		node.handoverAsked(from, received)
+	case message.Outbid:
+		node.outbidHeard(received)
 	case message.Moved:
 		node.moved(received)
 	case message.Handover:
--- a/internal/decide/node/ownership_test.go
+++ b/internal/decide/node/ownership_test.go
@@ -15,6 +15,7 @@
 	"teaselmoor/internal/decide/effect"
 	"teaselmoor/internal/decide/node"
 	"teaselmoor/internal/decide/nodetest"
+	"teaselmoor/internal/decide/outcome"
 )
 
 // historiesVariable sets how many histories each proof draws, and frees their
@@ -223,12 +224,34 @@
 		steps[step]()
 		history.network.Run(history.span(longestStep))
 	}
-	history.network.Run(longestPause)
+	history.recover()
 	for _, engine := range history.engines {
 		require.Empty(history.t, history.network.Engines[engine].Violations)
 	}
 }
 
+// recover ends every fault and requires that each daemon serves again.
+func (history *history) recover() {
+	network := history.network
+	clear(network.ListDown)
+	clear(network.ListLag)
+	vms := network.VMs()
+	for i := range vms {
+		vms[i].State = members.Live
+	}
+	network.SetVMs(vms)
+	network.Run(3 * longestPause)
+	for i, name := range network.HostNames() {
+		request := fmt.Sprintf("last %d", i)
+		network.Arrive(name, node.Arrived{
+			RequestID: request, APIKey: callerKey, Path: "/v1/completions", Model: "review-0@1",
+		})
+		answered := network.RunUntil(longestPause+10*clock.Second, func() bool { return len(network.Answers[request]) > 0 })
+		require.True(history.t, answered, "daemon %s answers nothing", name)
+		require.Equal(history.t, outcome.Complete, network.Answers[request][0].Outcome.Reason, "daemon %s", name)
+	}
+}
+
 // tally adds up what the histories of one proof went through.
 type tally struct{ faults map[string]int }
 
--- a/internal/inner/link/frame.go
+++ b/internal/inner/link/frame.go
@@ -68,6 +68,7 @@
 	reflect.TypeFor[message.HandoverAsk](),
 	reflect.TypeFor[message.Handover](),
 	reflect.TypeFor[message.Moved](),
+	reflect.TypeFor[message.Outbid](),
 }
 
 var messageKinds = func() map[reflect.Type]frameKind {
