--- a/internal/backend/engine/http.go
+++ b/internal/backend/engine/http.go
@@ -39,8 +39,8 @@
 	RunsPath   = "/runs/"
 )
 
-// maxAnswer bounds an answer that is not streamed.
-const maxAnswer = 32 << 20
+// maxState bounds a state report and the answer to an order, in bytes.
+const maxState = 32 << 20
 
 // AdapterOrder is the body of a load or unload order.
 type AdapterOrder struct {
@@ -76,22 +76,25 @@
 	HeadTimeout clock.Millis
 	// MaxIdle is the number of idle connections kept per engine.
 	MaxIdle int
+	// MaxAnswer bounds an answer that is not streamed, in bytes.
+	MaxAnswer int64
 }
 
 // DefaultOptions returns the limits used when settings name none.
 func DefaultOptions() Options {
-	return Options{DialTimeout: 2 * clock.Second, HeadTimeout: 2 * clock.Minute, MaxIdle: 64}
+	return Options{DialTimeout: 2 * clock.Second, HeadTimeout: 2 * clock.Minute, MaxIdle: 64, MaxAnswer: 32 << 20}
 }
 
 // HTTP is the client for engines with an OpenAI-compatible API.
 type HTTP struct {
-	client *http.Client
+	client    *http.Client
+	maxAnswer int64 // bytes
 }
 
 // New returns a client.
 func New(options Options) *HTTP {
 	dialer := &net.Dialer{Timeout: options.DialTimeout.Duration()}
-	return &HTTP{client: &http.Client{Transport: &http.Transport{
+	return &HTTP{maxAnswer: options.MaxAnswer, client: &http.Client{Transport: &http.Transport{
 		DialContext:           dialer.DialContext,
 		ResponseHeaderTimeout: options.HeadTimeout.Duration(),
 		MaxIdleConnsPerHost:   options.MaxIdle,
@@ -120,7 +123,7 @@
 	if err := sink.Head(response.StatusCode, response.Header.Get("Content-Type")); err != nil {
 		return owner.ResultLost
 	}
-	relay := relay{start: start, sink: sink, index: start.Received}
+	relay := relay{start: start, sink: sink, index: start.Received, maxAnswer: client.maxAnswer}
 	if isStream(response) {
 		return relay.stream(ctx, response.Body)
 	}
@@ -225,7 +228,7 @@
 }
 
 func closeBody(response *http.Response) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxAnswer))
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxState))
 	_ = response.Body.Close()
 }
 
@@ -244,7 +247,7 @@
 		return owner.Report{}, errors.Errorf("read engine state: status %d", response.StatusCode)
 	}
 	var state StateReport
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswer)).Decode(&state); err != nil {
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxState)).Decode(&state); err != nil {
 		return owner.Report{}, errors.Wrap(err, "decode engine state")
 	}
 	return state.report()
--- a/internal/backend/engine/relay.go
+++ b/internal/backend/engine/relay.go
@@ -26,6 +26,8 @@
 	start effect.StartRun
 	sink  Sink
 	index uint64
+	// maxAnswer bounds an answer that is not streamed, in bytes.
+	maxAnswer int64
 }
 
 // chunkIdentity is the part of a chunk that says what produced it.
@@ -69,11 +71,11 @@
 
 // whole relays an answer that is not streamed, as one chunk.
 func (relay *relay) whole(ctx context.Context, response *http.Response) owner.Result {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
+	body, err := io.ReadAll(io.LimitReader(response.Body, relay.maxAnswer+1))
 	if err != nil {
 		return owner.ResultLost
 	}
-	if len(body) > maxAnswer || response.ContentLength < 0 && !json.Valid(body) {
+	if int64(len(body)) > relay.maxAnswer || response.ContentLength < 0 && !json.Valid(body) {
 		return owner.ResultTruncated
 	}
 	if response.StatusCode == http.StatusOK && !relay.matches(body) {
--- a/internal/backend/service/service.go
+++ b/internal/backend/service/service.go
@@ -18,20 +18,19 @@
 	"teaselmoor/internal/decide/outcome"
 )
 
-// maxAnswer bounds a service's answer.
-const maxAnswer = 8 << 20
-
 // Options bound the client's connections and waits.
 type Options struct {
 	DialTimeout clock.Millis
 	// Timeout is the longest wait for a whole answer.
 	Timeout clock.Millis
 	MaxIdle int
+	// MaxAnswer bounds an answer, in bytes.
+	MaxAnswer int64
 }
 
 // DefaultOptions returns the limits used when settings name none.
 func DefaultOptions() Options {
-	return Options{DialTimeout: 2 * clock.Second, Timeout: 30 * clock.Second, MaxIdle: 64}
+	return Options{DialTimeout: 2 * clock.Second, Timeout: 30 * clock.Second, MaxIdle: 64, MaxAnswer: 8 << 20}
 }
 
 // Call is one request to a service.
@@ -46,13 +45,14 @@
 
 // Client calls services.
 type Client struct {
-	client *http.Client
+	client    *http.Client
+	maxAnswer int64 // bytes
 }
 
 // New returns a client.
 func New(options Options) *Client {
 	dialer := &net.Dialer{Timeout: options.DialTimeout.Duration()}
-	return &Client{client: &http.Client{
+	return &Client{maxAnswer: options.MaxAnswer, client: &http.Client{
 		Timeout: options.Timeout.Duration(),
 		Transport: &http.Transport{
 			DialContext:         dialer.DialContext,
@@ -104,12 +104,12 @@
 		return nil, errors.Wrap(err, "call service")
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
+	body, err := io.ReadAll(io.LimitReader(response.Body, client.maxAnswer+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "read service answer")
 	}
-	if len(body) > maxAnswer {
-		return nil, errors.Errorf("service answer exceeds %d bytes", maxAnswer)
+	if int64(len(body)) > client.maxAnswer {
+		return nil, errors.Errorf("service answer exceeds %d bytes", client.maxAnswer)
 	}
 	return &message.StoredAnswer{
 		Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body,
--- a/internal/base/settings/fields.go
+++ b/internal/base/settings/fields.go
@@ -156,6 +156,8 @@
 	HeadTimeoutMillis clock.Millis `yaml:"HeadTimeoutMillis" min:"100" max:"3600000"`
 	// Idle connections kept to each engine.
 	MaxIdleConnections int `yaml:"MaxIdleConnections" min:"0" max:"10000"`
+	// Largest answer that is not streamed, in bytes; a larger one counts as truncated.
+	MaxAnswerBytes int64 `yaml:"MaxAnswerBytes" min:"1024" max:"67108864"`
 	// Span between two reads of an engine's report, in milliseconds.
 	ReportIntervalMillis clock.Millis `yaml:"ReportIntervalMillis" min:"10" max:"60000"`
 	// Span between two words to other daemons on an owned engine, in milliseconds.
@@ -170,6 +172,8 @@
 	TimeoutMillis clock.Millis `yaml:"TimeoutMillis" min:"100" max:"3600000"`
 	// Idle connections kept to each address.
 	MaxIdleConnections int `yaml:"MaxIdleConnections" min:"0" max:"10000"`
+	// Largest answer, in bytes; a larger one counts as lost.
+	MaxAnswerBytes int64 `yaml:"MaxAnswerBytes" min:"1024" max:"67108864"`
 }
 
 // Queue is about requests that wait for an engine, at its owner.
@@ -249,11 +253,11 @@
 			ReportLagMillis: 500 * clock.Millisecond, SuspicionMillis: 2 * clock.Second, PauseMillis: 500 * clock.Millisecond,
 		},
 		Engines: Engines{
-			DialTimeoutMillis: 2 * clock.Second, HeadTimeoutMillis: 2 * clock.Minute, MaxIdleConnections: 64,
+			DialTimeoutMillis: 2 * clock.Second, HeadTimeoutMillis: 2 * clock.Minute, MaxIdleConnections: 64, MaxAnswerBytes: 32 << 20,
 			ReportIntervalMillis: clock.Second, StateIntervalMillis: 250 * clock.Millisecond,
 		},
 		Services: Services{
-			DialTimeoutMillis: 2 * clock.Second, TimeoutMillis: 30 * clock.Second, MaxIdleConnections: 64,
+			DialTimeoutMillis: 2 * clock.Second, TimeoutMillis: 30 * clock.Second, MaxIdleConnections: 64, MaxAnswerBytes: 8 << 20,
 		},
 		Queue: Queue{
 			UrgentLength: 256, RoutineLength: 1024, UrgentReserveRuns: 1,
--- a/internal/serve/program/options.go
+++ b/internal/serve/program/options.go
@@ -34,11 +34,11 @@
 		Node: nodeOptions(settings),
 		Engines: engine.Options{
 			DialTimeout: settings.Engines.DialTimeoutMillis, HeadTimeout: settings.Engines.HeadTimeoutMillis,
-			MaxIdle: settings.Engines.MaxIdleConnections,
+			MaxIdle: settings.Engines.MaxIdleConnections, MaxAnswer: settings.Engines.MaxAnswerBytes,
 		},
 		Services: service.Options{
 			DialTimeout: settings.Services.DialTimeoutMillis, Timeout: settings.Services.TimeoutMillis,
-			MaxIdle: settings.Services.MaxIdleConnections,
+			MaxIdle: settings.Services.MaxIdleConnections, MaxAnswer: settings.Services.MaxAnswerBytes,
 		},
 		Timing: link.Timing{
 			Ping: settings.Peers.PingMillis, Silence: settings.Peers.SilenceMillis, Redial: settings.Peers.RedialMillis,
