--- a/internal/serve/command/docs_test.go
+++ b/internal/serve/command/docs_test.go
@@ -72,3 +72,14 @@
 		}
 	}
 }
+
+// TestLayoutIsComplete looks for each area of the source on the developers' page.
+func TestLayoutIsComplete(t *testing.T) {
+	text, err := os.ReadFile(docs + "DEVELOPERS.md")
+	require.NoError(t, err)
+	areas, err := os.ReadDir("../..")
+	require.NoError(t, err)
+	for _, area := range areas {
+		require.Contains(t, string(text), "internal/"+area.Name()+"/")
+	}
+}
