--- a/internal/backend/engine/http.go
+++ b/internal/backend/engine/http.go
@@ -254,7 +254,10 @@
 }
 
 func (state StateReport) report() (owner.Report, error) {
-	report := owner.Report{Boot: ident.BootID(state.BootID), Age: clock.Millis(state.AgeMs)}
+	report := owner.Report{
+		Boot: ident.BootID(state.BootID), Age: clock.Millis(state.AgeMs),
+		Steps: owner.Steps{Count: state.Steps.Count, Runs: state.Steps.RunsSum, Capacity: state.Steps.Capacity},
+	}
 	for _, text := range state.Loaded {
 		adapter, err := ident.ParseAdapter(text)
 		if err != nil {
--- a/internal/decide/owner/report.go
+++ b/internal/decide/owner/report.go
@@ -16,6 +16,16 @@
 	Runs []ReportedRun
 	// Age is how old the report was when it was read.
 	Age clock.Millis
+	// Steps is for observation only; no decision rests on it.
+	Steps Steps
+}
+
+// Steps sums up how the engine's steps were shared since its start. The share of
+// the capacity that was used, Runs / (Count * Capacity), is the batch efficiency.
+type Steps struct {
+	Count    uint64
+	Runs     uint64 // sum over all steps
+	Capacity int    // runs of one step
 }
 
 // ReportedRun is one unfinished run in a report.
--- a/internal/serve/metrics/gauges.go
+++ b/internal/serve/metrics/gauges.go
@@ -1,12 +1,15 @@
 package metrics
 
 import (
+	"maps"
 	"runtime"
+	"slices"
 	"syscall"
 
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/decide/message"
 	"teaselmoor/internal/decide/node"
+	"teaselmoor/internal/decide/owner"
 )
 
 // Gauge is a value as it is at the time of reading.
@@ -39,12 +42,15 @@
 	resident      = gauge("teaselmoor_engine_resident", "Adapters in the slots of an owned engine.")
 	reportAge     = gauge("teaselmoor_engine_report_age_milliseconds", "Age of an owned engine's own report.")
 	quarantined   = gauge("teaselmoor_engine_quarantined", "1 while an owned engine is quarantined.")
+	steps         = family{"teaselmoor_engine_steps_total", "Steps of an owned engine since its start.", counterKind}
+	stepRuns      = family{"teaselmoor_engine_step_runs_total", "Runs that shared those steps, summed.", counterKind}
+	stepCapacity  = gauge("teaselmoor_engine_step_capacity", "Runs that one step of an owned engine can hold.")
 	stateAge      = gauge("teaselmoor_engine_state_age_milliseconds", "Age of the oldest knowledge of an engine in use.")
 	goroutines    = gauge("teaselmoor_goroutines", "Goroutines of the process.")
 	heapBytes     = gauge("teaselmoor_heap_bytes", "Bytes of the heap in use.")
 	processorTime = family{"teaselmoor_processor_milliseconds_total", "Processor time that the process has used.", counterKind}
 	gaugesOrder   = []family{
-		ready, draining, inProgress, keys, configVersion, configAge, contactAge, listVersion, listAge, peers, ownedEngines, queued, running, loadsWaiting, resident, reportAge, quarantined, stateAge, goroutines, heapBytes, processorTime,
+		ready, draining, inProgress, keys, configVersion, configAge, contactAge, listVersion, listAge, peers, ownedEngines, queued, running, loadsWaiting, resident, reportAge, quarantined, steps, stepRuns, stepCapacity, stateAge, goroutines, heapBytes, processorTime,
 	}
 )
 
@@ -108,6 +114,29 @@
 	return gauges
 }
 
+// StepGauges describes how the steps of owned engines are shared.
+func (observer *Observer) StepGauges() []Gauge {
+	observer.mutex.Lock()
+	defer observer.mutex.Unlock()
+	columns := []struct {
+		family family
+		value  func(owner.Steps) float64
+	}{
+		{steps, func(steps owner.Steps) float64 { return float64(steps.Count) }},
+		{stepRuns, func(steps owner.Steps) float64 { return float64(steps.Runs) }},
+		{stepCapacity, func(steps owner.Steps) float64 { return float64(steps.Capacity) }},
+	}
+	var gauges []Gauge
+	for _, column := range columns {
+		for _, engine := range slices.Sorted(maps.Keys(observer.steps)) {
+			gauges = append(gauges, Gauge{
+				family: column.family, value: column.value(observer.steps[engine]), labels: []label{{"engine", string(engine)}},
+			})
+		}
+	}
+	return gauges
+}
+
 // ProcessGauges describes the process.
 func ProcessGauges() []Gauge {
 	var memory runtime.MemStats
--- a/internal/serve/metrics/metrics_test.go
+++ b/internal/serve/metrics/metrics_test.go
@@ -14,6 +14,7 @@
 	"teaselmoor/internal/decide/message"
 	"teaselmoor/internal/decide/node"
 	"teaselmoor/internal/decide/outcome"
+	"teaselmoor/internal/decide/owner"
 	"teaselmoor/internal/decide/rollout"
 	"teaselmoor/internal/serve/metrics"
 )
@@ -108,3 +109,13 @@
 		observer.Step(1300, node.Tick{}, ended)
 	}
 }
+
+func TestStepsFollowTheOwner(t *testing.T) {
+	observer := metrics.NewObserver(metrics.New())
+	reported := node.EngineReported{Engine: "runner-1", Report: owner.Report{Steps: owner.Steps{Count: 10, Runs: 40, Capacity: 8}}}
+	observer.Step(10, reported, nil)
+	written := text(t, metrics.New(), observer.StepGauges()...)
+	require.Contains(t, written, "teaselmoor_engine_step_runs_total{engine=\"runner-1\"} 40\n")
+	observer.Step(20, node.Tick{}, []effect.Effect{effect.Audit{Kind: effect.OwnershipReleased, Object: "runner-1"}})
+	require.Empty(t, observer.StepGauges())
+}
--- a/internal/serve/metrics/observe.go
+++ b/internal/serve/metrics/observe.go
@@ -11,6 +11,7 @@
 	"teaselmoor/internal/decide/message"
 	"teaselmoor/internal/decide/node"
 	"teaselmoor/internal/decide/outcome"
+	"teaselmoor/internal/decide/owner"
 )
 
 // Bounds of what is remembered for the measure of load stalls. A map that
@@ -32,6 +33,7 @@
 	waiting  map[ident.StreamID]clock.Millis // submission of a request at its owner
 	loadEnds map[loadKey]clock.Millis
 	config   ConfigTimes
+	steps    map[ident.EngineID]owner.Steps // of owned engines, as last reported
 }
 
 // ConfigTimes tells how fresh a daemon's configuration is.
@@ -69,6 +71,7 @@
 		inFlight: map[ident.StreamID]flight{},
 		waiting:  map[ident.StreamID]clock.Millis{},
 		loadEnds: map[loadKey]clock.Millis{},
+		steps:    map[ident.EngineID]owner.Steps{},
 	}
 	for lane := range message.LaneCount {
 		observer.relayed[lane] = metrics.counter(relayed, laneLabel(lane))
@@ -114,6 +117,8 @@
 		if event.Result.Cause == "" {
 			observer.config.ContactAt = now
 		}
+	case node.EngineReported:
+		observer.steps[event.Engine] = event.Report.Steps
 	case node.LoadEnded:
 		observer.loadEnded(now, event)
 	}
@@ -168,8 +173,11 @@
 		observer.sent(next.Message)
 	case effect.Audit:
 		observer.metrics.counter(changes, label{"kind", string(next.Kind)}).Inc(1)
-		if next.Kind == effect.ConfigAccepted {
+		switch next.Kind {
+		case effect.ConfigAccepted:
 			observer.config.AcceptedAt = now
+		case effect.OwnershipReleased:
+			delete(observer.steps, ident.EngineID(next.Object))
 		}
 	}
 }
--- a/internal/serve/operators/operators.go
+++ b/internal/serve/operators/operators.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/pprof"
+	"slices"
 
 	"teaselmoor/internal/control/audit"
 	"teaselmoor/internal/serve/daemon"
@@ -41,11 +42,13 @@
 	daemon  Daemon
 	trail   *audit.Trail
 	metrics *metrics.Metrics
+	// observer holds what the daemon counts into the metrics.
+	observer *metrics.Observer
 }
 
 // New returns the API's handler.
-func New(serving Daemon, trail *audit.Trail, counted *metrics.Metrics, options Options) http.Handler {
-	api := &API{daemon: serving, trail: trail, metrics: counted}
+func New(serving Daemon, trail *audit.Trail, counted *metrics.Metrics, observer *metrics.Observer, options Options) http.Handler {
+	api := &API{daemon: serving, trail: trail, metrics: counted, observer: observer}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+HealthPath, api.health)
 	mux.HandleFunc("GET "+ReadyPath, api.ready)
@@ -91,8 +94,9 @@
 		Ready: status.Ready, Peers: len(status.Peers),
 		ConfigAge: status.ConfigAge, ConfigContactAge: status.ConfigContactAge,
 	})
+	gauges = slices.Concat(gauges, api.observer.StepGauges(), metrics.ProcessGauges())
 	writer.Header().Set("Content-Type", metrics.ContentType)
-	_ = api.metrics.Write(writer, append(gauges, metrics.ProcessGauges()...))
+	_ = api.metrics.Write(writer, gauges)
 }
 
 // errorBody is the answer to a call that failed.
--- a/internal/serve/operators/operators_test.go
+++ b/internal/serve/operators/operators_test.go
@@ -28,7 +28,8 @@
 }
 
 func newAPI(fake *fakeDaemon, trail *audit.Trail) http.Handler {
-	return operators.New(fake, trail, metrics.New(), operators.Options{})
+	counted := metrics.New()
+	return operators.New(fake, trail, counted, metrics.NewObserver(counted), operators.Options{})
 }
 
 func get(handler http.Handler, path string) *httptest.ResponseRecorder {
--- a/internal/serve/program/program.go
+++ b/internal/serve/program/program.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"net/http"
 
 	"teaselmoor/internal/backend/engine"
 	"teaselmoor/internal/backend/platform"
@@ -29,8 +30,10 @@
 	trail := audit.New(OptionsOf(settings).Audit, log)
 	log = slog.New(levelHandler{Handler: log.Handler(), least: levels[settings.Operators.LogLevel]})
 	counted := metrics.New()
-	serving := daemon.New(life, daemonOptions(settings, log, trail, metrics.NewObserver(counted)))
-	servers, err := listen(endpoints(settings, serving, trail, counted, log), settings.Callers)
+	observer := metrics.NewObserver(counted)
+	serving := daemon.New(life, daemonOptions(settings, log, trail, observer))
+	watching := operators.New(serving, trail, counted, observer, operators.Options{Profiling: settings.Operators.Profiling})
+	servers, err := listen(endpoints(settings, serving, watching, log), settings.Callers)
 	if err != nil {
 		return err
 	}
@@ -82,16 +85,13 @@
 	}
 }
 
-func endpoints(settings settings.Settings, serving *daemon.Daemon, trail *audit.Trail, counted *metrics.Metrics, log *slog.Logger) []endpoint {
+func endpoints(settings settings.Settings, serving *daemon.Daemon, watching http.Handler, log *slog.Logger) []endpoint {
 	return []endpoint{
 		{
 			address: settings.CallerAddress, handler: callers.New(serving, OptionsOf(settings).Callers, log),
 			maxConnections: settings.Callers.MaxConnections,
 		},
 		{address: settings.InnerAddress, handler: serving.Inner()},
-		{
-			address: settings.OperatorAddress, maxConnections: settings.Operators.MaxConnections,
-			handler: operators.New(serving, trail, counted, operators.Options{Profiling: settings.Operators.Profiling}),
-		},
+		{address: settings.OperatorAddress, handler: watching, maxConnections: settings.Operators.MaxConnections},
 	}
 }
