home, node: an idempotency key runs at most once, and not run is true

A home vouched for any key issued after its own start, whatever the VM list had said since: with two daemons believing themselves home the same key ran twice. A grant that arrived twice freed the key of a running request; a repeatable request that was lost once and then refused was told "not run"; a lost owner ended every attempt that could not be repeated.

Now a home keeps the history of the VM lists that it has read, and vouches for an unknown key only if it was home under every list that any daemon can have acted on since the key was issued; it acts only while its list is young. Records are copied to the next daemon in order before the grant, follow the list when it changes, and are handed over on shutdown. Entries ask homes again, report outcomes until they are confirmed, follow an owner's hint, resume what must not be repeated at the engine's next owner under the same run id, and have given-up runs cancelled there. Callers have token buckets; entry.go is split by job.

Ruled out: asking all daemons of the region for a record before a grant (one silent daemon would block all keys), and homes over the whole fleet (a region cut off would lose four keys in five). A caller's region may be set, and never changes, so that two regions can't each be home to its keys.

TestNotRepeatableRunsOnce waits 10 s in place of 5: a home vouches for fresh keys 6 s after its first list. The default clock margin is 1 s in place of 2, so that a new daemon is ready after those 6 s.

--- a/internal/base/settings/fields.go
+++ b/internal/base/settings/fields.go
@@ -229,7 +229,7 @@
 		Loads: Loads{
 			Parallel: 1, LeaseMillis: 5 * clock.Second, BackoffMillis: 2 * clock.Second, Tries: 3,
 		},
-		Keys:      Keys{RetentionMillis: clock.Hour, ClockMarginMillis: 2 * clock.Second},
+		Keys:      Keys{RetentionMillis: clock.Hour, ClockMarginMillis: clock.Second},
 		Placement: Placement{LoadCost: 16, AffinityCost: 4, SilenceMillis: 10 * clock.Second},
 	}
 }
--- a/internal/decide/message/message.go
+++ b/internal/decide/message/message.go
@@ -79,6 +79,8 @@
 	Dispatched bool
 	// Chunks is the number of chunks sent in all, to detect a gap.
 	Chunks uint64
+	// Owner is the engine's present owner where a daemon that is not knows it.
+	Owner ident.DaemonID
 }
 
 // Cancel asks the owner to give up an attempt.
@@ -88,43 +90,6 @@
 	Class  config.Class
 }
 
-// HomeBegin asks the home of an idempotency key for leave to run.
-type HomeBegin struct {
-	Key        string
-	Caller     string
-	BodyHash   string
-	Stream     ident.StreamID
-	IssuedAt   clock.Millis
-	RequestID  string
-	EntryClass config.Class
-}
-
-// HomeVerdict is the home's answer.
-type HomeVerdict struct {
-	Key     string
-	Stream  ident.StreamID
-	Granted bool
-	// Outcome is what the caller is told when leave was not granted.
-	Outcome outcome.Outcome
-	// Stored is the body of the first attempt's answer, when there is one.
-	Stored *StoredAnswer
-}
-
-// StoredAnswer is a complete answer kept for a caller's retry.
-type StoredAnswer struct {
-	Status      int
-	ContentType string
-	Body        []byte
-}
-
-// HomeFinish records the outcome of a granted attempt.
-type HomeFinish struct {
-	Key     string
-	Stream  ident.StreamID
-	Outcome outcome.Outcome
-	Stored  *StoredAnswer
-}
-
 // LoadAsk asks the broker of a weight store for leave to load.
 type LoadAsk struct {
 	Store    string
@@ -182,9 +147,6 @@
 func (dispatched Dispatched) Lane() Lane { return LaneOf(dispatched.Class) }
 func (ended Ended) Lane() Lane           { return LaneOf(ended.Class) }
 func (cancel Cancel) Lane() Lane         { return LaneOf(cancel.Class) }
-func (begin HomeBegin) Lane() Lane       { return ControlLane }
-func (verdict HomeVerdict) Lane() Lane   { return ControlLane }
-func (finish HomeFinish) Lane() Lane     { return ControlLane }
 func (ask LoadAsk) Lane() Lane           { return ControlLane }
 func (grant LoadGrant) Lane() Lane       { return ControlLane }
 func (done LoadDone) Lane() Lane         { return ControlLane }
--- a/internal/decide/node/configuration.go
+++ b/internal/decide/node/configuration.go
@@ -33,6 +33,9 @@
 func Assemble(order effect.AssembleConfig) ConfigAssembled {
 	assembled := ConfigAssembled{Mark: order.Mark}
 	document, err := config.Assemble(order.Manifest, order.Parts)
+	if problems := config.CheckSuccessor(order.Previous, document); err == nil && len(problems) > 0 {
+		err = problems
+	}
 	if err == nil {
 		assembled.Snapshot, err = config.Compile(document)
 	}
--- a/internal/decide/node/node.go
+++ b/internal/decide/node/node.go
@@ -70,7 +70,10 @@
 	vms      *members.View
 
 	requests map[ident.StreamID]*request // entry role
+	finishes map[ident.StreamID]*finish  // by a request's first stream
+	orphans  []orphan
 	retries  retryBudget
+	limits   limiter[string]           // by caller
 	owned    map[ident.EngineID]*owned // owner role
 	views    *placement.Views
 	policy   placement.Policy
@@ -95,11 +98,13 @@
 		options:  options,
 		rollout:  rollout.New(options.Self, options.Rollout),
 		requests: map[ident.StreamID]*request{},
+		finishes: map[ident.StreamID]*finish{},
+		limits:   newLimiter[string](),
 		retries:  retryBudget{share: options.RetryShare},
 		owned:    map[ident.EngineID]*owned{},
 		views:    placement.NewViews(),
 		policy:   options.policy(),
-		home:     home.New(options.StartedAt, options.Home),
+		home:     home.New(options.Self, options.Home),
 		brokers:  map[string]*loads.Broker{},
 	}
 }
@@ -187,13 +192,21 @@
 	case message.Dispatched:
 		node.dispatched(received)
 	case message.Ended:
-		node.attemptEnded(received)
+		node.attemptEnded(from, received)
 	case message.HomeBegin:
-		node.homeBegin(from, received)
+		node.homeEffects(node.home.Begin(node.now, received))
 	case message.HomeVerdict:
-		node.homeVerdict(received)
+		node.homeVerdict(from, received)
 	case message.HomeFinish:
-		node.home.Finish(node.now, received)
+		node.homeEffects(node.home.Finish(node.now, received))
+	case message.HomeFinished:
+		node.homeFinished(received)
+	case message.HomeCopy:
+		node.homeEffects(node.home.Copied(node.now, received))
+	case message.HomeCopyAck:
+		node.homeEffects(node.home.CopyConfirmed(received))
+	case message.HomeForget:
+		node.homeEffects(node.home.Forgotten(received))
 	case message.LoadAsk:
 		node.loadAsk(from, received)
 	case message.LoadGrant:
@@ -234,7 +247,7 @@
 
 func (node *Node) tick() {
 	node.configEffects(node.rollout.Tick(node.now))
-	node.home.Tick(node.now)
+	node.homeEffects(node.home.Tick(node.now))
 	for _, store := range slices.Sorted(maps.Keys(node.brokers)) {
 		node.sendGrants(node.brokers[store].Tick(node.now))
 	}
@@ -246,18 +259,20 @@
 
 func (node *Node) vmListRead(view *members.View) {
 	node.vms = view
+	node.homeEffects(node.home.ListRead(node.now, view))
 	node.configEffects(node.rollout.Peers(node.now, view, node.options.DataCentre, node.options.Region))
 	node.reviseOwnership()
 }
 
 func (node *Node) shutdown() {
 	node.draining = true
+	node.homeEffects(node.home.Shutdown(node.now))
 	node.emit(effect.Audit{At: node.now, Kind: effect.ShutdownStarted, Object: string(node.options.Self), Cause: "signal"})
 }
 
 // Idle reports whether nothing is in progress, so that a draining daemon may exit.
 func (node *Node) Idle() bool {
-	if len(node.requests) > 0 {
+	if len(node.requests) > 0 || len(node.finishes) > 0 || !node.home.Idle() {
 		return false
 	}
 	for _, held := range node.owned {
--- a/internal/decide/node/retry.go
+++ b/internal/decide/node/retry.go
@@ -1,8 +1,8 @@
 package node
 
 import (
-	"maps"
-	"slices"
+	"teaselmoor/internal/decide/effect"
+	"teaselmoor/internal/decide/outcome"
 )
 
 // retryBudget allows repeated attempts as a share of first ones, so that a
@@ -27,10 +27,36 @@
 	return true
 }
 
-// requestsInOrder returns the open requests in a fixed order, so that a replay
-// repeats itself.
-func (node *Node) requestsInOrder() []*request {
-	return slices.SortedFunc(maps.Values(node.requests), func(a, b *request) int {
-		return a.stream.Compare(b.stream)
-	})
+// mayRetry reports whether another attempt is allowed: after a true not-run
+// always, after a dispatch only for repeatable requests; never once the caller
+// has had a part of the answer, nor past the deadline or the budget.
+func (node *Node) mayRetry(failed *request, ended outcome.Outcome) bool {
+	if failed.delivering || failed.deadline <= node.now || failed.service != nil {
+		return false
+	}
+	if ended.Kind == outcome.Unknown && !failed.rule.Repeatable {
+		return false
+	}
+	switch ended.Reason {
+	case outcome.DeadlinePassed, outcome.CallerGone, outcome.DeadlineUnreachable:
+		return false
+	}
+	return node.retries.take()
+}
+
+// retry places a request anew.
+func (node *Node) retry(failed *request) {
+	node.renew(failed)
+	node.place(failed)
+}
+
+// renew begins another attempt: a new stream id, which no engine has seen.
+func (node *Node) renew(failed *request) {
+	requestTable.Must(&failed.state, retryRequest)
+	next := node.NewStream()
+	delete(node.requests, failed.stream)
+	node.emit(effect.Rebind{From: failed.stream, To: next})
+	failed.stream = next
+	failed.resumed = false
+	node.requests[next] = failed
 }
--- a/internal/decide/node/status.go
+++ b/internal/decide/node/status.go
@@ -52,5 +52,5 @@
 
 // Ready reports whether the daemon can serve callers.
 func (node *Node) Ready() bool {
-	return node.rollout.Ready() && node.vms != nil && !node.draining
+	return node.rollout.Ready() && node.vms != nil && !node.draining && node.home.VouchesFresh(node.now)
 }
--- a/internal/decide/nodetest/network.go
+++ b/internal/decide/nodetest/network.go
@@ -7,6 +7,7 @@
 import (
 	"container/heap"
 	"math/rand/v2"
+	"slices"
 
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/base/ident"
@@ -60,6 +61,17 @@
 	Blocked map[Direction]bool
 	// DropShare is the share of messages that are lost, from 0 to 1.
 	DropShare float64
+	// DuplicateShare is the share of messages that arrive twice, and SlowShare the
+	// share that takes up to SlowSpan longer, overtaken by later ones.
+	DuplicateShare float64
+	SlowShare      float64
+	SlowSpan       clock.Millis
+	// ListLag is how old the VM list is that a daemon reads; ListDown lists the
+	// daemons that cannot read it.
+	ListLag  map[ident.DaemonID]clock.Millis
+	ListDown map[ident.DaemonID]bool
+	// OnSend sees every message that one daemon sends to another.
+	OnSend func(from, to ident.DaemonID, sent message.Message)
 
 	options  Options
 	random   *rand.Rand
@@ -67,6 +79,12 @@
 	sequence uint64
 	store    store
 	snapshot *config.Snapshot
+	lists    []timedList // every version of the VM list, in order
+}
+
+type timedList struct {
+	at   clock.Millis
+	list members.List
 }
 
 // Direction is one way between two daemons.
@@ -95,12 +113,14 @@
 	network := &Network{
 		Now: Start, Nodes: map[ident.DaemonID]*Host{}, Engines: map[ident.EngineID]*Engine{},
 		Answers: map[string][]effect.Answer{}, Ledger: map[string]int{}, Blocked: map[Direction]bool{},
+		ListLag: map[ident.DaemonID]clock.Millis{}, ListDown: map[ident.DaemonID]bool{},
 		options: options, random: rand.New(rand.NewPCG(options.Seed, 0)), snapshot: snapshot,
 	}
 	network.Service = newConfigService(network)
 	if err := network.Service.Publish(options.Config); err != nil {
 		return nil, err
 	}
+	network.publishVMs()
 	for _, engine := range options.Config.Engines {
 		network.Engines[engine.Name] = newEngine(network, engine, options.Engine)
 	}
@@ -124,23 +144,60 @@
 	if !network.options.Published {
 		network.Feed(host, node.ConfigRead{Snapshot: network.snapshot})
 	}
-	network.Feed(host, node.VMListRead{View: network.view()})
+	network.readLists(host)
 	network.tick(host)
 	return host
 }
 
-func (network *Network) view() *members.View {
-	return members.NewView(members.List{Version: 1, VMs: network.options.VMs}, network.Now)
+// publishVMs adds a version of the VM list.
+func (network *Network) publishVMs() {
+	version := uint64(len(network.lists) + 1)
+	network.lists = append(network.lists, timedList{at: network.Now, list: members.List{
+		Version: version, VMs: slices.Clone(network.options.VMs),
+	}})
+}
+
+// VMs returns a copy of the VM list as last published.
+func (network *Network) VMs() []members.VM {
+	return slices.Clone(network.options.VMs)
 }
 
-// SetVMs changes the VM list for every daemon.
+// SetVMs publishes a VM list. Daemons read it at once, unless their reading lags
+// or fails.
 func (network *Network) SetVMs(vms []members.VM) {
 	network.options.VMs = vms
-	for _, vm := range vms {
-		if host, known := network.Nodes[ident.DaemonID(vm.Name)]; known {
-			network.Feed(host, node.VMListRead{View: network.view()})
+	network.publishVMs()
+	for _, host := range network.hosts() {
+		network.readList(host)
+	}
+}
+
+// listInterval is the span between two readings of the VM list.
+const listInterval = clock.Second
+
+func (network *Network) readLists(host *Host) {
+	network.readList(host)
+	life := host.life
+	network.after(listInterval, func() {
+		if !host.Dead && host.life == life {
+			network.readLists(host)
+		}
+	})
+}
+
+// readList lets a daemon read the VM list, as old as its lag makes it. A paused
+// daemon reads nothing.
+func (network *Network) readList(host *Host) {
+	if host.Paused || host.Dead || network.ListDown[host.Name] {
+		return
+	}
+	shown := network.lists[0].list
+	for _, version := range network.lists {
+		if network.Now-version.at >= network.ListLag[host.Name] {
+			shown = version.list
 		}
 	}
+	network.Feed(host, node.VMListRead{View: members.NewView(shown, network.Now)})
 }
 
 // Kill ends a daemon without a word. Its peers notice the lost connections.
@@ -247,17 +304,33 @@
 }
 
 func (network *Network) send(from *Host, sent effect.Send) {
+	if network.OnSend != nil {
+		network.OnSend(from.Name, sent.To, sent.Message)
+	}
 	if network.Blocked[Direction{From: from.Name, To: sent.To}] || network.random.Float64() < network.DropShare {
 		return
 	}
-	network.after(network.transit(), func() {
+	deliver := func() {
 		if to, known := network.Nodes[sent.To]; known {
 			network.Feed(to, node.Received{From: from.Name, Message: sent.Message})
 		}
-	})
+	}
+	network.after(network.transit(), deliver)
+	if network.chance(network.DuplicateShare) {
+		network.after(network.transit(), deliver)
+	}
+}
+
+// chance draws only for shares above zero, so that a fault that is off does not
+// change what others draw.
+func (network *Network) chance(share float64) bool {
+	return share > 0 && network.random.Float64() < share
 }
 
 func (network *Network) transit() clock.Millis {
+	if network.chance(network.SlowShare) {
+		return network.options.Delay + clock.Millis(network.random.Int64N(int64(network.SlowSpan)+1))
+	}
 	if network.options.Jitter <= 0 {
 		return network.options.Delay
 	}
--- a/internal/decide/outcome/outcome.go
+++ b/internal/decide/outcome/outcome.go
@@ -93,7 +93,11 @@
 	Class      string
 	Repeatable bool
 	// Deadline is the point in time by which the answer had to begin.
-	Deadline   clock.Millis
+	Deadline clock.Millis
+	// Home is the daemon that granted a request under an idempotency key, and
+	// HomeCopied whether a second daemon held the record then.
+	Home       ident.DaemonID
+	HomeCopied bool
 	Candidates []Candidate
 	Attempts   []Attempt
 	Outcome    Outcome
--- a/internal/decide/outcome/reason.go
+++ b/internal/decide/outcome/reason.go
@@ -29,6 +29,9 @@
 	KeyInProgress       Reason = "KeyInProgress"
 	KeyNotVouched       Reason = "KeyNotVouched"
 	HomeUnreachable     Reason = "HomeUnreachable"
+	HomeFull            Reason = "HomeFull"
+	AnswerNotKept       Reason = "AnswerNotKept"
+	EntryLost           Reason = "EntryLost"
 	EngineRefused       Reason = "EngineRefused"
 	EngineLost          Reason = "EngineLost"
 	EngineRestarted     Reason = "EngineRestarted"
@@ -68,6 +71,9 @@
 	KeyInProgress:       "The first attempt under this idempotency key is still in progress.",
 	KeyNotVouched:       "No surviving record can show that this idempotency key is new, so this attempt was not run.",
 	HomeUnreachable:     "The record of idempotency keys could not be reached, so this attempt was not run.",
+	HomeFull:            "The record of idempotency keys was full, so this attempt was not run.",
+	AnswerNotKept:       "The first attempt under this idempotency key was answered in full; its content is no longer kept.",
+	EntryLost:           "The process that had accepted the first attempt was lost, and whether that attempt ran is not known.",
 	EngineRefused:       "The engine refused the request before running it.",
 	EngineLost:          "The connection to the engine was lost after the request was sent.",
 	EngineRestarted:     "The engine restarted while it was running the request.",
--- a/internal/decide/outcome/status.go
+++ b/internal/decide/outcome/status.go
@@ -20,6 +20,8 @@
 	KeyConflict:         http.StatusUnprocessableEntity,
 	KeyInProgress:       http.StatusConflict,
 	KeyNotVouched:       http.StatusConflict,
+	AnswerNotKept:       http.StatusConflict,
+	EntryLost:           http.StatusConflict,
 	EngineLost:          http.StatusBadGateway,
 	EngineRestarted:     http.StatusBadGateway,
 	WrongAdapter:        http.StatusBadGateway,
--- a/internal/inner/link/frame.go
+++ b/internal/inner/link/frame.go
@@ -63,6 +63,10 @@
 	reflect.TypeFor[message.ConfigOffer](),
 	reflect.TypeFor[message.ConfigFetch](),
 	reflect.TypeFor[message.ConfigPart](),
+	reflect.TypeFor[message.HomeFinished](),
+	reflect.TypeFor[message.HomeCopy](),
+	reflect.TypeFor[message.HomeCopyAck](),
+	reflect.TypeFor[message.HomeForget](),
 }
 
 var messageKinds = func() map[reflect.Type]frameKind {
--- a/internal/serve/daemon/perform.go
+++ b/internal/serve/daemon/perform.go
@@ -53,11 +53,12 @@
 // send passes a message to a peer. A Submit that no connection takes is known
 // not to have left, so the entry is told at once.
 func (daemon *Daemon) send(next effect.Send) {
-	if daemon.links.Send(next.To, next.Message) {
-		return
-	}
 	submit, isSubmit := next.Message.(message.Submit)
-	if !isSubmit {
+	if isSubmit && submit.Resume {
+		submit.Received = daemon.received(submit.Stream).Chunks
+		next.Message = submit
+	}
+	if daemon.links.Send(next.To, next.Message) || !isSubmit {
 		return
 	}
 	daemon.enqueue(laneOf(submit.Lane()), node.Received{From: next.To, Message: message.Ended{
--- a/internal/serve/daemon/watch.go
+++ b/internal/serve/daemon/watch.go
@@ -38,12 +38,13 @@
 // readList reads the VM list at each interval.
 func (daemon *Daemon) readList(ctx context.Context) error {
 	return every(ctx, daemon.options.ListInterval, func() {
+		asked := daemon.options.Now() // the list may be as old as the call
 		list, err := daemon.options.Platform.VMs(ctx)
 		if err != nil {
 			daemon.options.Log.Warn("VM list", "Cause", err)
 			return
 		}
-		view := members.NewView(list, daemon.options.Now())
+		view := members.NewView(list, asked)
 		daemon.connect(view)
 		daemon.enqueue(promptLane, node.VMListRead{View: view})
 	})
