--- a/internal/decide/home/home.go
+++ b/internal/decide/home/home.go
@@ -296,6 +296,12 @@
 	}
 }
 
+// Met takes in word of a daemon's present life.
+func (home *Home) Met(now clock.Millis, daemon ident.DaemonID, incarnation ident.Incarnation) []effect.Effect {
+	home.seen(now, ident.StreamID{Daemon: daemon, Incarnation: incarnation})
+	return home.take()
+}
+
 // seen notes the life of an entry. Attempts granted to an earlier life of it
 // have nobody left to say how they ended.
 func (home *Home) seen(now clock.Millis, stream ident.StreamID) {
--- a/internal/decide/node/attempt.go
+++ b/internal/decide/node/attempt.go
@@ -32,6 +32,10 @@
 // submitTo hands a request on as a new attempt.
 func (node *Node) submitTo(placed *request, engine ident.EngineID, owner ident.DaemonID) {
 	placed.engine, placed.owner = engine, owner
+	placed.priorFence, placed.priorBoot = 0, ""
+	if view := node.views.View(engine); view != nil {
+		placed.priorFence, placed.priorBoot = view.State.Fence, view.State.Boot
+	}
 	requestTable.Must(&placed.state, submitRequest)
 	node.submit(placed)
 }
@@ -48,8 +52,10 @@
 			Class: placed.rule.Class, Repeatable: placed.rule.Repeatable,
 			Path: placed.arrived.Path, Streaming: placed.arrived.Streaming, Body: placed.arrived.Body,
 		},
-		Budget: placed.deadline - node.now,
-		Resume: placed.resumed,
+		Budget:     placed.deadline - node.now,
+		Resume:     placed.resumed,
+		PriorFence: placed.priorFence,
+		PriorBoot:  placed.priorBoot,
 	})
 }
 
--- a/internal/decide/node/configuration.go
+++ b/internal/decide/node/configuration.go
@@ -51,6 +51,6 @@
 	node.emit(effects...)
 	if snapshot := node.rollout.Snapshot(); snapshot != node.config {
 		node.config = snapshot
-		node.reviseOwnership()
+		node.rankCandidates()
 	}
 }
--- a/internal/decide/node/node.go
+++ b/internal/decide/node/node.go
@@ -20,6 +20,7 @@
 	"teaselmoor/internal/decide/loads"
 	"teaselmoor/internal/decide/message"
 	"teaselmoor/internal/decide/owner"
+	"teaselmoor/internal/decide/ownership"
 	"teaselmoor/internal/decide/placement"
 	"teaselmoor/internal/decide/rollout"
 )
@@ -38,9 +39,10 @@
 	Rollout     rollout.Options
 	// Placement makes the placement policy; nil makes the product's own, from Weights.
 	Placement func() placement.Policy
+	Ownership ownership.Options
 	// RetryShare is the number of repeated attempts allowed per first attempt.
 	RetryShare float64
-	// StateInterval is the span between two states sent of an owned engine.
+	// StateInterval is the shortest span between two updates to other daemons.
 	StateInterval clock.Millis
 	// ReadInterval is the span between two reads of an owned engine's report.
 	ReadInterval clock.Millis
@@ -54,6 +56,7 @@
 		Loads:         loads.DefaultOptions(),
 		Weights:       placement.DefaultWeights(),
 		Rollout:       rollout.DefaultOptions(),
+		Ownership:     ownership.DefaultOptions(),
 		RetryShare:    0.1,
 		StateInterval: 250 * clock.Millisecond,
 		ReadInterval:  clock.Second,
@@ -73,25 +76,28 @@
 	finishes map[ident.StreamID]*finish  // by a request's first stream
 	orphans  []orphan
 	retries  retryBudget
-	limits   limiter[string]           // by caller
-	owned    map[ident.EngineID]*owned // owner role
+	limits   limiter[string] // by caller
+	owning   owning          // owner role
+	peers    *members.Peers
+	news     news
 	views    *placement.Views
 	policy   placement.Policy
 	home     *home.Home               // home role
 	brokers  map[string]*loads.Broker // load broker role, by weight store
 
+	// regionNames are the region's live daemons; localNames and remoteNames are
+	// those of the own data centre and of each other one.
+	regionNames []ident.DaemonID
+	localNames  []ident.DaemonID
+	remoteNames map[string][]ident.DaemonID
+
 	draining bool
+	// informed says that every engine of the region was heard of once.
+	informed bool
 	local    []message.Message // sent to itself, not delivered yet
 	effects  []effect.Effect
 }
 
-// owned is an engine that this daemon may give orders to.
-type owned struct {
-	owner   *owner.Owner
-	readAt  clock.Millis // last ReadEngine
-	stateAt clock.Millis // last EngineState sent
-}
-
 // New returns the node of a daemon that knows nothing yet.
 func New(options Options) *Node {
 	return &Node{
@@ -101,7 +107,9 @@
 		finishes: map[ident.StreamID]*finish{},
 		limits:   newLimiter[string](),
 		retries:  retryBudget{share: options.RetryShare},
-		owned:    map[ident.EngineID]*owned{},
+		owning:   newOwning(),
+		peers:    members.NewPeers(options.StartedAt),
+		news:     newNews(),
 		views:    placement.NewViews(),
 		policy:   options.policy(),
 		home:     home.New(options.Self, options.Home),
@@ -134,6 +142,7 @@
 // Step takes in one event and returns the effects, in order.
 func (node *Node) Step(now clock.Millis, event Event) []effect.Effect {
 	node.now = now
+	node.checkPause()
 	node.handle(event)
 	node.deliverLocal()
 	effects := node.effects
@@ -156,6 +165,7 @@
 	case Received:
 		node.received(event.From, event.Message)
 	case PeerLost:
+		node.peers.Lost(event.Peer)
 		node.peerLost(event)
 	case RunEnded:
 		node.runEnded(event)
@@ -184,6 +194,7 @@
 
 // received routes a message to the role that it is for.
 func (node *Node) received(from ident.DaemonID, received message.Message) {
+	node.peers.Touch(node.now, from)
 	switch received := received.(type) {
 	case message.Submit:
 		node.submitted(from, received)
@@ -221,6 +232,16 @@
 		node.configEffects(node.rollout.Fetched(node.now, from, received))
 	case message.ConfigPart:
 		node.configEffects(node.rollout.Part(node.now, received))
+	case message.Update:
+		node.updated(received)
+	case message.UpdateAsk:
+		node.updateAsked(received)
+	case message.HandoverAsk:
+		node.handoverAsked(from, received)
+	case message.Moved:
+		node.moved(received)
+	case message.Handover:
+		node.handedOver(from, received)
 	}
 }
 
@@ -251,19 +272,18 @@
 	for _, store := range slices.Sorted(maps.Keys(node.brokers)) {
 		node.sendGrants(node.brokers[store].Tick(node.now))
 	}
+	node.reviseOwnership()
 	for _, engine := range node.ownedInOrder() {
-		node.tickOwned(engine, node.owned[engine])
+		held := node.owning.owned[engine]
+		node.tickOwned(engine, held)
+		node.tickYield(engine, held)
 	}
+	node.expireEarly()
+	node.viewOwn()
+	node.tickNews()
 	node.tickRequests()
 }
 
-func (node *Node) vmListRead(view *members.View) {
-	node.vms = view
-	node.homeEffects(node.home.ListRead(node.now, view))
-	node.configEffects(node.rollout.Peers(node.now, view, node.options.DataCentre, node.options.Region))
-	node.reviseOwnership()
-}
-
 func (node *Node) shutdown() {
 	node.draining = true
 	node.homeEffects(node.home.Shutdown(node.now))
@@ -275,10 +295,10 @@
 	if len(node.requests) > 0 || len(node.finishes) > 0 || !node.home.Idle() {
 		return false
 	}
-	for _, held := range node.owned {
+	for _, held := range node.owning.owned {
 		if held.owner.Busy() {
 			return false
 		}
 	}
-	return true
+	return len(node.owning.former) == 0
 }
--- a/internal/decide/node/request.go
+++ b/internal/decide/node/request.go
@@ -72,7 +72,11 @@
 
 	engine ident.EngineID
 	owner  ident.DaemonID
-	tried  []ident.EngineID
+	// priorFence and priorBoot are the owner's number and the engine's boot id
+	// when the present attempt was first handed on.
+	priorFence ident.Fence
+	priorBoot  ident.BootID
+	tried      []ident.EngineID
 	// redirects counts the owners that said they were not in charge.
 	redirects int
 	// open says that the present attempt was handed on and has not ended.
--- a/internal/decide/node/resume.go
+++ b/internal/decide/node/resume.go
@@ -99,6 +99,8 @@
 func (node *Node) tickHandedOn(waiting *request) {
 	switch {
 	case waiting.service != nil:
+	case node.ownerSilent(waiting):
+		node.ownerLost(waiting)
 	case waiting.state == requestSubmitted && !waiting.resumed && waiting.deadline+submitGrace <= node.now:
 		node.cancelOrphan(waiting)
 		node.answer(waiting, outcome.Lost(outcome.OwnerLost))
@@ -107,6 +109,15 @@
 	}
 }
 
+// ownerSilent reports whether nothing has come from a request's owner for so
+// long that it counts as lost, although no connection to it broke.
+func (node *Node) ownerSilent(waiting *request) bool {
+	if waiting.owner == node.options.Self || node.vms == nil {
+		return false
+	}
+	return node.peers.Silent(node.now, waiting.owner, 2*node.suspicion(waiting.owner))
+}
+
 // cancelOrphan has a given-up run cancelled, by its owner or by the engine's
 // next one: it would go on using a share of the engine and its adapter's slot.
 func (node *Node) cancelOrphan(gone *request) {
--- a/internal/decide/nodetest/network.go
+++ b/internal/decide/nodetest/network.go
@@ -70,6 +70,8 @@
 	// daemons that cannot read it.
 	ListLag  map[ident.DaemonID]clock.Millis
 	ListDown map[ident.DaemonID]bool
+	// Steps counts the events that nodes have taken in.
+	Steps int
 	// OnSend sees every message that one daemon sends to another.
 	OnSend func(from, to ident.DaemonID, sent message.Message)
 
@@ -253,6 +255,16 @@
 	network.Feed(host, arrived)
 }
 
+// Leave closes the connection of the caller of a request.
+func (network *Network) Leave(host *Host, request string) {
+	for stream, id := range host.streams {
+		if id == request {
+			network.Feed(host, node.CallerGone{Stream: stream})
+			return
+		}
+	}
+}
+
 // Feed steps a node with an event and carries out what follows.
 func (network *Network) Feed(host *Host, event node.Event) {
 	if host.Dead {
@@ -262,6 +274,7 @@
 		host.backlog = append(host.backlog, event)
 		return
 	}
+	network.Steps++
 	for _, next := range host.Node.Step(network.Now, event) {
 		network.perform(host, next)
 	}
@@ -288,7 +301,9 @@
 	case effect.Unload:
 		network.Engines[next.Engine].unload(host, next)
 	case effect.ReadEngine:
-		network.Engines[next.Engine].read(host)
+		network.Engines[next.Engine].read(host, next)
+	case effect.ReadVMs:
+		network.after(network.options.Delay, func() { network.readList(host) })
 	case effect.CallService:
 		network.Ledger[next.Service+"/"+host.streams[next.Stream]]++
 		network.after(network.options.Delay, func() {
@@ -363,6 +378,11 @@
 	return true
 }
 
+// After does something once the span has passed.
+func (network *Network) After(span clock.Millis, do func()) {
+	network.after(span, do)
+}
+
 func (network *Network) after(span clock.Millis, do func()) {
 	network.sequence++
 	heap.Push(&network.queue, happening{at: network.Now + span, order: network.sequence, do: do})
--- a/internal/decide/owner/loading.go
+++ b/internal/decide/owner/loading.go
@@ -86,7 +86,8 @@
 	owner.version++
 	wanted := owner.backlog.wants[adapter]
 	at := owner.findRoom(now)
-	if wanted == nil || wanted.granted || wanted.queue.Total() == 0 || at < 0 {
+	if wanted == nil || wanted.granted || wanted.queue.Total() == 0 || at < 0 ||
+		owner.takeover.suspended || owner.holds(adapter) {
 		if wanted != nil {
 			wanted.asked = demand{}
 		}
--- a/internal/decide/owner/slot.go
+++ b/internal/decide/owner/slot.go
@@ -26,6 +26,7 @@
 	failLoad    slotEvent = "FailLoad"
 	beginUnload slotEvent = "BeginUnload"
 	endUnload   slotEvent = "EndUnload"
+	failUnload  slotEvent = "FailUnload"
 )
 
 var slotTable = lifecycle.New("slot", []lifecycle.Transition[slotState, slotEvent]{
@@ -34,6 +35,7 @@
 	{Event: failLoad, From: []slotState{slotLoading}, To: slotEmpty},
 	{Event: beginUnload, From: []slotState{slotReady}, To: slotUnloading},
 	{Event: endUnload, From: []slotState{slotUnloading}, To: slotEmpty},
+	{Event: failUnload, From: []slotState{slotUnloading}, To: slotReady},
 })
 
 // slot is one adapter slot of the engine.
@@ -47,6 +49,8 @@
 	lastUsed clock.Millis
 	// next is the adapter to load once the present one is unloaded.
 	next ident.Adapter
+	// unloadFailed waits for a report to show whether the adapter is still there.
+	unloadFailed bool
 }
 
 // serves reports whether the slot holds, or will shortly hold, its adapter.
@@ -80,7 +84,7 @@
 		if slot.state == slotEmpty {
 			return i
 		}
-		if slot.state != slotReady || slot.pins > 0 || slot.queued > 0 {
+		if slot.state != slotReady || slot.pins > 0 || slot.queued > 0 || !owner.mayEvict() {
 			continue
 		}
 		worth := owner.worth(now, slot)
@@ -92,6 +96,7 @@
 }
 
 func (owner *Owner) load(at int, adapter ident.Adapter) {
+	invariant.Check(!owner.holds(adapter), "an adapter is in one slot at most", "%s, slot %d", adapter, at)
 	slot := &owner.slots[at]
 	slotTable.Must(&slot.state, beginLoad)
 	slot.adapter = adapter
@@ -120,22 +125,47 @@
 		if slot.state != slotUnloading || slot.adapter != adapter {
 			continue
 		}
-		if failed {
-			owner.emit(effect.Unload{Engine: owner.Engine.Name, Adapter: adapter, Fence: owner.Fence})
-			break
+		owner.takeover.unloadedAt = now
+		if failed || owner.takeover.suspended {
+			slot.unloadFailed = failed
+			owner.abandonLoad(slot.next)
+		}
+		if !failed {
+			slotTable.Must(&slot.state, endUnload)
+		}
+		if !failed && !owner.takeover.suspended {
+			owner.loadNext(i)
 		}
-		slotTable.Must(&slot.state, endUnload)
-		owner.loadNext(i)
 		break
 	}
 	owner.advance(now)
 	return owner.take()
 }
 
+// holds reports whether a slot holds the adapter. It may have been loaded by a
+// former owner after this one asked for a load of it.
+func (owner *Owner) holds(adapter ident.Adapter) bool {
+	_, held := owner.resident[adapter]
+	return held
+}
+
+// abandonLoad gives up a load whose turn has come but which cannot begin.
+func (owner *Owner) abandonLoad(adapter ident.Adapter) {
+	if wanted := owner.backlog.wants[adapter]; wanted != nil {
+		wanted.granted = false
+		wanted.asked = demand{}
+	}
+	owner.returnLease(adapter, false)
+}
+
 // loadNext loads what a slot was emptied for, unless nobody waits for it now.
 func (owner *Owner) loadNext(at int) {
 	adapter := owner.slots[at].next
 	wanted := owner.backlog.wants[adapter]
+	if owner.holds(adapter) {
+		owner.abandonLoad(adapter)
+		return
+	}
 	if wanted != nil && wanted.queue.Total() > 0 {
 		owner.load(at, adapter)
 		return
--- a/internal/decide/placement/views.go
+++ b/internal/decide/placement/views.go
@@ -67,6 +67,14 @@
 	return true
 }
 
+// Drop forgets an engine.
+func (views *Views) Drop(engine ident.EngineID) {
+	if known := views.byEngine[engine]; known != nil {
+		views.reindex(engine, known.State.Resident, nil)
+		delete(views.byEngine, engine)
+	}
+}
+
 // reindex moves an engine between the holders of adapters.
 func (views *Views) reindex(engine ident.EngineID, before, after []ident.Adapter) {
 	for _, adapter := range before {
--- a/internal/decide/rollout/fetch.go
+++ b/internal/decide/rollout/fetch.go
@@ -217,7 +217,7 @@
 
 func (rollout *Rollout) manifestArrived(part message.ConfigPart) {
 	current := rollout.fetching
-	if current.candidate.manifest != nil {
+	if current.asked[""] == nil {
 		return
 	}
 	manifest, err := config.ParseManifest(part.Body)
--- a/internal/inner/link/frame.go
+++ b/internal/inner/link/frame.go
@@ -67,6 +67,11 @@
 	reflect.TypeFor[message.HomeCopy](),
 	reflect.TypeFor[message.HomeCopyAck](),
 	reflect.TypeFor[message.HomeForget](),
+	reflect.TypeFor[message.Update](),
+	reflect.TypeFor[message.UpdateAsk](),
+	reflect.TypeFor[message.HandoverAsk](),
+	reflect.TypeFor[message.Handover](),
+	reflect.TypeFor[message.Moved](),
 }
 
 var messageKinds = func() map[reflect.Type]frameKind {
--- a/internal/serve/callers/callers.go
+++ b/internal/serve/callers/callers.go
@@ -9,6 +9,8 @@
 	"encoding/json"
 	"log/slog"
 	"net/http"
+	"net/url"
+	"path"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -43,6 +45,9 @@
 	ModelsPath      = "/v1/models"
 	// ServicesPath is the prefix of calls to plain services.
 	ServicesPath = "/services/"
+	// HealthPath and ReadyPath are for a balancer that asks where callers call.
+	HealthPath = "/health"
+	ReadyPath  = "/ready"
 )
 
 // Options bound what a caller may send.
@@ -66,6 +71,7 @@
 	// Refused notes a refusal and returns its record completed.
 	Refused(record outcome.Record) outcome.Record
 	Config() *config.Snapshot
+	Ready() bool
 }
 
 // API serves callers.
@@ -83,8 +89,26 @@
 	mux.HandleFunc(ChatPath, api.only(http.MethodPost, api.model))
 	mux.HandleFunc(ModelsPath, api.only(http.MethodGet, api.models))
 	mux.HandleFunc(ServicesPath, api.service)
+	mux.HandleFunc(HealthPath, api.only(http.MethodGet, health))
+	mux.HandleFunc(ReadyPath, api.only(http.MethodGet, api.ready))
 	mux.HandleFunc("/", api.unknownPath)
-	return mux
+	return api.cleanPaths(mux)
+}
+
+// cleanPaths refuses paths that the mux would answer with a redirect, which a
+// caller could not tell from an answer of a service.
+func (api *API) cleanPaths(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		cleaned := path.Clean(request.URL.Path)
+		if cleaned != "/" && strings.HasSuffix(request.URL.Path, "/") {
+			cleaned += "/"
+		}
+		if cleaned != request.URL.Path {
+			api.refuse(writer, newArrival(request), mistake{outcome.UnknownPath, "want a path without empty or dot segments"})
+			return
+		}
+		next.ServeHTTP(writer, request)
+	})
 }
 
 // only refuses every other method.
@@ -99,6 +123,18 @@
 	}
 }
 
+func health(writer http.ResponseWriter, _ *http.Request) {
+	_, _ = writer.Write([]byte("ok\n"))
+}
+
+func (api *API) ready(writer http.ResponseWriter, _ *http.Request) {
+	if !api.daemon.Ready() {
+		http.Error(writer, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = writer.Write([]byte("ready\n"))
+}
+
 func (api *API) unknownPath(writer http.ResponseWriter, request *http.Request) {
 	api.refuse(writer, newArrival(request), mistake{outcome.UnknownPath, ""})
 }
@@ -156,7 +192,7 @@
 
 func (api *API) service(writer http.ResponseWriter, request *http.Request) {
 	arrived, err := api.take(writer, request)
-	name, path, _ := strings.Cut(strings.TrimPrefix(request.URL.Path, ServicesPath), "/")
+	name, target := serviceTarget(request.URL)
 	arrived.Service = name
 	if err == nil && name == "" {
 		err = mistake{outcome.UnknownPath, "want " + ServicesPath + "NAME/..."}
@@ -165,10 +201,6 @@
 		api.refuse(writer, arrived, err)
 		return
 	}
-	target := "/" + path
-	if request.URL.RawQuery != "" {
-		target += "?" + request.URL.RawQuery
-	}
 	ticket := &daemon.Ticket{}
 	ticket.Call.Method = request.Method
 	ticket.Call.Path = target
@@ -177,3 +209,18 @@
 	ticket.Call.Body = arrived.Body
 	api.answer(writer, request, arrived, ticket)
 }
+
+// serviceTarget returns a service's name and what is asked of it: path and
+// query, escaped as the caller wrote them.
+func serviceTarget(of *url.URL) (name, target string) {
+	rawName, rest, _ := strings.Cut(strings.TrimPrefix(of.EscapedPath(), ServicesPath), "/")
+	name, err := url.PathUnescape(rawName)
+	if err != nil {
+		return "", ""
+	}
+	target = "/" + rest
+	if of.RawQuery != "" {
+		target += "?" + of.RawQuery
+	}
+	return name, target
+}
--- a/internal/serve/daemon/watch.go
+++ b/internal/serve/daemon/watch.go
@@ -37,23 +37,31 @@
 
 // readList reads the VM list at each interval.
 func (daemon *Daemon) readList(ctx context.Context) error {
-	return every(ctx, daemon.options.ListInterval, func() {
-		asked := daemon.options.Now() // the list may be as old as the call
-		list, err := daemon.options.Platform.VMs(ctx)
-		if err != nil {
-			daemon.options.Log.Warn("VM list", "Cause", err)
-			return
-		}
-		view := members.NewView(list, asked)
-		daemon.connect(view)
-		daemon.enqueue(promptLane, node.VMListRead{View: view})
-	})
+	return every(ctx, daemon.options.ListInterval, func() { daemon.readListOnce(ctx) })
+}
+
+// readListOnce reads the VM list. Its age counts from before the call, since the
+// list may have changed while the answer was on its way.
+func (daemon *Daemon) readListOnce(ctx context.Context) {
+	askedAt := daemon.options.Now()
+	list, err := daemon.options.Platform.VMs(ctx)
+	if err != nil {
+		daemon.options.Log.Warn("VM list", "Cause", err)
+		return
+	}
+	view := members.NewView(list, askedAt)
+	daemon.connect(view)
+	daemon.enqueue(promptLane, node.VMListRead{View: view})
 }
 
-// connect makes the listed daemons this daemon's peers.
+// connect makes the listed daemons of the own region this daemon's peers, and
+// its contacts in other regions.
 func (daemon *Daemon) connect(view *members.View) {
+	region := daemon.options.Node.Region
+	names := view.Daemons(func(vm *members.VM) bool { return vm.Region == region })
+	names = append(names, rollout.Contacts(view, daemon.Self(), region)...)
 	var peers []link.Peer
-	for _, name := range view.Daemons(func(*members.VM) bool { return true }) {
+	for _, name := range names {
 		vm, found := view.Daemon(name)
 		if found && name != daemon.Self() {
 			peers = append(peers, link.Peer{Name: name, Address: vm.Address})
