--- a/internal/decide/node/configuration.go
+++ b/internal/decide/node/configuration.go
@@ -54,3 +54,8 @@
 		node.rankCandidates()
 	}
 }
+
+// ConfigMark identifies the publication in force.
+func (node *Node) ConfigMark() config.Mark {
+	return node.rollout.Mark()
+}
