--- a/internal/decide/node/membership.go
+++ b/internal/decide/node/membership.go
@@ -273,6 +273,7 @@
 	if !heard || update.From == node.options.Self {
 		return
 	}
+	node.homeEffects(node.home.Met(node.now, update.From, update.Incarnation))
 	if update.Relay {
 		node.passOn(update)
 	}
