placement: choose within an affinity set by what the load would evict

A cold adapter went to one engine by hash, whatever that engine had to evict. An owner now announces what its next eviction is worth (Spare), and which adapters requests wait for there (Wanted), so that other daemons join the wait instead of loading a second copy. The entry chooses the engine of its affinity set that gives up least. A decision looks at holders and the set only.

--- a/internal/decide/message/message.go
+++ b/internal/decide/message/message.go
@@ -168,8 +168,13 @@
 	Version uint64 // rises with every change at this owner
 	// Resident lists adapters that are loaded or being loaded.
 	Resident []ident.Adapter
-	Queued   int
-	Running  int
+	// Wanted lists adapters that requests wait for and no slot holds.
+	Wanted []ident.Adapter
+	// Spare is the number of requests that asked lately for the adapter that the
+	// engine would evict next: 0 with an empty slot.
+	Spare   float64
+	Queued  int
+	Running int
 	// LoadsWaiting is the number of loads not begun yet.
 	LoadsWaiting int
 	// Reported is the age of the engine's own report when this was sent.
--- a/internal/decide/node/entry.go
+++ b/internal/decide/node/entry.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"slices"
+
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/base/ident"
 	"teaselmoor/internal/base/invariant"
@@ -196,7 +198,7 @@
 	}
 	query := placement.Query{Adapter: placed.adapter, Pool: placed.rule.Pool, Tried: placed.tried}
 	engine, candidates := node.policy.Choose(node.now, query, node.views)
-	placed.record.Candidates = candidates
+	placed.record.Candidates = slices.Clone(candidates)
 	if engine == nil {
 		node.answer(placed, outcome.Refused(outcome.NoEngine, clock.Second))
 		return
--- a/internal/decide/owner/owner.go
+++ b/internal/decide/owner/owner.go
@@ -128,6 +128,8 @@
 		Fence:        owner.Fence,
 		Version:      owner.version,
 		Resident:     make([]ident.Adapter, 0, len(owner.resident)),
+		Wanted:       owner.backlog.wantsInOrder(),
+		Spare:        owner.spare(now),
 		Queued:       owner.backlog.bound.Total(),
 		Running:      owner.running,
 		LoadsWaiting: len(owner.backlog.wants),
--- a/internal/decide/owner/slot.go
+++ b/internal/decide/owner/slot.go
@@ -65,6 +65,21 @@
 	})
 }
 
+// noSpare is announced by an engine all of whose slots are in use.
+const noSpare = 1000
+
+// spare is what the adapter that would be evicted next is worth.
+func (owner *Owner) spare(now clock.Millis) float64 {
+	at := owner.findRoom(now)
+	switch {
+	case at < 0:
+		return noSpare
+	case owner.slots[at].state == slotEmpty:
+		return 0
+	}
+	return owner.worth(now, &owner.slots[at])
+}
+
 // readySlot finds the slot that an adapter can run from now.
 func (owner *Owner) readySlot(adapter ident.Adapter) (at int, ready bool) {
 	at, held := owner.resident[adapter]
--- a/internal/decide/placement/policy.go
+++ b/internal/decide/placement/policy.go
@@ -13,7 +13,7 @@
 // Policy chooses an engine for a request from what a daemon knows.
 type Policy interface {
 	// Choose returns the chosen engine, nil when none may serve, and the verdict
-	// on every engine that was considered.
+	// on every engine that was considered, which holds until the next call.
 	Choose(now clock.Millis, query Query, views *Views) (*config.Engine, []outcome.Candidate)
 }
 
@@ -121,10 +121,5 @@
 }
 
 func (view *View) holds(adapter ident.Adapter) bool {
-	for _, resident := range view.State.Resident {
-		if resident == adapter {
-			return true
-		}
-	}
-	return false
+	return holds(&view.State, adapter)
 }
--- a/internal/decide/placement/views.go
+++ b/internal/decide/placement/views.go
@@ -62,25 +62,51 @@
 	if state.Fence < known.State.Fence || state.Fence == known.State.Fence && state.Version < known.State.Version {
 		return false
 	}
-	views.reindex(state.Engine, known.State.Resident, state.Resident)
+	views.reindex(state.Engine, known.State, state)
 	*known = View{State: state, HeardAt: now}
 	return true
 }
 
 // reindex moves an engine between the holders of adapters.
-func (views *Views) reindex(engine ident.EngineID, before, after []ident.Adapter) {
-	for _, adapter := range before {
-		if !slices.Contains(after, adapter) {
+func (views *Views) reindex(engine ident.EngineID, before, after message.EngineState) {
+	for adapter := range held(&before) {
+		if !holds(&after, adapter) {
 			views.removeHolder(adapter, engine)
 		}
 	}
-	for _, adapter := range after {
-		if !slices.Contains(before, adapter) {
+	for adapter := range held(&after) {
+		if !views.holds(engine, adapter) {
 			views.holders[adapter] = append(views.holders[adapter], engine)
 		}
 	}
 }
 
+// held yields the adapters that an engine holds, or will hold shortly because
+// requests wait there for them.
+func held(state *message.EngineState) iter.Seq[ident.Adapter] {
+	return func(yield func(ident.Adapter) bool) {
+		for _, adapter := range state.Resident {
+			if !yield(adapter) {
+				return
+			}
+		}
+		for _, adapter := range state.Wanted {
+			if !yield(adapter) {
+				return
+			}
+		}
+	}
+}
+
+func holds(state *message.EngineState, adapter ident.Adapter) bool {
+	return slices.Contains(state.Resident, adapter) || slices.Contains(state.Wanted, adapter)
+}
+
+// holds reports whether an engine is known to hold an adapter.
+func (views *Views) holds(engine ident.EngineID, adapter ident.Adapter) bool {
+	return slices.Contains(views.holders[adapter], engine)
+}
+
 func (views *Views) removeHolder(adapter ident.Adapter, engine ident.EngineID) {
 	holders := views.holders[adapter]
 	at := slices.Index(holders, engine)
--- a/internal/replay/experiment/policy.go
+++ b/internal/replay/experiment/policy.go
@@ -86,5 +86,13 @@
 		{Name: "half-life 20 min", Apply: func(options *node.Options, _ Knowledge) {
 			options.Owner.HalfLife = 20 * clock.Minute
 		}},
+		weighted("set of 1", func(weights *placement.Weights) { weights.Set = 1 }),
+		weighted("set of 2", func(weights *placement.Weights) { weights.Set = 2 }),
+		weighted("set of 3", func(weights *placement.Weights) { weights.Set = 3 }),
+		weighted("spare ignored", func(weights *placement.Weights) { weights.Spare = 0 }),
 	}
 }
+
+func weighted(name string, change func(*placement.Weights)) Policy {
+	return Policy{Name: name, Apply: func(options *node.Options, _ Knowledge) { change(&options.Weights) }}
+}
