loads: refuse on arrival what the weight store cannot load in time

Past the store's limit every waiting load is late, and the order of loads does not help. The broker now keeps its waiting loads as a feasible schedule, at the rate that the store has shown; when an arrival makes it infeasible, the load that serves the fewest requests of the lowest class is refused, and the requests that cannot be served in time are told so, with the time the queue takes to drain. Within a class the load with the most waiting requests goes first, as far as deadlines allow. Every ask is answered, so that owners can tell silence.

--- a/internal/decide/message/message.go
+++ b/internal/decide/message/message.go
@@ -144,12 +144,26 @@
 	Lease   clock.Millis // span
 }
 
+// LoadVerdict is the broker's answer to an ask.
+type LoadVerdict struct {
+	Store   string
+	Engine  ident.EngineID
+	Adapter ident.Adapter
+	// Refused says that the load cannot end within its budget.
+	Refused bool
+	// Wait is the span until the load ends; of a refused one, the span until the
+	// loads that wait now are done.
+	Wait clock.Millis
+}
+
 // LoadDone gives a lease back.
 type LoadDone struct {
 	Store   string
 	Engine  ident.EngineID
 	Adapter ident.Adapter
 	Failed  bool
+	// Unused says that no load was begun.
+	Unused bool
 }
 
 // Heartbeat shows that a daemon lives, and what it has accepted.
@@ -192,6 +206,7 @@
 func (finish HomeFinish) Lane() Lane     { return ControlLane }
 func (ask LoadAsk) Lane() Lane           { return ControlLane }
 func (grant LoadGrant) Lane() Lane       { return ControlLane }
+func (verdict LoadVerdict) Lane() Lane   { return ControlLane }
 func (done LoadDone) Lane() Lane         { return ControlLane }
 func (heartbeat Heartbeat) Lane() Lane   { return ControlLane }
 func (state EngineState) Lane() Lane     { return ControlLane }
--- a/internal/decide/node/node.go
+++ b/internal/decide/node/node.go
@@ -187,6 +187,8 @@
 		node.loadAsk(from, received)
 	case message.LoadGrant:
 		node.loadGrant(received)
+	case message.LoadVerdict:
+		node.loadVerdict(received)
 	case message.LoadDone:
 		node.loadDone(received)
 	case message.EngineState:
@@ -218,7 +220,7 @@
 func (node *Node) tick() {
 	node.home.Tick(node.now)
 	for _, store := range slices.Sorted(maps.Keys(node.brokers)) {
-		node.sendGrants(node.brokers[store].Tick(node.now))
+		node.sendReplies(node.brokers[store].Tick(node.now))
 	}
 	for _, engine := range node.ownedInOrder() {
 		node.tickOwned(engine, node.owned[engine])
--- a/internal/decide/owner/loading.go
+++ b/internal/decide/owner/loading.go
@@ -90,7 +90,7 @@
 		if wanted != nil {
 			wanted.asked = demand{}
 		}
-		owner.returnLease(adapter, false)
+		owner.returnUnused(adapter)
 		return owner.take()
 	}
 	wanted.granted = true
@@ -141,6 +141,30 @@
 	})
 }
 
+// Judged takes in the broker's answer to an ask. After a refusal, the requests
+// that cannot be served in time are refused; the load is asked for again for
+// those with a later deadline.
+func (owner *Owner) Judged(now clock.Millis, verdict message.LoadVerdict) []effect.Effect {
+	wanted := owner.backlog.wants[verdict.Adapter]
+	if wanted == nil || !verdict.Refused || wanted.granted || wanted.asked == (demand{}) {
+		return owner.take()
+	}
+	late := max(now+verdict.Wait, wanted.asked.deadline)
+	wanted.asked = demand{}
+	wanted.queue.Expire(late, func(waiting *run) {
+		owner.backlog.bound.Leave(waiting.submit.Request.Class)
+		owner.refuse(waiting, outcome.Refused(outcome.DeadlineUnreachable, verdict.Wait))
+	})
+	owner.seekLoad(now, verdict.Adapter)
+	return owner.take()
+}
+
+func (owner *Owner) returnUnused(adapter ident.Adapter) {
+	owner.emit(effect.Send{Message: message.LoadDone{
+		Store: owner.Engine.Store, Engine: owner.Engine.Name, Adapter: adapter, Unused: true,
+	}})
+}
+
 func (owner *Owner) returnLease(adapter ident.Adapter, failed bool) {
 	owner.emit(effect.Send{Message: message.LoadDone{
 		Store: owner.Engine.Store, Engine: owner.Engine.Name, Adapter: adapter, Failed: failed,
--- a/internal/decide/owner/slot.go
+++ b/internal/decide/owner/slot.go
@@ -156,5 +156,5 @@
 		return
 	}
 	delete(owner.backlog.wants, adapter)
-	owner.returnLease(adapter, false)
+	owner.returnUnused(adapter)
 }
--- a/internal/inner/link/frame.go
+++ b/internal/inner/link/frame.go
@@ -58,6 +58,7 @@
 	reflect.TypeFor[message.LoadAsk](),
 	reflect.TypeFor[message.LoadGrant](),
 	reflect.TypeFor[message.LoadDone](),
+	reflect.TypeFor[message.LoadVerdict](),
 	reflect.TypeFor[message.Heartbeat](),
 	reflect.TypeFor[message.EngineState](),
 }
--- a/internal/replay/experiment/policy.go
+++ b/internal/replay/experiment/policy.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 
 	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/decide/loads"
 	"teaselmoor/internal/decide/node"
 	"teaselmoor/internal/decide/owner"
 	"teaselmoor/internal/decide/placement"
@@ -86,6 +87,9 @@
 		{Name: "half-life 20 min", Apply: func(options *node.Options, _ Knowledge) {
 			options.Owner.HalfLife = 20 * clock.Minute
 		}},
+		brokered("never refuse", func(loads *loads.Options) { loads.Patient = true }),
+		brokered("earliest deadline", func(loads *loads.Options) { loads.MostWaiters = false }),
+		brokered("arrival order", func(loads *loads.Options) { loads.ArrivalOrder = true }),
 		weighted("set of 1", func(weights *placement.Weights) { weights.Set = 1 }),
 		weighted("set of 2", func(weights *placement.Weights) { weights.Set = 2 }),
 		weighted("set of 3", func(weights *placement.Weights) { weights.Set = 3 }),
@@ -96,3 +100,7 @@
 func weighted(name string, change func(*placement.Weights)) Policy {
 	return Policy{Name: name, Apply: func(options *node.Options, _ Knowledge) { change(&options.Weights) }}
 }
+
+func brokered(name string, change func(*loads.Options)) Policy {
+	return Policy{Name: name, Apply: func(options *node.Options, _ Knowledge) { change(&options.Loads) }}
+}
