--- a/internal/decide/node/node.go
+++ b/internal/decide/node/node.go
@@ -21,6 +21,7 @@
 	"teaselmoor/internal/decide/message"
 	"teaselmoor/internal/decide/owner"
 	"teaselmoor/internal/decide/placement"
+	"teaselmoor/internal/decide/rollout"
 )
 
 // Options are a daemon's identity and limits.
@@ -34,6 +35,7 @@
 	Home        home.Options
 	Loads       loads.Options
 	Weights     placement.Weights
+	Rollout     rollout.Options
 	// Placement makes the placement policy; nil makes the product's own, from Weights.
 	Placement func() placement.Policy
 	// RetryShare is the number of repeated attempts allowed per first attempt.
@@ -51,6 +53,7 @@
 		Home:          home.DefaultOptions(),
 		Loads:         loads.DefaultOptions(),
 		Weights:       placement.DefaultWeights(),
+		Rollout:       rollout.DefaultOptions(),
 		RetryShare:    0.1,
 		StateInterval: 250 * clock.Millisecond,
 		ReadInterval:  clock.Second,
@@ -62,7 +65,8 @@
 	options  Options
 	now      clock.Millis
 	sequence uint64
-	config   *config.Snapshot
+	config   *config.Snapshot // what rollout has accepted
+	rollout  *rollout.Rollout
 	vms      *members.View
 
 	requests map[ident.StreamID]*request // entry role
@@ -89,6 +93,7 @@
 func New(options Options) *Node {
 	return &Node{
 		options:  options,
+		rollout:  rollout.New(options.Self, options.Rollout),
 		requests: map[ident.StreamID]*request{},
 		retries:  retryBudget{share: options.RetryShare},
 		owned:    map[ident.EngineID]*owned{},
@@ -156,7 +161,13 @@
 	case EngineReported:
 		node.engineReported(event)
 	case ConfigRead:
-		node.configRead(event.Snapshot)
+		node.configEffects(node.rollout.Adopt(node.now, event.Snapshot))
+	case ConfigWatched:
+		node.configEffects(node.rollout.Watched(node.now, event.Result))
+	case ConfigPartRead:
+		node.configEffects(node.rollout.PartRead(node.now, event.Name, event.Body, event.Failed))
+	case ConfigAssembled:
+		node.configEffects(node.rollout.Assembled(node.now, event.Mark, event.Snapshot, event.Cause))
 	case VMListRead:
 		node.vmListRead(event.View)
 	case Tick:
@@ -193,6 +204,12 @@
 		node.loadDone(received)
 	case message.EngineState:
 		node.engineState(received)
+	case message.ConfigOffer:
+		node.configEffects(node.rollout.Offered(node.now, from, received))
+	case message.ConfigFetch:
+		node.configEffects(node.rollout.Fetched(node.now, from, received))
+	case message.ConfigPart:
+		node.configEffects(node.rollout.Part(node.now, received))
 	}
 }
 
@@ -218,6 +235,7 @@
 }
 
 func (node *Node) tick() {
+	node.configEffects(node.rollout.Tick(node.now))
 	node.home.Tick(node.now)
 	for _, store := range slices.Sorted(maps.Keys(node.brokers)) {
 		node.sendReplies(node.brokers[store].Tick(node.now))
@@ -228,21 +246,9 @@
 	node.tickRequests()
 }
 
-func (node *Node) configRead(snapshot *config.Snapshot) {
-	if node.config != nil && snapshot.Version() <= node.config.Version() {
-		return
-	}
-	before := uint64(0)
-	if node.config != nil {
-		before = node.config.Version()
-	}
-	node.config = snapshot
-	node.emit(configAudit(node.now, before, snapshot.Version()))
-	node.reviseOwnership()
-}
-
 func (node *Node) vmListRead(view *members.View) {
 	node.vms = view
+	node.configEffects(node.rollout.Peers(node.now, view, node.options.DataCentre, node.options.Region))
 	node.reviseOwnership()
 }
 
--- a/internal/inner/link/frame.go
+++ b/internal/inner/link/frame.go
@@ -61,6 +61,9 @@
 	reflect.TypeFor[message.LoadVerdict](),
 	reflect.TypeFor[message.Heartbeat](),
 	reflect.TypeFor[message.EngineState](),
+	reflect.TypeFor[message.ConfigOffer](),
+	reflect.TypeFor[message.ConfigFetch](),
+	reflect.TypeFor[message.ConfigPart](),
 }
 
 var messageKinds = func() map[reflect.Type]frameKind {
--- a/internal/serve/daemon/perform.go
+++ b/internal/serve/daemon/perform.go
@@ -36,9 +36,17 @@
 		daemon.tasks.Go("report", func(ctx context.Context) error { daemon.readEngine(ctx, next); return nil })
 	case effect.CallService:
 		daemon.tasks.Go("service", func(ctx context.Context) error { daemon.callService(ctx, next); return nil })
+	case effect.WatchConfig:
+		daemon.tasks.Go("configuration watch", func(ctx context.Context) error { daemon.watchConfig(ctx, next); return nil })
+	case effect.ReadConfigPart:
+		daemon.tasks.Go("configuration part", func(ctx context.Context) error { daemon.readConfigPart(ctx, next); return nil })
+	case effect.AssembleConfig:
+		daemon.tasks.Go("configuration assembly", func(context.Context) error {
+			daemon.enqueue(promptLane, node.Assemble(next))
+			return nil
+		})
 	case effect.Audit:
-		daemon.options.Log.Info("audit", "Kind", next.Kind, "Object", next.Object, "Cause", next.Cause,
-			"Before", next.Before, "After", next.After)
+		daemon.options.Audit.Change(next)
 	}
 }
 
@@ -66,13 +74,15 @@
 }
 
 func (daemon *Daemon) answer(next effect.Answer) {
+	if next.Outcome.Kind != outcome.Answered {
+		daemon.options.Audit.Refusal(next.Record)
+	}
+	daemon.options.Log.Debug("request ended", "Request", next.Record.Request, "Stream", next.Stream.String(),
+		"Outcome", next.Outcome.Kind, "Reason", next.Outcome.Reason)
 	ticket, found := daemon.streams.takeTicket(next.Stream)
 	if !found {
 		return
 	}
-	if next.Outcome.Kind != outcome.Answered {
-		daemon.options.Log.Info("refusal", "Record", next.Record)
-	}
 	ticket.Inbox.PutFinal(next)
 }
 
