owner: loads survive the loss of their broker; weights name the objectives

An ask that the broker lost was never repeated, so after the loss of the broker nothing was loaded until the requests had expired. Asks are repeated every three seconds; after two seconds without any reply a daemon loads at its share of the store's rate (rate over daemons). A failed load is tried again after half a second instead of two. After 16 urgent runs in a row a ready routine request goes next.

Placement.BatchGain weighs batch efficiency, Placement.LoadCost load stalls. The unit of LoadCost is now a full batch queued at the engine that holds the adapter.

--- a/internal/base/settings/fields.go
+++ b/internal/base/settings/fields.go
@@ -183,10 +183,15 @@
 
 // Placement weighs what an engine costs a request.
 type Placement struct {
-	// Cost of loading the adapter first, in queued requests. A higher one avoids
-	// load stalls; a lower one spreads requests and fills engine steps.
+	// Cost of loading the adapter at a further engine while one that holds it has
+	// a queue, in full batches queued there. A higher one avoids loads.
 	LoadCost float64 `yaml:"LoadCost" min:"0" max:"10000"`
-	// Cost of each step down an adapter's order of engines, in queued requests.
+	// Gain of loading an adapter into an engine with a full batch against an idle
+	// one, in requests for the adapter evicted. A higher one fills engine steps; 0
+	// keeps load stalls shortest.
+	BatchGain float64 `yaml:"BatchGain" min:"0" max:"10000"`
+	// Cost of each step down an adapter's order of engines; it settles ties alike
+	// at all daemons.
 	AffinityCost float64 `yaml:"AffinityCost" min:"0" max:"10000"`
 	// Age from which an engine's state is not relied on, in milliseconds.
 	SilenceMillis clock.Millis `yaml:"SilenceMillis" min:"100" max:"600000"`
@@ -227,9 +232,9 @@
 			ResumeTries: 2, CancelIntervalMillis: clock.Second,
 		},
 		Loads: Loads{
-			Parallel: 1, LeaseMillis: 5 * clock.Second, BackoffMillis: 2 * clock.Second, Tries: 3,
+			Parallel: 1, LeaseMillis: 5 * clock.Second, BackoffMillis: 500, Tries: 3,
 		},
 		Keys:      Keys{RetentionMillis: clock.Hour, ClockMarginMillis: 2 * clock.Second},
-		Placement: Placement{LoadCost: 16, AffinityCost: 4, SilenceMillis: 10 * clock.Second},
+		Placement: Placement{LoadCost: 4, BatchGain: 0.25, AffinityCost: 0.01, SilenceMillis: 10 * clock.Second},
 	}
 }
--- a/internal/decide/loads/broker.go
+++ b/internal/decide/loads/broker.go
@@ -29,6 +29,9 @@
 	Span clock.Millis
 	// Margin is the span kept free before each deadline.
 	Margin clock.Millis
+	// Silence is the span without a reply after which a daemon takes the broker as
+	// out of reach and loads at its own share of the store's rate.
+	Silence clock.Millis
 	// Floor is the number of urgent loads in a row after which a routine one
 	// goes next, unless an urgent one would then be late.
 	Floor int
@@ -46,7 +49,7 @@
 func DefaultOptions() Options {
 	return Options{
 		Lease: 5 * clock.Second, Parallel: 1, Span: 500 * clock.Millisecond,
-		Margin: 100 * clock.Millisecond, Floor: 7, MostWaiters: true,
+		Margin: 100 * clock.Millisecond, Silence: 2 * clock.Second, Floor: 7, MostWaiters: true,
 	}
 }
 
--- a/internal/decide/node/brokering.go
+++ b/internal/decide/node/brokering.go
@@ -59,6 +59,44 @@
 	node.ownerEffects(held, held.owner.Granted(node.now, grant.Adapter))
 }
 
+// tickFallback lets the loads begin that the broker of their store does not
+// answer for, at this daemon's share of the store's rate: the rate divided by
+// the number of daemons, so that all together stay within it.
+func (node *Node) tickFallback() {
+	if node.config == nil || node.vms == nil {
+		return
+	}
+	for i := range node.config.Config.WeightStores {
+		store := &node.config.Config.WeightStores[i]
+		if node.now < node.fallback[store.Name] {
+			continue
+		}
+		if engine, adapter, found := node.longestUnanswered(store.Name); found {
+			daemons := len(node.vms.Daemons(func(*members.VM) bool { return true }))
+			span := float64(clock.Second) * float64(max(1, daemons)) / store.LoadsPerSecond
+			node.fallback[store.Name] = node.now + clock.Millis(span)
+			node.loadGrant(message.LoadGrant{Store: store.Name, Engine: engine, Adapter: adapter, Lease: node.options.Loads.Lease})
+		}
+	}
+}
+
+// longestUnanswered returns the load from a store that its broker has left
+// without reply for longest.
+func (node *Node) longestUnanswered(store string) (engine ident.EngineID, adapter ident.Adapter, found bool) {
+	oldest := clock.Millis(0)
+	for _, name := range node.ownedInOrder() {
+		held := node.owned[name]
+		if held.owner.Engine.Store != store {
+			continue
+		}
+		candidate, since, silent := held.owner.Unanswered(node.now, node.options.Loads.Silence)
+		if silent && (!found || since < oldest) {
+			engine, adapter, oldest, found = name, candidate, since, true
+		}
+	}
+	return engine, adapter, found
+}
+
 // loadVerdict passes the broker's answer on to the engine's machine.
 func (node *Node) loadVerdict(verdict message.LoadVerdict) {
 	if held, known := node.owned[verdict.Engine]; known {
--- /dev/null
+++ b/internal/decide/node/brokering_test.go
@@ -0,0 +1,112 @@
+package node_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/base/ident"
+	"teaselmoor/internal/decide/node"
+	"teaselmoor/internal/decide/nodetest"
+	"teaselmoor/internal/decide/outcome"
+	"teaselmoor/internal/decide/ownership"
+)
+
+// brokerNetwork returns a network whose load broker owns no engine.
+func brokerNetwork(t testing.TB) (*nodetest.Network, ident.DaemonID) {
+	t.Helper()
+	for daemons := 4; daemons < 20; daemons++ {
+		network := newNetwork(t, daemons, 2)
+		network.Run(5 * clock.Second)
+		broker, _ := ownership.First("store/weights", network.HostNames())
+		if len(network.Nodes[broker].Node.Status(network.Now).Owned) == 0 {
+			return network, broker
+		}
+	}
+	t.Fatal("in every network the broker owns an engine")
+	return nil, ""
+}
+
+func arriveAt(network *nodetest.Network, daemon ident.DaemonID, request, model string) {
+	network.Arrive(daemon, node.Arrived{RequestID: request, APIKey: callerKey, Model: model, Path: "/v1/completions"})
+}
+
+func other(network *nodetest.Network, than ident.DaemonID) ident.DaemonID {
+	for _, name := range network.HostNames() {
+		if name != than {
+			return name
+		}
+	}
+	return ""
+}
+
+// TestLoadsGoOnWithoutBroker loses the broker while it stays on the VM list:
+// cold adapters are still loaded, at the daemons' share of the store's rate.
+func TestLoadsGoOnWithoutBroker(t *testing.T) {
+	network, broker := brokerNetwork(t)
+	network.Kill(broker)
+	entry := other(network, broker)
+	for i := range 3 {
+		arriveAt(network, entry, fmt.Sprintf("r%d", i), fmt.Sprintf("review-%d@1", i))
+	}
+	share := clock.Second * clock.Millis(len(network.Nodes)) / 2 // of two loads a second
+	bound := 2*clock.Second + 3*share + 2*clock.Second
+	answered := network.RunUntil(bound, func() bool {
+		return len(network.Answers["r0"]) > 0 && len(network.Answers["r1"]) > 0 && len(network.Answers["r2"]) > 0
+	})
+	require.True(t, answered, "answers %v", network.Answers)
+	for i := range 3 {
+		require.Equal(t, outcome.Done(), network.Answers[fmt.Sprintf("r%d", i)][0].Outcome)
+	}
+}
+
+// TestNewBrokerIsAsked loses the broker with its queue and takes it off the
+// list: the loads that waited there are asked for again at the next one.
+func TestNewBrokerIsAsked(t *testing.T) {
+	network, broker := brokerNetwork(t)
+	entry := other(network, broker)
+	for i := range 4 {
+		arriveAt(network, entry, fmt.Sprintf("r%d", i), fmt.Sprintf("review-%d@1", i))
+	}
+	network.Run(100)
+	network.Kill(broker)
+	vms := make([]string, 0, len(network.Nodes))
+	for _, name := range network.HostNames() {
+		if name != broker {
+			vms = append(vms, string(name))
+		}
+	}
+	network.SetVMs(entryVMs(vms...))
+	answered := network.RunUntil(10*clock.Second, func() bool {
+		for i := range 4 {
+			if len(network.Answers[fmt.Sprintf("r%d", i)]) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	require.True(t, answered)
+}
+
+// TestFailingLoadsEndInATrueRefusal lets every load fail.
+func TestFailingLoadsEndInATrueRefusal(t *testing.T) {
+	network := newNetworkWith(t, 3, 2, nodetest.EngineOptions{RunSpan: 200, LoadSpan: 500, FailLoadShare: 1})
+	network.Run(5 * clock.Second)
+	arriveAt(network, "daemon-0", "r", "review-1@1")
+	network.RunUntil(25*clock.Second, func() bool { return len(network.Answers["r"]) > 0 })
+	require.Len(t, network.Answers["r"], 1)
+	answer := network.Answers["r"][0]
+	require.Equal(t, outcome.NotRun, answer.Outcome.Kind)
+	require.Contains(t, []outcome.Reason{outcome.LoadFailed, outcome.NoEngine}, answer.Outcome.Reason)
+	engines := map[ident.EngineID]bool{}
+	for _, attempt := range answer.Record.Attempts {
+		engines[attempt.Engine] = true
+		require.Equal(t, outcome.LoadFailed, attempt.Outcome.Reason)
+	}
+	require.NotEmpty(t, engines)
+	for _, engine := range network.Engines {
+		require.Empty(t, engine.Ran)
+	}
+}
--- a/internal/decide/node/node.go
+++ b/internal/decide/node/node.go
@@ -76,6 +76,7 @@
 	policy   placement.Policy
 	home     *home.Home               // home role
 	brokers  map[string]*loads.Broker // load broker role, by weight store
+	fallback map[string]clock.Millis  // next load without the broker, by weight store
 
 	draining bool
 	local    []message.Message // sent to itself, not delivered yet
@@ -101,6 +102,7 @@
 		policy:   options.policy(),
 		home:     home.New(options.StartedAt, options.Home),
 		brokers:  map[string]*loads.Broker{},
+		fallback: map[string]clock.Millis{},
 	}
 }
 
@@ -243,6 +245,7 @@
 	for _, engine := range node.ownedInOrder() {
 		node.tickOwned(engine, node.owned[engine])
 	}
+	node.tickFallback()
 	node.tickRequests()
 }
 
--- a/internal/decide/node/node_test.go
+++ b/internal/decide/node/node_test.go
@@ -46,15 +46,28 @@
 
 func newNetwork(t testing.TB, daemons, engines int) *nodetest.Network {
 	t.Helper()
+	return newNetworkWith(t, daemons, engines, nodetest.EngineOptions{RunSpan: 200, LoadSpan: 500})
+}
+
+func entryVMs(names ...string) []members.VM {
 	var vms []members.VM
-	for i := range daemons {
+	for _, name := range names {
 		vms = append(vms, members.VM{
-			Name: fmt.Sprintf("daemon-%d", i), Role: members.EntryRole, DataCentre: "a", Region: "north", State: members.Live,
+			Name: name, Role: members.EntryRole, DataCentre: "a", Region: "north", State: members.Live,
 		})
 	}
+	return vms
+}
+
+func newNetworkWith(t testing.TB, daemons, engines int, engine nodetest.EngineOptions) *nodetest.Network {
+	t.Helper()
+	var names []string
+	for i := range daemons {
+		names = append(names, fmt.Sprintf("daemon-%d", i))
+	}
 	network, err := nodetest.New(nodetest.Options{
-		Seed: 1, Delay: 1, Jitter: 2, TickInterval: 50, Config: smallConfig(engines), VMs: vms,
-		Engine: nodetest.EngineOptions{RunSpan: 200, LoadSpan: 500}, Node: node.DefaultOptions(),
+		Seed: 1, Delay: 1, Jitter: 2, TickInterval: 50, Config: smallConfig(engines), VMs: entryVMs(names...),
+		Engine: engine, Node: node.DefaultOptions(),
 	})
 	require.NoError(t, err)
 	return network
--- a/internal/decide/owner/backlog.go
+++ b/internal/decide/owner/backlog.go
@@ -6,6 +6,7 @@
 
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/base/ident"
+	"teaselmoor/internal/base/invariant"
 	"teaselmoor/internal/control/config"
 	"teaselmoor/internal/decide/admission"
 	"teaselmoor/internal/decide/outcome"
@@ -30,6 +31,11 @@
 	queue admission.Queue[*run]
 	// asked is what the broker was last told of this want; zero when nothing.
 	asked demand
+	// askedAt is when that was.
+	askedAt clock.Millis
+	// silentSince is when the first ask was sent that the broker has not replied
+	// to; zero when it has.
+	silentSince clock.Millis
 	// granted says that its load has begun.
 	granted bool
 }
@@ -146,18 +152,46 @@
 // dispatchReady dispatches ready requests while the engine's batch has room for
 // them: most urgent class first, earliest deadline within a class.
 func (owner *Owner) dispatchReady(now clock.Millis) {
-	for class := range config.ClassCount {
-		for owner.room(class) {
-			waiting, found := owner.backlog.ready.Pop(class)
-			if !found {
-				break
-			}
-			owner.leaveReady(waiting)
-			if waiting.deadline <= now {
-				owner.refuse(waiting, outcome.Refused(outcome.DeadlinePassed, 0))
-				continue
-			}
-			owner.dispatch(now, waiting, owner.resident[waiting.submit.Request.Adapter])
+	for {
+		class, found := owner.nextClass()
+		if !found {
+			return
+		}
+		waiting, _ := owner.backlog.ready.Pop(class)
+		owner.leaveReady(waiting)
+		at, ready := owner.readySlot(waiting.submit.Request.Adapter)
+		invariant.Check(ready, "a request in the ready queue has its adapter in a slot",
+			"run %s waits for %s", waiting.submit.Stream, waiting.submit.Request.Adapter)
+		if waiting.deadline <= now {
+			owner.refuse(waiting, outcome.Refused(outcome.DeadlinePassed, 0))
+			continue
 		}
+		owner.countRun(class)
+		owner.dispatch(now, waiting, at)
+	}
+}
+
+// nextClass returns the class that the next dispatch goes to. After a number of
+// urgent dispatches in a row a routine request takes the place of an urgent one,
+// the reserve included, so that a steady urgent load cannot starve it.
+func (owner *Owner) nextClass() (class config.Class, found bool) {
+	urgent, routine := owner.backlog.ready.Len(config.Urgent), owner.backlog.ready.Len(config.Routine)
+	switch {
+	case routine > 0 && owner.urgentRun >= owner.options.RoutineFloor && owner.room(config.Urgent):
+		return config.Routine, true
+	case urgent > 0 && owner.room(config.Urgent):
+		return config.Urgent, true
+	case routine > 0 && owner.room(config.Routine):
+		return config.Routine, true
+	}
+	return 0, false
+}
+
+// countRun counts the urgent dispatches in a row while routine requests wait.
+func (owner *Owner) countRun(class config.Class) {
+	if class == config.Routine || owner.backlog.ready.Len(config.Routine) == 0 {
+		owner.urgentRun = 0
+		return
 	}
+	owner.urgentRun++
 }
--- a/internal/decide/owner/loading.go
+++ b/internal/decide/owner/loading.go
@@ -52,10 +52,14 @@
 		return
 	}
 	next := wanted.demand()
-	if next == wanted.asked || owner.findRoom(now) < 0 {
+	repeat := now-wanted.askedAt >= owner.options.AskInterval
+	if next == wanted.asked && !repeat || owner.findRoom(now) < 0 {
 		return
 	}
-	wanted.asked = next
+	wanted.asked, wanted.askedAt = next, now
+	if wanted.silentSince == 0 {
+		wanted.silentSince = now
+	}
 	owner.emit(effect.Send{Message: message.LoadAsk{
 		Store: owner.Engine.Store, Engine: owner.Engine.Name, Adapter: adapter,
 		Class: next.class, Budget: next.deadline - now, Waiters: next.waiters,
@@ -95,6 +99,7 @@
 	}
 	wanted.granted = true
 	wanted.asked = demand{}
+	wanted.silentSince = 0
 	if owner.slots[at].state == slotEmpty {
 		owner.load(at, adapter)
 	} else {
@@ -146,6 +151,9 @@
 // those with a later deadline.
 func (owner *Owner) Judged(now clock.Millis, verdict message.LoadVerdict) []effect.Effect {
 	wanted := owner.backlog.wants[verdict.Adapter]
+	if wanted != nil {
+		wanted.silentSince = 0
+	}
 	if wanted == nil || !verdict.Refused || wanted.granted || wanted.asked == (demand{}) {
 		return owner.take()
 	}
@@ -159,6 +167,19 @@
 	return owner.take()
 }
 
+// Unanswered returns the load that the broker was asked for longest ago without
+// any reply, if that is at least the span.
+func (owner *Owner) Unanswered(now, span clock.Millis) (adapter ident.Adapter, since clock.Millis, found bool) {
+	for _, candidate := range owner.backlog.wantsInOrder() {
+		wanted := owner.backlog.wants[candidate]
+		silent := wanted.silentSince > 0 && !wanted.granted && now-wanted.silentSince >= span
+		if silent && (!found || wanted.silentSince < since) {
+			adapter, since, found = candidate, wanted.silentSince, true
+		}
+	}
+	return adapter, since, found
+}
+
 func (owner *Owner) returnUnused(adapter ident.Adapter) {
 	owner.emit(effect.Send{Message: message.LoadDone{
 		Store: owner.Engine.Store, Engine: owner.Engine.Name, Adapter: adapter, Unused: true,
--- a/internal/decide/owner/owner.go
+++ b/internal/decide/owner/owner.go
@@ -30,6 +30,12 @@
 	ResumeTries int
 	// CancelInterval is the span after which an unconfirmed cancel is repeated.
 	CancelInterval clock.Millis
+	// AskInterval is the span after which the broker is asked again for a load
+	// that it has not granted: it may have been lost with its queue.
+	AskInterval clock.Millis
+	// RoutineFloor is the number of urgent runs dispatched in a row after which a
+	// routine one that is ready goes next.
+	RoutineFloor int
 	// Eviction ranks the adapters that could give up their slot.
 	Eviction Eviction
 	// HalfLife is the span after which a request counts half for eviction.
@@ -41,11 +47,13 @@
 	return Options{
 		QueueLimits:   [config.ClassCount]int{config.Urgent: 256, config.Routine: 1024},
 		UrgentReserve: 1,
-		LoadBackoff:   2 * clock.Second,
+		LoadBackoff:   500 * clock.Millisecond,
 		LoadTries:     3,
 		ResumeTries:   2,
 
 		CancelInterval: clock.Second,
+		AskInterval:    3 * clock.Second,
+		RoutineFloor:   16,
 		Eviction:       DecayedFrequency{},
 		HalfLife:       5 * clock.Minute,
 	}
@@ -68,9 +76,12 @@
 	failures    map[ident.Adapter]failure
 	frequency   frequency
 	running     int
-	version     uint64
-	reportedAt  clock.Millis
-	effects     []effect.Effect
+	// urgentRun is the number of urgent runs dispatched in a row while routine
+	// requests were ready.
+	urgentRun  int
+	version    uint64
+	reportedAt clock.Millis
+	effects    []effect.Effect
 }
 
 // New returns the owner of an engine whose state is not known yet: nothing is
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -39,7 +39,7 @@
 
 // DefaultWeights returns the weights used when settings name none.
 func DefaultWeights() Weights {
-	return Weights{Load: 4, Spare: 1, Affinity: 0.01, Set: 9, Silence: 10 * clock.Second}
+	return Weights{Load: 4, Spare: 1, Batch: 0.25, Affinity: 0.01, Set: 9, Silence: 10 * clock.Second}
 }
 
 // Affinity is the product's policy.
--- a/internal/serve/program/options.go
+++ b/internal/serve/program/options.go
@@ -81,6 +81,7 @@
 	options.Home.Retention = settings.Keys.RetentionMillis
 	options.Home.ClockMargin = settings.Keys.ClockMarginMillis
 	options.Weights.Load = settings.Placement.LoadCost
+	options.Weights.Batch = settings.Placement.BatchGain
 	options.Weights.Affinity = settings.Placement.AffinityCost
 	options.Weights.Silence = settings.Placement.SilenceMillis
 	return options
