--- a/internal/replay/experiment/policy.go
+++ b/internal/replay/experiment/policy.go
@@ -93,6 +93,7 @@
 		weighted("set of 1", func(weights *placement.Weights) { weights.Set = 1 }),
 		weighted("set of 2", func(weights *placement.Weights) { weights.Set = 2 }),
 		weighted("set of 3", func(weights *placement.Weights) { weights.Set = 3 }),
+		weighted("batch 0", func(weights *placement.Weights) { weights.Batch = 0 }),
 		weighted("batch 1", func(weights *placement.Weights) { weights.Batch = 1 }),
 		weighted("batch 4", func(weights *placement.Weights) { weights.Batch = 4 }),
 		weighted("batch 16", func(weights *placement.Weights) { weights.Batch = 16 }),
--- a/internal/replay/experiment/site.go
+++ b/internal/replay/experiment/site.go
@@ -19,6 +19,8 @@
 	Slots       int
 	MaxRuns     int
 	Step        nodetest.StepOptions
+	// BatchGain is the site's weight of batch efficiency.
+	BatchGain float64
 }
 
 // Cantabrica returns the site of a pension enrolment service.
@@ -28,7 +30,9 @@
 
 // Ramcharan returns the site of a relining contractor.
 func Ramcharan() Site {
-	return newSite(workload.Ramcharan(), "couva-yard", "sando-office", "pointe-shed")
+	site := newSite(workload.Ramcharan(), "couva-yard", "sando-office", "pointe-shed")
+	site.BatchGain = 1
+	return site
 }
 
 func newSite(profile workload.Profile, dataCentres ...string) Site {
