--- a/internal/decide/node/brokering.go
+++ b/internal/decide/node/brokering.go
@@ -49,13 +49,14 @@
 }
 
 func (node *Node) loadGrant(grant message.LoadGrant) {
-	held, known := node.owned[grant.Engine]
+	held, known := node.owning.owned[grant.Engine]
 	if !known {
 		node.send(node.brokerOf(grant.Store), message.LoadDone{
 			Store: grant.Store, Engine: grant.Engine, Adapter: grant.Adapter, Unused: true,
 		})
 		return
 	}
+	node.permit(grant.Engine, held)
 	node.ownerEffects(held, held.owner.Granted(node.now, grant.Adapter))
 }
 
@@ -85,7 +86,7 @@
 func (node *Node) longestUnanswered(store string) (engine ident.EngineID, adapter ident.Adapter, found bool) {
 	oldest := clock.Millis(0)
 	for _, name := range node.ownedInOrder() {
-		held := node.owned[name]
+		held := node.owning.owned[name]
 		if held.owner.Engine.Store != store {
 			continue
 		}
@@ -99,7 +100,7 @@
 
 // loadVerdict passes the broker's answer on to the engine's machine.
 func (node *Node) loadVerdict(verdict message.LoadVerdict) {
-	if held, known := node.owned[verdict.Engine]; known {
+	if held, known := node.owning.owned[verdict.Engine]; known {
 		node.ownerEffects(held, held.owner.Judged(node.now, verdict))
 	}
 }
--- a/internal/decide/owner/owner.go
+++ b/internal/decide/owner/owner.go
@@ -78,9 +78,11 @@
 	running     int
 	// urgentRun is the number of urgent runs dispatched in a row while routine
 	// requests were ready.
-	urgentRun  int
-	version    uint64
+	urgentRun int
+	version   uint64
+	// reportedAt is when the engine took the report last heard of.
 	reportedAt clock.Millis
+	takeover   takeover
 	effects    []effect.Effect
 }
 
@@ -146,6 +148,8 @@
 		LoadsWaiting: len(owner.backlog.wants),
 		ReportAge:    now - owner.reportedAt,
 		Quarantined:  owner.quarantined,
+		Leaving:      owner.draining,
+		Boot:         owner.boot,
 	}
 	for i := range owner.slots {
 		if owner.slots[i].serves() {
@@ -157,7 +161,7 @@
 
 // usable reports whether the engine may be given work now.
 func (owner *Owner) usable() bool {
-	return owner.reportedAt != 0 && !owner.quarantined
+	return owner.reportedAt != 0 && !owner.quarantined && !owner.takeover.suspended
 }
 
 // advance does, in this order, what time and room allow: expire, dispatch, ask
--- a/internal/inner/link/frame.go
+++ b/internal/inner/link/frame.go
@@ -64,6 +64,11 @@
 	reflect.TypeFor[message.ConfigOffer](),
 	reflect.TypeFor[message.ConfigFetch](),
 	reflect.TypeFor[message.ConfigPart](),
+	reflect.TypeFor[message.Update](),
+	reflect.TypeFor[message.UpdateAsk](),
+	reflect.TypeFor[message.HandoverAsk](),
+	reflect.TypeFor[message.Handover](),
+	reflect.TypeFor[message.Moved](),
 }
 
 var messageKinds = func() map[reflect.Type]frameKind {
