placement: take out the weight of age

A fresh view of the wrong engine is worth less than an old view of the holder. What stays of the idea is that the age is exposed in every decision record, and the bound (Silence) beyond which a state is not relied on.

--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -33,8 +33,6 @@
 	Affinity float64
 	// Set is the number of engines in an affinity set.
 	Set int
-	// Age is the cost of each second of age of what is known of an engine.
-	Age float64
 	// Silence is the age from which an engine's state is not relied on.
 	Silence clock.Millis
 }
@@ -116,8 +114,7 @@
 	if candidate.Verdict != outcome.RankedLower {
 		return
 	}
-	age := (now - view.HeardAt + view.State.ReportAge).Seconds()
-	cost := affinity.weights.cost(query, engine, views, view, step) + affinity.weights.Age*age
+	cost := affinity.weights.cost(query, engine, views, view, step)
 	if best.engine == nil || cost < best.cost {
 		*best = choice{engine: engine, cost: cost, at: len(affinity.candidates) - 1}
 	}
--- a/internal/replay/experiment/policy.go
+++ b/internal/replay/experiment/policy.go
@@ -97,11 +97,6 @@
 		weighted("batch 1", func(weights *placement.Weights) { weights.Batch = 1 }),
 		weighted("batch 4", func(weights *placement.Weights) { weights.Batch = 4 }),
 		weighted("batch 16", func(weights *placement.Weights) { weights.Batch = 16 }),
-		weighted("age 0.5", func(weights *placement.Weights) { weights.Age = 0.5 }),
-		weighted("age 2", func(weights *placement.Weights) { weights.Age = 2 }),
-		stale("state every 2 s", 0),
-		stale("state every 2 s with age 0.5", 0.5),
-		stale("state every 2 s with age 2", 2),
 		weighted("spare ignored", func(weights *placement.Weights) { weights.Spare = 0 }),
 	}
 }
@@ -113,11 +108,3 @@
 func brokered(name string, change func(*loads.Options)) Policy {
 	return Policy{Name: name, Apply: func(options *node.Options, _ Knowledge) { change(&options.Loads) }}
 }
-
-// stale sends states eight times less often and weighs their age.
-func stale(name string, age float64) Policy {
-	return Policy{Name: name, Apply: func(options *node.Options, _ Knowledge) {
-		options.StateInterval = 2 * clock.Second
-		options.Weights.Age = age
-	}}
-}
