--- a/internal/decide/message/membership.go
+++ b/internal/decide/message/membership.go
@@ -34,13 +34,15 @@
 	Engine  ident.EngineID
 	Fence   ident.Fence
 	Version uint64
-	// Residency rises with every change of what is loaded.
+	// Residency rises with every change of what is loaded or wanted.
 	Residency    uint64
 	Queued       int
 	Running      int
 	LoadsWaiting int
-	ReportAge    clock.Millis
-	Flags        NewsFlags
+	// Spare is as in EngineState; its slow decay alone is no news.
+	Spare     float64
+	ReportAge clock.Millis
+	Flags     NewsFlags
 	// Detail is left out while Residency is as in the update before.
 	Detail *EngineDetail
 }
@@ -58,6 +60,7 @@
 type EngineDetail struct {
 	_        struct{} `cbor:",toarray"`
 	Resident []ident.Adapter
+	Wanted   []ident.Adapter
 	Boot     ident.BootID
 }
 
--- a/internal/decide/node/membership.go
+++ b/internal/decide/node/membership.go
@@ -208,9 +208,10 @@
 	}
 	state := owner.State(node.now)
 	news := message.EngineNews{
-		Engine: state.Engine, Fence: state.Fence, Version: state.Version, Residency: owner.Residency(state.Resident),
+		Engine: state.Engine, Fence: state.Fence, Version: state.Version, Residency: owner.Residency(state.Resident, state.Wanted),
 		Queued: state.Queued, Running: state.Running, LoadsWaiting: state.LoadsWaiting, ReportAge: state.ReportAge,
-		Detail: &message.EngineDetail{Resident: state.Resident, Boot: state.Boot},
+		Spare:  state.Spare,
+		Detail: &message.EngineDetail{Resident: state.Resident, Wanted: state.Wanted, Boot: state.Boot},
 	}
 	if state.Quarantined {
 		news.Flags |= message.NewsQuarantined
@@ -312,16 +313,16 @@
 	node.outbid(news.Engine, "a higher claim was heard of")
 	state := message.EngineState{
 		Engine: news.Engine, Owner: update.From, Fence: news.Fence, Version: news.Version,
-		Queued: news.Queued, Running: news.Running, LoadsWaiting: news.LoadsWaiting, ReportAge: news.ReportAge,
+		Queued: news.Queued, Running: news.Running, LoadsWaiting: news.LoadsWaiting, ReportAge: news.ReportAge, Spare: news.Spare,
 		Quarantined: news.Flags&message.NewsQuarantined != 0, Leaving: news.Flags&message.NewsLeaving != 0,
 	}
 	origin := node.news.origin(update.From)
 	told := toldEngine{fence: news.Fence, residency: origin.engines[news.Engine].residency}
 	if news.Detail != nil {
-		state.Resident, state.Boot = news.Detail.Resident, news.Detail.Boot
+		state.Resident, state.Wanted, state.Boot = news.Detail.Resident, news.Detail.Wanted, news.Detail.Boot
 		told.residency = news.Residency
 	} else if view := node.views.View(news.Engine); view != nil && view.State.Fence == news.Fence {
-		state.Resident, state.Boot = view.State.Resident, view.State.Boot
+		state.Resident, state.Wanted, state.Boot = view.State.Resident, view.State.Wanted, view.State.Boot
 	}
 	origin.set(news.Engine, told)
 	node.views.Update(node.now, state)
--- a/internal/decide/owner/loading.go
+++ b/internal/decide/owner/loading.go
@@ -52,10 +52,14 @@
 		return
 	}
 	next := wanted.demand()
-	if next == wanted.asked || owner.findRoom(now) < 0 {
+	repeat := now-wanted.askedAt >= owner.options.AskInterval
+	if next == wanted.asked && !repeat || owner.findRoom(now) < 0 {
 		return
 	}
-	wanted.asked = next
+	wanted.asked, wanted.askedAt = next, now
+	if wanted.silentSince == 0 {
+		wanted.silentSince = now
+	}
 	owner.emit(effect.Send{Message: message.LoadAsk{
 		Store: owner.Engine.Store, Engine: owner.Engine.Name, Adapter: adapter,
 		Class: next.class, Budget: next.deadline - now, Waiters: next.waiters,
@@ -91,11 +95,12 @@
 		if wanted != nil {
 			wanted.asked = demand{}
 		}
-		owner.returnLease(adapter, false)
+		owner.returnUnused(adapter)
 		return owner.take()
 	}
 	wanted.granted = true
 	wanted.asked = demand{}
+	wanted.silentSince = 0
 	if owner.slots[at].state == slotEmpty {
 		owner.load(at, adapter)
 	} else {
@@ -142,6 +147,46 @@
 	})
 }
 
+// Judged takes in the broker's answer to an ask. After a refusal, the requests
+// that cannot be served in time are refused; the load is asked for again for
+// those with a later deadline.
+func (owner *Owner) Judged(now clock.Millis, verdict message.LoadVerdict) []effect.Effect {
+	wanted := owner.backlog.wants[verdict.Adapter]
+	if wanted != nil {
+		wanted.silentSince = 0
+	}
+	if wanted == nil || !verdict.Refused || wanted.granted || wanted.asked == (demand{}) {
+		return owner.take()
+	}
+	late := max(now+verdict.Wait, wanted.asked.deadline)
+	wanted.asked = demand{}
+	wanted.queue.Expire(late, func(waiting *run) {
+		owner.backlog.bound.Leave(waiting.submit.Request.Class)
+		owner.refuse(waiting, outcome.Refused(outcome.DeadlineUnreachable, verdict.Wait))
+	})
+	owner.seekLoad(now, verdict.Adapter)
+	return owner.take()
+}
+
+// Unanswered returns the load that the broker was asked for longest ago without
+// any reply, if that is at least the span.
+func (owner *Owner) Unanswered(now, span clock.Millis) (adapter ident.Adapter, since clock.Millis, found bool) {
+	for _, candidate := range owner.backlog.wantsInOrder() {
+		wanted := owner.backlog.wants[candidate]
+		silent := wanted.silentSince > 0 && !wanted.granted && now-wanted.silentSince >= span
+		if silent && (!found || wanted.silentSince < since) {
+			adapter, since, found = candidate, wanted.silentSince, true
+		}
+	}
+	return adapter, since, found
+}
+
+func (owner *Owner) returnUnused(adapter ident.Adapter) {
+	owner.emit(effect.Send{Message: message.LoadDone{
+		Store: owner.Engine.Store, Engine: owner.Engine.Name, Adapter: adapter, Unused: true,
+	}})
+}
+
 func (owner *Owner) returnLease(adapter ident.Adapter, failed bool) {
 	owner.emit(effect.Send{Message: message.LoadDone{
 		Store: owner.Engine.Store, Engine: owner.Engine.Name, Adapter: adapter, Failed: failed,
--- a/internal/decide/owner/takeover.go
+++ b/internal/decide/owner/takeover.go
@@ -30,7 +30,7 @@
 	// residency rises with every change of what is loaded.
 	residency uint64
 	// shown is what the last residency number stands for.
-	shown []ident.Adapter
+	shown, shownWanted []ident.Adapter
 }
 
 // foreignRun is a run of a former owner; it pins its adapter until a report no
@@ -320,11 +320,13 @@
 	}
 }
 
-// Residency returns a number that rises with every change of what is loaded.
-func (owner *Owner) Residency(resident []ident.Adapter) uint64 {
-	if owner.takeover.residency == 0 || !slices.Equal(resident, owner.takeover.shown) {
-		owner.takeover.residency++
-		owner.takeover.shown = resident
+// Residency returns a number that rises with every change of what is loaded or
+// wanted.
+func (owner *Owner) Residency(resident, wanted []ident.Adapter) uint64 {
+	takeover := &owner.takeover
+	if takeover.residency == 0 || !slices.Equal(resident, takeover.shown) || !slices.Equal(wanted, takeover.shownWanted) {
+		takeover.residency++
+		takeover.shown, takeover.shownWanted = resident, wanted
 	}
 	return owner.takeover.residency
 }
