loads, config: regions share a weight store and keep their callers' keys apart

A site of two regions refused one of them every cold adapter and every request with a key. Cause: the load broker of a store, and the home of a key, were chosen among the daemons of all regions, but daemons connect within their region only. The test network connected everybody, so no test saw it; it now connects daemons of one region only.

Each region has a broker of its own now, held to its share of the store's rate by a shortest span between grants. A caller names its region once there are several; the only region there is may be named beforehand.

Ruled out: connecting all daemons, at 390 of them too much control traffic; one broker for all regions, which lose each other.

--- a/internal/control/config/config.go
+++ b/internal/control/config/config.go
@@ -80,8 +80,8 @@
 	// KeyHash is the SHA-256 of the API key, in hexadecimal.
 	KeyHash string            `yaml:"KeyHash"`
 	Labels  map[string]string `yaml:"Labels,omitempty"`
-	// Region is where the caller's idempotency keys are kept; empty leaves the
-	// choice to a hash of the name. It never changes for a name.
+	// Region is where the caller's idempotency keys are kept. It may be empty
+	// while all engines stand in one region, and never changes for a name.
 	Region string `yaml:"Region,omitempty"`
 	// RequestsPerSecond limits the caller at each entry; 0 means no limit.
 	RequestsPerSecond float64 `yaml:"RequestsPerSecond,omitempty"`
--- a/internal/control/config/validate.go
+++ b/internal/control/config/validate.go
@@ -73,15 +73,17 @@
 		check.store(fmt.Sprintf("WeightStores[%d]", i), store)
 	}
 	bases := map[string]bool{}
+	regions := map[string]bool{}
 	for i, engine := range config.Engines {
 		bases[engine.BaseModel] = true
+		regions[engine.Region] = true
 		check.engine(fmt.Sprintf("Engines[%d]", i), engine, stores)
 	}
 	for i, service := range config.Services {
 		check.service(fmt.Sprintf("Services[%d]", i), service)
 	}
 	for i, caller := range config.Callers {
-		check.caller(fmt.Sprintf("Callers[%d]", i), caller)
+		check.caller(fmt.Sprintf("Callers[%d]", i), caller, regions)
 	}
 	for i, adapter := range config.Adapters {
 		check.adapter(fmt.Sprintf("Adapters[%d]", i), adapter, bases)
@@ -165,7 +167,12 @@
 
 const hashDigits = 64 // hexadecimal digits of a SHA-256
 
-func (check *validator) caller(path string, caller Caller) {
+func (check *validator) caller(path string, caller Caller, regions map[string]bool) {
+	// Daemons reach the home of a key only within their region: with several, a
+	// choice by hash would put the keys of some callers out of their reach.
+	if len(regions) > 1 && !regions[caller.Region] {
+		check.add(path+".Region", "engines stand in %d regions: want the one of them that the caller calls", len(regions))
+	}
 	check.unique(path+".Name", "caller", caller.Name)
 	if caller.KeyHash != "" {
 		check.unique(path+".KeyHash", "key hash", caller.KeyHash)
--- a/internal/decide/loads/broker.go
+++ b/internal/decide/loads/broker.go
@@ -27,6 +27,10 @@
 	Parallel int
 	// Span is how long a load takes, until the store has shown it.
 	Span clock.Millis
+	// Interval is the shortest span between two grants. It holds a broker to its
+	// region's share of a store that several regions load from; 0 when it has the
+	// store to itself.
+	Interval clock.Millis
 	// Margin is the span kept free before each deadline.
 	Margin clock.Millis
 	// Silence is the span without a reply after which a daemon takes the broker as
@@ -60,6 +64,8 @@
 	leases  map[load]lease
 	// span is the mean span of a load, as measured.
 	span float64
+	// notBefore is the earliest time of the next grant.
+	notBefore clock.Millis
 	// urgentRun is the number of urgent loads granted in a row.
 	urgentRun int
 }
@@ -105,7 +111,7 @@
 	broker.insert(wait{ask: ask, from: from, deadline: now + ask.Budget})
 	replies := broker.refuse(now)
 	if at := broker.find(key); at >= 0 {
-		ends := broker.start(now) + clock.Millis(float64(at+1)*broker.span)
+		ends := broker.start(now) + clock.Millis(float64(at+1)*broker.pace())
 		replies = append(replies, verdict(&broker.waiting[at], false, ends-now))
 	}
 	return broker.grant(now, replies)
@@ -164,8 +170,14 @@
 	return broker.grant(now, nil)
 }
 
+// pace is the mean span from one load's begin to the next one's, in milliseconds.
+func (broker *Broker) pace() float64 {
+	return max(broker.span, float64(broker.options.Interval))
+}
+
 // start is the point in time at which the next load can begin.
 func (broker *Broker) start(now clock.Millis) clock.Millis {
+	now = max(now, broker.notBefore)
 	if len(broker.leases) < broker.options.Parallel {
 		return now
 	}
@@ -181,7 +193,8 @@
 
 // grant lets loads begin while the store has room, and adds to the replies.
 func (broker *Broker) grant(now clock.Millis, replies []Reply) []Reply {
-	for len(broker.waiting) > 0 && len(broker.leases) < broker.options.Parallel {
+	for len(broker.waiting) > 0 && len(broker.leases) < broker.options.Parallel && now >= broker.notBefore {
+		broker.notBefore = now + broker.options.Interval
 		at := broker.next(now)
 		next := broker.waiting[at]
 		broker.waiting = slices.Delete(broker.waiting, at, at+1)
--- a/internal/decide/loads/schedule.go
+++ b/internal/decide/loads/schedule.go
@@ -18,7 +18,7 @@
 			return replies
 		}
 		at := broker.leastValuable(late)
-		drained := broker.start(now) + clock.Millis(float64(len(broker.waiting))*broker.span)
+		drained := broker.start(now) + clock.Millis(float64(len(broker.waiting))*broker.pace())
 		replies = append(replies, verdict(&broker.waiting[at], true, drained-now))
 		broker.waiting = append(broker.waiting[:at], broker.waiting[at+1:]...)
 	}
@@ -28,7 +28,7 @@
 func (broker *Broker) firstLate(now clock.Millis) int {
 	ends := float64(broker.start(now) + broker.options.Margin)
 	for i := range broker.waiting {
-		ends += broker.span
+		ends += broker.pace()
 		if clock.Millis(ends) > broker.waiting[i].deadline {
 			return i
 		}
@@ -108,9 +108,9 @@
 // feasibleAfter reports whether the loads ahead of one in the schedule still
 // end in time when that one goes first.
 func (broker *Broker) feasibleAfter(now clock.Millis, first int) bool {
-	ends := float64(broker.start(now)+broker.options.Margin) + broker.span
+	ends := float64(broker.start(now)+broker.options.Margin) + broker.pace()
 	for i := range first {
-		ends += broker.span
+		ends += broker.pace()
 		if clock.Millis(ends) > broker.waiting[i].deadline {
 			return false
 		}
--- a/internal/decide/node/brokering.go
+++ b/internal/decide/node/brokering.go
@@ -3,24 +3,40 @@
 import (
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/base/ident"
-	"teaselmoor/internal/control/members"
+	"teaselmoor/internal/control/config"
 	"teaselmoor/internal/decide/loads"
 	"teaselmoor/internal/decide/message"
 	"teaselmoor/internal/decide/ownership"
 )
 
-// brokerOf returns the daemon that grants loads from a weight store.
+// brokerOf returns the daemon that grants a region's loads from a weight store.
+// Each region has a broker of its own with a share of the store's rate: daemons
+// of different regions are not connected, and regions lose each other.
 func (node *Node) brokerOf(store string) ident.DaemonID {
-	if node.vms == nil {
-		return node.options.Self
-	}
-	broker, found := ownership.First("store/"+store, node.vms.Daemons(func(*members.VM) bool { return true }))
+	broker, found := ownership.First("store/"+store, node.regionNames)
 	if !found {
 		return node.options.Self
 	}
 	return broker
 }
 
+// regionRate is the region's share of a store's rate, in loads a second: as
+// many parts as the region has of the engines that load from it.
+func (node *Node) regionRate(store *config.WeightStore) float64 {
+	here, all := 0, 0
+	for i := range node.config.Config.Engines {
+		engine := &node.config.Config.Engines[i]
+		if engine.Store != store.Name {
+			continue
+		}
+		all++
+		if engine.Region == node.options.Region {
+			here++
+		}
+	}
+	return store.LoadsPerSecond * float64(max(1, here)) / float64(max(1, all))
+}
+
 func (node *Node) broker(store string) *loads.Broker {
 	if node.brokers[store] == nil {
 		node.brokers[store] = loads.New(node.loadOptions(store))
@@ -36,6 +52,9 @@
 	}
 	if store, known := node.config.Store(name); known {
 		options.Span = clock.Millis(float64(clock.Second) / store.LoadsPerSecond)
+		if rate := node.regionRate(store); rate < store.LoadsPerSecond {
+			options.Interval = clock.Millis(float64(clock.Second) / rate)
+		}
 	}
 	return options
 }
@@ -73,8 +92,7 @@
 			continue
 		}
 		if engine, adapter, found := node.longestUnanswered(store.Name); found {
-			daemons := len(node.vms.Daemons(func(*members.VM) bool { return true }))
-			span := float64(clock.Second) * float64(max(1, daemons)) / store.LoadsPerSecond
+			span := float64(clock.Second) * float64(max(1, len(node.regionNames))) / node.regionRate(store)
 			node.fallback[store.Name] = node.now + clock.Millis(span)
 			node.loadGrant(message.LoadGrant{Store: store.Name, Engine: engine, Adapter: adapter, Lease: node.options.Loads.Lease})
 		}
--- a/internal/decide/node/brokering_test.go
+++ b/internal/decide/node/brokering_test.go
@@ -8,6 +8,7 @@
 
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/base/ident"
+	"teaselmoor/internal/control/config"
 	"teaselmoor/internal/decide/node"
 	"teaselmoor/internal/decide/nodetest"
 	"teaselmoor/internal/decide/outcome"
@@ -110,3 +111,53 @@
 		require.Empty(t, engine.Ran)
 	}
 }
+
+// TestRegionsShareAWeightStore runs two regions that load from one store. Their
+// daemons are not connected, so each region's loads must need no other's word.
+func TestRegionsShareAWeightStore(t *testing.T) {
+	published := smallConfig(2)
+	published.Engines[1].Region, published.Engines[1].DataCentre = "south", "b"
+	regions := []string{"north", "south"}
+	published.Callers = nil
+	published.Rules = nil
+	for i, region := range regions {
+		published.Engines[i].Labels = map[string]string{"region": region}
+		published.Callers = append(published.Callers, config.Caller{
+			Name: region, KeyHash: config.HashKey(region), Region: region, Labels: map[string]string{"region": region},
+		})
+		published.Rules = append(published.Rules, config.Rule{
+			Name: region, Callers: "region=" + region, Engines: "region=" + region,
+			Class: "Urgent", DeadlineMillis: 20_000, Repeatable: true,
+		})
+	}
+	vms := entryVMs("north-0", "north-1", "south-0", "south-1")
+	for i := range vms[2:] {
+		vms[2+i].Region, vms[2+i].DataCentre = "south", "b"
+	}
+	network, err := nodetest.New(nodetest.Options{
+		Seed: 1, Delay: 1, Jitter: 2, TickInterval: 50, Config: published, VMs: vms,
+		Engine: nodetest.EngineOptions{RunSpan: 200, LoadSpan: 500}, Node: node.DefaultOptions(),
+	})
+	require.NoError(t, err)
+	network.Run(6 * clock.Second)
+	for _, region := range regions {
+		for i := range 2 {
+			network.Arrive(ident.DaemonID(region+"-0"), node.Arrived{
+				RequestID: fmt.Sprintf("%s-%d", region, i), APIKey: region, Model: fmt.Sprintf("review-%d@1", i), Path: "/v1/completions",
+			})
+		}
+	}
+	prompt := network.RunUntil(1500*clock.Millisecond, func() bool {
+		return len(network.Answers["north-0"])+len(network.Answers["north-1"]) > 0 &&
+			len(network.Answers["south-0"])+len(network.Answers["south-1"]) > 0
+	})
+	require.True(t, prompt, "a region waited for a broker that it cannot reach")
+	network.Run(5 * clock.Second)
+	for _, region := range regions {
+		for i := range 2 {
+			answers := network.Answers[fmt.Sprintf("%s-%d", region, i)]
+			require.Len(t, answers, 1)
+			require.Equal(t, outcome.Done(), answers[0].Outcome, "region %s", region)
+		}
+	}
+}
--- a/internal/decide/nodetest/network.go
+++ b/internal/decide/nodetest/network.go
@@ -325,6 +325,9 @@
 	if network.Blocked[Direction{From: from.Name, To: sent.To}] || network.random.Float64() < network.DropShare {
 		return
 	}
+	if to, known := network.Nodes[sent.To]; known && to.VM.Region != from.VM.Region {
+		return // daemons connect within their region only
+	}
 	deliver := func() {
 		if to, known := network.Nodes[sent.To]; known {
 			network.Feed(to, node.Received{From: from.Name, Message: sent.Message})
--- a/internal/standin/site/deployment.go
+++ b/internal/standin/site/deployment.go
@@ -91,7 +91,7 @@
 
 func (site *Site) addCaller(deployment Deployment) {
 	site.Config.Callers = append(site.Config.Callers, config.Caller{
-		Name: deployment.Caller, KeyHash: config.HashKey(deployment.CallerKey),
+		Name: deployment.Caller, KeyHash: config.HashKey(deployment.CallerKey), Region: deployment.Region,
 		Labels: map[string]string{"organisation": deployment.Caller},
 	})
 }
