owner: a restart of the engine keeps the runs that are in its new life

A run dispatched after the engine's restart, but before the report that showed it, was taken for one of the former life: it lost its pin, and its adapter was evicted under it. Runs dispatched too late for the report to show them stay pinned, and so do handed-over runs that no report has shown yet.

--- a/internal/decide/owner/report.go
+++ b/internal/decide/owner/report.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"slices"
+
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/base/ident"
 	"teaselmoor/internal/decide/effect"
@@ -40,10 +42,11 @@
 	case owner.boot == "":
 		owner.adopt(now, report)
 	case owner.boot != report.Boot:
-		owner.restarted(now, report)
+		owner.restarted(now, takenAt, report)
 	}
 	owner.reportedAt = takenAt
 	owner.reconcile(now, takenAt, report)
+	owner.pinUnplaced()
 	owner.trackForeign(takenAt, report)
 	owner.settleUnknown(takenAt)
 	owner.advance(now)
@@ -59,34 +62,38 @@
 		owner.slots[i] = slot{state: slotReady, adapter: adapter, lastUsed: now}
 		owner.resident[adapter] = i
 	}
-	owner.pinResumed()
 }
 
-// pinResumed pins the adapters of runs that were resumed before the slots were
-// known.
-func (owner *Owner) pinResumed() {
+// pinUnplaced pins the adapters of runs that began when their slot was not known.
+func (owner *Owner) pinUnplaced() {
 	for _, found := range owner.sortedRuns() {
-		if found.resumed && found.slot == noSlot {
+		if found.state != runWaiting && found.slot == noSlot {
 			found.slot = owner.pinSlot(found.submit.Request.Adapter)
 		}
 	}
 }
 
-// restarted voids everything that the engine's former life held.
-func (owner *Owner) restarted(now clock.Millis, report Report) {
+// restarted voids everything that the engine's former life held. A run that was
+// dispatched too late for the report to show it may be in the new life already;
+// it stays, and so does its pin.
+func (owner *Owner) restarted(now, takenAt clock.Millis, report Report) {
 	owner.emit(effect.Audit{
 		At: now, Kind: effect.EngineRestarted, Object: string(owner.Engine.Name),
 		Cause: "the report carries a new boot id", Before: string(owner.boot), After: string(report.Boot),
 	})
+	owner.running = 0
 	for _, found := range owner.sortedRuns() {
-		if found.state == runWaiting {
-			continue
+		switch {
+		case found.state == runWaiting:
+		case found.dispatchedAt+transitSpan > takenAt || report.shows(found.submit.Stream):
+			found.slot = noSlot
+			owner.running++
+		default:
+			owner.tell(found, outcome.Lost(outcome.EngineRestarted), 0)
+			delete(owner.runs, found.submit.Stream)
 		}
-		owner.tell(found, outcome.Lost(outcome.EngineRestarted), 0)
-		delete(owner.runs, found.submit.Stream)
 	}
-	owner.running = 0
-	clear(owner.takeover.foreign)
+	owner.voidForeign(takenAt)
 	owner.slots = make([]slot, owner.Engine.Slots)
 	clear(owner.resident)
 	owner.park()
@@ -94,6 +101,12 @@
 	owner.adopt(now, report)
 }
 
+// shows reports whether a run is among the unfinished ones.
+func (report Report) shows(stream ident.StreamID) bool {
+	id := stream.String()
+	return slices.ContainsFunc(report.Runs, func(running ReportedRun) bool { return running.Run == id })
+}
+
 func (owner *Owner) quarantine(now clock.Millis, cause string) {
 	if owner.quarantined {
 		return
--- a/internal/decide/owner/run.go
+++ b/internal/decide/owner/run.go
@@ -50,7 +50,8 @@
 	// resumed says that an earlier owner may have dispatched it.
 	resumed bool
 	// unknownAt is when the engine said that it does not know the resumed run.
-	unknownAt clock.Millis
+	unknownAt    clock.Millis
+	dispatchedAt clock.Millis
 	// told says that the entry has had its Ended message.
 	told bool
 	// cancelAgain is when an unconfirmed cancel is sent again.
@@ -101,7 +102,7 @@
 	arrived := &run{state: runWaiting, entry: entry, submit: submit, deadline: now + submit.Budget}
 	owner.runs[submit.Stream] = arrived
 	if submit.Resume {
-		owner.resume(arrived)
+		owner.resume(now, arrived)
 		return owner.take()
 	}
 	owner.frequency.add(now, submit.Request.Adapter)
@@ -159,6 +160,7 @@
 		"run %s, slot %d is %s with %s", waiting.submit.Stream, at, slot.state, slot.adapter)
 	runTable.Must(&waiting.state, dispatchRun)
 	waiting.slot = at
+	waiting.dispatchedAt = now
 	slot.pins++
 	slot.use(now)
 	owner.running++
--- a/internal/decide/owner/takeover.go
+++ b/internal/decide/owner/takeover.go
@@ -12,6 +12,10 @@
 	"teaselmoor/internal/decide/outcome"
 )
 
+// transitSpan is the span after its dispatch within which a run shows up in the
+// engine's reports.
+const transitSpan = clock.Second
+
 // noSlot marks a run whose adapter is in no known slot.
 const noSlot = -1
 
@@ -191,12 +195,12 @@
 		}
 		foreign := owner.pinForeign(running.Run, running.Adapter)
 		foreign.seen = true
-		if foreign.slot == noSlot {
-			foreign.slot = owner.pinSlot(running.Adapter)
-		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(owner.takeover.foreign)) {
 		foreign := owner.takeover.foreign[id]
+		if foreign.slot == noSlot {
+			foreign.slot = owner.pinSlot(foreign.adapter)
+		}
 		if !reported[id] && (foreign.seen || takenAt >= owner.takeover.quietUntil) {
 			owner.release(foreign.slot)
 			delete(owner.takeover.foreign, id)
@@ -204,9 +208,22 @@
 	}
 }
 
+// voidForeign forgets the runs of former owners that were lost in a restart of
+// the engine. One that was handed over and never seen may still turn up.
+func (owner *Owner) voidForeign(takenAt clock.Millis) {
+	for id, foreign := range owner.takeover.foreign {
+		if foreign.seen || takenAt >= owner.takeover.quietUntil {
+			delete(owner.takeover.foreign, id)
+			continue
+		}
+		foreign.slot = noSlot
+		owner.running++
+	}
+}
+
 // resume takes over an attempt that an earlier owner may have dispatched. It
 // does not queue: the engine is asked for the run at once, and begins none.
-func (owner *Owner) resume(resumed *run) {
+func (owner *Owner) resume(now clock.Millis, resumed *run) {
 	id := resumed.submit.Stream.String()
 	slot := noSlot
 	if foreign, known := owner.takeover.foreign[id]; known {
@@ -219,6 +236,7 @@
 	runTable.Must(&resumed.state, dispatchRun)
 	resumed.slot = slot
 	resumed.resumed = true
+	resumed.dispatchedAt = now
 	owner.start(resumed, true, resumed.submit.Received)
 }
 
