--- a/internal/base/settings/fields.go
+++ b/internal/base/settings/fields.go
@@ -29,6 +29,7 @@
 	Platform  Platform  `yaml:"Platform"`
 	Rollout   Rollout   `yaml:"Rollout"`
 	Peers     Peers     `yaml:"Peers"`
+	Ownership Ownership `yaml:"Ownership"`
 	Engines   Engines   `yaml:"Engines"`
 	Services  Services  `yaml:"Services"`
 	Queue     Queue     `yaml:"Queue"`
@@ -122,6 +123,31 @@
 	RedialMillis clock.Millis `yaml:"RedialMillis" min:"10" max:"60000"`
 }
 
+// Ownership is about which daemon gives orders to an engine. ListLagMillis,
+// ClockMarginMillis, OrderSpanMillis and ReportLagMillis are assumptions about
+// the platform: of engines that ignore fencing numbers, exclusive ownership holds
+// only while they do.
+type Ownership struct {
+	// Age of the VM list up to which an owner gives orders, in milliseconds.
+	ViewAgeMillis clock.Millis `yaml:"ViewAgeMillis" min:"100" max:"600000"`
+	// Longest span by which the VM list lags behind the truth, in milliseconds.
+	ListLagMillis clock.Millis `yaml:"ListLagMillis" min:"0" max:"600000"`
+	// Largest difference between the clocks of two VMs, in milliseconds.
+	ClockMarginMillis clock.Millis `yaml:"ClockMarginMillis" min:"0" max:"600000"`
+	// Age up to which a handover replaces the waiting period, in milliseconds.
+	HandoverSpanMillis clock.Millis `yaml:"HandoverSpanMillis" min:"10" max:"60000"`
+	// Longest span from the decision to give an order to its arrival at the
+	// engine, in milliseconds.
+	OrderSpanMillis clock.Millis `yaml:"OrderSpanMillis" min:"10" max:"60000"`
+	// Longest span by which an engine's report is older than it says, in milliseconds.
+	ReportLagMillis clock.Millis `yaml:"ReportLagMillis" min:"0" max:"60000"`
+	// Silence after which a daemon is passed over for engines that check fencing
+	// numbers, in milliseconds.
+	SuspicionMillis clock.Millis `yaml:"SuspicionMillis" min:"100" max:"600000"`
+	// Gap between two steps that counts as a pause of the process, in milliseconds.
+	PauseMillis clock.Millis `yaml:"PauseMillis" min:"100" max:"60000"`
+}
+
 // Engines is about calls to model engines.
 type Engines struct {
 	// Longest wait for a connection, in milliseconds.
@@ -130,6 +156,8 @@
 	HeadTimeoutMillis clock.Millis `yaml:"HeadTimeoutMillis" min:"100" max:"3600000"`
 	// Idle connections kept to each engine.
 	MaxIdleConnections int `yaml:"MaxIdleConnections" min:"0" max:"10000"`
+	// Largest answer that is not streamed, in bytes; a larger one counts as truncated.
+	MaxAnswerBytes int64 `yaml:"MaxAnswerBytes" min:"1024" max:"67108864"`
 	// Span between two reads of an engine's report, in milliseconds.
 	ReportIntervalMillis clock.Millis `yaml:"ReportIntervalMillis" min:"10" max:"60000"`
 	// Span between two words to other daemons on an owned engine, in milliseconds.
@@ -144,6 +172,8 @@
 	TimeoutMillis clock.Millis `yaml:"TimeoutMillis" min:"100" max:"3600000"`
 	// Idle connections kept to each address.
 	MaxIdleConnections int `yaml:"MaxIdleConnections" min:"0" max:"10000"`
+	// Largest answer, in bytes; a larger one counts as lost.
+	MaxAnswerBytes int64 `yaml:"MaxAnswerBytes" min:"1024" max:"67108864"`
 }
 
 // Queue is about requests that wait for an engine, at its owner.
@@ -171,6 +201,8 @@
 	BackoffMillis clock.Millis `yaml:"BackoffMillis" min:"10" max:"600000"`
 	// Failed loads after which the waiting requests are refused or go to another engine.
 	Tries int `yaml:"Tries" min:"1" max:"100"`
+	// Span after which a use of an adapter counts half when a slot is needed, in milliseconds.
+	HalfLifeMillis clock.Millis `yaml:"HalfLifeMillis" min:"1000" max:"86400000"`
 }
 
 // Keys is about idempotency keys, at their home.
@@ -183,10 +215,15 @@
 
 // Placement weighs what an engine costs a request.
 type Placement struct {
-	// Cost of loading the adapter first, in queued requests. A higher one avoids
-	// load stalls; a lower one spreads requests and fills engine steps.
+	// Cost of loading the adapter at a further engine while one that holds it has
+	// a queue, in full batches queued there. A higher one avoids loads.
 	LoadCost float64 `yaml:"LoadCost" min:"0" max:"10000"`
-	// Cost of each step down an adapter's order of engines, in queued requests.
+	// Gain of loading an adapter into an engine with a full batch against an idle
+	// one, in requests for the adapter evicted. A higher one fills engine steps; 0
+	// keeps load stalls shortest.
+	BatchGain float64 `yaml:"BatchGain" min:"0" max:"10000"`
+	// Cost of each step down an adapter's order of engines; it settles ties alike
+	// at all daemons.
 	AffinityCost float64 `yaml:"AffinityCost" min:"0" max:"10000"`
 	// Age from which an engine's state is not relied on, in milliseconds.
 	SilenceMillis clock.Millis `yaml:"SilenceMillis" min:"100" max:"600000"`
@@ -200,7 +237,7 @@
 			MaxBodyBytes: 4 << 20, MaxHeaderBytes: 64 << 10, MaxKeyBytes: 255, MaxConnections: 4096,
 			HeaderTimeoutMillis: 10 * clock.Second, BodyTimeoutMillis: 30 * clock.Second, IdleTimeoutMillis: 2 * clock.Minute,
 		},
-		Operators: Operators{LogLevel: "Info", AuditChanges: 4096, AuditRefusals: 4096, MaxConnections: 64},
+		Operators: Operators{LogLevel: "Info", AuditChanges: 4096, AuditRefusals: 1024, MaxConnections: 64},
 		Runtime: Runtime{
 			Workers: 8, TickIntervalMillis: 50 * clock.Millisecond,
 			DrainTimeoutMillis: 2 * clock.Minute, RetryShare: 0.1,
@@ -215,21 +252,27 @@
 		Peers: Peers{
 			PingMillis: clock.Second, SilenceMillis: 3 * clock.Second, RedialMillis: 250 * clock.Millisecond,
 		},
+		Ownership: Ownership{
+			ViewAgeMillis: 2 * clock.Second, ListLagMillis: clock.Second, ClockMarginMillis: 250 * clock.Millisecond,
+			HandoverSpanMillis: 250 * clock.Millisecond, OrderSpanMillis: 250 * clock.Millisecond,
+			ReportLagMillis: 500 * clock.Millisecond, SuspicionMillis: 2 * clock.Second, PauseMillis: 500 * clock.Millisecond,
+		},
 		Engines: Engines{
-			DialTimeoutMillis: 2 * clock.Second, HeadTimeoutMillis: 2 * clock.Minute, MaxIdleConnections: 64,
+			DialTimeoutMillis: 2 * clock.Second, HeadTimeoutMillis: 2 * clock.Minute, MaxIdleConnections: 64, MaxAnswerBytes: 32 << 20,
 			ReportIntervalMillis: clock.Second, StateIntervalMillis: 250 * clock.Millisecond,
 		},
 		Services: Services{
-			DialTimeoutMillis: 2 * clock.Second, TimeoutMillis: 30 * clock.Second, MaxIdleConnections: 64,
+			DialTimeoutMillis: 2 * clock.Second, TimeoutMillis: 30 * clock.Second, MaxIdleConnections: 64, MaxAnswerBytes: 8 << 20,
 		},
 		Queue: Queue{
 			UrgentLength: 256, RoutineLength: 1024, UrgentReserveRuns: 1,
 			ResumeTries: 2, CancelIntervalMillis: clock.Second,
 		},
 		Loads: Loads{
-			Parallel: 1, LeaseMillis: 5 * clock.Second, BackoffMillis: 2 * clock.Second, Tries: 3,
+			Parallel: 1, LeaseMillis: 5 * clock.Second, BackoffMillis: 500, Tries: 3,
+			HalfLifeMillis: 5 * clock.Minute,
 		},
-		Keys:      Keys{RetentionMillis: clock.Hour, ClockMarginMillis: 2 * clock.Second},
-		Placement: Placement{LoadCost: 16, AffinityCost: 4, SilenceMillis: 10 * clock.Second},
+		Keys:      Keys{RetentionMillis: clock.Hour, ClockMarginMillis: clock.Second},
+		Placement: Placement{LoadCost: 4, BatchGain: 0.25, AffinityCost: 0.01, SilenceMillis: 10 * clock.Second},
 	}
 }
--- a/internal/decide/message/message.go
+++ b/internal/decide/message/message.go
@@ -86,6 +86,8 @@
 	Dispatched bool
 	// Chunks is the number of chunks sent in all, to detect a gap.
 	Chunks uint64
+	// Owner is the engine's present owner where a daemon that is not knows it.
+	Owner ident.DaemonID
 }
 
 // Cancel asks the owner to give up an attempt.
@@ -95,43 +97,6 @@
 	Class  config.Class
 }
 
-// HomeBegin asks the home of an idempotency key for leave to run.
-type HomeBegin struct {
-	Key        string
-	Caller     string
-	BodyHash   string
-	Stream     ident.StreamID
-	IssuedAt   clock.Millis
-	RequestID  string
-	EntryClass config.Class
-}
-
-// HomeVerdict is the home's answer.
-type HomeVerdict struct {
-	Key     string
-	Stream  ident.StreamID
-	Granted bool
-	// Outcome is what the caller is told when leave was not granted.
-	Outcome outcome.Outcome
-	// Stored is the body of the first attempt's answer, when there is one.
-	Stored *StoredAnswer
-}
-
-// StoredAnswer is a complete answer kept for a caller's retry.
-type StoredAnswer struct {
-	Status      int
-	ContentType string
-	Body        []byte
-}
-
-// HomeFinish records the outcome of a granted attempt.
-type HomeFinish struct {
-	Key     string
-	Stream  ident.StreamID
-	Outcome outcome.Outcome
-	Stored  *StoredAnswer
-}
-
 // LoadAsk asks the broker of a weight store for leave to load.
 type LoadAsk struct {
 	Store    string
@@ -151,12 +116,26 @@
 	Lease   clock.Millis // span
 }
 
+// LoadVerdict is the broker's answer to an ask.
+type LoadVerdict struct {
+	Store   string
+	Engine  ident.EngineID
+	Adapter ident.Adapter
+	// Refused says that the load cannot end within its budget.
+	Refused bool
+	// Wait is the span until the load ends; of a refused one, the span until the
+	// loads that wait now are done.
+	Wait clock.Millis
+}
+
 // LoadDone gives a lease back.
 type LoadDone struct {
 	Store   string
 	Engine  ident.EngineID
 	Adapter ident.Adapter
 	Failed  bool
+	// Unused says that no load was begun.
+	Unused bool
 }
 
 // Heartbeat shows that a daemon lives, and what it has accepted.
@@ -175,8 +154,13 @@
 	Version uint64 // rises with every change at this owner
 	// Resident lists adapters that are loaded or being loaded.
 	Resident []ident.Adapter
-	Queued   int
-	Running  int
+	// Wanted lists adapters that requests wait for and no slot holds.
+	Wanted []ident.Adapter
+	// Spare is the number of requests that asked lately for the adapter that the
+	// engine would evict next: 0 with an empty slot.
+	Spare   float64
+	Queued  int
+	Running int
 	// LoadsWaiting is the number of loads not begun yet.
 	LoadsWaiting int
 	// Reported is the age of the engine's own report when this was sent.
@@ -193,11 +177,9 @@
 func (dispatched Dispatched) Lane() Lane { return LaneOf(dispatched.Class) }
 func (ended Ended) Lane() Lane           { return LaneOf(ended.Class) }
 func (cancel Cancel) Lane() Lane         { return LaneOf(cancel.Class) }
-func (begin HomeBegin) Lane() Lane       { return ControlLane }
-func (verdict HomeVerdict) Lane() Lane   { return ControlLane }
-func (finish HomeFinish) Lane() Lane     { return ControlLane }
 func (ask LoadAsk) Lane() Lane           { return ControlLane }
 func (grant LoadGrant) Lane() Lane       { return ControlLane }
+func (verdict LoadVerdict) Lane() Lane   { return ControlLane }
 func (done LoadDone) Lane() Lane         { return ControlLane }
 func (heartbeat Heartbeat) Lane() Lane   { return ControlLane }
 func (state EngineState) Lane() Lane     { return ControlLane }
--- a/internal/decide/node/authority.go
+++ b/internal/decide/node/authority.go
@@ -92,6 +92,7 @@
 		return
 	}
 	node.vms = view
+	node.homeEffects(node.home.ListRead(node.now, view))
 	if former != nil && view.List.Version == former.List.Version {
 		node.reviseOwnership()
 		return
--- a/internal/decide/node/node.go
+++ b/internal/decide/node/node.go
@@ -73,14 +73,18 @@
 	vms      *members.View
 
 	requests map[ident.StreamID]*request // entry role
+	finishes map[ident.StreamID]*finish  // by a request's first stream
+	orphans  []orphan
 	retries  retryBudget
-	owning   owning // owner role
+	limits   limiter[string] // by caller
+	owning   owning          // owner role
 	peers    *members.Peers
 	news     news
 	views    *placement.Views
 	policy   placement.Policy
 	home     *home.Home               // home role
 	brokers  map[string]*loads.Broker // load broker role, by weight store
+	fallback map[string]clock.Millis  // next load without the broker, by weight store
 
 	// regionNames are the region's live daemons; localNames and remoteNames are
 	// those of the own data centre and of each other one.
@@ -101,14 +105,17 @@
 		options:  options,
 		rollout:  rollout.New(options.Self, options.Rollout),
 		requests: map[ident.StreamID]*request{},
+		finishes: map[ident.StreamID]*finish{},
+		limits:   newLimiter[string](),
 		retries:  retryBudget{share: options.RetryShare},
 		owning:   newOwning(),
 		peers:    members.NewPeers(options.StartedAt),
 		news:     newNews(),
 		views:    placement.NewViews(),
 		policy:   options.policy(),
-		home:     home.New(options.StartedAt, options.Home),
+		home:     home.New(options.Self, options.Home),
 		brokers:  map[string]*loads.Broker{},
+		fallback: map[string]clock.Millis{},
 	}
 }
 
@@ -198,17 +205,27 @@
 	case message.Dispatched:
 		node.dispatched(received)
 	case message.Ended:
-		node.attemptEnded(received)
+		node.attemptEnded(from, received)
 	case message.HomeBegin:
-		node.homeBegin(from, received)
+		node.homeEffects(node.home.Begin(node.now, received))
 	case message.HomeVerdict:
-		node.homeVerdict(received)
+		node.homeVerdict(from, received)
 	case message.HomeFinish:
-		node.home.Finish(node.now, received)
+		node.homeEffects(node.home.Finish(node.now, received))
+	case message.HomeFinished:
+		node.homeFinished(received)
+	case message.HomeCopy:
+		node.homeEffects(node.home.Copied(node.now, received))
+	case message.HomeCopyAck:
+		node.homeEffects(node.home.CopyConfirmed(received))
+	case message.HomeForget:
+		node.homeEffects(node.home.Forgotten(received))
 	case message.LoadAsk:
 		node.loadAsk(from, received)
 	case message.LoadGrant:
 		node.loadGrant(received)
+	case message.LoadVerdict:
+		node.loadVerdict(received)
 	case message.LoadDone:
 		node.loadDone(received)
 	case message.EngineState:
@@ -257,9 +274,9 @@
 
 func (node *Node) tick() {
 	node.configEffects(node.rollout.Tick(node.now))
-	node.home.Tick(node.now)
+	node.homeEffects(node.home.Tick(node.now))
 	for _, store := range slices.Sorted(maps.Keys(node.brokers)) {
-		node.sendGrants(node.brokers[store].Tick(node.now))
+		node.sendReplies(node.brokers[store].Tick(node.now))
 	}
 	node.reviseOwnership()
 	for _, engine := range node.ownedInOrder() {
@@ -270,17 +287,19 @@
 	node.expireEarly()
 	node.viewOwn()
 	node.tickNews()
+	node.tickFallback()
 	node.tickRequests()
 }
 
 func (node *Node) shutdown() {
 	node.draining = true
+	node.homeEffects(node.home.Shutdown(node.now))
 	node.emit(effect.Audit{At: node.now, Kind: effect.ShutdownStarted, Object: string(node.options.Self), Cause: "signal"})
 }
 
 // Idle reports whether nothing is in progress, so that a draining daemon may exit.
 func (node *Node) Idle() bool {
-	if len(node.requests) > 0 {
+	if len(node.requests) > 0 || len(node.finishes) > 0 || !node.home.Idle() {
 		return false
 	}
 	for _, held := range node.owning.owned {
--- a/internal/serve/command/status.go
+++ b/internal/serve/command/status.go
@@ -44,18 +44,40 @@
 		state = "ready"
 	}
 	writeLine(invocation, "daemon %s in %s, %s: %s", status.Daemon, status.DataCentre, status.Region, state)
-	writeLine(invocation, "configuration version %d; VM list version %d, read %s ago",
-		status.ConfigVersion, status.VMListVersion, age(status.VMListAge))
+	writeLine(invocation, "configuration version %d, accepted %s ago; the service last answered %s ago",
+		status.ConfigVersion, age(status.ConfigAge), age(status.ConfigContactAge))
+	writeLine(invocation, "VM list version %d, read %s ago", status.VMListVersion, age(status.VMListAge))
 	peers := make([]string, 0, len(status.Peers))
 	for _, peer := range status.Peers {
 		peers = append(peers, string(peer))
 	}
 	writeLine(invocation, "%d requests in progress, %d idempotency keys, %d peers connected: %s",
 		status.Requests, status.Keys, len(peers), orNone(strings.Join(peers, " ")))
+	printMembers(invocation, status)
 	printOwned(invocation, status)
 	printKnown(invocation, status)
 }
 
+func printMembers(invocation *cli.Context, status daemon.Status) {
+	writeLine(invocation, "\nother daemons of the region:")
+	table := newTable(invocation)
+	table.row("DAEMON", "DATA CENTRE", "LISTED", "CONFIGURATION", "LAST HEARD", "STATE")
+	for _, member := range status.Members {
+		heard, state := "never", "silent so far"
+		if member.Heard {
+			heard, state = age(member.Age)+" ago", "heard"
+		}
+		switch {
+		case member.Leaving:
+			state = "leaving"
+		case member.Lost:
+			state = "connection lost"
+		}
+		table.row(member.Daemon, member.DataCentre, member.Listed, member.ConfigVersion, heard, state)
+	}
+	table.flush()
+}
+
 func printOwned(invocation *cli.Context, status daemon.Status) {
 	writeLine(invocation, "\nowned engines:")
 	table := newTable(invocation)
--- a/internal/serve/daemon/perform.go
+++ b/internal/serve/daemon/perform.go
@@ -56,11 +56,12 @@
 // send passes a message to a peer. A Submit that no connection takes is known
 // not to have left, so the entry is told at once.
 func (daemon *Daemon) send(next effect.Send) {
-	if daemon.links.Send(next.To, next.Message) {
-		return
-	}
 	submit, isSubmit := next.Message.(message.Submit)
-	if !isSubmit {
+	if isSubmit && submit.Resume {
+		submit.Received = daemon.received(submit.Stream).Chunks
+		next.Message = submit
+	}
+	if daemon.links.Send(next.To, next.Message) || !isSubmit {
 		return
 	}
 	ended := message.Ended{
@@ -85,8 +86,7 @@
 	if next.Outcome.Kind != outcome.Answered {
 		daemon.options.Audit.Refusal(next.Record)
 	}
-	daemon.options.Log.Debug("request ended", "Request", next.Record.Request, "Stream", next.Stream.String(),
-		"Outcome", next.Outcome.Kind, "Reason", next.Outcome.Reason)
+	daemon.logEnd(next)
 	ticket, found := daemon.streams.takeTicket(next.Stream)
 	if !found {
 		return
@@ -113,6 +113,7 @@
 	if address, known := daemon.engineAddress(start.Engine); known && daemon.inTime(start.Until) {
 		result = daemon.options.Engines.Run(ctx, address, start, sink)
 	}
+	daemon.logRun(start, result)
 	ended := node.RunEnded{Engine: start.Engine, Result: owner.RunResult{
 		Stream: start.Stream, Result: result, Chunks: sink.index,
 	}}
--- a/internal/serve/metrics/gauges.go
+++ b/internal/serve/metrics/gauges.go
@@ -1,11 +1,15 @@
 package metrics
 
 import (
+	"maps"
 	"runtime"
+	"slices"
 	"syscall"
 
+	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/decide/message"
 	"teaselmoor/internal/decide/node"
+	"teaselmoor/internal/decide/owner"
 )
 
 // Gauge is a value as it is at the time of reading.
@@ -26,6 +30,8 @@
 	inProgress    = gauge("teaselmoor_requests_in_progress", "Requests at this entry that have not ended.")
 	keys          = gauge("teaselmoor_idempotency_keys", "Idempotency keys remembered at this home.")
 	configVersion = gauge("teaselmoor_config_version", "Version of the configuration in force.")
+	configAge     = gauge("teaselmoor_config_age_milliseconds", "Span since the configuration in force was accepted.")
+	contactAge    = gauge("teaselmoor_config_contact_age_milliseconds", "Span since the configuration service last answered this daemon or a peer.")
 	listVersion   = gauge("teaselmoor_vm_list_version", "Version of the VM list last read.")
 	listAge       = gauge("teaselmoor_vm_list_age_milliseconds", "Span since the VM list was read.")
 	peers         = gauge("teaselmoor_peers", "Daemons with a live control connection.")
@@ -36,24 +42,40 @@
 	resident      = gauge("teaselmoor_engine_resident", "Adapters in the slots of an owned engine.")
 	reportAge     = gauge("teaselmoor_engine_report_age_milliseconds", "Age of an owned engine's own report.")
 	quarantined   = gauge("teaselmoor_engine_quarantined", "1 while an owned engine is quarantined.")
+	steps         = family{"teaselmoor_engine_steps_total", "Steps of an owned engine since its start.", counterKind}
+	stepRuns      = family{"teaselmoor_engine_step_runs_total", "Runs that shared those steps, summed.", counterKind}
+	stepCapacity  = gauge("teaselmoor_engine_step_capacity", "Runs that one step of an owned engine can hold.")
 	stateAge      = gauge("teaselmoor_engine_state_age_milliseconds", "Age of the oldest knowledge of an engine in use.")
 	goroutines    = gauge("teaselmoor_goroutines", "Goroutines of the process.")
 	heapBytes     = gauge("teaselmoor_heap_bytes", "Bytes of the heap in use.")
 	processorTime = family{"teaselmoor_processor_milliseconds_total", "Processor time that the process has used.", counterKind}
+	gaugesOrder   = []family{
+		ready, draining, inProgress, keys, configVersion, configAge, contactAge, listVersion, listAge, peers, ownedEngines, queued, running, loadsWaiting, resident, reportAge, quarantined, steps, stepRuns, stepCapacity, stateAge, goroutines, heapBytes, processorTime,
+	}
 )
 
+// Standing is what the runtime knows beside the node's status.
+type Standing struct {
+	Ready            bool
+	Peers            int
+	ConfigAge        clock.Millis
+	ConfigContactAge clock.Millis
+}
+
 // StatusGauges describes a daemon's status.
-func StatusGauges(status node.Status, isReady bool, peerCount int) []Gauge {
+func StatusGauges(status node.Status, standing Standing) []Gauge {
 	one := func(of family, value float64) Gauge { return Gauge{family: of, value: value} }
 	gauges := []Gauge{
-		one(ready, flag(isReady)),
+		one(ready, flag(standing.Ready)),
 		one(draining, flag(status.Draining)),
 		one(inProgress, float64(status.Requests)),
 		one(keys, float64(status.Keys)),
 		one(configVersion, float64(status.ConfigVersion)),
+		one(configAge, float64(standing.ConfigAge)),
+		one(contactAge, float64(standing.ConfigContactAge)),
 		one(listVersion, float64(status.VMListVersion)),
 		one(listAge, float64(status.VMListAge)),
-		one(peers, float64(peerCount)),
+		one(peers, float64(standing.Peers)),
 		one(ownedEngines, float64(len(status.Owned))),
 		one(stateAge, oldest(status)),
 	}
@@ -92,6 +114,29 @@
 	return gauges
 }
 
+// StepGauges describes how the steps of owned engines are shared.
+func (observer *Observer) StepGauges() []Gauge {
+	observer.mutex.Lock()
+	defer observer.mutex.Unlock()
+	columns := []struct {
+		family family
+		value  func(owner.Steps) float64
+	}{
+		{steps, func(steps owner.Steps) float64 { return float64(steps.Count) }},
+		{stepRuns, func(steps owner.Steps) float64 { return float64(steps.Runs) }},
+		{stepCapacity, func(steps owner.Steps) float64 { return float64(steps.Capacity) }},
+	}
+	var gauges []Gauge
+	for _, column := range columns {
+		for _, engine := range slices.Sorted(maps.Keys(observer.steps)) {
+			gauges = append(gauges, Gauge{
+				family: column.family, value: column.value(observer.steps[engine]), labels: []label{{"engine", string(engine)}},
+			})
+		}
+	}
+	return gauges
+}
+
 // ProcessGauges describes the process.
 func ProcessGauges() []Gauge {
 	var memory runtime.MemStats
--- a/internal/serve/metrics/observe.go
+++ b/internal/serve/metrics/observe.go
@@ -11,10 +11,15 @@
 	"teaselmoor/internal/decide/message"
 	"teaselmoor/internal/decide/node"
 	"teaselmoor/internal/decide/outcome"
+	"teaselmoor/internal/decide/owner"
 )
 
-// maxLoadEnds bounds the loads remembered for the measure of load stalls.
-const maxLoadEnds = 16384
+// Bounds of what is remembered for the measure of load stalls. A map that
+// reaches its bound is emptied: some stalls then go uncounted.
+const (
+	maxLoadEnds = 16384
+	maxWaiting  = 65536
+)
 
 // Observer derives the counters from a node's events and effects. Safe for
 // concurrent use.
@@ -27,6 +32,24 @@
 	inFlight map[ident.StreamID]flight
 	waiting  map[ident.StreamID]clock.Millis // submission of a request at its owner
 	loadEnds map[loadKey]clock.Millis
+	config   ConfigTimes
+	steps    map[ident.EngineID]owner.Steps // of owned engines, as last reported
+}
+
+// ConfigTimes tells how fresh a daemon's configuration is.
+type ConfigTimes struct {
+	// AcceptedAt is when the configuration in force was accepted.
+	AcceptedAt clock.Millis
+	// ContactAt is when this daemon, or a peer that it heard from, last had an
+	// answer of the configuration service.
+	ContactAt clock.Millis
+}
+
+// Config returns the times of the configuration; 0 means never.
+func (observer *Observer) Config() ConfigTimes {
+	observer.mutex.Lock()
+	defer observer.mutex.Unlock()
+	return observer.config
 }
 
 // flight is a request at its entry.
@@ -48,6 +71,7 @@
 		inFlight: map[ident.StreamID]flight{},
 		waiting:  map[ident.StreamID]clock.Millis{},
 		loadEnds: map[loadKey]clock.Millis{},
+		steps:    map[ident.EngineID]owner.Steps{},
 	}
 	for lane := range message.LaneCount {
 		observer.relayed[lane] = metrics.counter(relayed, laneLabel(lane))
@@ -88,14 +112,32 @@
 		observer.inFlight[event.Stream] = flight{arrivedAt: now}
 	case node.Received:
 		observer.metrics.counter(messages, label{"direction", "received"}, laneLabel(event.Message.Lane())).Inc(1)
-		if submit, isSubmit := event.Message.(message.Submit); isSubmit {
-			observer.waiting[submit.Stream] = now
+		observer.received(now, event.Message)
+	case node.ConfigWatched:
+		if event.Result.Cause == "" {
+			observer.config.ContactAt = now
 		}
+	case node.EngineReported:
+		observer.steps[event.Engine] = event.Report.Steps
 	case node.LoadEnded:
 		observer.loadEnded(now, event)
 	}
 }
 
+func (observer *Observer) received(now clock.Millis, received message.Message) {
+	switch received := received.(type) {
+	case message.Submit:
+		if len(observer.waiting) >= maxWaiting {
+			clear(observer.waiting)
+		}
+		observer.waiting[received.Stream] = now
+	case message.ConfigOffer:
+		if received.Contact {
+			observer.config.ContactAt = now
+		}
+	}
+}
+
 func (observer *Observer) loadEnded(now clock.Millis, event node.LoadEnded) {
 	if event.Failed {
 		observer.metrics.counter(loads, label{"result", "failed"}).Inc(1)
@@ -128,11 +170,26 @@
 		delete(observer.loadEnds, loadKey{next.Engine, next.Adapter})
 	case effect.Send:
 		observer.metrics.counter(messages, label{"direction", "sent"}, laneLabel(next.Message.Lane())).Inc(1)
-		if ended, isEnd := next.Message.(message.Ended); isEnd {
-			delete(observer.waiting, ended.Stream)
-		}
+		observer.sent(next.Message)
 	case effect.Audit:
 		observer.metrics.counter(changes, label{"kind", string(next.Kind)}).Inc(1)
+		switch next.Kind {
+		case effect.ConfigAccepted:
+			observer.config.AcceptedAt = now
+		case effect.OwnershipReleased:
+			delete(observer.steps, ident.EngineID(next.Object))
+		}
+	}
+}
+
+// sent forgets requests that wait at this owner no longer: ended ones, and those
+// passed on to another owner.
+func (observer *Observer) sent(next message.Message) {
+	switch sent := next.(type) {
+	case message.Ended:
+		delete(observer.waiting, sent.Stream)
+	case message.Submit:
+		delete(observer.waiting, sent.Stream)
 	}
 }
 
