--- a/internal/decide/node/configuration_test.go
+++ b/internal/decide/node/configuration_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -99,25 +100,27 @@
 	}
 }
 
-// TestNewDaemonAsksPeers restarts a daemon while the service is stale.
+// TestNewDaemonAsksPeers restarts a daemon while the service is stale, and
+// answers sooner than the peers do.
 func TestNewDaemonAsksPeers(t *testing.T) {
 	network := publishedNetwork(t, 1, 5, 2)
 	requireEverywhere(t, network, 1, 5*clock.Second)
-	network.Service.SetMode(nodetest.ServiceStale)
-	network.Service.SetMode(nodetest.ServiceUp)
+	network.Service.Remember()
 	require.NoError(t, network.Service.Publish(versioned(2)))
 	requireEverywhere(t, network, 2, configSpan)
 	network.Service.SetMode(nodetest.ServiceStale)
 	network.Kill("daemon-01")
 	network.Run(clock.Second)
+	network.SlowShare, network.SlowSpan = 1, 450
 	host := network.Boot(network.Nodes["daemon-01"].VM)
-	ready := network.RunUntil(10*clock.Second, func() bool { return host.Node.Ready() })
-	require.True(t, ready)
-	require.Equal(t, uint64(2), host.Node.Config().Version())
+	accepted := network.RunUntil(configSpan, func() bool { return host.Node.Config() != nil })
+	require.True(t, accepted)
+	require.Equal(t, uint64(2), host.Node.Config().Version(), "the first configuration that a new daemon accepts")
+	require.True(t, network.RunUntil(10*clock.Second, host.Node.Ready))
 }
 
 func TestBadConfigIsRefusedWhole(t *testing.T) {
-	bad := versioned(2)
+	bad := versioned(5)
 	bad.Rules[0].Class = "Later"
 	network := publishedNetwork(t, 1, 3, 1)
 	requireEverywhere(t, network, 1, 5*clock.Second)
@@ -149,19 +152,58 @@
 	requireEverywhere(t, network, 2, 12*clock.Second)
 }
 
+// TestCorruptPartIsReadAgain lets the service show parts with another content
+// than the manifest says, for a while.
+func TestCorruptPartIsReadAgain(t *testing.T) {
+	network := publishedNetwork(t, 1, 3, 1)
+	requireEverywhere(t, network, 1, 5*clock.Second)
+	network.Service.Corrupt = func(key string, body []byte) []byte {
+		if strings.HasPrefix(key, config.PartPrefix) {
+			return append([]byte(" "), body...)
+		}
+		return body
+	}
+	changed := versioned(2)
+	changed.Callers[0].RequestsPerSecond = 5
+	require.NoError(t, network.Service.Publish(changed))
+	network.Run(5 * clock.Second)
+	require.Equal(t, map[uint64]int{1: 3}, network.InForce())
+	network.Service.Corrupt = nil
+	requireEverywhere(t, network, 2, 12*clock.Second)
+}
+
 // TestTwoPublicationsOfOneVersion lets two operators publish the same number
-// with different content, each seen by other daemons first.
+// with different content to the two sides of a partition.
 func TestTwoPublicationsOfOneVersion(t *testing.T) {
-	network := publishedNetwork(t, 1, 7, 2)
+	network := publishedNetwork(t, 1, 6, 2)
 	requireEverywhere(t, network, 1, 5*clock.Second)
-	other := versioned(2)
-	other.Callers[0].RequestsPerSecond = 5
-	half := map[ident.DaemonID]bool{"daemon-00": true, "daemon-02": true, "daemon-04": true, "daemon-06": true}
-	network.Service.Unreachable = half
-	require.NoError(t, network.Service.Publish(versioned(2)))
-	network.Service.Unreachable = map[ident.DaemonID]bool{"daemon-01": true, "daemon-03": true, "daemon-05": true}
-	require.NoError(t, network.Service.Publish(other))
-	network.Service.Unreachable = map[ident.DaemonID]bool{}
+	sides := [2]map[ident.DaemonID]bool{{}, {}}
+	for i, name := range network.HostNames() {
+		sides[i%2][name] = true
+	}
+	for from := range sides[0] {
+		for to := range sides[1] {
+			network.Blocked[nodetest.Direction{From: from, To: to}] = true
+			network.Blocked[nodetest.Direction{From: to, To: from}] = true
+		}
+	}
+	for i, side := range sides {
+		published := versioned(2)
+		published.Callers[0].RequestsPerSecond = float64(i + 1)
+		network.Service.Unreachable = sides[1-i]
+		require.NoError(t, network.Service.Publish(published))
+		taken := network.RunUntil(configSpan, func() bool {
+			for name := range side {
+				if network.Nodes[name].Node.Config().Version() != 2 {
+					return false
+				}
+			}
+			return true
+		})
+		require.True(t, taken)
+	}
+	network.Service.SetMode(nodetest.ServiceDown)
+	clear(network.Blocked)
 	network.Run(10 * clock.Second)
 	rates := map[float64]int{}
 	for _, name := range network.HostNames() {
--- a/internal/decide/nodetest/configuration.go
+++ b/internal/decide/nodetest/configuration.go
@@ -42,6 +42,8 @@
 	values  map[string]serviceValue
 	old     map[string]serviceValue
 	waiting []*waitingWatch
+	// remembered says that old does not change any more.
+	remembered bool
 	// assembled caches assemblies, which depend on the mark alone.
 	assembled map[config.Mark]node.ConfigAssembled
 }
@@ -98,10 +100,16 @@
 	service.wake()
 }
 
+// Remember makes the values of this moment the stale ones, for good.
+func (service *ConfigService) Remember() {
+	service.old = maps.Clone(service.values)
+	service.remembered = true
+}
+
 // SetMode changes how the service behaves; the values of this moment become
-// the stale ones when it was up.
+// the stale ones when it was up, unless others are remembered.
 func (service *ConfigService) SetMode(mode ServiceMode) {
-	if service.mode == ServiceUp {
+	if service.mode == ServiceUp && !service.remembered {
 		service.old = maps.Clone(service.values)
 	}
 	service.mode = mode
