--- a/internal/control/config/validate.go
+++ b/internal/control/config/validate.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -90,9 +91,30 @@
 		check.rule(fmt.Sprintf("Rules[%d]", i), rule)
 		check.shadowed(i, config.Rules)
 	}
+	check.regions(config)
 	return check.problems
 }
 
+// regions asks for the region of each caller where engines stand in several: it
+// decides which daemons keep the caller's idempotency keys, and daemons keep
+// connections to those of their own region.
+func (check *validator) regions(config Config) {
+	regions := map[string]bool{}
+	for _, engine := range config.Engines {
+		regions[engine.Region] = true
+	}
+	keyed := slices.ContainsFunc(config.Rules, func(rule Rule) bool { return !rule.Repeatable })
+	for i, caller := range config.Callers {
+		path := fmt.Sprintf("Callers[%d].Region", i)
+		switch {
+		case caller.Region != "" && !regions[caller.Region]:
+			check.add(path, "no engine stands in region %q", caller.Region)
+		case caller.Region == "" && keyed && len(regions) > 1:
+			check.add(path, "must be set where engines stand in several regions and a rule is not repeatable")
+		}
+	}
+}
+
 func (check *validator) add(path, format string, arguments ...any) {
 	check.problems = append(check.problems, Problem{Path: path, Text: fmt.Sprintf(format, arguments...)})
 }
--- a/internal/decide/node/limit.go
+++ b/internal/decide/node/limit.go
@@ -27,6 +27,9 @@
 	return limiter[K]{buckets: map[K]*bucket{}}
 }
 
+// rounding is the share of a token that sums of fractions may lack.
+const rounding = 1e-6
+
 // take takes a token and returns 0, or returns the span until there is one. A
 // changed rate applies from the next call on.
 func (limiter *limiter[K]) take(now clock.Millis, key K, allowed rate) clock.Millis {
@@ -42,9 +45,9 @@
 	}
 	filled.tokens = min(size, filled.tokens+max(0, now-filled.at).Seconds()*allowed.perSecond)
 	filled.at = max(filled.at, now)
-	if filled.tokens >= 1 {
+	if filled.tokens >= 1-rounding {
 		filled.tokens--
 		return 0
 	}
-	return clock.Millis(math.Ceil((1 - filled.tokens) / allowed.perSecond * float64(clock.Second)))
+	return clock.Millis(math.Ceil((1 - rounding - filled.tokens) / allowed.perSecond * float64(clock.Second)))
 }
