--- a/internal/control/config/pack.go
+++ b/internal/control/config/pack.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -91,6 +92,11 @@
 	return divided, nil
 }
 
+// compareAdapters orders by name and version without building the address.
+func compareAdapters(a, b Adapter) int {
+	return cmp.Or(strings.Compare(a.Name, b.Name), strings.Compare(a.Version, b.Version))
+}
+
 func sortByName[T any](objects []T, name func(T) string) {
 	slices.SortStableFunc(objects, func(a, b T) int { return cmp.Compare(name(a), name(b)) })
 }
@@ -99,29 +105,50 @@
 // engines, callers and adapters in order of name. Nothing is taken from a version of which any part is
 // missing, has another hash than the manifest says, or does not parse.
 func Assemble(manifest Manifest, parts map[string][]byte) (Config, error) {
+	joined, _, err := AssembleFrom(nil, manifest, parts)
+	return joined, err
+}
+
+// Pieces are the parsed parts of a document, by the hash of their text.
+type Pieces map[string]Config
+
+// AssembleFrom is Assemble, with the pieces of an earlier version: parsing takes
+// most of the time of a switch, and most parts do not change. It returns the
+// pieces for the next one.
+func AssembleFrom(earlier Pieces, manifest Manifest, parts map[string][]byte) (Config, Pieces, error) {
 	if err := manifest.check(); err != nil {
-		return Config{}, errors.Wrap(err, "assemble configuration")
+		return Config{}, nil, errors.Wrap(err, "assemble configuration")
 	}
-	joined := Config{}
+	joined, pieces := Config{}, Pieces{}
 	for _, part := range manifest.Parts {
-		body, found := parts[part.Name]
-		if !found {
-			return Config{}, errors.Errorf("assemble configuration: part %s is missing", part.Name)
-		}
-		if err := part.Verify(body); err != nil {
-			return Config{}, errors.Wrap(err, "assemble configuration")
-		}
-		fragment, err := parseFragment(body)
+		fragment, err := earlier.read(part, parts)
 		if err != nil {
-			return Config{}, errors.Wrapf(err, "assemble configuration: part %s", part.Name)
+			return Config{}, nil, errors.Wrap(err, "assemble configuration")
 		}
+		pieces[part.SHA256] = fragment
 		joined.add(fragment)
 	}
 	joined.Version = manifest.Version
 	sortByName(joined.Engines, func(engine Engine) string { return string(engine.Name) })
 	sortByName(joined.Callers, func(caller Caller) string { return caller.Name })
-	sortByName(joined.Adapters, func(adapter Adapter) string { return adapter.Address().String() })
-	return joined, nil
+	slices.SortStableFunc(joined.Adapters, compareAdapters)
+	return joined, pieces, nil
+}
+
+// read checks and parses one part, unless it was parsed before.
+func (pieces Pieces) read(part ManifestPart, parts map[string][]byte) (Config, error) {
+	body, found := parts[part.Name]
+	if !found {
+		return Config{}, errors.Errorf("part %s is missing", part.Name)
+	}
+	if err := part.Verify(body); err != nil {
+		return Config{}, err
+	}
+	if fragment, parsed := pieces[part.SHA256]; parsed {
+		return fragment, nil
+	}
+	fragment, err := parseFragment(body)
+	return fragment, errors.Wrapf(err, "part %s", part.Name)
 }
 
 func (config *Config) add(fragment Config) {
--- a/internal/control/config/pack_test.go
+++ b/internal/control/config/pack_test.go
@@ -154,3 +154,50 @@
 		require.NoError(b, err)
 	}
 }
+
+// BenchmarkSwitch takes in a version in which one adapter has changed.
+func BenchmarkSwitch(b *testing.B) {
+	published := largeConfig(15_000, 300)
+	manifest, parts := packed(b, published)
+	_, pieces, err := config.AssembleFrom(nil, manifest, parts)
+	require.NoError(b, err)
+	published.Adapters = slices.Clone(published.Adapters)
+	published.Adapters[77].Labels = map[string]string{"task": "quote"}
+	manifest, parts = packed(b, published)
+	b.ReportAllocs()
+	for b.Loop() {
+		assembled, _, err := config.AssembleFrom(pieces, manifest, parts)
+		require.NoError(b, err)
+		_, err = config.Compile(assembled)
+		require.NoError(b, err)
+	}
+}
+
+func BenchmarkCompile(b *testing.B) {
+	published := largeConfig(15_000, 300)
+	b.ReportAllocs()
+	for b.Loop() {
+		_, err := config.Compile(published)
+		require.NoError(b, err)
+	}
+}
+
+func BenchmarkDecideModel(b *testing.B) {
+	published := largeConfig(15_000, 300)
+	for i := range 30 {
+		published.Rules = append([]config.Rule{{
+			Name: fmt.Sprintf("rule-%d", i), Adapters: fmt.Sprintf("task=task-%d", i), Class: "Routine", DeadlineMillis: 1,
+		}}, published.Rules...)
+	}
+	snapshot, err := config.Compile(published)
+	require.NoError(b, err)
+	caller, _ := snapshot.Caller("clerk")
+	adapter, _ := snapshot.Adapter(published.Adapters[4711].Address())
+	b.ReportAllocs()
+	for b.Loop() {
+		_, matched := snapshot.DecideModel(caller, adapter)
+		if !matched {
+			b.Fatal("no rule")
+		}
+	}
+}
--- a/internal/control/config/snapshot.go
+++ b/internal/control/config/snapshot.go
@@ -13,7 +13,9 @@
 
 // Snapshot is a validated configuration, compiled for lookups. Immutable.
 type Snapshot struct {
-	Config   Config
+	Config Config
+	// Pieces are the parsed parts that the document was assembled from, if any.
+	Pieces   Pieces
 	rules    []compiledRule
 	callers  map[string]*Caller // by key hash
 	byName   map[string]*Caller
--- a/internal/decide/node/configuration.go
+++ b/internal/decide/node/configuration.go
@@ -32,13 +32,20 @@
 // no node, so the runtime calls it on a goroutine of its own.
 func Assemble(order effect.AssembleConfig) ConfigAssembled {
 	assembled := ConfigAssembled{Mark: order.Mark}
-	document, err := config.Assemble(order.Manifest, order.Parts)
+	var earlier config.Pieces
+	if order.Previous != nil {
+		earlier = order.Previous.Pieces
+	}
+	document, pieces, err := config.AssembleFrom(earlier, order.Manifest, order.Parts)
 	if problems := config.CheckSuccessor(order.Previous, document); err == nil && len(problems) > 0 {
 		err = problems
 	}
 	if err == nil {
 		assembled.Snapshot, err = config.Compile(document)
 	}
+	if err == nil {
+		assembled.Snapshot.Pieces = pieces
+	}
 	if err != nil {
 		assembled.Snapshot, assembled.Cause = nil, err.Error()
 	}
