owner: a slot yields when every slot is in use

With all slots pinned by steady traffic an adapter that needed one waited until its deadline. One slot at a time now takes no further runs: at once for an urgent request, whose owner also cancels repeatable routine runs that do not stream; after two seconds for a routine one. The slot is unloaded only once the engine has confirmed the end of every run.

--- a/internal/decide/admission/queue.go
+++ b/internal/decide/admission/queue.go
@@ -94,6 +94,16 @@
 	}
 }
 
+// Any reports whether an item of a class matches.
+func (queue *Queue[Item]) Any(class config.Class, matches func(Item) bool) bool {
+	for _, waiting := range queue.classes[class] {
+		if matches(waiting.item) {
+			return true
+		}
+	}
+	return false
+}
+
 // Len returns the number of waiting items of a class.
 func (queue *Queue[Item]) Len(class config.Class) int {
 	return len(queue.classes[class])
--- a/internal/decide/owner/backlog.go
+++ b/internal/decide/owner/backlog.go
@@ -36,6 +36,8 @@
 	// silentSince is when the first ask was sent that the broker has not replied
 	// to; zero when it has.
 	silentSince clock.Millis
+	// since is when a load was first sought.
+	since clock.Millis
 	// granted says that its load has begun.
 	granted bool
 }
@@ -136,17 +138,21 @@
 	wanted.queue.Drain(owner.enqueue)
 }
 
-// park makes every ready request wait for its adapter again, because no slot
-// is known to hold it any more.
+// park sorts the ready requests again after a slot was lost or yields: those
+// whose adapter cannot run now wait for its load.
 func (owner *Owner) park() {
 	for i := range owner.slots {
 		owner.slots[i].queued = 0
 	}
+	owner.backlog.ready.Drain(owner.enqueue)
+}
+
+// forgetLoads takes every load that was asked for or begun as void.
+func (owner *Owner) forgetLoads() {
 	for _, wanted := range owner.backlog.wants {
 		wanted.granted = false
 		wanted.asked = demand{}
 	}
-	owner.backlog.ready.Drain(owner.enqueue)
 }
 
 // dispatchReady dispatches ready requests while the engine's batch has room for
--- a/internal/decide/owner/loading.go
+++ b/internal/decide/owner/loading.go
@@ -38,6 +38,9 @@
 	if wanted == nil || wanted.granted {
 		return
 	}
+	if wanted.since == 0 {
+		wanted.since = now
+	}
 	if wanted.queue.Total() == 0 {
 		owner.withdraw(adapter, wanted)
 		delete(owner.backlog.wants, adapter)
@@ -51,9 +54,15 @@
 		}
 		return
 	}
+	if owner.holds(adapter) {
+		return // its slot is about to yield
+	}
+	if owner.findRoom(now) < 0 {
+		owner.makeRoom(now, wanted)
+		return
+	}
 	next := wanted.demand()
-	repeat := now-wanted.askedAt >= owner.options.AskInterval
-	if next == wanted.asked && !repeat || owner.findRoom(now) < 0 {
+	if next == wanted.asked && now-wanted.askedAt < owner.options.AskInterval {
 		return
 	}
 	wanted.asked, wanted.askedAt = next, now
--- a/internal/decide/owner/owner.go
+++ b/internal/decide/owner/owner.go
@@ -36,6 +36,9 @@
 	// RoutineFloor is the number of urgent runs dispatched in a row after which a
 	// routine one that is ready goes next.
 	RoutineFloor int
+	// RoomWait is the span that a routine request waits for a slot to become idle
+	// before a slot takes no further runs for its sake; 0 lets no slot yield.
+	RoomWait clock.Millis
 	// Eviction ranks the adapters that could give up their slot.
 	Eviction Eviction
 	// HalfLife is the span after which a request counts half for eviction.
@@ -54,6 +57,7 @@
 		CancelInterval: clock.Second,
 		AskInterval:    3 * clock.Second,
 		RoutineFloor:   16,
+		RoomWait:       2 * clock.Second,
 		Eviction:       DecayedFrequency{},
 		HalfLife:       5 * clock.Minute,
 	}
@@ -152,7 +156,7 @@
 		Boot:         owner.boot,
 	}
 	for i := range owner.slots {
-		if owner.slots[i].serves() {
+		if owner.slots[i].serves() && !owner.slots[i].yielding {
 			state.Resident = append(state.Resident, owner.slots[i].adapter)
 		}
 	}
@@ -173,6 +177,7 @@
 	if !owner.usable() {
 		return
 	}
+	owner.keepSlots()
 	owner.settle()
 	owner.dispatchReady(now)
 	owner.seekLoads(now)
--- a/internal/decide/owner/report.go
+++ b/internal/decide/owner/report.go
@@ -89,6 +89,7 @@
 	clear(owner.takeover.foreign)
 	owner.slots = make([]slot, owner.Engine.Slots)
 	clear(owner.resident)
+	owner.forgetLoads()
 	owner.park()
 	owner.quarantined = false
 	owner.adopt(now, report)
--- a/internal/decide/owner/slot.go
+++ b/internal/decide/owner/slot.go
@@ -51,6 +51,8 @@
 	next ident.Adapter
 	// unloadFailed waits for a report to show whether the adapter is still there.
 	unloadFailed bool
+	// yielding takes no further runs, to become free for another adapter.
+	yielding bool
 }
 
 // serves reports whether the slot holds, or will shortly hold, its adapter.
@@ -87,7 +89,7 @@
 // readySlot finds the slot that an adapter can run from now.
 func (owner *Owner) readySlot(adapter ident.Adapter) (at int, ready bool) {
 	at, held := owner.resident[adapter]
-	return at, held && owner.slots[at].state == slotReady
+	return at, held && owner.slots[at].state == slotReady && !owner.slots[at].yielding
 }
 
 // findRoom returns a slot to load into: an empty one, else the one of least
@@ -102,6 +104,9 @@
 		if slot.state != slotReady || slot.pins > 0 || slot.queued > 0 || !owner.mayEvict() {
 			continue
 		}
+		if slot.yielding {
+			return i
+		}
 		worth := owner.worth(now, slot)
 		if found < 0 || worth < least {
 			found, least = i, worth
@@ -125,6 +130,7 @@
 		"slot %d with %s has %d pins", at, slot.adapter, slot.pins)
 	slotTable.Must(&slot.state, beginUnload)
 	slot.next = next
+	slot.yielding = false
 	delete(owner.resident, slot.adapter)
 	owner.emit(effect.Unload{Engine: owner.Engine.Name, Adapter: slot.adapter, Fence: owner.Fence})
 	owner.emit(effect.Audit{
--- a/internal/replay/experiment/experiment.go
+++ b/internal/replay/experiment/experiment.go
@@ -103,7 +103,11 @@
 	running.network = network
 	running.live = network.HostNames()
 	running.play()
-	return running.meter.result(), nil
+	result := running.meter.result()
+	for i := range setup.Site.Engines {
+		result.Violations = append(result.Violations, network.Engines[engineName(i)].Violations...)
+	}
+	return result, nil
 }
 
 func (replay *replay) play() {
--- a/internal/replay/experiment/experiment_test.go
+++ b/internal/replay/experiment/experiment_test.go
@@ -41,5 +41,6 @@
 	}
 	total := result.Classes[0].Requests + result.Classes[1].Requests
 	require.Positive(t, total)
+	require.Empty(t, result.Violations)
 	require.Equal(t, total, counted)
 }
--- a/internal/replay/experiment/meter.go
+++ b/internal/replay/experiment/meter.go
@@ -51,6 +51,8 @@
 	StepShare float64
 	// StoreShare is the share of time in which the weight store was in use.
 	StoreShare float64
+	// Violations lists orders that broke a promise, such as an unload in use.
+	Violations []string
 }
 
 // BatchEfficiency is the mean share of a step's capacity in use.
--- a/internal/replay/experiment/policy.go
+++ b/internal/replay/experiment/policy.go
@@ -97,6 +97,7 @@
 		weighted("batch 1", func(weights *placement.Weights) { weights.Batch = 1 }),
 		weighted("batch 4", func(weights *placement.Weights) { weights.Batch = 4 }),
 		weighted("batch 16", func(weights *placement.Weights) { weights.Batch = 16 }),
+		owned("no slot yields", func(owner *owner.Options) { owner.RoomWait = 0 }),
 		weighted("spare ignored", func(weights *placement.Weights) { weights.Spare = 0 }),
 	}
 }
@@ -108,3 +109,7 @@
 func brokered(name string, change func(*loads.Options)) Policy {
 	return Policy{Name: name, Apply: func(options *node.Options, _ Knowledge) { change(&options.Loads) }}
 }
+
+func owned(name string, change func(*owner.Options)) Policy {
+	return Policy{Name: name, Apply: func(options *node.Options, _ Knowledge) { change(&options.Owner) }}
+}
