--- a/internal/decide/node/node.go
+++ b/internal/decide/node/node.go
@@ -73,8 +73,11 @@
 	vms      *members.View
 
 	requests map[ident.StreamID]*request // entry role
+	finishes map[ident.StreamID]*finish  // by a request's first stream
+	orphans  []orphan
 	retries  retryBudget
-	owning   owning // owner role
+	limits   limiter[string] // by caller
+	owning   owning          // owner role
 	peers    *members.Peers
 	news     news
 	views    *placement.Views
@@ -102,13 +105,15 @@
 		options:  options,
 		rollout:  rollout.New(options.Self, options.Rollout),
 		requests: map[ident.StreamID]*request{},
+		finishes: map[ident.StreamID]*finish{},
+		limits:   newLimiter[string](),
 		retries:  retryBudget{share: options.RetryShare},
 		owning:   newOwning(),
 		peers:    members.NewPeers(options.StartedAt),
 		news:     newNews(),
 		views:    placement.NewViews(),
 		policy:   options.policy(),
-		home:     home.New(options.StartedAt, options.Home),
+		home:     home.New(options.Self, options.Home),
 		brokers:  map[string]*loads.Broker{},
 		fallback: map[string]clock.Millis{},
 	}
@@ -200,13 +205,21 @@
 	case message.Dispatched:
 		node.dispatched(received)
 	case message.Ended:
-		node.attemptEnded(received)
+		node.attemptEnded(from, received)
 	case message.HomeBegin:
-		node.homeBegin(from, received)
+		node.homeEffects(node.home.Begin(node.now, received))
 	case message.HomeVerdict:
-		node.homeVerdict(received)
+		node.homeVerdict(from, received)
 	case message.HomeFinish:
-		node.home.Finish(node.now, received)
+		node.homeEffects(node.home.Finish(node.now, received))
+	case message.HomeFinished:
+		node.homeFinished(received)
+	case message.HomeCopy:
+		node.homeEffects(node.home.Copied(node.now, received))
+	case message.HomeCopyAck:
+		node.homeEffects(node.home.CopyConfirmed(received))
+	case message.HomeForget:
+		node.homeEffects(node.home.Forgotten(received))
 	case message.LoadAsk:
 		node.loadAsk(from, received)
 	case message.LoadGrant:
@@ -229,6 +242,8 @@
 		node.updateAsked(received)
 	case message.HandoverAsk:
 		node.handoverAsked(from, received)
+	case message.Outbid:
+		node.outbidHeard(received)
 	case message.Moved:
 		node.moved(received)
 	case message.Handover:
@@ -259,7 +274,7 @@
 
 func (node *Node) tick() {
 	node.configEffects(node.rollout.Tick(node.now))
-	node.home.Tick(node.now)
+	node.homeEffects(node.home.Tick(node.now))
 	for _, store := range slices.Sorted(maps.Keys(node.brokers)) {
 		node.sendReplies(node.brokers[store].Tick(node.now))
 	}
@@ -278,12 +293,13 @@
 
 func (node *Node) shutdown() {
 	node.draining = true
+	node.homeEffects(node.home.Shutdown(node.now))
 	node.emit(effect.Audit{At: node.now, Kind: effect.ShutdownStarted, Object: string(node.options.Self), Cause: "signal"})
 }
 
 // Idle reports whether nothing is in progress, so that a draining daemon may exit.
 func (node *Node) Idle() bool {
-	if len(node.requests) > 0 {
+	if len(node.requests) > 0 || len(node.finishes) > 0 || !node.home.Idle() {
 		return false
 	}
 	for _, held := range node.owning.owned {
--- a/internal/decide/node/owning.go
+++ b/internal/decide/node/owning.go
@@ -328,6 +328,9 @@
 		return
 	}
 	refusal := message.Ended{Stream: submit.Stream, Class: submit.Request.Class, Outcome: outcome.Refused(outcome.NotOwner, clock.Second)}
+	if claim, known := node.owning.claims[submit.Engine]; known && claim.Owner != node.options.Self {
+		refusal.Owner = claim.Owner
+	}
 	if submit.Resume {
 		refusal.Outcome, refusal.Dispatched = outcome.Lost(outcome.OwnerLost), true
 	}
--- a/internal/decide/nodetest/network.go
+++ b/internal/decide/nodetest/network.go
@@ -70,7 +70,6 @@
 	// daemons that cannot read it.
 	ListLag  map[ident.DaemonID]clock.Millis
 	ListDown map[ident.DaemonID]bool
-	// OnSend sees every message that one daemon sends to another.
 	// Steps counts the events that nodes have taken in.
 	Steps int
 	// OnSend sees every message that one daemon sends to another.
--- a/internal/serve/metrics/observe.go
+++ b/internal/serve/metrics/observe.go
@@ -11,10 +11,15 @@
 	"teaselmoor/internal/decide/message"
 	"teaselmoor/internal/decide/node"
 	"teaselmoor/internal/decide/outcome"
+	"teaselmoor/internal/decide/owner"
 )
 
-// maxLoadEnds bounds the loads remembered for the measure of load stalls.
-const maxLoadEnds = 16384
+// Bounds of what is remembered for the measure of load stalls. A map that
+// reaches its bound is emptied: some stalls then go uncounted.
+const (
+	maxLoadEnds = 16384
+	maxWaiting  = 65536
+)
 
 // Observer derives the counters from a node's events and effects. Safe for
 // concurrent use.
@@ -28,6 +33,7 @@
 	waiting  map[ident.StreamID]clock.Millis // submission of a request at its owner
 	loadEnds map[loadKey]clock.Millis
 	config   ConfigTimes
+	steps    map[ident.EngineID]owner.Steps // of owned engines, as last reported
 }
 
 // ConfigTimes tells how fresh a daemon's configuration is.
@@ -65,6 +71,7 @@
 		inFlight: map[ident.StreamID]flight{},
 		waiting:  map[ident.StreamID]clock.Millis{},
 		loadEnds: map[loadKey]clock.Millis{},
+		steps:    map[ident.EngineID]owner.Steps{},
 	}
 	for lane := range message.LaneCount {
 		observer.relayed[lane] = metrics.counter(relayed, laneLabel(lane))
@@ -110,6 +117,8 @@
 		if event.Result.Cause == "" {
 			observer.config.ContactAt = now
 		}
+	case node.EngineReported:
+		observer.steps[event.Engine] = event.Report.Steps
 	case node.LoadEnded:
 		observer.loadEnded(now, event)
 	}
@@ -118,6 +127,9 @@
 func (observer *Observer) received(now clock.Millis, received message.Message) {
 	switch received := received.(type) {
 	case message.Submit:
+		if len(observer.waiting) >= maxWaiting {
+			clear(observer.waiting)
+		}
 		observer.waiting[received.Stream] = now
 	case message.ConfigOffer:
 		if received.Contact {
@@ -158,17 +170,29 @@
 		delete(observer.loadEnds, loadKey{next.Engine, next.Adapter})
 	case effect.Send:
 		observer.metrics.counter(messages, label{"direction", "sent"}, laneLabel(next.Message.Lane())).Inc(1)
-		if ended, isEnd := next.Message.(message.Ended); isEnd {
-			delete(observer.waiting, ended.Stream)
-		}
+		observer.sent(next.Message)
 	case effect.Audit:
 		observer.metrics.counter(changes, label{"kind", string(next.Kind)}).Inc(1)
-		if next.Kind == effect.ConfigAccepted {
+		switch next.Kind {
+		case effect.ConfigAccepted:
 			observer.config.AcceptedAt = now
+		case effect.OwnershipReleased:
+			delete(observer.steps, ident.EngineID(next.Object))
 		}
 	}
 }
 
+// sent forgets requests that wait at this owner no longer: ended ones, and those
+// passed on to another owner.
+func (observer *Observer) sent(next message.Message) {
+	switch sent := next.(type) {
+	case message.Ended:
+		delete(observer.waiting, sent.Stream)
+	case message.Submit:
+		delete(observer.waiting, sent.Stream)
+	}
+}
+
 func (observer *Observer) answer(now clock.Millis, ended effect.Answer) {
 	passed := observer.inFlight[ended.Stream]
 	delete(observer.inFlight, ended.Stream)
--- a/internal/serve/program/options.go
+++ b/internal/serve/program/options.go
@@ -12,6 +12,7 @@
 	"teaselmoor/internal/control/audit"
 	"teaselmoor/internal/control/config"
 	"teaselmoor/internal/decide/node"
+	"teaselmoor/internal/decide/ownership"
 	"teaselmoor/internal/decide/rollout"
 	"teaselmoor/internal/inner/link"
 	"teaselmoor/internal/serve/callers"
@@ -33,11 +34,11 @@
 		Node: nodeOptions(settings),
 		Engines: engine.Options{
 			DialTimeout: settings.Engines.DialTimeoutMillis, HeadTimeout: settings.Engines.HeadTimeoutMillis,
-			MaxIdle: settings.Engines.MaxIdleConnections,
+			MaxIdle: settings.Engines.MaxIdleConnections, MaxAnswer: settings.Engines.MaxAnswerBytes,
 		},
 		Services: service.Options{
 			DialTimeout: settings.Services.DialTimeoutMillis, Timeout: settings.Services.TimeoutMillis,
-			MaxIdle: settings.Services.MaxIdleConnections,
+			MaxIdle: settings.Services.MaxIdleConnections, MaxAnswer: settings.Services.MaxAnswerBytes,
 		},
 		Timing: link.Timing{
 			Ping: settings.Peers.PingMillis, Silence: settings.Peers.SilenceMillis, Redial: settings.Peers.RedialMillis,
@@ -60,9 +61,18 @@
 	}
 }
 
+func ownershipOptions(settings settings.Ownership) ownership.Options {
+	return ownership.Options{
+		ViewAge: settings.ViewAgeMillis, ListLag: settings.ListLagMillis, ClockMargin: settings.ClockMarginMillis,
+		HandoverSpan: settings.HandoverSpanMillis, OrderSpan: settings.OrderSpanMillis,
+		ReportLag: settings.ReportLagMillis, Suspicion: settings.SuspicionMillis, Pause: settings.PauseMillis,
+	}
+}
+
 func nodeOptions(settings settings.Settings) node.Options {
 	options := node.DefaultOptions()
 	options.Rollout = rolloutOptions(settings.Rollout)
+	options.Ownership = ownershipOptions(settings.Ownership)
 	options.Self = ident.DaemonID(settings.Name)
 	options.DataCentre = settings.DataCentre
 	options.Region = settings.Region
