--- a/internal/decide/node/membership.go
+++ b/internal/decide/node/membership.go
@@ -353,6 +353,7 @@
 		if view := node.views.View(name); view != nil && view.HeardAt < node.now {
 			view.HeardAt = node.now
 			view.Sent = 0
+			view.Lost = false
 		}
 	}
 }
--- a/internal/decide/placement/placement_test.go
+++ b/internal/decide/placement/placement_test.go
@@ -136,3 +136,15 @@
 		require.Equal(t, outcome.EngineSilent, candidate.Verdict)
 	}
 }
+
+func TestLostOwnerIsPassedOver(t *testing.T) {
+	pool, views := smallFleet()
+	views.Update(now, message.EngineState{Engine: "a", Owner: "gone", Fence: 1, Version: 1, Resident: []ident.Adapter{adapterOf(1)}})
+	query := placement.Query{Adapter: adapterOf(1), Pool: pool}
+	views.LoseOwner("gone")
+	engine, _ := placement.New(weights()).Choose(now, query, views)
+	require.NotEqual(t, ident.EngineID("a"), engine.Name)
+	views.Update(now, message.EngineState{Engine: "a", Owner: "next", Fence: 2, Resident: []ident.Adapter{adapterOf(1)}})
+	engine, _ = placement.New(weights()).Choose(now, query, views)
+	require.Equal(t, ident.EngineID("a"), engine.Name)
+}
--- a/internal/decide/placement/policy.go
+++ b/internal/decide/placement/policy.go
@@ -32,7 +32,7 @@
 	switch {
 	case engine.Leaving || view != nil && view.State.Leaving:
 		return outcome.EngineAway
-	case view == nil:
+	case view == nil || view.Lost:
 		return outcome.OwnerUnknown
 	case view.State.Quarantined:
 		return outcome.Quarantined
--- a/internal/decide/placement/views.go
+++ b/internal/decide/placement/views.go
@@ -17,6 +17,8 @@
 	HeardAt clock.Millis
 	// Sent is the number of requests submitted since, which the state cannot show.
 	Sent int
+	// Lost says that the connection to the owner broke after it was received.
+	Lost bool
 }
 
 // Views is what a daemon knows of all engines, indexed by adapter.
@@ -67,6 +69,16 @@
 	return true
 }
 
+// LoseOwner notes that the connection to a daemon broke: its engines are passed
+// over until it is heard from again.
+func (views *Views) LoseOwner(owner ident.DaemonID) {
+	for _, known := range views.byEngine {
+		if known.State.Owner == owner {
+			known.Lost = true
+		}
+	}
+}
+
 // Drop forgets an engine.
 func (views *Views) Drop(engine ident.EngineID) {
 	if known := views.byEngine[engine]; known != nil {
