--- a/internal/decide/owner/report.go
+++ b/internal/decide/owner/report.go
@@ -106,6 +106,7 @@
 	owner.voidForeign(takenAt)
 	owner.slots = make([]slot, owner.Engine.Slots)
 	clear(owner.resident)
+	owner.forgetLoads()
 	owner.park()
 	owner.quarantined = false
 	owner.adopt(now, report)
