--- a/internal/base/settings/fields.go
+++ b/internal/base/settings/fields.go
@@ -209,8 +209,21 @@
 type Keys struct {
 	// Span for which a finished attempt is remembered, in milliseconds.
 	RetentionMillis clock.Millis `yaml:"RetentionMillis" min:"1000" max:"604800000"`
-	// Largest difference between two daemons' clocks, in milliseconds.
+	// Largest difference between two daemons' clocks, and between theirs and the
+	// clock that a key's issue time comes from, in milliseconds.
 	ClockMarginMillis clock.Millis `yaml:"ClockMarginMillis" min:"0" max:"600000"`
+	// Age of the VM list up to which a daemon acts as home, in milliseconds.
+	ViewAgeMillis clock.Millis `yaml:"ViewAgeMillis" min:"100" max:"600000"`
+	// Longest wait of a grant for the copy of its record, in milliseconds.
+	CopySpanMillis clock.Millis `yaml:"CopySpanMillis" min:"1" max:"60000"`
+	// Span after which an unconfirmed copy is sent again, in milliseconds.
+	CopyIntervalMillis clock.Millis `yaml:"CopyIntervalMillis" min:"10" max:"60000"`
+	// Keys remembered at most, copies for other homes included.
+	MaxRecords int `yaml:"MaxRecords" min:"16" max:"10000000"`
+	// Largest sum of the answers kept for callers that ask again, in bytes.
+	MaxStoredBytes int `yaml:"MaxStoredBytes" min:"0" max:"1073741824"`
+	// Largest answer kept, in bytes; of a larger one only the outcome is remembered.
+	MaxAnswerBytes int `yaml:"MaxAnswerBytes" min:"0" max:"67108864"`
 }
 
 // Placement weighs what an engine costs a request.
@@ -267,7 +280,11 @@
 			Parallel: 1, LeaseMillis: 5 * clock.Second, BackoffMillis: 2 * clock.Second, Tries: 3,
 			HalfLifeMillis: 5 * clock.Minute,
 		},
-		Keys:      Keys{RetentionMillis: clock.Hour, ClockMarginMillis: clock.Second},
+		Keys: Keys{
+			RetentionMillis: clock.Hour, ClockMarginMillis: clock.Second, ViewAgeMillis: 3 * clock.Second,
+			CopySpanMillis: 150 * clock.Millisecond, CopyIntervalMillis: 500 * clock.Millisecond,
+			MaxRecords: 50_000, MaxStoredBytes: 24 << 20, MaxAnswerBytes: 256 << 10,
+		},
 		Placement: Placement{LoadCost: 16, AffinityCost: 4, SilenceMillis: 10 * clock.Second},
 	}
 }
--- a/internal/base/settings/settings.go
+++ b/internal/base/settings/settings.go
@@ -63,6 +63,9 @@
 	if settings.Platform.ListIntervalMillis >= settings.Ownership.ViewAgeMillis {
 		check.add("Ownership.ViewAgeMillis", "must be above Platform.ListIntervalMillis")
 	}
+	if settings.Platform.ListIntervalMillis >= settings.Keys.ViewAgeMillis {
+		check.add("Keys.ViewAgeMillis", "must be above Platform.ListIntervalMillis")
+	}
 	return check.mistakes
 }
 
--- a/internal/serve/explain/explain.go
+++ b/internal/serve/explain/explain.go
@@ -43,7 +43,7 @@
 		paragraphs = append(paragraphs, rule(record), repeatable(record))
 	}
 	if audience == Regulator {
-		paragraphs = append(paragraphs, basis(record), candidates(record), attempts(record), code(record))
+		paragraphs = append(paragraphs, basis(record), home(record), candidates(record), attempts(record), code(record))
 	}
 	var written []string
 	for _, paragraph := range paragraphs {
@@ -79,9 +79,13 @@
 // idempotency key may have run: "not run" is then said of this attempt only.
 var aboutKey = map[outcome.Reason]bool{
 	outcome.KeyConflict: true, outcome.KeyInProgress: true, outcome.KeyNotVouched: true, outcome.HomeUnreachable: true,
+	outcome.HomeFull: true,
 }
 
 func ran(record outcome.Record) string {
+	if record.Outcome.Reason == outcome.AnswerNotKept {
+		return "The first attempt ran and was answered. The request was not run again."
+	}
 	switch record.Outcome.Kind {
 	case outcome.NotRun:
 		if aboutKey[record.Outcome.Reason] {
@@ -103,6 +107,8 @@
 		return "Before the request is sent again, its effect should be looked up where it would be registered."
 	case record.Outcome.Kind == outcome.Unknown:
 		return "The request may be sent again; running it twice does no harm."
+	case record.Outcome.Reason == outcome.AnswerNotKept:
+		return "The answer should be looked for where the first attempt was received, or where its effect would be registered."
 	case record.Outcome.Reason == outcome.KeyNotVouched:
 		return "Before the request is sent under a new key, it should be looked up whether an earlier attempt took effect."
 	case record.Outcome.Kind == outcome.NotRun:
@@ -156,6 +162,17 @@
 	outcome.LoadsFail:    "had failed to load the adapter",
 }
 
+// home tells who kept the record of the idempotency key.
+func home(record outcome.Record) string {
+	switch {
+	case record.Home == "":
+		return ""
+	case record.HomeCopied:
+		return fmt.Sprintf("Leave to run it under its idempotency key was given by daemon %s, and a second daemon held the record.", record.Home)
+	}
+	return fmt.Sprintf("Leave to run it under its idempotency key was given by daemon %s; no second daemon held the record then.", record.Home)
+}
+
 func candidates(record outcome.Record) string {
 	if len(record.Candidates) == 0 {
 		return "No engine was considered."
--- a/internal/serve/explain/explain_test.go
+++ b/internal/serve/explain/explain_test.go
@@ -66,6 +66,21 @@
 	require.Contains(t, text, "looked up")
 }
 
+func TestAnsweredBefore(t *testing.T) {
+	record := refusedRecord()
+	record.Outcome, record.Repeatable = outcome.Lost(outcome.AnswerNotKept), false
+	text := explain.Render(record, explain.Member)
+	require.Contains(t, text, "The first attempt ran and was answered.")
+	require.NotContains(t, text, "not known whether")
+}
+
+func TestHomeIsNamed(t *testing.T) {
+	record := refusedRecord()
+	record.Home, record.HomeCopied = "entry-4", true
+	require.Contains(t, explain.Render(record, explain.Regulator), "given by daemon entry-4, and a second daemon held the record")
+	require.NotContains(t, explain.Render(record, explain.Employer), "entry-4")
+}
+
 // TestEveryReasonHasASentence renders each code of the closed list.
 func TestEveryReasonHasASentence(t *testing.T) {
 	for _, reason := range outcome.Reasons() {
@@ -99,7 +114,7 @@
 // TestKeyReasonsSpeakOfThisAttempt holds the sentences against what a home can
 // know: an earlier attempt may have run.
 func TestKeyReasonsSpeakOfThisAttempt(t *testing.T) {
-	for _, reason := range []outcome.Reason{outcome.KeyConflict, outcome.KeyInProgress, outcome.KeyNotVouched, outcome.HomeUnreachable} {
+	for _, reason := range []outcome.Reason{outcome.KeyConflict, outcome.KeyInProgress, outcome.KeyNotVouched, outcome.HomeUnreachable, outcome.HomeFull} {
 		record := outcome.Record{Request: "r", Outcome: outcome.Refused(reason, 0)}
 		text := explain.Render(record, explain.Member)
 		require.NotContains(t, text, "not run anywhere", reason)
--- a/internal/serve/program/options.go
+++ b/internal/serve/program/options.go
@@ -11,6 +11,7 @@
 	"teaselmoor/internal/base/settings"
 	"teaselmoor/internal/control/audit"
 	"teaselmoor/internal/control/config"
+	"teaselmoor/internal/decide/home"
 	"teaselmoor/internal/decide/node"
 	"teaselmoor/internal/decide/ownership"
 	"teaselmoor/internal/decide/rollout"
@@ -61,6 +62,15 @@
 	}
 }
 
+func homeOptions(settings settings.Settings) home.Options {
+	return home.Options{
+		Retention: settings.Keys.RetentionMillis, ClockMargin: settings.Keys.ClockMarginMillis,
+		MaxViewAge: settings.Keys.ViewAgeMillis, ListLag: settings.Ownership.ListLagMillis,
+		CopySpan: settings.Keys.CopySpanMillis, CopyInterval: settings.Keys.CopyIntervalMillis,
+		MaxRecords: settings.Keys.MaxRecords, MaxStored: settings.Keys.MaxStoredBytes, MaxAnswer: settings.Keys.MaxAnswerBytes,
+	}
+}
+
 func ownershipOptions(settings settings.Ownership) ownership.Options {
 	return ownership.Options{
 		ViewAge: settings.ViewAgeMillis, ListLag: settings.ListLagMillis, ClockMargin: settings.ClockMarginMillis,
@@ -89,8 +99,7 @@
 	options.Owner.HalfLife = settings.Loads.HalfLifeMillis
 	options.Loads.Lease = settings.Loads.LeaseMillis
 	options.Loads.Parallel = settings.Loads.Parallel
-	options.Home.Retention = settings.Keys.RetentionMillis
-	options.Home.ClockMargin = settings.Keys.ClockMarginMillis
+	options.Home = homeOptions(settings)
 	options.Weights.Load = settings.Placement.LoadCost
 	options.Weights.Affinity = settings.Placement.AffinityCost
 	options.Weights.Silence = settings.Placement.SilenceMillis
