--- a/internal/control/config/validate.go
+++ b/internal/control/config/validate.go
@@ -192,7 +192,7 @@
 func (check *validator) caller(path string, caller Caller, regions map[string]bool) {
 	// Daemons reach the home of a key only within their region: with several, a
 	// choice by hash would put the keys of some callers out of their reach.
-	if len(regions) > 1 && !regions[caller.Region] {
+	if len(regions) > 1 && caller.Region == "" {
 		check.add(path+".Region", "engines stand in %d regions: want the one of them that the caller calls", len(regions))
 	}
 	check.unique(path+".Name", "caller", caller.Name)
