--- a/internal/control/config/validate.go
+++ b/internal/control/config/validate.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/netip"
-	"slices"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -74,17 +73,15 @@
 		check.store(fmt.Sprintf("WeightStores[%d]", i), store)
 	}
 	bases := map[string]bool{}
-	regions := map[string]bool{}
 	for i, engine := range config.Engines {
 		bases[engine.BaseModel] = true
-		regions[engine.Region] = true
 		check.engine(fmt.Sprintf("Engines[%d]", i), engine, stores)
 	}
 	for i, service := range config.Services {
 		check.service(fmt.Sprintf("Services[%d]", i), service)
 	}
 	for i, caller := range config.Callers {
-		check.caller(fmt.Sprintf("Callers[%d]", i), caller, regions)
+		check.caller(fmt.Sprintf("Callers[%d]", i), caller)
 	}
 	for i, adapter := range config.Adapters {
 		check.adapter(fmt.Sprintf("Adapters[%d]", i), adapter, bases)
@@ -99,20 +96,20 @@
 
 // regions asks for the region of each caller where engines stand in several: it
 // decides which daemons keep the caller's idempotency keys, and daemons keep
-// connections to those of their own region.
+// connections to those of their own region. It is asked for under any rules,
+// because callers may ask for a stricter treatment than the rules give.
 func (check *validator) regions(config Config) {
 	regions := map[string]bool{}
 	for _, engine := range config.Engines {
 		regions[engine.Region] = true
 	}
-	keyed := slices.ContainsFunc(config.Rules, func(rule Rule) bool { return !rule.Repeatable })
 	for i, caller := range config.Callers {
 		path := fmt.Sprintf("Callers[%d].Region", i)
 		switch {
 		case caller.Region != "" && !regions[caller.Region]:
 			check.add(path, "no engine stands in region %q", caller.Region)
-		case caller.Region == "" && keyed && len(regions) > 1:
-			check.add(path, "must be set where engines stand in several regions and a rule is not repeatable")
+		case caller.Region == "" && len(regions) > 1:
+			check.add(path, "must be set where engines stand in several regions")
 		}
 	}
 }
@@ -189,12 +186,7 @@
 
 const hashDigits = 64 // hexadecimal digits of a SHA-256
 
-func (check *validator) caller(path string, caller Caller, regions map[string]bool) {
-	// Daemons reach the home of a key only within their region: with several, a
-	// choice by hash would put the keys of some callers out of their reach.
-	if len(regions) > 1 && caller.Region == "" {
-		check.add(path+".Region", "engines stand in %d regions: want the one of them that the caller calls", len(regions))
-	}
+func (check *validator) caller(path string, caller Caller) {
 	check.unique(path+".Name", "caller", caller.Name)
 	if caller.KeyHash != "" {
 		check.unique(path+".KeyHash", "key hash", caller.KeyHash)
