--- /dev/null
+++ b/internal/decide/node/membership_test.go
@@ -0,0 +1,135 @@
+package node_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/base/ident"
+	"teaselmoor/internal/control/config"
+	"teaselmoor/internal/control/members"
+	"teaselmoor/internal/decide/message"
+	"teaselmoor/internal/decide/node"
+	"teaselmoor/internal/decide/nodetest"
+)
+
+// agree reports whether every daemon knows what each owner says of its engines.
+func agree(network *nodetest.Network, engines int) bool {
+	owned := map[ident.EngineID]message.EngineState{}
+	for _, name := range network.HostNames() {
+		for _, state := range network.Nodes[name].Node.Status(network.Now).Owned {
+			owned[state.Engine] = state
+		}
+	}
+	for _, name := range network.HostNames() {
+		for _, known := range network.Nodes[name].Node.Status(network.Now).Known {
+			state := owned[known.State.Engine]
+			if known.State.Owner != state.Owner || known.State.Fence != state.Fence || len(known.State.Resident) != len(state.Resident) {
+				return false
+			}
+		}
+	}
+	return len(owned) == engines
+}
+
+// TestMissedUpdatesAreAskedFor loses most updates while adapters are loaded; the
+// digest shows the gap afterwards.
+func TestMissedUpdatesAreAskedFor(t *testing.T) {
+	network, err := nodetest.New(nodetest.Options{
+		Seed: 3, Delay: 1, Jitter: 2, TickInterval: 50, Config: regionConfig(6, 40), VMs: regionView(9, 0).List.VMs,
+		Engine: nodetest.EngineOptions{RunSpan: 200, LoadSpan: 100}, Node: node.DefaultOptions(),
+	})
+	require.NoError(t, err)
+	network.Run(10 * clock.Second)
+	require.True(t, agree(network, 6))
+	network.DropShare = 0.8
+	arriveSteadily(network, 9, 5)
+	require.False(t, agree(network, 6), "nothing was missed")
+	network.DropShare = 0
+	require.True(t, network.RunUntil(10*clock.Second, func() bool { return agree(network, 6) }))
+}
+
+// TestLeavingServerGetsNoNewWork lets one daemon alone read that a backend
+// server leaves; the owner of its engine hears it from that daemon.
+func TestLeavingServerGetsNoNewWork(t *testing.T) {
+	published := smallConfig(2)
+	for i := range published.Engines {
+		published.Engines[i].ChecksFencing = true
+		published.Engines[i].Address = []string{"10.0.0.1:80", "10.0.0.2:80"}[i]
+	}
+	network := networkOf(t, published)
+	network.Run(6 * clock.Second)
+	owner := ownerOfEngine(network, "engine-0")
+	for _, name := range network.HostNames() {
+		network.ListDown[name] = name == owner
+	}
+	network.SetVMs(append(network.VMs(), members.VM{
+		Name: "server-1", Address: "10.0.0.1", Role: members.BackendRole, DataCentre: "a", Region: "north", State: members.Leaving,
+	}))
+	network.Run(3 * clock.Second)
+	before := runsOf(network.Engines["engine-0"])
+	elsewhere := runsOf(network.Engines["engine-1"])
+	arriveReviews(network, 40)
+	require.Equal(t, before, runsOf(network.Engines["engine-0"]))
+	require.Greater(t, runsOf(network.Engines["engine-1"]), elsewhere)
+}
+
+// TestRemovedEngineIsReleased publishes a configuration without an engine.
+func TestRemovedEngineIsReleased(t *testing.T) {
+	network := networkOf(t, smallConfig(2))
+	network.Run(6 * clock.Second)
+	fewer := smallConfig(1)
+	fewer.Version = 2
+	snapshot, err := config.Compile(fewer)
+	require.NoError(t, err)
+	require.NotEmpty(t, ownerOfEngine(network, "engine-1"))
+	for _, name := range network.HostNames() {
+		network.Feed(network.Nodes[name], node.ConfigRead{Snapshot: snapshot})
+	}
+	require.Empty(t, ownerOfEngine(network, "engine-1"))
+	require.NotEmpty(t, ownerOfEngine(network, "engine-0"))
+}
+
+func networkOf(t testing.TB, published config.Config) *nodetest.Network {
+	t.Helper()
+	var vms []members.VM
+	for _, name := range []string{"daemon-0", "daemon-1", "daemon-2"} {
+		vms = append(vms, members.VM{Name: name, Role: members.EntryRole, DataCentre: "a", Region: "north", State: members.Live})
+	}
+	network, err := nodetest.New(nodetest.Options{
+		Seed: 1, Delay: 1, Jitter: 2, TickInterval: 50, Config: published, VMs: vms,
+		Engine: nodetest.EngineOptions{RunSpan: 200, LoadSpan: 100}, Node: node.DefaultOptions(),
+	})
+	require.NoError(t, err)
+	return network
+}
+
+func ownerOfEngine(network *nodetest.Network, engine ident.EngineID) ident.DaemonID {
+	for _, name := range network.HostNames() {
+		for _, state := range network.Nodes[name].Node.Status(network.Now).Owned {
+			if state.Engine == engine {
+				return name
+			}
+		}
+	}
+	return ""
+}
+
+func runsOf(engine *nodetest.Engine) int {
+	total := 0
+	for _, count := range engine.Ran {
+		total += count
+	}
+	return total
+}
+
+func arriveReviews(network *nodetest.Network, count int) {
+	for i := range count {
+		network.Arrive("daemon-1", node.Arrived{
+			RequestID: string(rune('A' + i)), APIKey: callerKey, Path: "/v1/completions",
+			Model: []string{"review-0@1", "review-1@1", "review-2@1", "review-3@1"}[i%4],
+		})
+		network.Run(200)
+	}
+}
