node: a leaving daemon stays until its engines are handed over

A draining daemon counted as idle while it still owned engines, so that the next owner had to wait for the hold-down. The word that a daemon leaves also ended a moment before its silence began to count, and engines that check numbers were handed back to it for one tick.

--- a/internal/decide/node/handover.go
+++ b/internal/decide/node/handover.go
@@ -126,6 +126,18 @@
 	node.outbid(outbid.Engine, "a higher claim was heard of")
 }
 
+// idleOwner reports whether nothing is in progress at an owned engine, and a
+// draining daemon has handed over what another can own.
+func (node *Node) idleOwner() bool {
+	for name, held := range node.owning.owned {
+		engine, known := node.config.Engine(name)
+		if held.owner.Busy() || node.draining && known && node.firstCandidate(engine) != node.options.Self {
+			return false
+		}
+	}
+	return true
+}
+
 // freshHandover returns a handover that is young enough to replace the hold-down.
 func (node *Node) freshHandover(name ident.EngineID) (message.Handover, bool) {
 	handover, known := node.owning.handed[name]
--- a/internal/decide/node/membership_test.go
+++ b/internal/decide/node/membership_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -12,6 +13,7 @@
 	"teaselmoor/internal/decide/message"
 	"teaselmoor/internal/decide/node"
 	"teaselmoor/internal/decide/nodetest"
+	"teaselmoor/internal/decide/outcome"
 )
 
 // agree reports whether every daemon knows what each owner says of its engines.
@@ -75,6 +77,47 @@
 	require.Greater(t, runsOf(network.Engines["engine-1"]), elsewhere)
 }
 
+// TestShutdownHandsOver ends an owner gracefully while requests run and wait
+// there: all are answered, and the next owner waits for no hold-down.
+func TestShutdownHandsOver(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		published := smallConfig(1)
+		published.Engines[0].ChecksFencing = checks
+		network := networkOf(t, published)
+		network.Run(6 * clock.Second)
+		owner := ownerOfEngine(network, "engine-0")
+		entry := ident.DaemonID("daemon-0")
+		if owner == entry {
+			entry = "daemon-1"
+		}
+		for _, request := range []string{"0", "1", "2", "3", "4", "5", "6", "7"} {
+			network.Arrive(entry, node.Arrived{
+				RequestID: request, APIKey: callerKey, Path: "/v1/completions", Model: "review-" + request + "@1",
+			})
+		}
+		network.Run(150)
+		leaving := network.Nodes[owner]
+		network.Feed(leaving, node.Shutdown{})
+		if !checks { // the platform's list has to say it as well, within the time that a daemon's own word counts
+			vms := network.VMs()
+			vms[slices.IndexFunc(vms, func(vm members.VM) bool { return vm.Name == string(owner) })].State = members.Leaving
+			network.After(clock.Second, func() { network.SetVMs(vms) })
+		}
+		require.True(t, network.RunUntil(5*clock.Second, leaving.Node.Idle))
+		network.Run(10) // what is on its way arrives before the connections end
+		network.Kill(owner)
+		network.Run(100)
+		require.NotEqual(t, owner, ownerOfEngine(network, "engine-0"))
+		require.NotEmpty(t, ownerOfEngine(network, "engine-0"), "checks %v", checks)
+		network.Run(15 * clock.Second)
+		for _, request := range []string{"0", "1", "2", "3", "4", "5", "6", "7"} {
+			require.Len(t, network.Answers[request], 1)
+			require.Equal(t, outcome.Complete, network.Answers[request][0].Outcome.Reason, "request %s", request)
+			require.Equal(t, 1, network.Engines["engine-0"].Ran[request])
+		}
+	}
+}
+
 // TestRemovedEngineIsReleased publishes a configuration without an engine.
 func TestRemovedEngineIsReleased(t *testing.T) {
 	network := networkOf(t, smallConfig(2))
--- a/internal/decide/node/node.go
+++ b/internal/decide/node/node.go
@@ -294,6 +294,7 @@
 
 func (node *Node) shutdown() {
 	node.draining = true
+	node.news.due = true
 	node.homeEffects(node.home.Shutdown(node.now))
 	node.emit(effect.Audit{At: node.now, Kind: effect.ShutdownStarted, Object: string(node.options.Self), Cause: "signal"})
 }
@@ -303,10 +304,5 @@
 	if len(node.requests) > 0 || len(node.finishes) > 0 || !node.home.Idle() {
 		return false
 	}
-	for _, held := range node.owning.owned {
-		if held.owner.Busy() {
-			return false
-		}
-	}
-	return len(node.owning.former) == 0
+	return len(node.owning.former) == 0 && node.idleOwner()
 }
--- a/internal/decide/node/owning.go
+++ b/internal/decide/node/owning.go
@@ -183,7 +183,10 @@
 // here: candidates that say that they are leaving are passed over, and for
 // engines that check fencing numbers silent ones too.
 func (node *Node) firstCandidate(engine *config.Engine) ident.DaemonID {
-	spans := node.options.Ownership
+	leavingSpan := node.options.Ownership.ViewAge
+	if engine.ChecksFencing {
+		leavingSpan = 2 * node.options.Ownership.Suspicion // silence follows it without a gap
+	}
 	lastResort := ident.DaemonID("")
 	for _, candidate := range node.owning.order[engine.Name] {
 		switch {
@@ -191,7 +194,7 @@
 			lastResort = candidate
 		case candidate == node.options.Self:
 			return candidate
-		case node.peers.Leaving(node.now, candidate, spans.ViewAge):
+		case node.peers.Leaving(node.now, candidate, leavingSpan):
 		case engine.ChecksFencing && node.peers.Silent(node.now, candidate, node.suspicion(candidate)):
 		default:
 			return candidate
