daemon, engine: effects keep the order of their steps, and orders have their limits

A cancel could overtake the submit that it was for, because workers carried effects out beside each other: an outbox now carries them out in step order. A chunk cut inside its line was judged as an answer of another adapter and quarantined a healthy engine for good; the remains of a cut line are dropped. Reads of a hanging engine's report piled up; there is one at a time, and load, cancel and report have timeouts and connections of their own. A run whose cancel was lost filled its window and held its pin; a reset frame ends it. Looking up the configuration needs no lock.

--- a/internal/backend/engine/http.go
+++ b/internal/backend/engine/http.go
@@ -72,32 +72,56 @@
 // Options bound the client's connections and waits.
 type Options struct {
 	DialTimeout clock.Millis
-	// HeadTimeout is the longest wait for the head of an answer or an order's end.
+	// HeadTimeout is the longest wait for the head of a run's answer. One that is
+	// not streamed has its head only at its end.
 	HeadTimeout clock.Millis
+	// LoadTimeout is the longest wait for the end of a load or unload order.
+	LoadTimeout clock.Millis
+	// CancelTimeout is the longest wait for the word on a cancel.
+	CancelTimeout clock.Millis
+	// ReportTimeout is the longest wait for a state report.
+	ReportTimeout clock.Millis
 	// MaxIdle is the number of idle connections kept per engine.
 	MaxIdle int
 }
 
 // DefaultOptions returns the limits used when settings name none.
 func DefaultOptions() Options {
-	return Options{DialTimeout: 2 * clock.Second, HeadTimeout: 2 * clock.Minute, MaxIdle: 64}
+	return Options{
+		DialTimeout: 2 * clock.Second, HeadTimeout: 2 * clock.Minute, LoadTimeout: 30 * clock.Second,
+		CancelTimeout: 5 * clock.Second, ReportTimeout: 2 * clock.Second, MaxIdle: 64,
+	}
 }
 
 // HTTP is the client for engines with an OpenAI-compatible API.
+//
+// Orders and reports have connections of their own, so that they never wait
+// behind runs. Connections are not limited in number: a limit would be a queue
+// without classes, and the owner bounds the runs of an engine already.
 type HTTP struct {
-	client *http.Client
+	options Options
+	client  *http.Client // for runs
+	orders  *http.Client
 }
 
 // New returns a client.
 func New(options Options) *HTTP {
+	return &HTTP{
+		options: options,
+		client:  &http.Client{Transport: newTransport(options)},
+		orders:  &http.Client{Transport: newTransport(options)},
+	}
+}
+
+func newTransport(options Options) *http.Transport {
 	dialer := &net.Dialer{Timeout: options.DialTimeout.Duration()}
-	return &HTTP{client: &http.Client{Transport: &http.Transport{
+	return &http.Transport{
 		DialContext:           dialer.DialContext,
 		ResponseHeaderTimeout: options.HeadTimeout.Duration(),
 		MaxIdleConnsPerHost:   options.MaxIdle,
 		IdleConnTimeout:       time.Minute,
 		DisableCompression:    true,
-	}}}
+	}
 }
 
 // Run sends a run and relays its answer; see Client.
@@ -173,6 +197,8 @@
 
 // Cancel ends a run; see Client.
 func (client *HTTP) Cancel(ctx context.Context, address string, run ident.StreamID, fence ident.Fence) owner.Result {
+	ctx, cancel := context.WithTimeout(ctx, client.options.CancelTimeout.Duration())
+	defer cancel()
 	response, err := client.order(ctx, address, RunsPath+run.String()+"/cancel", nil, fence)
 	if err != nil {
 		return owner.ResultLost
@@ -195,6 +221,8 @@
 }
 
 func (client *HTTP) adapterOrder(ctx context.Context, address, path string, adapter ident.Adapter, fence ident.Fence) LoadResult {
+	ctx, cancel := context.WithTimeout(ctx, client.options.LoadTimeout.Duration())
+	defer cancel()
 	response, err := client.order(ctx, address, path, AdapterOrder{LoraName: adapter.String()}, fence)
 	if err != nil {
 		return LoadFailed
@@ -220,7 +248,7 @@
 	}
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set(FenceHeader, strconv.FormatUint(uint64(fence), 10))
-	response, err := client.client.Do(request)
+	response, err := client.orders.Do(request)
 	return response, errors.Wrap(err, "send engine order")
 }
 
@@ -231,11 +259,13 @@
 
 // Report reads the engine's state; see Client.
 func (client *HTTP) Report(ctx context.Context, address string) (owner.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, client.options.ReportTimeout.Duration())
+	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+StatePath, nil)
 	if err != nil {
 		return owner.Report{}, errors.Wrap(err, "build state request")
 	}
-	response, err := client.client.Do(request)
+	response, err := client.orders.Do(request)
 	if err != nil {
 		return owner.Report{}, errors.Wrap(err, "read engine state")
 	}
--- a/internal/backend/engine/relay.go
+++ b/internal/backend/engine/relay.go
@@ -45,6 +45,7 @@
 func (relay *relay) stream(ctx context.Context, body io.Reader) owner.Result {
 	scanner := bufio.NewScanner(body)
 	scanner.Buffer(make([]byte, 0, 4096), maxLine)
+	scanner.Split(wholeLines)
 	for scanner.Scan() {
 		payload, isData := bytes.CutPrefix(scanner.Bytes(), dataPrefix)
 		if !isData {
@@ -67,6 +68,18 @@
 	return owner.ResultTruncated
 }
 
+// wholeLines splits at line ends and drops an unfinished last line: what a cut
+// connection leaves of a chunk says nothing about the engine.
+func wholeLines(data []byte, atEOF bool) (int, []byte, error) {
+	if end := bytes.IndexByte(data, '\n'); end >= 0 {
+		return end + 1, data[:end], nil
+	}
+	if atEOF {
+		return len(data), nil, nil
+	}
+	return 0, nil, nil
+}
+
 // whole relays an answer that is not streamed, as one chunk.
 func (relay *relay) whole(ctx context.Context, response *http.Response) owner.Result {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
--- a/internal/base/settings/fields.go
+++ b/internal/base/settings/fields.go
@@ -154,6 +154,12 @@
 	DialTimeoutMillis clock.Millis `yaml:"DialTimeoutMillis" min:"10" max:"60000"`
 	// Longest wait for the head of an answer or the end of an order, in milliseconds.
 	HeadTimeoutMillis clock.Millis `yaml:"HeadTimeoutMillis" min:"100" max:"3600000"`
+	// LoadTimeoutMillis is the longest wait for the end of a load or unload order.
+	LoadTimeoutMillis clock.Millis `yaml:"LoadTimeoutMillis" min:"100" max:"3600000"`
+	// CancelTimeoutMillis is the longest wait for the word on a cancel.
+	CancelTimeoutMillis clock.Millis `yaml:"CancelTimeoutMillis" min:"100" max:"60000"`
+	// ReportTimeoutMillis is the longest wait for a state report.
+	ReportTimeoutMillis clock.Millis `yaml:"ReportTimeoutMillis" min:"100" max:"60000"`
 	// Idle connections kept to each engine.
 	MaxIdleConnections int `yaml:"MaxIdleConnections" min:"0" max:"10000"`
 	// Span between two reads of an engine's report, in milliseconds.
@@ -250,6 +256,7 @@
 		},
 		Engines: Engines{
 			DialTimeoutMillis: 2 * clock.Second, HeadTimeoutMillis: 2 * clock.Minute, MaxIdleConnections: 64,
+			LoadTimeoutMillis: 30 * clock.Second, CancelTimeoutMillis: 5 * clock.Second, ReportTimeoutMillis: 2 * clock.Second,
 			ReportIntervalMillis: clock.Second, StateIntervalMillis: 250 * clock.Millisecond,
 		},
 		Services: Services{
--- a/internal/inner/link/frame.go
+++ b/internal/inner/link/frame.go
@@ -18,6 +18,7 @@
 	headKind   frameKind = 1
 	chunkKind  frameKind = 2
 	creditKind frameKind = 3
+	resetKind  frameKind = 4
 	// Kinds from firstMessage on are messages, in the order of messageTypes.
 	firstMessage frameKind = 16
 )
@@ -45,6 +46,13 @@
 	Bytes  int
 }
 
+// resetFrame tells the sender of a stream that its receiver knows nothing of
+// it: the stream has ended there, or the receiver has restarted since.
+type resetFrame struct {
+	_      struct{} `cbor:",toarray"`
+	Stream ident.StreamID
+}
+
 // messageTypes gives each message its number: the position from firstMessage.
 // New types go to the end.
 var messageTypes = []reflect.Type{
@@ -166,6 +174,13 @@
 			handler.Credit(from, credit.Stream, credit.Bytes)
 		}
 		return rest, err
+	case resetKind:
+		var reset resetFrame
+		rest, err := decoding.UnmarshalFirst(content, &reset)
+		if err == nil {
+			handler.Reset(from, reset.Stream)
+		}
+		return rest, err
 	}
 	return decodeMessage(from, kind, content, handler)
 }
--- a/internal/inner/link/set.go
+++ b/internal/inner/link/set.go
@@ -38,6 +38,8 @@
 	Head(from ident.DaemonID, stream ident.StreamID, status int, contentType string)
 	Chunk(from ident.DaemonID, stream ident.StreamID, index uint64, payload []byte)
 	Credit(from ident.DaemonID, stream ident.StreamID, bytes int)
+	// Reset says that the peer knows nothing of a stream that it was sent.
+	Reset(from ident.DaemonID, stream ident.StreamID)
 	// Connected and Lost report a lane's connection and its loss.
 	Connected(peer ident.DaemonID, lane message.Lane)
 	Lost(peer ident.DaemonID, lane message.Lane)
@@ -228,6 +230,13 @@
 	})
 }
 
+// SendReset tells the sender of a stream that it is not known here.
+func (set *Set) SendReset(to ident.DaemonID, stream ident.StreamID) bool {
+	return set.enqueue(to, message.ControlLane, func(buffer *bytes.Buffer) error {
+		return appendFrame(buffer, resetKind, resetFrame{Stream: stream})
+	})
+}
+
 // Peers returns the daemons with a live control connection.
 func (set *Set) Peers() []ident.DaemonID {
 	set.mutex.RLock()
--- a/internal/integration/daemons/killed_test.go
+++ b/internal/integration/daemons/killed_test.go
@@ -31,8 +31,10 @@
 // TestOwnerKilled kills the owner of an engine in the middle of an answer. The
 // caller is told the truth, and a run that must not be repeated runs once.
 func TestOwnerKilled(t *testing.T) {
+	t.Parallel()
 	for _, task := range []string{"review", "quote"} {
 		t.Run(task, func(t *testing.T) {
+			t.Parallel()
 			running := harness.New(t, oneEngine())
 			owner, entry := ownerAndEntry(running)
 			model := running.Adapter(task)
@@ -52,6 +54,7 @@
 // TestEntryKilled kills the entry in the middle of an answer. The run ends at
 // the engine, and the owner serves on.
 func TestEntryKilled(t *testing.T) {
+	t.Parallel()
 	running := harness.New(t, oneEngine())
 	owner, entry := ownerAndEntry(running)
 	model := running.Adapter("review")
@@ -75,6 +78,7 @@
 // TestEntryRestarted kills and restarts the entry: stream ids of its former
 // life must not be taken for those of the new one.
 func TestEntryRestarted(t *testing.T) {
+	t.Parallel()
 	running := harness.New(t, oneEngine())
 	_, entry := ownerAndEntry(running)
 	daemon := running.Daemons[entry]
@@ -93,8 +97,10 @@
 // TestOwnerFrozen freezes the owner in the middle of an answer and wakes it
 // after the entry has given up on it.
 func TestOwnerFrozen(t *testing.T) {
+	t.Parallel()
 	for _, task := range []string{"review", "quote"} {
 		t.Run(task, func(t *testing.T) {
+			t.Parallel()
 			running := harness.New(t, oneEngine())
 			owner, entry := ownerAndEntry(running)
 			model := running.Adapter(task)
--- a/internal/integration/harness/call.go
+++ b/internal/integration/harness/call.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 
@@ -92,6 +93,17 @@
 	return open.Finish()
 }
 
+// readBuffer is what the kernel keeps of an answer that a caller leaves unread.
+const readBuffer = 32 << 10
+
+func dialSmall(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return conn, conn.(*net.TCPConn).SetReadBuffer(readBuffer)
+}
+
 func (daemon *Daemon) begin(path string, call Call, body []byte) (*Open, Told) {
 	ctx, cancel := context.WithCancel(context.Background())
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost,
@@ -103,7 +115,7 @@
 	if call.Key != "" {
 		request.Header.Set(callers.KeyHeader, call.Key)
 	}
-	response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(request)
+	response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialSmall}}).Do(request)
 	if err != nil {
 		cancel()
 		return nil, Told{}
--- a/internal/integration/harness/process.go
+++ b/internal/integration/harness/process.go
@@ -136,4 +136,3 @@
 	<-process.exited
 	return process.state.ExitCode()
 }
-
--- a/internal/serve/daemon/daemon.go
+++ b/internal/serve/daemon/daemon.go
@@ -2,8 +2,8 @@
 // node with connections, engine and service clients, the platform and timers.
 //
 // Events go through a pool of workers, urgent ones first. Each worker holds the
-// node's lock for one step and carries out the effects after letting it go.
-// Lock order: node, then streams, then the locks of a single inbox, window or
+// node's lock for one step and carries out the effects after letting it go, in
+// the order of the steps. Lock order: node, then outbox, then streams, then the locks of a single inbox, window or
 // connection. No lock but that of the VM list reader is held during I/O.
 package daemon
 
@@ -13,6 +13,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"teaselmoor/internal/backend/engine"
@@ -23,7 +24,6 @@
 	"teaselmoor/internal/base/task"
 	"teaselmoor/internal/control/audit"
 	"teaselmoor/internal/control/config"
-	"teaselmoor/internal/decide/effect"
 	"teaselmoor/internal/decide/node"
 	"teaselmoor/internal/inner/link"
 	"teaselmoor/internal/serve/metrics"
@@ -59,6 +59,12 @@
 	streams *streamTable
 	list    listReader
 
+	outbox  outbox
+	reading engineSet
+	// snapshot is the configuration in force, for lookups that must not wait
+	// for the node's lock.
+	snapshot atomic.Pointer[config.Snapshot]
+
 	mutex sync.Mutex // guards node
 	node  *node.Node
 }
@@ -102,9 +108,7 @@
 
 // Config returns the configuration in force, nil before the first.
 func (daemon *Daemon) Config() *config.Snapshot {
-	daemon.mutex.Lock()
-	defer daemon.mutex.Unlock()
-	return daemon.node.Config()
+	return daemon.snapshot.Load()
 }
 
 // Ready reports whether the daemon can serve callers.
@@ -173,36 +177,6 @@
 	daemon.jobs.push(lane, events)
 }
 
-// work steps the node with queued events until the queue closes.
-func (daemon *Daemon) work(context.Context) error {
-	for {
-		events, open := daemon.jobs.pop()
-		if !open {
-			return nil
-		}
-		for _, event := range events {
-			daemon.step(event)
-		}
-	}
-}
-
-// step feeds one event to the node and carries out what follows.
-func (daemon *Daemon) step(event node.Event) {
-	daemon.mutex.Lock()
-	now := daemon.options.Now()
-	effects := daemon.node.Step(now, event)
-	daemon.mutex.Unlock()
-	daemon.follow(now, event, effects)
-}
-
-// follow counts a step and carries out its effects.
-func (daemon *Daemon) follow(now clock.Millis, event node.Event, effects []effect.Effect) {
-	daemon.options.Observer.Step(now, event, effects)
-	for _, next := range effects {
-		daemon.perform(next)
-	}
-}
-
 func (daemon *Daemon) tick(ctx context.Context) error {
 	return every(ctx, daemon.options.TickInterval, func() {
 		daemon.enqueue(promptLane, node.Tick{})
--- a/internal/serve/daemon/jobs.go
+++ b/internal/serve/daemon/jobs.go
@@ -42,20 +42,29 @@
 	queue.filled.Signal()
 }
 
-// pop waits for a job; it reports false once the queue is closed.
-func (queue *jobQueue) pop() ([]node.Event, bool) {
+// wait waits for a job; it reports false once the queue is closed.
+func (queue *jobQueue) wait() bool {
 	queue.mutex.Lock()
 	defer queue.mutex.Unlock()
-	for !queue.closed {
-		if lane, found := queue.nextLane(); found {
-			job := queue.lanes[lane][0]
-			queue.lanes[lane][0] = nil
-			queue.lanes[lane] = queue.lanes[lane][1:]
-			return job, true
-		}
+	for !queue.closed && len(queue.lanes[promptLane]) == 0 && len(queue.lanes[routineLane]) == 0 {
 		queue.filled.Wait()
 	}
-	return nil, false
+	return !queue.closed
+}
+
+// take removes the next job; there may be none left. The caller holds the
+// node's lock, so that the jobs of a lane are stepped in their order.
+func (queue *jobQueue) take() []node.Event {
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
+	lane, found := queue.nextLane()
+	if !found {
+		return nil
+	}
+	job := queue.lanes[lane][0]
+	queue.lanes[lane][0] = nil
+	queue.lanes[lane] = queue.lanes[lane][1:]
+	return job
 }
 
 func (queue *jobQueue) nextLane() (jobLane, bool) {
--- a/internal/serve/daemon/peers.go
+++ b/internal/serve/daemon/peers.go
@@ -28,8 +28,18 @@
 }
 
 // Chunk adds to an answer.
-func (handler *peerHandler) Chunk(_ ident.DaemonID, stream ident.StreamID, index uint64, payload []byte) {
-	handler.daemon.putChunk(stream, index, payload)
+func (handler *peerHandler) Chunk(from ident.DaemonID, stream ident.StreamID, index uint64, payload []byte) {
+	if !handler.daemon.putChunk(stream, index, payload) {
+		handler.daemon.links.SendReset(from, stream)
+	}
+}
+
+// Reset ends the relay of a run whose answer nobody waits for. Only the stream's
+// own entry may say so.
+func (handler *peerHandler) Reset(from ident.DaemonID, stream ident.StreamID) {
+	if window, found := handler.daemon.streams.knownWindow(stream); found && stream.Daemon == from {
+		window.Close(true)
+	}
 }
 
 // Credit lets a run's relay go on.
@@ -46,5 +56,6 @@
 
 // Lost queues the loss of a lane.
 func (handler *peerHandler) Lost(peer ident.DaemonID, lane message.Lane) {
+	handler.daemon.streams.closeWindows(peer, lane)
 	handler.daemon.enqueue(promptLane, node.PeerLost{Peer: peer, Lane: lane})
 }
--- a/internal/serve/daemon/perform.go
+++ b/internal/serve/daemon/perform.go
@@ -117,6 +117,10 @@
 		Stream: start.Stream, Result: result, Chunks: sink.index,
 	}}
 	daemon.streams.dropWindow(start.Stream)
+	if sink.window.Reset() {
+		cancel := message.Cancel{Stream: start.Stream, Engine: start.Engine, Class: start.Request.Class}
+		daemon.enqueue(laneOf(sink.lane), node.Received{From: start.Entry, Message: cancel})
+	}
 	if start.Entry == daemon.Self() {
 		daemon.enqueue(laneOf(sink.lane), daemon.received(start.Stream), ended)
 		return
@@ -177,9 +181,10 @@
 
 func (daemon *Daemon) readEngine(ctx context.Context, read effect.ReadEngine) {
 	address, known := daemon.engineAddress(read.Engine)
-	if !known {
-		return
+	if !known || !daemon.reading.add(read.Engine) {
+		return // the former read still waits: a hanging engine has one at most
 	}
+	defer daemon.reading.remove(read.Engine)
 	report, err := daemon.options.Engines.Report(ctx, address)
 	if err != nil {
 		daemon.options.Log.Warn("engine report", "Engine", read.Engine, "Cause", err)
--- a/internal/serve/daemon/requests.go
+++ b/internal/serve/daemon/requests.go
@@ -9,13 +9,12 @@
 // Begin takes in a caller's request. Its answer arrives in the ticket's inbox.
 func (daemon *Daemon) Begin(arrived node.Arrived, ticket *Ticket) {
 	ticket.Inbox = relay.NewInbox(arrived.Key != "")
-	daemon.mutex.Lock()
-	arrived.Stream = daemon.node.NewStream()
-	daemon.streams.addTicket(arrived.Stream, ticket)
-	now := daemon.options.Now()
-	effects := daemon.node.Step(now, arrived)
-	daemon.mutex.Unlock()
-	daemon.follow(now, arrived, effects)
+	daemon.exclusive(func() {
+		arrived.Stream = daemon.node.NewStream()
+		daemon.streams.addTicket(arrived.Stream, ticket)
+		daemon.stepLocked(arrived)
+	})
+	daemon.flush()
 }
 
 // Refused notes a request that was refused before the decision machines saw it.
--- a/internal/serve/daemon/sink.go
+++ b/internal/serve/daemon/sink.go
@@ -29,7 +29,7 @@
 	return &sink{
 		daemon: daemon, entry: start.Entry, stream: start.Stream,
 		lane: message.LaneOf(start.Request.Class), index: start.Received,
-		window: daemon.streams.window(start.Stream),
+		window: daemon.streams.window(start.Stream, message.LaneOf(start.Request.Class)),
 	}
 }
 
@@ -79,13 +79,16 @@
 	ticket.Inbox.PutHead(next.Status, next.ContentType)
 }
 
-func (daemon *Daemon) putChunk(stream ident.StreamID, index uint64, payload []byte) {
+// putChunk adds to an answer. It reports false for a stream that has ended or
+// was never here.
+func (daemon *Daemon) putChunk(stream ident.StreamID, index uint64, payload []byte) bool {
 	ticket, found := daemon.streams.ticket(stream)
 	if !found {
 		daemon.options.Observer.LateFrame()
-		return
+		return false
 	}
 	ticket.Inbox.PutChunk(index, payload)
+	return true
 }
 
 // grant gives credit for a stream to the daemon that sends it.
--- a/internal/serve/daemon/streams.go
+++ b/internal/serve/daemon/streams.go
@@ -5,6 +5,7 @@
 
 	"teaselmoor/internal/backend/service"
 	"teaselmoor/internal/base/ident"
+	"teaselmoor/internal/decide/message"
 	"teaselmoor/internal/serve/relay"
 )
 
@@ -22,13 +23,19 @@
 type streamTable struct {
 	mutex   sync.RWMutex // guards tickets, windows and Ticket.stream
 	tickets map[ident.StreamID]*Ticket
-	windows map[ident.StreamID]*relay.Window
+	windows map[ident.StreamID]laneWindow
+}
+
+// laneWindow is a stream's window and the lane that its answer travels on.
+type laneWindow struct {
+	*relay.Window
+	lane message.Lane
 }
 
 func newStreamTable() *streamTable {
 	return &streamTable{
 		tickets: map[ident.StreamID]*Ticket{},
-		windows: map[ident.StreamID]*relay.Window{},
+		windows: map[ident.StreamID]laneWindow{},
 	}
 }
 
@@ -75,22 +82,33 @@
 }
 
 // window returns the stream's window, new when there is none.
-func (table *streamTable) window(stream ident.StreamID) *relay.Window {
+func (table *streamTable) window(stream ident.StreamID, lane message.Lane) *relay.Window {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
 	window, found := table.windows[stream]
 	if !found {
-		window = relay.NewWindow()
+		window = laneWindow{Window: relay.NewWindow(), lane: lane}
 		table.windows[stream] = window
 	}
-	return window
+	return window.Window
 }
 
 func (table *streamTable) knownWindow(stream ident.StreamID) (*relay.Window, bool) {
 	table.mutex.RLock()
 	defer table.mutex.RUnlock()
 	window, found := table.windows[stream]
-	return window, found
+	return window.Window, found
+}
+
+// closeWindows ends the relays to an entry whose lane broke: no credit will come.
+func (table *streamTable) closeWindows(entry ident.DaemonID, lane message.Lane) {
+	table.mutex.RLock()
+	defer table.mutex.RUnlock()
+	for stream, window := range table.windows {
+		if stream.Daemon == entry && window.lane == lane {
+			window.Close(false)
+		}
+	}
 }
 
 func (table *streamTable) dropWindow(stream ident.StreamID) {
--- a/internal/serve/program/options.go
+++ b/internal/serve/program/options.go
@@ -34,7 +34,9 @@
 		Node: nodeOptions(settings),
 		Engines: engine.Options{
 			DialTimeout: settings.Engines.DialTimeoutMillis, HeadTimeout: settings.Engines.HeadTimeoutMillis,
-			MaxIdle: settings.Engines.MaxIdleConnections,
+			LoadTimeout: settings.Engines.LoadTimeoutMillis, CancelTimeout: settings.Engines.CancelTimeoutMillis,
+			ReportTimeout: settings.Engines.ReportTimeoutMillis,
+			MaxIdle:       settings.Engines.MaxIdleConnections,
 		},
 		Services: service.Options{
 			DialTimeout: settings.Services.DialTimeoutMillis, Timeout: settings.Services.TimeoutMillis,
--- a/internal/serve/relay/window.go
+++ b/internal/serve/relay/window.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"sync"
+
+	"github.com/pkg/errors"
 )
 
 // WindowBytes is what a stream may have in flight beyond what its caller read.
@@ -16,11 +18,16 @@
 
 // Window is the sending side's allowance of one stream. Safe for concurrent use.
 type Window struct {
-	mutex sync.Mutex // guards free
-	free  int
-	more  chan struct{} // holds a token after a grant
+	mutex  sync.Mutex // guards all but more
+	free   int
+	closed bool
+	reset  bool
+	more   chan struct{} // holds a token after a grant or the close
 }
 
+// ErrClosed ends a relay that no credit will ever reach.
+var ErrClosed = errors.New("the stream's entry is gone")
+
 // NewWindow returns a full window.
 func NewWindow() *Window {
 	return &Window{free: WindowBytes, more: make(chan struct{}, 1)}
@@ -31,8 +38,8 @@
 // can block a stream for good.
 func (window *Window) Take(ctx context.Context, count int) error {
 	for {
-		if window.tryTake(count) {
-			return nil
+		if taken, err := window.tryTake(count); taken || err != nil {
+			return err
 		}
 		select {
 		case <-ctx.Done():
@@ -42,14 +49,34 @@
 	}
 }
 
-func (window *Window) tryTake(count int) bool {
+func (window *Window) tryTake(count int) (bool, error) {
 	window.mutex.Lock()
 	defer window.mutex.Unlock()
+	if window.closed {
+		return false, ErrClosed
+	}
 	if window.free <= 0 {
-		return false
+		return false, nil
 	}
 	window.free -= count
-	return true
+	return true, nil
+}
+
+// Close ends the window: Take fails from now on. With reset, the entry has said
+// that it knows nothing of the stream any more.
+func (window *Window) Close(reset bool) {
+	window.mutex.Lock()
+	window.closed = true
+	window.reset = window.reset || reset
+	window.mutex.Unlock()
+	window.signal()
+}
+
+// Reset reports whether the entry has disowned the stream.
+func (window *Window) Reset() bool {
+	window.mutex.Lock()
+	defer window.mutex.Unlock()
+	return window.reset
 }
 
 // Grant gives bytes back.
@@ -57,6 +84,10 @@
 	window.mutex.Lock()
 	window.free += count
 	window.mutex.Unlock()
+	window.signal()
+}
+
+func (window *Window) signal() {
 	select {
 	case window.more <- struct{}{}:
 	default:
--- a/internal/standin/modelengine/api.go
+++ b/internal/standin/modelengine/api.go
@@ -41,6 +41,7 @@
 	Model   string   `json:"model"`
 	Choices []choice `json:"choices"`
 	Usage   *usage   `json:"usage,omitempty"`
+	Padding string   `json:"padding,omitempty"`
 }
 
 type choice struct {
@@ -197,7 +198,9 @@
 	} else {
 		part.Text = run.word(at)
 	}
-	return run.envelope(object, part)
+	whole := run.envelope(object, part)
+	whole.Padding = run.padding
+	return whole
 }
 
 func (run *run) envelope(object string, part choice) completion {
--- a/internal/standin/modelengine/engine.go
+++ b/internal/standin/modelengine/engine.go
@@ -9,7 +9,9 @@
 	"fmt"
 	"net/http"
 	"sort"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -34,6 +36,8 @@
 	StoreURL string
 	// ReportLag is how old a state report is.
 	ReportLag time.Duration
+	// TokenPadding makes each streamed token that many bytes longer.
+	TokenPadding int
 	// DefaultTokens is the length of an answer when a request does not say.
 	DefaultTokens int
 }
@@ -72,6 +76,7 @@
 type Engine struct {
 	options Options
 	mux     *http.ServeMux
+	held    atomic.Int64 // calls held up by a freeze
 
 	mutex   sync.Mutex // guards all below
 	boot    string
@@ -209,7 +214,8 @@
 	}
 	engine.ledger = append(engine.ledger, entry)
 	engine.cache.use(asked.model, asked.prompt)
-	started := newRun(entry, asked.priority, asked.tokens)
+	started := newRun(entry, asked)
+	started.padding = strings.Repeat("x", engine.options.TokenPadding)
 	engine.runs[asked.id] = started
 	at := sort.Search(len(engine.order), func(i int) bool { return engine.order[i].priority > asked.priority })
 	engine.order = append(engine.order, nil)
--- a/internal/standin/modelengine/faults.go
+++ b/internal/standin/modelengine/faults.go
@@ -35,6 +35,11 @@
 	return engine.faults
 }
 
+// Held returns the number of calls that a freeze holds up.
+func (engine *Engine) Held() int64 {
+	return engine.held.Load()
+}
+
 // takeLoadFault reports whether the next load is to fail.
 func (engine *Engine) takeLoadFault() bool {
 	engine.mutex.Lock()
@@ -49,6 +54,8 @@
 // frozen holds a call while the engine is frozen; it reports true when the
 // client gave up first.
 func (engine *Engine) frozen(ctx context.Context) bool {
+	engine.held.Add(1)
+	defer engine.held.Add(-1)
 	for engine.Faults().Frozen {
 		select {
 		case <-ctx.Done():
--- a/internal/standin/modelengine/run.go
+++ b/internal/standin/modelengine/run.go
@@ -10,6 +10,7 @@
 	entry    *LedgerEntry
 	priority int
 	tokens   int
+	padding  string
 
 	mutex   sync.Mutex // guards all below
 	form    answerForm
@@ -19,13 +20,13 @@
 	changed chan struct{} // closed at each change
 }
 
-func newRun(entry *LedgerEntry, priority, tokens int) *run {
-	return &run{entry: entry, priority: priority, tokens: tokens, changed: make(chan struct{})}
+func newRun(entry *LedgerEntry, asked askedRun) *run {
+	return &run{entry: entry, priority: asked.priority, tokens: asked.tokens, changed: make(chan struct{})}
 }
 
 // cancelledRun stands for a run that was cancelled before it arrived.
 func cancelledRun(id string) *run {
-	cancelled := newRun(&LedgerEntry{RunID: id}, 0, 0)
+	cancelled := newRun(&LedgerEntry{RunID: id}, askedRun{})
 	cancelled.abort(Cancelled)
 	return cancelled
 }
