--- a/internal/base/settings/fields.go
+++ b/internal/base/settings/fields.go
@@ -152,16 +152,18 @@
 type Engines struct {
 	// Longest wait for a connection, in milliseconds.
 	DialTimeoutMillis clock.Millis `yaml:"DialTimeoutMillis" min:"10" max:"60000"`
-	// Longest wait for the head of an answer or the end of an order, in milliseconds.
+	// Longest wait for the head of a run's answer, in milliseconds; one that is not streamed has it only at its end.
 	HeadTimeoutMillis clock.Millis `yaml:"HeadTimeoutMillis" min:"100" max:"3600000"`
-	// LoadTimeoutMillis is the longest wait for the end of a load or unload order.
+	// Longest wait for the end of a load or unload order, in milliseconds.
 	LoadTimeoutMillis clock.Millis `yaml:"LoadTimeoutMillis" min:"100" max:"3600000"`
-	// CancelTimeoutMillis is the longest wait for the word on a cancel.
+	// Longest wait for an engine's word on a cancel, in milliseconds.
 	CancelTimeoutMillis clock.Millis `yaml:"CancelTimeoutMillis" min:"100" max:"60000"`
-	// ReportTimeoutMillis is the longest wait for a state report.
+	// Longest wait for an engine's report, in milliseconds.
 	ReportTimeoutMillis clock.Millis `yaml:"ReportTimeoutMillis" min:"100" max:"60000"`
 	// Idle connections kept to each engine.
 	MaxIdleConnections int `yaml:"MaxIdleConnections" min:"0" max:"10000"`
+	// Largest answer that is not streamed, in bytes; a larger one counts as truncated.
+	MaxAnswerBytes int64 `yaml:"MaxAnswerBytes" min:"1024" max:"67108864"`
 	// Span between two reads of an engine's report, in milliseconds.
 	ReportIntervalMillis clock.Millis `yaml:"ReportIntervalMillis" min:"10" max:"60000"`
 	// Span between two words to other daemons on an owned engine, in milliseconds.
@@ -176,6 +178,8 @@
 	TimeoutMillis clock.Millis `yaml:"TimeoutMillis" min:"100" max:"3600000"`
 	// Idle connections kept to each address.
 	MaxIdleConnections int `yaml:"MaxIdleConnections" min:"0" max:"10000"`
+	// Largest answer, in bytes; a larger one counts as lost.
+	MaxAnswerBytes int64 `yaml:"MaxAnswerBytes" min:"1024" max:"67108864"`
 }
 
 // Queue is about requests that wait for an engine, at its owner.
@@ -217,10 +221,15 @@
 
 // Placement weighs what an engine costs a request.
 type Placement struct {
-	// Cost of loading the adapter first, in queued requests. A higher one avoids
-	// load stalls; a lower one spreads requests and fills engine steps.
+	// Cost of loading the adapter at a further engine while one that holds it has
+	// a queue, in full batches queued there. A higher one avoids loads.
 	LoadCost float64 `yaml:"LoadCost" min:"0" max:"10000"`
-	// Cost of each step down an adapter's order of engines, in queued requests.
+	// Gain of loading an adapter into an engine with a full batch against an idle
+	// one, in requests for the adapter evicted. A higher one fills engine steps; 0
+	// keeps load stalls shortest.
+	BatchGain float64 `yaml:"BatchGain" min:"0" max:"10000"`
+	// Cost of each step down an adapter's order of engines; it settles ties alike
+	// at all daemons.
 	AffinityCost float64 `yaml:"AffinityCost" min:"0" max:"10000"`
 	// Age from which an engine's state is not relied on, in milliseconds.
 	SilenceMillis clock.Millis `yaml:"SilenceMillis" min:"100" max:"600000"`
@@ -255,22 +264,22 @@
 			ReportLagMillis: 500 * clock.Millisecond, SuspicionMillis: 2 * clock.Second, PauseMillis: 500 * clock.Millisecond,
 		},
 		Engines: Engines{
-			DialTimeoutMillis: 2 * clock.Second, HeadTimeoutMillis: 2 * clock.Minute, MaxIdleConnections: 64,
+			DialTimeoutMillis: 2 * clock.Second, HeadTimeoutMillis: 2 * clock.Minute, MaxIdleConnections: 64, MaxAnswerBytes: 32 << 20,
 			LoadTimeoutMillis: 30 * clock.Second, CancelTimeoutMillis: 5 * clock.Second, ReportTimeoutMillis: 2 * clock.Second,
 			ReportIntervalMillis: clock.Second, StateIntervalMillis: 250 * clock.Millisecond,
 		},
 		Services: Services{
-			DialTimeoutMillis: 2 * clock.Second, TimeoutMillis: 30 * clock.Second, MaxIdleConnections: 64,
+			DialTimeoutMillis: 2 * clock.Second, TimeoutMillis: 30 * clock.Second, MaxIdleConnections: 64, MaxAnswerBytes: 8 << 20,
 		},
 		Queue: Queue{
 			UrgentLength: 256, RoutineLength: 1024, UrgentReserveRuns: 1,
 			ResumeTries: 2, CancelIntervalMillis: clock.Second,
 		},
 		Loads: Loads{
-			Parallel: 1, LeaseMillis: 5 * clock.Second, BackoffMillis: 2 * clock.Second, Tries: 3,
+			Parallel: 1, LeaseMillis: 5 * clock.Second, BackoffMillis: 500, Tries: 3,
 			HalfLifeMillis: 5 * clock.Minute,
 		},
-		Keys:      Keys{RetentionMillis: clock.Hour, ClockMarginMillis: 2 * clock.Second},
-		Placement: Placement{LoadCost: 16, AffinityCost: 4, SilenceMillis: 10 * clock.Second},
+		Keys:      Keys{RetentionMillis: clock.Hour, ClockMarginMillis: clock.Second},
+		Placement: Placement{LoadCost: 4, BatchGain: 0.25, AffinityCost: 0.01, SilenceMillis: 10 * clock.Second},
 	}
 }
--- a/internal/decide/message/membership.go
+++ b/internal/decide/message/membership.go
@@ -34,13 +34,15 @@
 	Engine  ident.EngineID
 	Fence   ident.Fence
 	Version uint64
-	// Residency rises with every change of what is loaded.
+	// Residency rises with every change of what is loaded or wanted.
 	Residency    uint64
 	Queued       int
 	Running      int
 	LoadsWaiting int
-	ReportAge    clock.Millis
-	Flags        NewsFlags
+	// Spare is as in EngineState; its slow decay alone is no news.
+	Spare     float64
+	ReportAge clock.Millis
+	Flags     NewsFlags
 	// Detail is left out while Residency is as in the update before.
 	Detail *EngineDetail
 }
@@ -58,6 +60,7 @@
 type EngineDetail struct {
 	_        struct{} `cbor:",toarray"`
 	Resident []ident.Adapter
+	Wanted   []ident.Adapter
 	Boot     ident.BootID
 }
 
@@ -67,6 +70,16 @@
 	From ident.DaemonID
 }
 
+// Outbid tells a daemon that claims an engine of a claim with a higher number,
+// which it may have missed.
+type Outbid struct {
+	_           struct{} `cbor:",toarray"`
+	Engine      ident.EngineID
+	Owner       ident.DaemonID
+	Incarnation ident.Incarnation
+	Fence       ident.Fence
+}
+
 // HandoverAsk asks an owner to pass an engine on: the sender has read a list
 // that makes it the first candidate.
 type HandoverAsk struct {
@@ -104,5 +117,6 @@
 func (update Update) Lane() Lane     { return ControlLane }
 func (ask UpdateAsk) Lane() Lane     { return ControlLane }
 func (ask HandoverAsk) Lane() Lane   { return ControlLane }
+func (outbid Outbid) Lane() Lane     { return ControlLane }
 func (moved Moved) Lane() Lane       { return LaneOf(moved.Class) }
 func (handover Handover) Lane() Lane { return ControlLane }
--- a/internal/decide/node/status.go
+++ b/internal/decide/node/status.go
@@ -90,7 +90,8 @@
 
 // Ready reports whether the daemon can serve callers.
 func (node *Node) Ready() bool {
-	return node.rollout.Ready() && node.config != nil && node.vms != nil && !node.draining && (node.informed || node.informedNow())
+	return node.rollout.Ready() && node.config != nil && node.vms != nil && !node.draining && (node.informed || node.informedNow()) &&
+		node.home.VouchesFresh(node.now)
 }
 
 // warmUp is the span after which a daemon serves callers although it has not
--- a/internal/decide/rollout/peers.go
+++ b/internal/decide/rollout/peers.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"maps"
 	"slices"
 
 	"teaselmoor/internal/base/clock"
@@ -25,7 +26,7 @@
 	rank   int
 	near   []ident.DaemonID // of the data centre, without this one
 	region []ident.DaemonID
-	all    []ident.DaemonID
+	all    []ident.DaemonID // of the region, and the contacts in other regions
 	turn   int
 	// offerAt is when the next offers are due.
 	offerAt clock.Millis
@@ -62,12 +63,29 @@
 	}
 	peers.near = rollout.without(near)
 	peers.region = rollout.without(view.Daemons(func(vm *members.VM) bool { return vm.Region == region }))
-	peers.all = rollout.without(view.Daemons(func(*members.VM) bool { return true }))
+	peers.all = append(slices.Clone(peers.region), Contacts(view, rollout.self, region)...)
 	rollout.offerInTurn()
 	rollout.tickWatch()
 	return rollout.take()
 }
 
+// Contacts returns the daemons of other regions that a daemon keeps a connection
+// to, so that a configuration spreads between regions without the service: one
+// in each, of those with a later name, which is the side that does not dial.
+func Contacts(view *members.View, self ident.DaemonID, region string) []ident.DaemonID {
+	later := map[string][]ident.DaemonID{}
+	for _, daemon := range view.Daemons(func(vm *members.VM) bool { return vm.Region != region && vm.Name > string(self) }) {
+		vm, _ := view.Daemon(daemon)
+		later[vm.Region] = append(later[vm.Region], daemon)
+	}
+	var contacts []ident.DaemonID
+	for _, other := range slices.Sorted(maps.Keys(later)) {
+		contact, _ := ownership.First("contact/"+string(self), later[other])
+		contacts = append(contacts, contact)
+	}
+	return contacts
+}
+
 func (rollout *Rollout) without(daemons []ident.DaemonID) []ident.DaemonID {
 	return slices.DeleteFunc(daemons, func(daemon ident.DaemonID) bool { return daemon == rollout.self })
 }
--- a/internal/inner/link/frame.go
+++ b/internal/inner/link/frame.go
@@ -66,16 +66,22 @@
 	reflect.TypeFor[message.LoadAsk](),
 	reflect.TypeFor[message.LoadGrant](),
 	reflect.TypeFor[message.LoadDone](),
+	reflect.TypeFor[message.LoadVerdict](),
 	reflect.TypeFor[message.Heartbeat](),
 	reflect.TypeFor[message.EngineState](),
 	reflect.TypeFor[message.ConfigOffer](),
 	reflect.TypeFor[message.ConfigFetch](),
 	reflect.TypeFor[message.ConfigPart](),
+	reflect.TypeFor[message.HomeFinished](),
+	reflect.TypeFor[message.HomeCopy](),
+	reflect.TypeFor[message.HomeCopyAck](),
+	reflect.TypeFor[message.HomeForget](),
 	reflect.TypeFor[message.Update](),
 	reflect.TypeFor[message.UpdateAsk](),
 	reflect.TypeFor[message.HandoverAsk](),
 	reflect.TypeFor[message.Handover](),
 	reflect.TypeFor[message.Moved](),
+	reflect.TypeFor[message.Outbid](),
 }
 
 var messageKinds = func() map[reflect.Type]frameKind {
--- a/internal/serve/daemon/watch.go
+++ b/internal/serve/daemon/watch.go
@@ -70,10 +70,14 @@
 	view  *members.View
 }
 
-// connect makes the listed daemons of the own region this daemon's peers.
+// connect makes the listed daemons of the own region this daemon's peers, and
+// its contacts in other regions.
 func (daemon *Daemon) connect(view *members.View) {
+	region := daemon.options.Node.Region
+	names := view.Daemons(func(vm *members.VM) bool { return vm.Region == region })
+	names = append(names, rollout.Contacts(view, daemon.Self(), region)...)
 	var peers []link.Peer
-	for _, name := range view.Daemons(func(vm *members.VM) bool { return vm.Region == daemon.options.Node.Region }) {
+	for _, name := range names {
 		vm, found := view.Daemon(name)
 		if found && name != daemon.Self() {
 			peers = append(peers, link.Peer{Name: name, Address: vm.Address})
--- a/internal/serve/program/options.go
+++ b/internal/serve/program/options.go
@@ -36,11 +36,11 @@
 			DialTimeout: settings.Engines.DialTimeoutMillis, HeadTimeout: settings.Engines.HeadTimeoutMillis,
 			LoadTimeout: settings.Engines.LoadTimeoutMillis, CancelTimeout: settings.Engines.CancelTimeoutMillis,
 			ReportTimeout: settings.Engines.ReportTimeoutMillis,
-			MaxIdle:       settings.Engines.MaxIdleConnections,
+			MaxIdle:       settings.Engines.MaxIdleConnections, MaxAnswer: settings.Engines.MaxAnswerBytes,
 		},
 		Services: service.Options{
 			DialTimeout: settings.Services.DialTimeoutMillis, Timeout: settings.Services.TimeoutMillis,
-			MaxIdle: settings.Services.MaxIdleConnections,
+			MaxIdle: settings.Services.MaxIdleConnections, MaxAnswer: settings.Services.MaxAnswerBytes,
 		},
 		Timing: link.Timing{
 			Ping: settings.Peers.PingMillis, Silence: settings.Peers.SilenceMillis, Redial: settings.Peers.RedialMillis,
@@ -94,6 +94,7 @@
 	options.Home.Retention = settings.Keys.RetentionMillis
 	options.Home.ClockMargin = settings.Keys.ClockMarginMillis
 	options.Weights.Load = settings.Placement.LoadCost
+	options.Weights.Batch = settings.Placement.BatchGain
 	options.Weights.Affinity = settings.Placement.AffinityCost
 	options.Weights.Silence = settings.Placement.SilenceMillis
 	return options
