--- a/internal/inner/link/conn.go
+++ b/internal/inner/link/conn.go
@@ -9,6 +9,7 @@
 	"github.com/gorilla/websocket"
 	"github.com/pkg/errors"
 
+	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/base/ident"
 	"teaselmoor/internal/decide/message"
 )
@@ -22,6 +23,9 @@
 	maxBacklog = 64 << 20
 	// maxMessage bounds one WebSocket message that a peer may send.
 	maxMessage = 96 << 20
+	// lastWrite is the longest that a connection is kept open to write what is
+	// pending when the daemon ends.
+	lastWrite = clock.Second
 )
 
 // conn is one lane to one peer. A writer goroutine sends everything that
@@ -81,23 +85,22 @@
 	}
 }
 
-// run reads and writes until the connection is lost or the context ends.
+// run reads and writes until the connection is lost or the context ends. In the
+// latter case what is pending is written first: a daemon that shuts down has
+// told its peers how their streams ended.
 func (conn *conn) run(ctx context.Context, handler Handler) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	writerEnded := make(chan error, 1)
-	go func() { writerEnded <- conn.write(ctx) }()
-	closerEnded := make(chan struct{})
 	go func() {
-		defer close(closerEnded)
-		<-ctx.Done()
+		err := conn.write(ctx)
 		conn.close()
+		writerEnded <- err
 	}()
 	readError := conn.read(handler)
+	conn.close()
 	cancel()
-	writeError := <-writerEnded
-	<-closerEnded
-	if writeError != nil {
+	if writeError := <-writerEnded; writeError != nil {
 		return writeError
 	}
 	return readError
@@ -134,17 +137,16 @@
 	for {
 		select {
 		case <-ctx.Done():
+			_ = conn.flush(conn.swap(spare), lastWrite)
 			return nil
 		case <-ping.C:
 			err := conn.socket.WriteControl(websocket.PingMessage, nil, time.Now().Add(conn.timing.Silence.Duration()))
 			if err != nil {
-				conn.close()
 				return errors.Wrap(err, "ping")
 			}
 		case <-conn.wake:
 			batch := conn.swap(spare)
-			if err := conn.flush(batch); err != nil {
-				conn.close()
+			if err := conn.flush(batch, conn.timing.Silence); err != nil {
 				return err
 			}
 			spare = recycle(batch)
@@ -161,11 +163,11 @@
 	return batch
 }
 
-func (conn *conn) flush(batch *bytes.Buffer) error {
+func (conn *conn) flush(batch *bytes.Buffer, longest clock.Millis) error {
 	if batch.Len() == 0 {
 		return nil
 	}
-	if err := conn.socket.SetWriteDeadline(time.Now().Add(conn.timing.Silence.Duration())); err != nil {
+	if err := conn.socket.SetWriteDeadline(time.Now().Add(longest.Duration())); err != nil {
 		return errors.Wrap(err, "set write deadline")
 	}
 	return errors.Wrap(conn.socket.WriteMessage(websocket.BinaryMessage, batch.Bytes()), "write")
--- a/internal/integration/daemons/killed_test.go
+++ b/internal/integration/daemons/killed_test.go
@@ -122,3 +122,22 @@
 		})
 	}
 }
+
+// TestCallersLeaveAtOnce sends many calls whose callers leave before an answer
+// can begin. A cancel must not overtake the request that it is for: nothing is
+// left at the owner in the end, and slots and batch are free again.
+func TestCallersLeaveAtOnce(t *testing.T) {
+	t.Parallel()
+	running := harness.New(t, oneEngine())
+	owner, entry := ownerAndEntry(running)
+	model := running.Adapter("draft")
+	serveAgain(running, running.Daemons[entry], model)
+	for range 100 {
+		running.Daemons[entry].Abandon(harness.NewCall(model, 100*longTokens).Streamed())
+	}
+	running.WaitFor("an idle owner", func() bool {
+		owned := running.Daemons[owner].Status().Owned
+		return len(owned) == 1 && owned[0].Running == 0 && owned[0].Queued == 0
+	})
+	serveAgain(running, running.Daemons[entry], model)
+}
--- a/internal/integration/harness/call.go
+++ b/internal/integration/harness/call.go
@@ -104,6 +104,17 @@
 	return conn, conn.(*net.TCPConn).SetReadBuffer(readBuffer)
 }
 
+// Abandon sends a call and closes the connection at once.
+func (daemon *Daemon) Abandon(call Call) {
+	conn, err := net.Dial("tcp", daemon.Settings.CallerAddress)
+	require.NoError(daemon.site.T, err)
+	defer func() { _ = conn.Close() }()
+	body := fmt.Sprintf(`{"model":%q,"max_tokens":%d,"stream":true,"prompt":%q}`, call.Model, call.Tokens, call.Prompt)
+	_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+		site.CallerKey, len(body), body)
+	require.NoError(daemon.site.T, err)
+}
+
 func (daemon *Daemon) begin(path string, call Call, body []byte) (*Open, Told) {
 	ctx, cancel := context.WithCancel(context.Background())
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost,
--- a/internal/integration/harness/process.go
+++ b/internal/integration/harness/process.go
@@ -1,9 +1,12 @@
 package harness
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -136,3 +139,13 @@
 	<-process.exited
 	return process.state.ExitCode()
 }
+
+// ResidentBytes is the memory that the process has resident.
+func (process *Process) ResidentBytes() int64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", process.command.Process.Pid))
+	require.NoError(process.t, err)
+	fields := strings.Fields(string(text))
+	pages, err := strconv.ParseInt(fields[1], 10, 64)
+	require.NoError(process.t, err)
+	return pages * int64(os.Getpagesize())
+}
