--- a/internal/control/config/validate.go
+++ b/internal/control/config/validate.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -73,15 +74,17 @@
 		check.store(fmt.Sprintf("WeightStores[%d]", i), store)
 	}
 	bases := map[string]bool{}
+	regions := map[string]bool{}
 	for i, engine := range config.Engines {
 		bases[engine.BaseModel] = true
+		regions[engine.Region] = true
 		check.engine(fmt.Sprintf("Engines[%d]", i), engine, stores)
 	}
 	for i, service := range config.Services {
 		check.service(fmt.Sprintf("Services[%d]", i), service)
 	}
 	for i, caller := range config.Callers {
-		check.caller(fmt.Sprintf("Callers[%d]", i), caller)
+		check.caller(fmt.Sprintf("Callers[%d]", i), caller, regions)
 	}
 	for i, adapter := range config.Adapters {
 		check.adapter(fmt.Sprintf("Adapters[%d]", i), adapter, bases)
@@ -90,9 +93,30 @@
 		check.rule(fmt.Sprintf("Rules[%d]", i), rule)
 		check.shadowed(i, config.Rules)
 	}
+	check.regions(config)
 	return check.problems
 }
 
+// regions asks for the region of each caller where engines stand in several: it
+// decides which daemons keep the caller's idempotency keys, and daemons keep
+// connections to those of their own region.
+func (check *validator) regions(config Config) {
+	regions := map[string]bool{}
+	for _, engine := range config.Engines {
+		regions[engine.Region] = true
+	}
+	keyed := slices.ContainsFunc(config.Rules, func(rule Rule) bool { return !rule.Repeatable })
+	for i, caller := range config.Callers {
+		path := fmt.Sprintf("Callers[%d].Region", i)
+		switch {
+		case caller.Region != "" && !regions[caller.Region]:
+			check.add(path, "no engine stands in region %q", caller.Region)
+		case caller.Region == "" && keyed && len(regions) > 1:
+			check.add(path, "must be set where engines stand in several regions and a rule is not repeatable")
+		}
+	}
+}
+
 func (check *validator) add(path, format string, arguments ...any) {
 	check.problems = append(check.problems, Problem{Path: path, Text: fmt.Sprintf(format, arguments...)})
 }
@@ -165,7 +189,12 @@
 
 const hashDigits = 64 // hexadecimal digits of a SHA-256
 
-func (check *validator) caller(path string, caller Caller) {
+func (check *validator) caller(path string, caller Caller, regions map[string]bool) {
+	// Daemons reach the home of a key only within their region: with several, a
+	// choice by hash would put the keys of some callers out of their reach.
+	if len(regions) > 1 && !regions[caller.Region] {
+		check.add(path+".Region", "engines stand in %d regions: want the one of them that the caller calls", len(regions))
+	}
 	check.unique(path+".Name", "caller", caller.Name)
 	if caller.KeyHash != "" {
 		check.unique(path+".KeyHash", "key hash", caller.KeyHash)
