--- a/internal/base/settings/fields.go
+++ b/internal/base/settings/fields.go
@@ -152,8 +152,14 @@
 type Engines struct {
 	// Longest wait for a connection, in milliseconds.
 	DialTimeoutMillis clock.Millis `yaml:"DialTimeoutMillis" min:"10" max:"60000"`
-	// Longest wait for the head of an answer or the end of an order, in milliseconds.
+	// Longest wait for the head of a run's answer, in milliseconds; one that is not streamed has it only at its end.
 	HeadTimeoutMillis clock.Millis `yaml:"HeadTimeoutMillis" min:"100" max:"3600000"`
+	// Longest wait for the end of a load or unload order, in milliseconds.
+	LoadTimeoutMillis clock.Millis `yaml:"LoadTimeoutMillis" min:"100" max:"3600000"`
+	// Longest wait for an engine's word on a cancel, in milliseconds.
+	CancelTimeoutMillis clock.Millis `yaml:"CancelTimeoutMillis" min:"100" max:"60000"`
+	// Longest wait for an engine's report, in milliseconds.
+	ReportTimeoutMillis clock.Millis `yaml:"ReportTimeoutMillis" min:"100" max:"60000"`
 	// Idle connections kept to each engine.
 	MaxIdleConnections int `yaml:"MaxIdleConnections" min:"0" max:"10000"`
 	// Largest answer that is not streamed, in bytes; a larger one counts as truncated.
@@ -272,6 +278,7 @@
 		},
 		Engines: Engines{
 			DialTimeoutMillis: 2 * clock.Second, HeadTimeoutMillis: 2 * clock.Minute, MaxIdleConnections: 64, MaxAnswerBytes: 32 << 20,
+			LoadTimeoutMillis: 30 * clock.Second, CancelTimeoutMillis: 5 * clock.Second, ReportTimeoutMillis: 2 * clock.Second,
 			ReportIntervalMillis: clock.Second, StateIntervalMillis: 250 * clock.Millisecond,
 		},
 		Services: Services{
