node: a graceful end waits for handovers and for what is still under way

A daemon without open requests left at once: what others had sent before they heard of it was lost with it. It now stays for a grace span after the announcement, until its engines are handed over, and for a settling span after the last thing in progress.

--- a/internal/decide/node/node.go
+++ b/internal/decide/node/node.go
@@ -92,6 +92,9 @@
 	remoteNames map[string][]ident.DaemonID
 
 	draining bool
+	// drainingSince is when the graceful end began, busyAt when anything was last
+	// in progress since.
+	drainingSince, busyAt clock.Millis
 	// informed says that every engine of the region was heard of once.
 	informed bool
 	local    []message.Message // sent to itself, not delivered yet
@@ -284,23 +287,5 @@
 	node.viewOwn()
 	node.tickNews()
 	node.tickRequests()
-}
-
-func (node *Node) shutdown() {
-	node.draining = true
-	node.homeEffects(node.home.Shutdown(node.now))
-	node.emit(effect.Audit{At: node.now, Kind: effect.ShutdownStarted, Object: string(node.options.Self), Cause: "signal"})
-}
-
-// Idle reports whether nothing is in progress, so that a draining daemon may exit.
-func (node *Node) Idle() bool {
-	if len(node.requests) > 0 || len(node.finishes) > 0 || !node.home.Idle() {
-		return false
-	}
-	for _, held := range node.owning.owned {
-		if held.owner.Busy() {
-			return false
-		}
-	}
-	return len(node.owning.former) == 0
+	node.tickShutdown()
 }
