--- a/internal/decide/node/node.go
+++ b/internal/decide/node/node.go
@@ -84,6 +84,7 @@
 	policy   placement.Policy
 	home     *home.Home               // home role
 	brokers  map[string]*loads.Broker // load broker role, by weight store
+	fallback map[string]clock.Millis  // next load without the broker, by weight store
 
 	// regionNames are the region's live daemons; localNames and remoteNames are
 	// those of the own data centre and of each other one.
@@ -117,6 +118,7 @@
 		policy:   options.policy(),
 		home:     home.New(options.Self, options.Home),
 		brokers:  map[string]*loads.Broker{},
+		fallback: map[string]clock.Millis{},
 	}
 }
 
@@ -169,6 +171,7 @@
 		node.received(event.From, event.Message)
 	case PeerLost:
 		node.peers.Lost(event.Peer)
+		node.views.LoseOwner(event.Peer)
 		node.peerLost(event)
 	case RunEnded:
 		node.runEnded(event)
@@ -225,6 +228,8 @@
 		node.loadAsk(from, received)
 	case message.LoadGrant:
 		node.loadGrant(received)
+	case message.LoadVerdict:
+		node.loadVerdict(received)
 	case message.LoadDone:
 		node.loadDone(received)
 	case message.EngineState:
@@ -275,7 +280,7 @@
 	node.configEffects(node.rollout.Tick(node.now))
 	node.homeEffects(node.home.Tick(node.now))
 	for _, store := range slices.Sorted(maps.Keys(node.brokers)) {
-		node.sendGrants(node.brokers[store].Tick(node.now))
+		node.sendReplies(node.brokers[store].Tick(node.now))
 	}
 	node.reviseOwnership()
 	for _, engine := range node.ownedInOrder() {
@@ -286,6 +291,7 @@
 	node.expireEarly()
 	node.viewOwn()
 	node.tickNews()
+	node.tickFallback()
 	node.tickRequests()
 	node.tickShutdown()
 }
--- a/internal/decide/owner/owner.go
+++ b/internal/decide/owner/owner.go
@@ -30,6 +30,15 @@
 	ResumeTries int
 	// CancelInterval is the span after which an unconfirmed cancel is repeated.
 	CancelInterval clock.Millis
+	// AskInterval is the span after which the broker is asked again for a load
+	// that it has not granted: it may have been lost with its queue.
+	AskInterval clock.Millis
+	// RoutineFloor is the number of urgent runs dispatched in a row after which a
+	// routine one that is ready goes next.
+	RoutineFloor int
+	// RoomWait is the span that a routine request waits for a slot to become idle
+	// before a slot takes no further runs for its sake; 0 lets no slot yield.
+	RoomWait clock.Millis
 	// Eviction ranks the adapters that could give up their slot.
 	Eviction Eviction
 	// HalfLife is the span after which a request counts half for eviction.
@@ -41,11 +50,14 @@
 	return Options{
 		QueueLimits:   [config.ClassCount]int{config.Urgent: 256, config.Routine: 1024},
 		UrgentReserve: 1,
-		LoadBackoff:   2 * clock.Second,
+		LoadBackoff:   500 * clock.Millisecond,
 		LoadTries:     3,
 		ResumeTries:   2,
 
 		CancelInterval: clock.Second,
+		AskInterval:    3 * clock.Second,
+		RoutineFloor:   16,
+		RoomWait:       2 * clock.Second,
 		Eviction:       DecayedFrequency{},
 		HalfLife:       5 * clock.Minute,
 	}
@@ -68,7 +80,10 @@
 	failures    map[ident.Adapter]failure
 	frequency   frequency
 	running     int
-	version     uint64
+	// urgentRun is the number of urgent runs dispatched in a row while routine
+	// requests were ready.
+	urgentRun int
+	version   uint64
 	// reportedAt is when the engine took the report last heard of.
 	reportedAt clock.Millis
 	takeover   takeover
@@ -130,6 +145,8 @@
 		Fence:        owner.Fence,
 		Version:      owner.version,
 		Resident:     make([]ident.Adapter, 0, len(owner.resident)),
+		Wanted:       owner.backlog.wantsInOrder(),
+		Spare:        owner.spare(now),
 		Queued:       owner.backlog.bound.Total(),
 		Running:      owner.running,
 		LoadsWaiting: len(owner.backlog.wants),
@@ -139,7 +156,7 @@
 		Boot:         owner.boot,
 	}
 	for i := range owner.slots {
-		if owner.slots[i].serves() {
+		if owner.slots[i].serves() && !owner.slots[i].yielding {
 			state.Resident = append(state.Resident, owner.slots[i].adapter)
 		}
 	}
@@ -160,6 +177,7 @@
 	if !owner.usable() {
 		return
 	}
+	owner.keepSlots()
 	owner.settle()
 	owner.dispatchReady(now)
 	owner.seekLoads(now)
