--- a/internal/decide/node/handover.go
+++ b/internal/decide/node/handover.go
@@ -75,6 +75,7 @@
 }
 
 func (node *Node) handOver(heir ident.DaemonID, name ident.EngineID, held *owned) {
+	node.owning.heirs[name] = heir
 	node.send(heir, message.Handover{
 		Engine: name, Fence: held.owner.Fence, SentAt: node.now, Runs: held.owner.HandedRuns(),
 	})
@@ -126,12 +127,12 @@
 	node.outbid(outbid.Engine, "a higher claim was heard of")
 }
 
-// idleOwner reports whether nothing is in progress at an owned engine, and a
-// draining daemon has handed over what another can own.
-func (node *Node) idleOwner() bool {
-	for name, held := range node.owning.owned {
+// released reports whether a draining daemon has handed over every engine that
+// another can own.
+func (node *Node) released() bool {
+	for name := range node.owning.owned {
 		engine, known := node.config.Engine(name)
-		if held.owner.Busy() || node.draining && known && node.firstCandidate(engine) != node.options.Self {
+		if known && node.firstCandidate(engine) != node.options.Self {
 			return false
 		}
 	}
