--- a/internal/integration/harness/call.go
+++ b/internal/integration/harness/call.go
@@ -134,6 +134,11 @@
 	return &Open{Call: call, response: response, reader: bufio.NewReader(response.Body), cancel: cancel}, Told{}
 }
 
+// Streams reports whether the answer comes as server-sent events.
+func (open *Open) Streams() bool {
+	return strings.HasPrefix(open.response.Header.Get("Content-Type"), "text/event-stream")
+}
+
 // Leave closes the caller's connection.
 func (open *Open) Leave() {
 	open.cancel()
@@ -168,7 +173,7 @@
 // Finish reads the rest of the answer and returns what the caller was told.
 func (open *Open) Finish() Told {
 	defer open.Leave()
-	if strings.HasPrefix(open.response.Header.Get("Content-Type"), "text/event-stream") {
+	if open.Streams() {
 		for {
 			if told, more := open.Next(); !more {
 				return told
--- a/internal/integration/harness/site.go
+++ b/internal/integration/harness/site.go
@@ -132,13 +132,18 @@
 	listServer := httptest.NewServer(daemon.List)
 	running.T.Cleanup(listServer.Close)
 	daemon.Settings.VMListAddress = strings.TrimPrefix(listServer.URL, "http://")
-	text, err := yaml.Marshal(daemon.Settings)
-	require.NoError(running.T, err)
 	daemon.path = filepath.Join(running.T.TempDir(), "settings.yaml")
-	require.NoError(running.T, os.WriteFile(daemon.path, text, 0o600))
+	daemon.Configure()
 	running.Daemons = append(running.Daemons, daemon)
 }
 
+// Configure writes the daemon's settings, for its next start.
+func (daemon *Daemon) Configure() {
+	text, err := yaml.Marshal(daemon.Settings)
+	require.NoError(daemon.site.T, err)
+	require.NoError(daemon.site.T, os.WriteFile(daemon.path, text, 0o600))
+}
+
 // Link returns the proxy between two daemons.
 func (running *Site) Link(one, other int) *faultproxy.Proxy {
 	return running.link[[2]int{min(one, other), max(one, other)}]
