--- a/internal/integration/daemons/fault_bench_test.go
+++ b/internal/integration/daemons/fault_bench_test.go
@@ -7,7 +7,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/base/ident"
 	"teaselmoor/internal/decide/outcome"
 	"teaselmoor/internal/integration/faultproxy"
@@ -28,8 +27,6 @@
 type fault struct {
 	checksFencing bool
 	options       func(*site.Options)
-	// settings changes the daemons' settings, for a baseline.
-	settings func(*harness.Daemon)
 	// strike brings the fault about; it returns the daemon that is called then.
 	strike func(running *harness.Site, owner, entry int) int
 }
@@ -40,8 +37,8 @@
 	return entry
 }
 
-// killOwnerUnlisted leaves the VM list as it is: without suspicion nobody takes
-// the engine over.
+// killOwnerUnlisted leaves the VM list as it is: nobody takes over an engine
+// that ignores fencing numbers. It is the baseline.
 func killOwnerUnlisted(running *harness.Site, owner, entry int) int {
 	running.Daemons[owner].Kill()
 	return entry
@@ -65,9 +62,6 @@
 // time from a fault to the first answer to a call made after it, and what the
 // callers were told within the observed span.
 func BenchmarkFaultToService(b *testing.B) {
-	noTakeover := func(daemon *harness.Daemon) {
-		daemon.Settings.Ownership.SuspicionMillis = 10 * clock.Minute
-	}
 	threeCentres := func(options *site.Options) {
 		options.Engines = 3
 		options.Deployments[0].DataCentres = []string{"north-a", "north-b", "north-c"}
@@ -75,7 +69,7 @@
 	for name, measured := range map[string]fault{
 		"owner-killed/fencing-checked":    {checksFencing: true, strike: killOwner},
 		"owner-killed/fencing-ignored":    {strike: killOwner},
-		"owner-killed/no-takeover":        {checksFencing: true, strike: killOwnerUnlisted, settings: noTakeover},
+		"owner-killed/no-takeover":        {strike: killOwnerUnlisted},
 		"entry-killed":                    {strike: killEntry},
 		"data-centre-cut":                 {checksFencing: true, options: threeCentres, strike: cutDataCentre},
 		"data-centre-cut/fencing-ignored": {options: threeCentres, strike: cutDataCentre},
@@ -97,10 +91,6 @@
 	}
 	running := harness.Prepare(b, options)
 	for _, daemon := range running.Daemons {
-		if measured.settings != nil {
-			measured.settings(daemon)
-		}
-		daemon.Configure()
 		daemon.Start()
 	}
 	for _, daemon := range running.Daemons {
--- a/internal/integration/daemons/killed_test.go
+++ b/internal/integration/daemons/killed_test.go
@@ -1,6 +1,7 @@
 package daemons_test
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -132,9 +133,13 @@
 	owner, entry := ownerAndEntry(running)
 	model := running.Adapter("draft")
 	serveAgain(running, running.Daemons[entry], model)
-	for range 100 {
+	const abandoned = 100
+	for range abandoned {
 		running.Daemons[entry].Abandon(harness.NewCall(model, 100*longTokens).Streamed())
 	}
+	running.WaitFor("every caller's end to be noticed", func() bool {
+		return strings.Count(running.Daemons[entry].Log(), `"Cause":"CallerGone"`) >= abandoned
+	})
 	running.WaitFor("an idle owner", func() bool {
 		owned := running.Daemons[owner].Status().Owned
 		return len(owned) == 1 && owned[0].Running == 0 && owned[0].Queued == 0
