link: a lane is closed only when the peer has read what was pending

A daemon that shut down wrote its last frames and closed the socket. Bytes of the peer that it had not read, pings for instance, turn such a close into a reset, which takes away what the peer has not read yet: the word that a stream has ended could be lost, and a complete answer be told as unknown.

--- a/internal/inner/link/conn.go
+++ b/internal/inner/link/conn.go
@@ -86,15 +86,18 @@
 }
 
 // run reads and writes until the connection is lost or the context ends. In the
-// latter case what is pending is written first: a daemon that shuts down has
-// told its peers how their streams ended.
+// latter case what is pending is written first, and the connection closes once
+// the peer has read it: a daemon that shuts down has told its peers how their
+// streams ended. Closing at once could reset the connection and lose that.
 func (conn *conn) run(ctx context.Context, handler Handler) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	writerEnded := make(chan error, 1)
 	go func() {
 		err := conn.write(ctx)
-		conn.close()
+		if err != nil {
+			conn.close()
+		}
 		writerEnded <- err
 	}()
 	readError := conn.read(handler)
@@ -106,6 +109,22 @@
 	return readError
 }
 
+// finish writes what is pending and asks the peer to close the connection.
+// A peer that does not is left after lastWrite.
+func (conn *conn) finish(spare *bytes.Buffer) {
+	longest := time.Now().Add(lastWrite.Duration())
+	if conn.flush(conn.swap(spare), lastWrite) != nil {
+		conn.close()
+		return
+	}
+	text := websocket.FormatCloseMessage(websocket.CloseGoingAway, "the daemon ends")
+	if conn.socket.WriteControl(websocket.CloseMessage, text, longest) != nil {
+		conn.close()
+		return
+	}
+	time.AfterFunc(time.Until(longest), conn.close)
+}
+
 func (conn *conn) read(handler Handler) error {
 	conn.socket.SetReadLimit(maxMessage)
 	extend := func() error {
@@ -137,7 +156,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			_ = conn.flush(conn.swap(spare), lastWrite)
+			conn.finish(spare)
 			return nil
 		case <-ping.C:
 			err := conn.socket.WriteControl(websocket.PingMessage, nil, time.Now().Add(conn.timing.Silence.Duration()))
