--- a/internal/decide/message/message.go
+++ b/internal/decide/message/message.go
@@ -116,12 +116,26 @@
 	Lease   clock.Millis // span
 }
 
+// LoadVerdict is the broker's answer to an ask.
+type LoadVerdict struct {
+	Store   string
+	Engine  ident.EngineID
+	Adapter ident.Adapter
+	// Refused says that the load cannot end within its budget.
+	Refused bool
+	// Wait is the span until the load ends; of a refused one, the span until the
+	// loads that wait now are done.
+	Wait clock.Millis
+}
+
 // LoadDone gives a lease back.
 type LoadDone struct {
 	Store   string
 	Engine  ident.EngineID
 	Adapter ident.Adapter
 	Failed  bool
+	// Unused says that no load was begun.
+	Unused bool
 }
 
 // Heartbeat shows that a daemon lives, and what it has accepted.
@@ -140,8 +154,13 @@
 	Version uint64 // rises with every change at this owner
 	// Resident lists adapters that are loaded or being loaded.
 	Resident []ident.Adapter
-	Queued   int
-	Running  int
+	// Wanted lists adapters that requests wait for and no slot holds.
+	Wanted []ident.Adapter
+	// Spare is the number of requests that asked lately for the adapter that the
+	// engine would evict next: 0 with an empty slot.
+	Spare   float64
+	Queued  int
+	Running int
 	// LoadsWaiting is the number of loads not begun yet.
 	LoadsWaiting int
 	// Reported is the age of the engine's own report when this was sent.
@@ -160,6 +179,7 @@
 func (cancel Cancel) Lane() Lane         { return LaneOf(cancel.Class) }
 func (ask LoadAsk) Lane() Lane           { return ControlLane }
 func (grant LoadGrant) Lane() Lane       { return ControlLane }
+func (verdict LoadVerdict) Lane() Lane   { return ControlLane }
 func (done LoadDone) Lane() Lane         { return ControlLane }
 func (heartbeat Heartbeat) Lane() Lane   { return ControlLane }
 func (state EngineState) Lane() Lane     { return ControlLane }
--- a/internal/decide/node/node.go
+++ b/internal/decide/node/node.go
@@ -84,6 +84,7 @@
 	policy   placement.Policy
 	home     *home.Home               // home role
 	brokers  map[string]*loads.Broker // load broker role, by weight store
+	fallback map[string]clock.Millis  // next load without the broker, by weight store
 
 	// regionNames are the region's live daemons; localNames and remoteNames are
 	// those of the own data centre and of each other one.
@@ -114,6 +115,7 @@
 		policy:   options.policy(),
 		home:     home.New(options.Self, options.Home),
 		brokers:  map[string]*loads.Broker{},
+		fallback: map[string]clock.Millis{},
 	}
 }
 
@@ -222,6 +224,8 @@
 		node.loadAsk(from, received)
 	case message.LoadGrant:
 		node.loadGrant(received)
+	case message.LoadVerdict:
+		node.loadVerdict(received)
 	case message.LoadDone:
 		node.loadDone(received)
 	case message.EngineState:
@@ -272,7 +276,7 @@
 	node.configEffects(node.rollout.Tick(node.now))
 	node.homeEffects(node.home.Tick(node.now))
 	for _, store := range slices.Sorted(maps.Keys(node.brokers)) {
-		node.sendGrants(node.brokers[store].Tick(node.now))
+		node.sendReplies(node.brokers[store].Tick(node.now))
 	}
 	node.reviseOwnership()
 	for _, engine := range node.ownedInOrder() {
@@ -283,6 +287,7 @@
 	node.expireEarly()
 	node.viewOwn()
 	node.tickNews()
+	node.tickFallback()
 	node.tickRequests()
 }
 
--- a/internal/serve/program/options.go
+++ b/internal/serve/program/options.go
@@ -97,10 +97,19 @@
 	options.Owner.LoadBackoff = settings.Loads.BackoffMillis
 	options.Owner.LoadTries = settings.Loads.Tries
 	options.Owner.HalfLife = settings.Loads.HalfLifeMillis
+	options.Owner.AskInterval = settings.Loads.AskIntervalMillis
+	options.Owner.RoutineFloor = settings.Queue.RoutineFloor
+	options.Loads.Span = settings.Loads.SpanMillis
+	options.Loads.Margin = settings.Loads.MarginMillis
+	options.Loads.Silence = settings.Loads.BrokerSilenceMillis
+	options.Loads.Floor = settings.Loads.RoutineFloor
 	options.Loads.Lease = settings.Loads.LeaseMillis
 	options.Loads.Parallel = settings.Loads.Parallel
 	options.Home = homeOptions(settings)
 	options.Weights.Load = settings.Placement.LoadCost
+	options.Weights.Spare = settings.Placement.SpareCost
+	options.Weights.Set = settings.Placement.SetSize
+	options.Weights.Batch = settings.Placement.BatchGain
 	options.Weights.Affinity = settings.Placement.AffinityCost
 	options.Weights.Silence = settings.Placement.SilenceMillis
 	return options
