check: names what cannot follow the configuration in force

A caller that moves to another region is refused by daemons; check now says so before publication. The rule that a caller names its region stood twice in Validate and was reported twice; it stands once, as strict as both.

--- a/internal/base/settings/fields.go
+++ b/internal/base/settings/fields.go
@@ -186,6 +186,9 @@
 	UrgentReserveRuns int `yaml:"UrgentReserveRuns" min:"0" max:"1024"`
 	// Urgent runs dispatched in a row after which a routine one that is ready goes next.
 	RoutineFloor int `yaml:"RoutineFloor" min:"1" max:"10000"`
+	// Span that a routine request waits for an idle slot before a slot takes no
+	// further runs for its sake, in milliseconds; 0 lets no slot yield.
+	RoomWaitMillis clock.Millis `yaml:"RoomWaitMillis" min:"0" max:"600000"`
 	// Times that a lost run is resumed at its engine.
 	ResumeTries int `yaml:"ResumeTries" min:"0" max:"100"`
 	// Span after which an unconfirmed cancel is repeated, in milliseconds.
@@ -298,7 +301,7 @@
 			DialTimeoutMillis: 2 * clock.Second, TimeoutMillis: 30 * clock.Second, MaxIdleConnections: 64, MaxAnswerBytes: 8 << 20,
 		},
 		Queue: Queue{
-			UrgentLength: 256, RoutineLength: 1024, UrgentReserveRuns: 1, RoutineFloor: 16,
+			UrgentLength: 256, RoutineLength: 1024, UrgentReserveRuns: 1, RoutineFloor: 16, RoomWaitMillis: 2 * clock.Second,
 			ResumeTries: 2, CancelIntervalMillis: clock.Second,
 		},
 		Loads: Loads{
--- a/internal/control/config/validate.go
+++ b/internal/control/config/validate.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/netip"
-	"slices"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -93,30 +92,9 @@
 		check.rule(fmt.Sprintf("Rules[%d]", i), rule)
 		check.shadowed(i, config.Rules)
 	}
-	check.regions(config)
 	return check.problems
 }
 
-// regions asks for the region of each caller where engines stand in several: it
-// decides which daemons keep the caller's idempotency keys, and daemons keep
-// connections to those of their own region.
-func (check *validator) regions(config Config) {
-	regions := map[string]bool{}
-	for _, engine := range config.Engines {
-		regions[engine.Region] = true
-	}
-	keyed := slices.ContainsFunc(config.Rules, func(rule Rule) bool { return !rule.Repeatable })
-	for i, caller := range config.Callers {
-		path := fmt.Sprintf("Callers[%d].Region", i)
-		switch {
-		case caller.Region != "" && !regions[caller.Region]:
-			check.add(path, "no engine stands in region %q", caller.Region)
-		case caller.Region == "" && keyed && len(regions) > 1:
-			check.add(path, "must be set where engines stand in several regions and a rule is not repeatable")
-		}
-	}
-}
-
 func (check *validator) add(path, format string, arguments ...any) {
 	check.problems = append(check.problems, Problem{Path: path, Text: fmt.Sprintf(format, arguments...)})
 }
@@ -192,7 +170,10 @@
 func (check *validator) caller(path string, caller Caller, regions map[string]bool) {
 	// Daemons reach the home of a key only within their region: with several, a
 	// choice by hash would put the keys of some callers out of their reach.
-	if len(regions) > 1 && !regions[caller.Region] {
+	switch {
+	case caller.Region != "" && !regions[caller.Region]:
+		check.add(path+".Region", "no engine stands in region %q", caller.Region)
+	case caller.Region == "" && len(regions) > 1:
 		check.add(path+".Region", "engines stand in %d regions: want the one of them that the caller calls", len(regions))
 	}
 	check.unique(path+".Name", "caller", caller.Name)
--- a/internal/serve/command/check.go
+++ b/internal/serve/command/check.go
@@ -97,40 +97,44 @@
 	if path == "" {
 		return nil
 	}
-	next, err := report.readConfig(path)
+	next, text, err := report.readConfig(path)
 	if err != nil || presentPath == "" {
 		return err
 	}
-	present, err := report.readConfig(presentPath)
+	present, _, err := report.readConfig(presentPath)
 	if err != nil || present == nil || next == nil {
 		return err
 	}
+	problems := config.CheckSuccessor(present, next.Config)
 	if next.Version() <= present.Version() {
-		report.add(path, document.Mistakes{{
-			Key: "Version", Text: "is not above the present one, so daemons would ignore the document",
-		}})
+		problems = append(problems, config.Problem{
+			Path: "Version", Text: "is not above the present one, so daemons would ignore the document",
+		})
 	}
+	report.add(path, mistakesOf(config.Locate(text, problems)))
 	change := compare.Compare(present, next)
 	report.Change = &change
 	return nil
 }
 
-// readConfig returns nil when the file holds mistakes.
-func (report *checkReport) readConfig(path string) (*config.Snapshot, error) {
+// readConfig returns the configuration in a file, with the file's text. It is
+// nil when the file holds mistakes.
+func (report *checkReport) readConfig(path string) (*config.Snapshot, []byte, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return nil, errors.Wrap(err, "read configuration")
+		return nil, nil, errors.Wrap(err, "read configuration")
 	}
 	parsed, err := config.Parse(text)
 	if err != nil {
 		report.add(path, mistakesOf(err))
-		return nil, nil
+		return nil, text, nil
 	}
 	if problems := config.Locate(text, config.Validate(parsed)); len(problems) > 0 {
 		report.add(path, mistakesOf(problems))
-		return nil, nil
+		return nil, text, nil
 	}
-	return config.Compile(parsed)
+	snapshot, err := config.Compile(parsed)
+	return snapshot, text, err
 }
 
 // mistakesOf lists the problems in an error; one that lists none is a mistake of
--- a/internal/serve/command/check_test.go
+++ b/internal/serve/command/check_test.go
@@ -89,3 +89,16 @@
 	require.Contains(t, ended.out, bad+":1: Version: must be above 0")
 	require.NoDirExists(t, filepath.Join(directory, "none"))
 }
+
+// TestCheckRefusesWhatCannotFollow moves a caller to another region.
+func TestCheckRefusesWhatCannotFollow(t *testing.T) {
+	present := readExample(t, "ramcharan")
+	present = strings.Replace(present, "- Name: office\n", "- Name: office\n  Region: trinidad\n", 1)
+	next := strings.Replace(present, "  Region: trinidad\n  KeyHash", "  KeyHash", 1)
+	next = strings.Replace(next, "Version: 1\n", "Version: 2\n", 1)
+	path := writeFile(t, next)
+	ended := run(t, "", "check", "-configuration", path, "-present", writeFile(t, present))
+	require.Equal(t, command.ExitMistakes, ended.code, ended.out)
+	require.Contains(t, ended.out, `Callers[2].Region: caller "office" is kept in region "trinidad"`)
+	require.Contains(t, ended.out, "version 1 to 2")
+}
--- a/internal/serve/command/publishpack.go
+++ b/internal/serve/command/publishpack.go
@@ -45,7 +45,7 @@
 		return err
 	}
 	checked := checkReport{}
-	snapshot, err := checked.readConfig(path)
+	snapshot, _, err := checked.readConfig(path)
 	if err != nil {
 		return err
 	}
--- a/internal/serve/program/options.go
+++ b/internal/serve/program/options.go
@@ -98,6 +98,7 @@
 	options.Owner.LoadTries = settings.Loads.Tries
 	options.Owner.HalfLife = settings.Loads.HalfLifeMillis
 	options.Owner.AskInterval = settings.Loads.AskIntervalMillis
+	options.Owner.RoomWait = settings.Queue.RoomWaitMillis
 	options.Owner.RoutineFloor = settings.Queue.RoutineFloor
 	options.Loads.Span = settings.Loads.SpanMillis
 	options.Loads.Margin = settings.Loads.MarginMillis
