--- a/internal/integration/daemons/killed_test.go
+++ b/internal/integration/daemons/killed_test.go
@@ -31,8 +31,10 @@
 // TestOwnerKilled kills the owner of an engine in the middle of an answer. The
 // caller is told the truth, and a run that must not be repeated runs once.
 func TestOwnerKilled(t *testing.T) {
+	t.Parallel()
 	for _, task := range []string{"review", "quote"} {
 		t.Run(task, func(t *testing.T) {
+			t.Parallel()
 			running := harness.New(t, oneEngine())
 			owner, entry := ownerAndEntry(running)
 			model := running.Adapter(task)
@@ -52,6 +54,7 @@
 // TestEntryKilled kills the entry in the middle of an answer. The run ends at
 // the engine, and the owner serves on.
 func TestEntryKilled(t *testing.T) {
+	t.Parallel()
 	running := harness.New(t, oneEngine())
 	owner, entry := ownerAndEntry(running)
 	model := running.Adapter("review")
@@ -75,6 +78,7 @@
 // TestEntryRestarted kills and restarts the entry: stream ids of its former
 // life must not be taken for those of the new one.
 func TestEntryRestarted(t *testing.T) {
+	t.Parallel()
 	running := harness.New(t, oneEngine())
 	_, entry := ownerAndEntry(running)
 	daemon := running.Daemons[entry]
@@ -93,8 +97,10 @@
 // TestOwnerFrozen freezes the owner in the middle of an answer and wakes it
 // after the entry has given up on it.
 func TestOwnerFrozen(t *testing.T) {
+	t.Parallel()
 	for _, task := range []string{"review", "quote"} {
 		t.Run(task, func(t *testing.T) {
+			t.Parallel()
 			running := harness.New(t, oneEngine())
 			owner, entry := ownerAndEntry(running)
 			model := running.Adapter(task)
@@ -116,3 +122,22 @@
 		})
 	}
 }
+
+// TestCallersLeaveAtOnce sends many calls whose callers leave before an answer
+// can begin. A cancel must not overtake the request that it is for: nothing is
+// left at the owner in the end, and slots and batch are free again.
+func TestCallersLeaveAtOnce(t *testing.T) {
+	t.Parallel()
+	running := harness.New(t, oneEngine())
+	owner, entry := ownerAndEntry(running)
+	model := running.Adapter("draft")
+	serveAgain(running, running.Daemons[entry], model)
+	for range 100 {
+		running.Daemons[entry].Abandon(harness.NewCall(model, 100*longTokens).Streamed())
+	}
+	running.WaitFor("an idle owner", func() bool {
+		owned := running.Daemons[owner].Status().Owned
+		return len(owned) == 1 && owned[0].Running == 0 && owned[0].Queued == 0
+	})
+	serveAgain(running, running.Daemons[entry], model)
+}
--- a/internal/serve/program/options.go
+++ b/internal/serve/program/options.go
@@ -35,7 +35,9 @@
 		Node: nodeOptions(settings),
 		Engines: engine.Options{
 			DialTimeout: settings.Engines.DialTimeoutMillis, HeadTimeout: settings.Engines.HeadTimeoutMillis,
-			MaxIdle: settings.Engines.MaxIdleConnections, MaxAnswer: settings.Engines.MaxAnswerBytes,
+			LoadTimeout: settings.Engines.LoadTimeoutMillis, CancelTimeout: settings.Engines.CancelTimeoutMillis,
+			ReportTimeout: settings.Engines.ReportTimeoutMillis,
+			MaxIdle:       settings.Engines.MaxIdleConnections, MaxAnswer: settings.Engines.MaxAnswerBytes,
 		},
 		Services: service.Options{
 			DialTimeout: settings.Services.DialTimeoutMillis, Timeout: settings.Services.TimeoutMillis,
