audit: lines are written apart from those who add events

Lines were written where the effects of a step are carried out, one step after the other: a collector that stops reading would have stopped the daemon once the pipe was full. A goroutine writes them from a bounded queue; what does not fit is counted and its sequence is missing.

--- a/internal/base/settings/fields.go
+++ b/internal/base/settings/fields.go
@@ -66,6 +66,8 @@
 	AuditChanges int `yaml:"AuditChanges" min:"16" max:"1000000"`
 	// Refusals kept in memory for the audit and explain commands.
 	AuditRefusals int `yaml:"AuditRefusals" min:"16" max:"1000000"`
+	// Lines of the audit trail that may wait to be written; further ones are dropped.
+	AuditPending int `yaml:"AuditPending" min:"16" max:"1000000"`
 	// Connections open at once; further ones wait to be accepted.
 	MaxConnections int `yaml:"MaxConnections" min:"1" max:"10000"`
 }
@@ -279,7 +281,7 @@
 			MaxBodyBytes: 4 << 20, MaxHeaderBytes: 64 << 10, MaxKeyBytes: 255, MaxConnections: 4096,
 			HeaderTimeoutMillis: 10 * clock.Second, BodyTimeoutMillis: 30 * clock.Second, IdleTimeoutMillis: 2 * clock.Minute,
 		},
-		Operators: Operators{LogLevel: "Info", AuditChanges: 4096, AuditRefusals: 1024, MaxConnections: 64},
+		Operators: Operators{LogLevel: "Info", AuditChanges: 4096, AuditRefusals: 1024, AuditPending: 1024, MaxConnections: 64},
 		Runtime: Runtime{
 			Workers: 8, TickIntervalMillis: 50 * clock.Millisecond,
 			DrainTimeoutMillis: 2 * clock.Minute, RetryShare: 0.1,
--- /dev/null
+++ b/internal/control/audit/lines.go
@@ -0,0 +1,45 @@
+package audit
+
+import "context"
+
+// Run writes the lines until the context ends, and then those still waiting.
+func (trail *Trail) Run(ctx context.Context) error {
+	for {
+		select {
+		case event := <-trail.lines:
+			trail.write(event)
+		case <-ctx.Done():
+			trail.writeRest()
+			return nil
+		}
+	}
+}
+
+func (trail *Trail) writeRest() {
+	for {
+		select {
+		case event := <-trail.lines:
+			trail.write(event)
+		default:
+			return
+		}
+	}
+}
+
+func (trail *Trail) write(event Event) {
+	if event.Record != nil {
+		trail.log.Info("audit", "Sequence", event.Sequence, "Kind", event.Kind, "Request", event.Object,
+			"Cause", event.Cause, "After", event.After, "Record", event.Record)
+		return
+	}
+	trail.log.Info("audit", "Sequence", event.Sequence, "Kind", event.Kind, "Object", event.Object,
+		"Cause", event.Cause, "Before", event.Before, "After", event.After)
+}
+
+// Dropped returns the number of lines that were not written, because the queue
+// was full. Their sequences are missing from the log.
+func (trail *Trail) Dropped() uint64 {
+	trail.mutex.Lock()
+	defer trail.mutex.Unlock()
+	return trail.dropped
+}
--- a/internal/serve/metrics/gauges.go
+++ b/internal/serve/metrics/gauges.go
@@ -46,11 +46,12 @@
 	stepRuns      = family{"teaselmoor_engine_step_runs_total", "Runs that shared those steps, summed.", counterKind}
 	stepCapacity  = gauge("teaselmoor_engine_step_capacity", "Runs that one step of an owned engine can hold.")
 	stateAge      = gauge("teaselmoor_engine_state_age_milliseconds", "Age of the oldest knowledge of an engine in use.")
+	linesDropped  = family{"teaselmoor_audit_lines_dropped_total", "Lines of the audit trail that were not written.", counterKind}
 	goroutines    = gauge("teaselmoor_goroutines", "Goroutines of the process.")
 	heapBytes     = gauge("teaselmoor_heap_bytes", "Bytes of the heap in use.")
 	processorTime = family{"teaselmoor_processor_milliseconds_total", "Processor time that the process has used.", counterKind}
 	gaugesOrder   = []family{
-		ready, draining, inProgress, keys, configVersion, configAge, contactAge, listVersion, listAge, peers, ownedEngines, queued, running, loadsWaiting, resident, reportAge, quarantined, steps, stepRuns, stepCapacity, stateAge, goroutines, heapBytes, processorTime,
+		ready, draining, inProgress, keys, configVersion, configAge, contactAge, listVersion, listAge, peers, ownedEngines, queued, running, loadsWaiting, resident, reportAge, quarantined, steps, stepRuns, stepCapacity, stateAge, linesDropped, goroutines, heapBytes, processorTime,
 	}
 )
 
@@ -60,6 +61,8 @@
 	Peers            int
 	ConfigAge        clock.Millis
 	ConfigContactAge clock.Millis
+	// LinesDropped counts the lines of the audit trail that were not written.
+	LinesDropped uint64
 }
 
 // StatusGauges describes a daemon's status.
@@ -78,6 +81,7 @@
 		one(peers, float64(standing.Peers)),
 		one(ownedEngines, float64(len(status.Owned))),
 		one(stateAge, oldest(status)),
+		one(linesDropped, float64(standing.LinesDropped)),
 	}
 	return append(gauges, engineGauges(status.Owned)...)
 }
--- a/internal/serve/operators/operators.go
+++ b/internal/serve/operators/operators.go
@@ -93,6 +93,7 @@
 	gauges := metrics.StatusGauges(status.Status, metrics.Standing{
 		Ready: status.Ready, Peers: len(status.Peers),
 		ConfigAge: status.ConfigAge, ConfigContactAge: status.ConfigContactAge,
+		LinesDropped: api.trail.Dropped(),
 	})
 	gauges = slices.Concat(gauges, api.observer.StepGauges(), metrics.ProcessGauges())
 	writer.Header().Set("Content-Type", metrics.ContentType)
--- a/internal/serve/program/options.go
+++ b/internal/serve/program/options.go
@@ -50,6 +50,7 @@
 		Audit: audit.Options{
 			Daemon:  ident.DaemonID(settings.Name),
 			Changes: settings.Operators.AuditChanges, Refusals: settings.Operators.AuditRefusals,
+			Pending: settings.Operators.AuditPending,
 		},
 	}
 }
--- a/internal/serve/program/program.go
+++ b/internal/serve/program/program.go
@@ -39,6 +39,7 @@
 	}
 	running := task.New(life)
 	running.Go("daemon", func(context.Context) error { serving.Run(); return nil })
+	running.Go("audit lines", trail.Run)
 	for _, server := range servers {
 		running.Go("server", func(context.Context) error { return server.serve() })
 	}
