--- a/internal/serve/command/command.go
+++ b/internal/serve/command/command.go
@@ -22,6 +22,7 @@
 	ExitMistakes    = 3 // a checked file holds mistakes
 	ExitUnreachable = 4 // the daemon asked did not answer
 	ExitNotFound    = 5 // what was asked for does not exist
+	// A daemon that a broken invariant stopped exits with 6.
 )
 
 // exitError is an error with the exit code that it calls for.
@@ -60,7 +61,7 @@
 	return &cli.App{
 		Name:                 "teaselmoor",
 		Usage:                "serve LoRA adapters on shared model engines",
-		Description:          "Exit codes: 0 done, 1 failed, 2 wrong usage, 3 mistakes in a checked file, 4 daemon did not answer, 5 not found.",
+		Description:          "Exit codes: 0 done, 1 failed, 2 wrong usage, 3 mistakes in a checked file, 4 daemon did not answer, 5 not found, 6 a broken invariant stopped the daemon.",
 		HideVersion:          true,
 		EnableBashCompletion: true,
 		Suggest:              true,
