--- a/internal/decide/loads/broker.go
+++ b/internal/decide/loads/broker.go
@@ -41,9 +41,6 @@
 	Floor int
 	// Patient never refuses a load on arrival. It is a baseline.
 	Patient bool
-	// MostWaiters grants the load that most requests wait for, within a class
-	// and as far as deadlines allow; otherwise the earliest deadline goes first.
-	MostWaiters bool
 	// ArrivalOrder grants loads in order of arrival, whatever their class and
 	// deadline. It is a baseline.
 	ArrivalOrder bool
@@ -53,7 +50,7 @@
 func DefaultOptions() Options {
 	return Options{
 		Lease: 5 * clock.Second, Parallel: 1, Span: 500 * clock.Millisecond,
-		Margin: 100 * clock.Millisecond, Silence: 2 * clock.Second, Floor: 7, MostWaiters: true,
+		Margin: 100 * clock.Millisecond, Silence: 2 * clock.Second, Floor: 7,
 	}
 }
 
--- a/internal/decide/loads/broker_test.go
+++ b/internal/decide/loads/broker_test.go
@@ -83,7 +83,6 @@
 	rapid.Check(t, func(t *rapid.T) {
 		options := loads.DefaultOptions()
 		options.Floor = rapid.IntRange(0, 5).Draw(t, "floor")
-		options.MostWaiters = rapid.Bool().Draw(t, "most waiters")
 		store := newStore(t, options)
 		for i := range rapid.IntRange(1, 60).Draw(t, "asks") {
 			class := config.Class(rapid.IntRange(0, 1).Draw(t, "class"))
--- a/internal/decide/loads/schedule.go
+++ b/internal/decide/loads/schedule.go
@@ -72,10 +72,7 @@
 		broker.feasibleAfter(now, routine) {
 		return routine
 	}
-	if !broker.options.MostWaiters {
-		return 0
-	}
-	return broker.mostWaiters(now)
+	return 0
 }
 
 func (broker *Broker) firstOf(class config.Class) int {
@@ -87,24 +84,6 @@
 	return -1
 }
 
-// mostWaiters returns the load of the first class with the most waiting
-// requests, if all others can follow it in time; otherwise the first one.
-func (broker *Broker) mostWaiters(now clock.Millis) int {
-	most := 0
-	for i := range broker.waiting {
-		if broker.waiting[i].ask.Class != broker.waiting[0].ask.Class {
-			break
-		}
-		if broker.waiting[i].ask.Waiters > broker.waiting[most].ask.Waiters {
-			most = i
-		}
-	}
-	if most > 0 && !broker.feasibleAfter(now, most) {
-		return 0
-	}
-	return most
-}
-
 // feasibleAfter reports whether the loads ahead of one in the schedule still
 // end in time when that one goes first.
 func (broker *Broker) feasibleAfter(now clock.Millis, first int) bool {
--- a/internal/replay/experiment/policy.go
+++ b/internal/replay/experiment/policy.go
@@ -88,7 +88,6 @@
 			options.Owner.HalfLife = 20 * clock.Minute
 		}},
 		brokered("never refuse", func(loads *loads.Options) { loads.Patient = true }),
-		brokered("earliest deadline", func(loads *loads.Options) { loads.MostWaiters = false }),
 		brokered("arrival order", func(loads *loads.Options) { loads.ArrivalOrder = true }),
 		weighted("set of 1", func(weights *placement.Weights) { weights.Set = 1 }),
 		weighted("set of 2", func(weights *placement.Weights) { weights.Set = 2 }),
