members, node: leaving daemons keep their connections; owners yield in time

Daemons dropped the connections of a VM as soon as the list showed it as leaving, which cut the answers it was still relaying; they keep them until the VM is off the list. An owner handed over before the next one had read the list, so that the handover aged and the hold-down had to pass; it waits to be asked for as long as its list may be acted on. A daemon that gave up an engine still placed requests on itself.

--- a/internal/control/members/members.go
+++ b/internal/control/members/members.go
@@ -113,10 +113,17 @@
 
 // Daemons returns the live daemons that the filter accepts, in order of name.
 func (view *View) Daemons(accept func(*VM) bool) []ident.DaemonID {
+	return view.Present(func(vm *VM) bool { return vm.State == Live && accept(vm) })
+}
+
+// Present returns the daemons that the filter accepts, leaving ones included, in
+// order of name. A leaving daemon finishes what it has accepted, and needs its
+// connections for it.
+func (view *View) Present(accept func(*VM) bool) []ident.DaemonID {
 	var daemons []ident.DaemonID
 	for i := range view.List.VMs {
 		vm := &view.List.VMs[i]
-		if vm.Role == EntryRole && vm.State == Live && accept(vm) {
+		if vm.Role == EntryRole && accept(vm) {
 			daemons = append(daemons, ident.DaemonID(vm.Name))
 		}
 	}
--- a/internal/decide/node/handover.go
+++ b/internal/decide/node/handover.go
@@ -25,10 +25,10 @@
 // askHandover asks the owner for an engine that this daemon waits for.
 func (node *Node) askHandover(name ident.EngineID) {
 	claim, known := node.owning.claims[name]
-	if !known || claim.Owner == node.options.Self || node.now-node.owning.asked[name] < askInterval {
+	if !known || claim.Owner == node.options.Self || node.now-node.owning.asking[name] < askInterval {
 		return
 	}
-	node.owning.asked[name] = node.now
+	node.owning.asking[name] = node.now
 	node.send(claim.Owner, message.HandoverAsk{Engine: name})
 }
 
@@ -54,7 +54,8 @@
 }
 
 // tickYield hands over once the last unload order has ended. When that takes too
-// long there is no handover, and the next owner waits for the hold-down.
+// long there is no handover, and the next owner waits for the hold-down: at an
+// engine that ignores fencing numbers, another may be about to claim after it.
 func (node *Node) tickYield(name ident.EngineID, held *owned) {
 	if node.tenure(name).State() != ownership.Yielding {
 		return
@@ -66,7 +67,8 @@
 		return
 	}
 	engine, known := node.config.Engine(name)
-	if known {
+	inTime := node.now <= node.tenure(name).OrdersUntil()+node.options.Ownership.OrderSpan
+	if known && (engine.ChecksFencing || inTime) {
 		if heir := node.firstCandidate(engine); heir != "" && heir != node.options.Self {
 			node.handOver(heir, name, held)
 		}
--- a/internal/decide/node/membership.go
+++ b/internal/decide/node/membership.go
@@ -253,16 +253,20 @@
 // groupDaemons sorts the region's daemons by data centre, after a change.
 func (node *Node) groupDaemons() {
 	node.regionNames = node.regionDaemons()
-	node.localNames = nil
+	node.localNames = node.vms.Present(func(vm *members.VM) bool {
+		return vm.Region == node.options.Region && vm.DataCentre == node.options.DataCentre
+	})
 	node.remoteNames = map[string][]ident.DaemonID{}
 	for _, name := range node.regionNames {
-		vm, _ := node.vms.Daemon(name)
-		if vm.DataCentre == node.options.DataCentre {
-			node.localNames = append(node.localNames, name)
-		} else {
+		if vm, _ := node.vms.Daemon(name); vm.DataCentre != node.options.DataCentre {
 			node.remoteNames[vm.DataCentre] = append(node.remoteNames[vm.DataCentre], name)
 		}
 	}
+	for origin := range node.news.origins {
+		if _, listed := node.vms.Daemon(origin); !listed {
+			delete(node.news.origins, origin)
+		}
+	}
 }
 
 // updated takes in another daemon's update.
--- a/internal/decide/node/membership_test.go
+++ b/internal/decide/node/membership_test.go
@@ -118,6 +118,34 @@
 	}
 }
 
+// TestPausedOwnerReadsBeforeItOrders lets a request wait at an owner that is
+// paused for less than its list may age. After the pause the report comes first.
+func TestPausedOwnerReadsBeforeItOrders(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		published := smallConfig(1)
+		published.Engines[0].ChecksFencing = checks
+		network := networkOf(t, published)
+		network.Run(6 * clock.Second)
+		owner := ownerOfEngine(network, "engine-0")
+		arriveReviews(network, 1)
+		network.Run(2 * clock.Second)
+		before := runsOf(network.Engines["engine-0"])
+		network.Pause(owner)
+		network.Run(600)
+		for _, name := range network.HostNames() {
+			if name != owner {
+				network.Arrive(name, node.Arrived{RequestID: string(name), APIKey: callerKey, Path: "/v1/completions", Model: "review-0@1"})
+			}
+		}
+		network.Run(100)
+		network.Resume(owner)
+		network.Run(2) // an order given at once arrives
+		require.Equal(t, before, runsOf(network.Engines["engine-0"]))
+		network.Run(clock.Second)
+		require.Equal(t, before+2, runsOf(network.Engines["engine-0"]), "checks %v", checks)
+	}
+}
+
 // TestRemovedEngineIsReleased publishes a configuration without an engine.
 func TestRemovedEngineIsReleased(t *testing.T) {
 	network := networkOf(t, smallConfig(2))
--- a/internal/decide/node/node.go
+++ b/internal/decide/node/node.go
@@ -86,8 +86,8 @@
 	brokers  map[string]*loads.Broker // load broker role, by weight store
 	fallback map[string]clock.Millis  // next load without the broker, by weight store
 
-	// regionNames are the region's live daemons; localNames and remoteNames are
-	// those of the own data centre and of each other one.
+	// regionNames are the region's live daemons, and remoteNames those of each
+	// other data centre; localNames are those of the own one, leaving ones too.
 	regionNames []ident.DaemonID
 	localNames  []ident.DaemonID
 	remoteNames map[string][]ident.DaemonID
--- a/internal/decide/node/owning.go
+++ b/internal/decide/node/owning.go
@@ -29,8 +29,10 @@
 	claims map[ident.EngineID]ownership.Heard
 	// handed holds handovers that have not been taken up.
 	handed map[ident.EngineID]message.Handover
-	// asked holds when the first candidate last asked for an engine.
-	asked map[ident.EngineID]clock.Millis
+	// asked holds when the first candidate last asked for an engine of this daemon,
+	// asking when this daemon last asked for another's.
+	asked  map[ident.EngineID]clock.Millis
+	asking map[ident.EngineID]clock.Millis
 	// early holds requests passed on by a former owner ahead of its handover.
 	early []earlySubmit
 	// departing holds when engines were last said to be leaving.
@@ -58,6 +60,7 @@
 		claims:    map[ident.EngineID]ownership.Heard{},
 		handed:    map[ident.EngineID]message.Handover{},
 		asked:     map[ident.EngineID]clock.Millis{},
+		asking:    map[ident.EngineID]clock.Millis{},
 		departing: map[ident.EngineID]clock.Millis{},
 	}
 }
@@ -264,6 +267,9 @@
 func (node *Node) retire(name ident.EngineID, cause string) {
 	held := node.owning.owned[name]
 	delete(node.owning.owned, name)
+	if view := node.views.View(name); view != nil && view.State.Owner == node.options.Self {
+		node.views.Drop(name) // nobody is known to own it now
+	}
 	node.ownerEffects(held, held.owner.Retire())
 	if held.owner.Busy() {
 		node.owning.former[name] = append(node.owning.former[name], held)
--- a/internal/decide/ownership/tenure.go
+++ b/internal/decide/ownership/tenure.go
@@ -111,13 +111,14 @@
 }
 
 // notFirst gives up a wait at once, and an engine when its first candidate asks
-// for it or half of the time is over for which the last list may be acted on.
+// for it or the time is over for which the last list may be acted on. The first
+// candidate may read its list later than this daemon.
 func (tenure *Tenure) notFirst(now clock.Millis, facts Facts) Action {
 	switch tenure.state {
 	case Waiting:
 		tenureTable.Must(&tenure.state, withdraw)
 	case Owning:
-		if facts.Asked || now-tenure.firstAt >= tenure.options.ViewAge/2 {
+		if facts.Asked || now >= tenure.OrdersUntil() {
 			tenureTable.Must(&tenure.state, yield)
 			return Yield
 		}
--- a/internal/serve/daemon/watch.go
+++ b/internal/serve/daemon/watch.go
@@ -74,7 +74,7 @@
 // its contacts in other regions.
 func (daemon *Daemon) connect(view *members.View) {
 	region := daemon.options.Node.Region
-	names := view.Daemons(func(vm *members.VM) bool { return vm.Region == region })
+	names := view.Present(func(vm *members.VM) bool { return vm.Region == region })
 	names = append(names, rollout.Contacts(view, daemon.Self(), region)...)
 	var peers []link.Peer
 	for _, name := range names {
