owner: adapters whose requests cannot run do not load in turns

Drawn histories of the owner did not end: adapters were unloaded and loaded for ever while no time passed. On virtual time with real load spans the same was a weight store kept busy for nobody.

A slot that yielded to an urgent request was taken by a routine one that asked first, so that the next slot had to yield; a yielding slot is now kept for urgent requests while one waits. And a slot yielded to a routine request although its own request still waited for room in the batch, and asked for it back at once; it now yields only after it has served a run.

Ruled out: a shortest span between two swaps, which hides both and delays the urgent request that the swap is for.

--- a/internal/decide/admission/queue_test.go
+++ b/internal/decide/admission/queue_test.go
@@ -10,6 +10,7 @@
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/control/config"
 	"teaselmoor/internal/decide/admission"
+	"teaselmoor/internal/decide/nodetest"
 )
 
 type waiting struct {
@@ -20,7 +21,7 @@
 
 // TestQueueKeepsItsOrder compares the queue with a sorted list.
 func TestQueueKeepsItsOrder(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+	nodetest.CheckHistories(t, 200, func(t *rapid.T) {
 		var queue admission.Queue[int]
 		var model []waiting
 		next := 0
--- a/internal/decide/loads/broker_test.go
+++ b/internal/decide/loads/broker_test.go
@@ -12,6 +12,7 @@
 	"teaselmoor/internal/control/config"
 	"teaselmoor/internal/decide/loads"
 	"teaselmoor/internal/decide/message"
+	"teaselmoor/internal/decide/nodetest"
 )
 
 const span = 500 * clock.Millisecond
@@ -80,7 +81,7 @@
 // TestEveryLoadIsGrantedInTimeOrRefused draws arrivals far above the rate of the
 // store: no load may be late without a word.
 func TestEveryLoadIsGrantedInTimeOrRefused(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+	nodetest.CheckHistories(t, 200, func(t *rapid.T) {
 		options := loads.DefaultOptions()
 		options.Floor = rapid.IntRange(0, 5).Draw(t, "floor")
 		store := newStore(t, options)
--- a/internal/decide/owner/loading.go
+++ b/internal/decide/owner/loading.go
@@ -57,7 +57,7 @@
 	if owner.holds(adapter) {
 		return // its slot is about to yield
 	}
-	if owner.findRoom(now) < 0 {
+	if owner.findRoom(now, wanted.demand().class) < 0 {
 		owner.makeRoom(now, wanted)
 		return
 	}
@@ -98,7 +98,10 @@
 func (owner *Owner) Granted(now clock.Millis, adapter ident.Adapter) []effect.Effect {
 	owner.version++
 	wanted := owner.backlog.wants[adapter]
-	at := owner.findRoom(now)
+	at := -1
+	if wanted != nil {
+		at = owner.findRoom(now, wanted.demand().class)
+	}
 	if wanted == nil || wanted.granted || wanted.queue.Total() == 0 || at < 0 ||
 		owner.takeover.suspended || owner.holds(adapter) {
 		if wanted != nil {
--- a/internal/decide/owner/owner_test.go
+++ b/internal/decide/owner/owner_test.go
@@ -12,6 +12,7 @@
 	"teaselmoor/internal/control/config"
 	"teaselmoor/internal/decide/effect"
 	"teaselmoor/internal/decide/message"
+	"teaselmoor/internal/decide/nodetest"
 	"teaselmoor/internal/decide/outcome"
 	"teaselmoor/internal/decide/owner"
 )
@@ -85,17 +86,26 @@
 	return submit.Stream
 }
 
-// load ends every unload and load that was ordered.
+// mostRounds is how many loads may follow on each other while no time passes.
+const mostRounds = 100
+
+// load ends every unload and load that was ordered, and those that follow.
 func (bench *bench) load(failed bool) {
-	for len(bench.loads)+len(bench.unloads) > 0 {
-		unloads, loads := bench.unloads, bench.loads
-		bench.unloads, bench.loads = nil, nil
-		for _, adapter := range unloads {
-			bench.take(bench.owner.Unloaded(bench.now, adapter, false))
-		}
-		for _, adapter := range loads {
-			bench.take(bench.owner.Loaded(bench.now, adapter, failed))
-		}
+	for round := 0; len(bench.loads)+len(bench.unloads) > 0; round++ {
+		require.Less(bench.t, round, mostRounds, "adapters are loaded in turns for ever")
+		bench.loadOnce(failed)
+	}
+}
+
+// loadOnce ends the unloads and loads that are ordered now.
+func (bench *bench) loadOnce(failed bool) {
+	unloads, loads := bench.unloads, bench.loads
+	bench.unloads, bench.loads = nil, nil
+	for _, adapter := range unloads {
+		bench.take(bench.owner.Unloaded(bench.now, adapter, false))
+	}
+	for _, adapter := range loads {
+		bench.take(bench.owner.Loaded(bench.now, adapter, failed))
 	}
 }
 
@@ -233,7 +243,7 @@
 // TestEveryAttemptEndsOnce draws requests, ends of runs, loads and cancels; the
 // bench refuses an unload in use, the owner asserts its own invariants.
 func TestEveryAttemptEndsOnce(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+	nodetest.CheckHistories(t, 200, func(t *rapid.T) {
 		bench := newBench(t, rapid.IntRange(1, 3).Draw(t, "slots"), rapid.IntRange(1, 4).Draw(t, "runs"))
 		var streams []ident.StreamID
 		t.Repeat(map[string]func(*rapid.T){
@@ -271,3 +281,28 @@
 		require.False(t, bench.owner.Busy())
 	})
 }
+
+// TestWaitingAdaptersDoNotLoadInTurns lets two routine adapters wait for one slot
+// while the batch is full: the one that is loaded keeps the slot until it has run.
+func TestWaitingAdaptersDoNotLoadInTurns(t *testing.T) {
+	bench := newBench(t, 2, 1)
+	long := bench.submit(0, config.Routine, false)
+	bench.load(false)
+	require.Contains(t, bench.running, long)
+	first := bench.submit(1, config.Routine, false)
+	bench.load(false)
+	second := bench.submit(2, config.Routine, false)
+	loads := 0
+	for range 20 {
+		bench.pass(500)
+		loads += len(bench.loads) + len(bench.unloads)
+		bench.loadOnce(false)
+	}
+	require.Zero(t, loads, "adapters were swapped that nobody could use")
+	bench.end(long, owner.ResultComplete)
+	require.Contains(t, bench.running, first)
+	bench.end(first, owner.ResultComplete)
+	bench.pass(5 * clock.Second)
+	bench.load(false)
+	require.Contains(t, bench.running, second)
+}
--- a/internal/decide/owner/report.go
+++ b/internal/decide/owner/report.go
@@ -69,7 +69,7 @@
 		if i >= len(owner.slots) {
 			break
 		}
-		owner.slots[i] = slot{state: slotReady, adapter: adapter, lastUsed: now}
+		owner.slots[i] = slot{state: slotReady, adapter: adapter, lastUsed: now, served: true}
 		owner.resident[adapter] = i
 	}
 }
--- a/internal/decide/owner/run.go
+++ b/internal/decide/owner/run.go
@@ -162,6 +162,7 @@
 	waiting.slot = at
 	waiting.dispatchedAt = now
 	slot.pins++
+	slot.served = true
 	slot.use(now)
 	owner.running++
 	owner.emit(effect.Send{To: waiting.entry, Message: message.Dispatched{
--- a/internal/decide/owner/slot.go
+++ b/internal/decide/owner/slot.go
@@ -5,6 +5,7 @@
 	"teaselmoor/internal/base/ident"
 	"teaselmoor/internal/base/invariant"
 	"teaselmoor/internal/base/lifecycle"
+	"teaselmoor/internal/control/config"
 	"teaselmoor/internal/decide/effect"
 )
 
@@ -53,6 +54,8 @@
 	unloadFailed bool
 	// yielding takes no further runs, to become free for another adapter.
 	yielding bool
+	// served says that a run has used the adapter since it was loaded.
+	served bool
 }
 
 // serves reports whether the slot holds, or will shortly hold, its adapter.
@@ -76,7 +79,7 @@
 
 // spare is what the adapter that would be evicted next is worth.
 func (owner *Owner) spare(now clock.Millis) float64 {
-	at := owner.findRoom(now)
+	at := owner.findRoom(now, config.Urgent)
 	switch {
 	case at < 0:
 		return noSpare
@@ -92,9 +95,11 @@
 	return at, held && owner.slots[at].state == slotReady && !owner.slots[at].yielding
 }
 
-// findRoom returns a slot to load into: an empty one, else the one of least
-// worth that is ready and not in use; -1 when there is none.
-func (owner *Owner) findRoom(now clock.Millis) int {
+// findRoom returns a slot to load into for a request of a class: an empty one,
+// else the one of least worth that is ready and not in use; -1 when there is
+// none. While an urgent request waits for a slot, one that yields is not for
+// routine ones: they would take it, and the next slot would have to yield.
+func (owner *Owner) findRoom(now clock.Millis, class config.Class) int {
 	found, least := -1, 0.0
 	for i := range owner.slots {
 		slot := &owner.slots[i]
@@ -105,6 +110,9 @@
 			continue
 		}
 		if slot.yielding {
+			if class != config.Urgent && owner.urgentWanted() {
+				continue
+			}
 			return i
 		}
 		worth := owner.worth(now, slot)
@@ -120,6 +128,7 @@
 	slot := &owner.slots[at]
 	slotTable.Must(&slot.state, beginLoad)
 	slot.adapter = adapter
+	slot.served = false
 	owner.resident[adapter] = at
 	owner.emit(effect.Load{Engine: owner.Engine.Name, Adapter: adapter, Fence: owner.Fence})
 }
--- a/internal/decide/owner/takeover.go
+++ b/internal/decide/owner/takeover.go
@@ -319,7 +319,7 @@
 func (owner *Owner) fillSlot(now clock.Millis, adapter ident.Adapter) {
 	for i := range owner.slots {
 		if owner.slots[i].state == slotEmpty {
-			owner.slots[i] = slot{state: slotReady, adapter: adapter, lastUsed: now}
+			owner.slots[i] = slot{state: slotReady, adapter: adapter, lastUsed: now, served: true}
 			owner.resident[adapter] = i
 			return
 		}
--- a/internal/decide/owner/yield.go
+++ b/internal/decide/owner/yield.go
@@ -20,7 +20,7 @@
 	}
 	at := owner.yieldingSlot()
 	if at < 0 {
-		at = owner.slotToYield(now)
+		at = owner.slotToYield(now, urgent)
 		if at < 0 {
 			return
 		}
@@ -42,8 +42,10 @@
 }
 
 // slotToYield returns the slot that frees most cheaply: with the fewest runs
-// that have to be waited for, then of least worth.
-func (owner *Owner) slotToYield(now clock.Millis) int {
+// that have to be waited for, then of least worth. For a routine request it is
+// one that has served a run since its load: two adapters whose requests wait for
+// room in the batch would otherwise load in turns, and neither would run.
+func (owner *Owner) slotToYield(now clock.Millis, urgent bool) int {
 	waits := make([]int, len(owner.slots))
 	for i := range owner.slots {
 		waits[i] = owner.slots[i].pins
@@ -56,7 +58,7 @@
 	best, worth := -1, 0.0
 	for i := range owner.slots {
 		slot := &owner.slots[i]
-		if slot.state != slotReady || owner.urgentQueued(slot.adapter) {
+		if slot.state != slotReady || owner.urgentQueued(slot.adapter) || !urgent && !slot.served {
 			continue
 		}
 		own := owner.worth(now, slot)
@@ -79,6 +81,16 @@
 	})
 }
 
+// urgentWanted reports whether an urgent request waits for a load to begin.
+func (owner *Owner) urgentWanted() bool {
+	for adapter, wanted := range owner.backlog.wants {
+		if !wanted.granted && wanted.queue.Len(config.Urgent) > 0 && !owner.holds(adapter) {
+			return true
+		}
+	}
+	return false
+}
+
 // cancelRoutine cancels the repeatable routine runs of a slot. Their pins stay
 // until the engine confirms.
 func (owner *Owner) cancelRoutine(now clock.Millis, at int) {
