owner: a late end of an earlier order changes nothing for a waiting run

A Submit that arrived twice, with a restart of the engine in between, waited under a stream whose first order then ended: the run was ended but stayed in the queue, and its deadline broke the invariant that only waiting runs are refused.

--- a/internal/decide/owner/run.go
+++ b/internal/decide/owner/run.go
@@ -187,8 +187,8 @@
 // RunEnded takes in how an engine call or a cancel ended.
 func (owner *Owner) RunEnded(now clock.Millis, result RunResult) []effect.Effect {
 	found, known := owner.runs[result.Stream]
-	if !known {
-		return nil
+	if !known || found.state == runWaiting {
+		return nil // a late word on an order that was given before a restart
 	}
 	switch result.Result {
 	case ResultLost, ResultTruncated:
--- a/internal/decide/owner/takeover_test.go
+++ b/internal/decide/owner/takeover_test.go
@@ -149,3 +149,19 @@
 	taken.ReportedAt(2000, 1999, idle)
 	require.Len(t, of[effect.Unload](taken.Granted(2001, quote)), 1)
 }
+
+// TestLateEndOfAnEarlierOrder repeats a Submit after a restart of the engine has
+// ended its run; the end of the first order then comes in.
+func TestLateEndOfAnEarlierOrder(t *testing.T) {
+	taken := successor(true, 1)
+	taken.ReportedAt(1000, 1000, owner.Report{Boot: "boot-1", Resident: []ident.Adapter{review}})
+	first := submit(1, review, false)
+	require.Len(t, of[effect.StartRun](taken.Submit(1001, "daemon-0", first)), 1)
+	taken.ReportedAt(5000, 5000, owner.Report{Boot: "boot-2"})
+	require.False(t, taken.Busy())
+	taken.Submit(5001, "daemon-0", first)
+	taken.RunEnded(5002, owner.RunResult{Stream: first.Stream, Result: owner.ResultLost})
+	_, done := ended(taken.Tick(5001 + clock.Minute))
+	require.True(t, done)
+	require.False(t, taken.Busy())
+}
