node: a graceful shutdown cuts nothing, also of two daemons at once

A leaving daemon counted as idle as soon as it had no requests: it exited while it owned engines, and what others sent it meanwhile was lost. An owner that the VM list showed as leaving had dropped the order of candidates, found no heir, and let the engine wait for the hold-down in place of a handover. Requests that were on their way during a handover were refused, and used up retry budget.

--- a/internal/decide/node/attempt.go
+++ b/internal/decide/node/attempt.go
@@ -152,21 +152,22 @@
 func (node *Node) attemptFailed(failed *request, ended message.Ended) {
 	failed.open = false
 	failed.mayHaveRun = failed.mayHaveRun || ended.Outcome.Kind == outcome.Unknown
-	if !node.mayRetry(failed, ended.Outcome) {
-		node.answer(failed, ended.Outcome)
-		return
-	}
-	if ended.Outcome.Reason == outcome.NotOwner && failed.redirects < maxRedirects {
+	if ended.Outcome.Reason == outcome.NotOwner && failed.redirects < maxRedirects && failed.deadline > node.now {
 		failed.redirects++
 		node.redirect(failed, ended.Owner)
 		return
 	}
+	if !node.mayRetry(failed, ended.Outcome) {
+		node.answer(failed, ended.Outcome)
+		return
+	}
 	failed.tried = append(failed.tried, failed.engine)
 	node.retry(failed)
 }
 
 // maxRedirects is the number of times that a request follows an engine from
-// owner to owner before it goes elsewhere.
+// owner to owner before that counts as a failed attempt. No engine has had any
+// work from it, so it costs nothing of the retry budget.
 const maxRedirects = 3
 
 // redirect submits to the engine's present owner, as far as it is known.
--- a/internal/decide/node/handover.go
+++ b/internal/decide/node/handover.go
@@ -75,6 +75,7 @@
 }
 
 func (node *Node) handOver(heir ident.DaemonID, name ident.EngineID, held *owned) {
+	node.owning.heirs[name] = heir
 	node.send(heir, message.Handover{
 		Engine: name, Fence: held.owner.Fence, SentAt: node.now, Runs: held.owner.HandedRuns(),
 	})
--- a/internal/decide/node/node.go
+++ b/internal/decide/node/node.go
@@ -93,6 +93,9 @@
 	remoteNames map[string][]ident.DaemonID
 
 	draining bool
+	// drainingSince is when the graceful end began, busyAt when anything was last
+	// in progress since.
+	drainingSince, busyAt clock.Millis
 	// informed says that every engine of the region was heard of once.
 	informed bool
 	local    []message.Message // sent to itself, not delivered yet
@@ -290,19 +293,5 @@
 	node.tickNews()
 	node.tickFallback()
 	node.tickRequests()
-}
-
-func (node *Node) shutdown() {
-	node.draining = true
-	node.news.due = true
-	node.homeEffects(node.home.Shutdown(node.now))
-	node.emit(effect.Audit{At: node.now, Kind: effect.ShutdownStarted, Object: string(node.options.Self), Cause: "signal"})
-}
-
-// Idle reports whether nothing is in progress, so that a draining daemon may exit.
-func (node *Node) Idle() bool {
-	if len(node.requests) > 0 || len(node.finishes) > 0 || !node.home.Idle() {
-		return false
-	}
-	return len(node.owning.former) == 0 && node.idleOwner()
+	node.tickShutdown()
 }
--- a/internal/decide/node/owning.go
+++ b/internal/decide/node/owning.go
@@ -29,6 +29,8 @@
 	claims map[ident.EngineID]ownership.Heard
 	// handed holds handovers that have not been taken up.
 	handed map[ident.EngineID]message.Handover
+	// heirs holds whom this daemon handed engines over to.
+	heirs map[ident.EngineID]ident.DaemonID
 	// asked holds when the first candidate last asked for an engine.
 	asked map[ident.EngineID]clock.Millis
 	// early holds requests passed on by a former owner ahead of its handover.
@@ -57,6 +59,7 @@
 		former:    map[ident.EngineID][]*owned{},
 		claims:    map[ident.EngineID]ownership.Heard{},
 		handed:    map[ident.EngineID]message.Handover{},
+		heirs:     map[ident.EngineID]ident.DaemonID{},
 		asked:     map[ident.EngineID]clock.Millis{},
 		departing: map[ident.EngineID]clock.Millis{},
 	}
@@ -89,7 +92,10 @@
 			candidates = ownership.Candidates(node.vms, engine.DataCentre, engine.Region)
 			byCentre[engine.DataCentre] = candidates
 		}
-		if slices.Contains(candidates, node.options.Self) {
+		// An owner that is no candidate any more, because the list shows it as
+		// leaving, needs the order to know whom to hand over to.
+		_, held := node.owning.owned[engine.Name]
+		if held || slices.Contains(candidates, node.options.Self) {
 			node.owning.order[engine.Name] = ownership.Rank(string(engine.Name), candidates)
 		}
 	}
@@ -231,6 +237,7 @@
 		cause = "first candidate that is heard from; the engine checks fencing numbers"
 	}
 	delete(node.owning.handed, engine.Name)
+	delete(node.owning.heirs, engine.Name)
 	held.owner.TakeOver(node.now+quiet, handover.Runs)
 	node.emit(effect.Audit{
 		At: node.now, Kind: effect.OwnershipClaimed, Object: string(engine.Name),
@@ -323,9 +330,21 @@
 	node.ownerEffects(held, held.owner.Submit(node.now, from, submit))
 }
 
+// passOnSubmit sends a request after an engine that was handed over while the
+// request was on its way.
+func (node *Node) passOnSubmit(heir, entry ident.DaemonID, submit message.Submit) {
+	submit.Entry = entry
+	node.send(heir, submit)
+	node.send(entry, message.Moved{Stream: submit.Stream, Class: submit.Request.Class, Owner: heir})
+}
+
 // submittedElsewhere refuses a request for an engine that this daemon does not
 // own, unless a former owner passed it on ahead of its handover.
 func (node *Node) submittedElsewhere(from ident.DaemonID, submit message.Submit) {
+	if heir, handed := node.owning.heirs[submit.Engine]; handed && !submit.Resume {
+		node.passOnSubmit(heir, from, submit)
+		return
+	}
 	if submit.Entry != "" {
 		node.owning.early = append(node.owning.early, earlySubmit{submit: submit, at: node.now})
 		return
--- a/internal/decide/nodetest/engine.go
+++ b/internal/decide/nodetest/engine.go
@@ -75,6 +75,11 @@
 	return fake
 }
 
+// SetRunSpan changes how long a run takes.
+func (engine *Engine) SetRunSpan(span clock.Millis) {
+	engine.options.RunSpan = span
+}
+
 // Restart voids slots and runs, as a cold start does.
 func (engine *Engine) Restart() {
 	lost := engine.runs
