--- a/internal/base/settings/fields.go
+++ b/internal/base/settings/fields.go
@@ -66,6 +66,8 @@
 	AuditChanges int `yaml:"AuditChanges" min:"16" max:"1000000"`
 	// Refusals kept in memory for the audit and explain commands.
 	AuditRefusals int `yaml:"AuditRefusals" min:"16" max:"1000000"`
+	// Lines of the audit trail that may wait to be written; further ones are dropped.
+	AuditPending int `yaml:"AuditPending" min:"16" max:"1000000"`
 	// Connections open at once; further ones wait to be accepted.
 	MaxConnections int `yaml:"MaxConnections" min:"1" max:"10000"`
 }
@@ -190,6 +192,11 @@
 	RoutineLength int `yaml:"RoutineLength" min:"1" max:"1000000"`
 	// Runs of each engine kept free for urgent requests.
 	UrgentReserveRuns int `yaml:"UrgentReserveRuns" min:"0" max:"1024"`
+	// Urgent runs dispatched in a row after which a routine one that is ready goes next.
+	RoutineFloor int `yaml:"RoutineFloor" min:"1" max:"10000"`
+	// Span that a routine request waits for an idle slot before a slot takes no
+	// further runs for its sake, in milliseconds; 0 lets no slot yield.
+	RoomWaitMillis clock.Millis `yaml:"RoomWaitMillis" min:"0" max:"600000"`
 	// Times that a lost run is resumed at its engine.
 	ResumeTries int `yaml:"ResumeTries" min:"0" max:"100"`
 	// Span after which an unconfirmed cancel is repeated, in milliseconds.
@@ -209,6 +216,19 @@
 	Tries int `yaml:"Tries" min:"1" max:"100"`
 	// Span after which a use of an adapter counts half when a slot is needed, in milliseconds.
 	HalfLifeMillis clock.Millis `yaml:"HalfLifeMillis" min:"1000" max:"86400000"`
+	// Span that a load is taken to last until the store has shown it, in milliseconds.
+	SpanMillis clock.Millis `yaml:"SpanMillis" min:"1" max:"600000"`
+	// Span kept free before each deadline when loads are put in order, in milliseconds.
+	MarginMillis clock.Millis `yaml:"MarginMillis" min:"0" max:"60000"`
+	// Silence of the load broker after which a daemon loads at its own share of the
+	// store's rate, in milliseconds.
+	BrokerSilenceMillis clock.Millis `yaml:"BrokerSilenceMillis" min:"100" max:"600000"`
+	// Span after which the broker is asked again for a load that it has not
+	// granted, in milliseconds.
+	AskIntervalMillis clock.Millis `yaml:"AskIntervalMillis" min:"10" max:"60000"`
+	// Urgent loads in a row after which a routine one goes next, unless an urgent
+	// one would then be late.
+	RoutineFloor int `yaml:"RoutineFloor" min:"1" max:"10000"`
 }
 
 // Keys is about idempotency keys, at their home.
@@ -237,6 +257,9 @@
 	// Cost of loading the adapter at a further engine while one that holds it has
 	// a queue, in full batches queued there. A higher one avoids loads.
 	LoadCost float64 `yaml:"LoadCost" min:"0" max:"10000"`
+	// Cost of each request that asked lately for the adapter that would be evicted.
+	// The other costs are measured against it.
+	SpareCost float64 `yaml:"SpareCost" min:"0" max:"10000"`
 	// Gain of loading an adapter into an engine with a full batch against an idle
 	// one, in requests for the adapter evicted. A higher one fills engine steps; 0
 	// keeps load stalls shortest.
@@ -244,6 +267,8 @@
 	// Cost of each step down an adapter's order of engines; it settles ties alike
 	// at all daemons.
 	AffinityCost float64 `yaml:"AffinityCost" min:"0" max:"10000"`
+	// Engines that an adapter may be loaded into, the first in its order of engines.
+	SetSize int `yaml:"SetSize" min:"1" max:"10000"`
 	// Age from which an engine's state is not relied on, in milliseconds.
 	SilenceMillis clock.Millis `yaml:"SilenceMillis" min:"100" max:"600000"`
 }
@@ -256,7 +281,7 @@
 			MaxBodyBytes: 4 << 20, MaxHeaderBytes: 64 << 10, MaxKeyBytes: 255, MaxConnections: 4096,
 			HeaderTimeoutMillis: 10 * clock.Second, BodyTimeoutMillis: 30 * clock.Second, IdleTimeoutMillis: 2 * clock.Minute,
 		},
-		Operators: Operators{LogLevel: "Info", AuditChanges: 4096, AuditRefusals: 1024, MaxConnections: 64},
+		Operators: Operators{LogLevel: "Info", AuditChanges: 4096, AuditRefusals: 1024, AuditPending: 1024, MaxConnections: 64},
 		Runtime: Runtime{
 			Workers: 8, TickIntervalMillis: 50 * clock.Millisecond,
 			DrainTimeoutMillis: 2 * clock.Minute, RetryShare: 0.1,
@@ -285,18 +310,21 @@
 			DialTimeoutMillis: 2 * clock.Second, TimeoutMillis: 30 * clock.Second, MaxIdleConnections: 64, MaxAnswerBytes: 8 << 20,
 		},
 		Queue: Queue{
-			UrgentLength: 256, RoutineLength: 1024, UrgentReserveRuns: 1,
+			UrgentLength: 256, RoutineLength: 1024, UrgentReserveRuns: 1, RoutineFloor: 16, RoomWaitMillis: 2 * clock.Second,
 			ResumeTries: 2, CancelIntervalMillis: clock.Second,
 		},
 		Loads: Loads{
 			Parallel: 1, LeaseMillis: 5 * clock.Second, BackoffMillis: 500, Tries: 3,
-			HalfLifeMillis: 5 * clock.Minute,
+			HalfLifeMillis: 5 * clock.Minute, SpanMillis: 500 * clock.Millisecond, MarginMillis: 100 * clock.Millisecond,
+			BrokerSilenceMillis: 2 * clock.Second, AskIntervalMillis: 3 * clock.Second, RoutineFloor: 7,
 		},
 		Keys: Keys{
 			RetentionMillis: clock.Hour, ClockMarginMillis: clock.Second, ViewAgeMillis: 3 * clock.Second,
 			CopySpanMillis: 150 * clock.Millisecond, CopyIntervalMillis: 500 * clock.Millisecond,
 			MaxRecords: 50_000, MaxStoredBytes: 24 << 20, MaxAnswerBytes: 256 << 10,
 		},
-		Placement: Placement{LoadCost: 4, BatchGain: 0.25, AffinityCost: 0.01, SilenceMillis: 10 * clock.Second},
+		Placement: Placement{
+			LoadCost: 4, SpareCost: 1, BatchGain: 0.25, AffinityCost: 0.01, SetSize: 9, SilenceMillis: 10 * clock.Second,
+		},
 	}
 }
--- a/internal/decide/node/shutdown.go
+++ b/internal/decide/node/shutdown.go
@@ -62,5 +62,5 @@
 		return true
 	}
 	since := node.now - node.drainingSince
-	return since >= drainGrace && (node.idleOwner() || since >= drainHandover)
+	return since >= drainGrace && (node.released() || since >= drainHandover)
 }
