--- a/internal/decide/node/handover.go
+++ b/internal/decide/node/handover.go
@@ -25,10 +25,10 @@
 // askHandover asks the owner for an engine that this daemon waits for.
 func (node *Node) askHandover(name ident.EngineID) {
 	claim, known := node.owning.claims[name]
-	if !known || claim.Owner == node.options.Self || node.now-node.owning.asked[name] < askInterval {
+	if !known || claim.Owner == node.options.Self || node.now-node.owning.asking[name] < askInterval {
 		return
 	}
-	node.owning.asked[name] = node.now
+	node.owning.asking[name] = node.now
 	node.send(claim.Owner, message.HandoverAsk{Engine: name})
 }
 
@@ -54,7 +54,8 @@
 }
 
 // tickYield hands over once the last unload order has ended. When that takes too
-// long there is no handover, and the next owner waits for the hold-down.
+// long there is no handover, and the next owner waits for the hold-down: at an
+// engine that ignores fencing numbers, another may be about to claim after it.
 func (node *Node) tickYield(name ident.EngineID, held *owned) {
 	if node.tenure(name).State() != ownership.Yielding {
 		return
@@ -66,7 +67,8 @@
 		return
 	}
 	engine, known := node.config.Engine(name)
-	if known {
+	inTime := node.now <= node.tenure(name).OrdersUntil()+node.options.Ownership.OrderSpan
+	if known && (engine.ChecksFencing || inTime) {
 		if heir := node.firstCandidate(engine); heir != "" && heir != node.options.Self {
 			node.handOver(heir, name, held)
 		}
@@ -75,6 +77,7 @@
 }
 
 func (node *Node) handOver(heir ident.DaemonID, name ident.EngineID, held *owned) {
+	node.owning.heirs[name] = heir
 	node.send(heir, message.Handover{
 		Engine: name, Fence: held.owner.Fence, SentAt: node.now, Runs: held.owner.HandedRuns(),
 	})
@@ -126,12 +129,12 @@
 	node.outbid(outbid.Engine, "a higher claim was heard of")
 }
 
-// idleOwner reports whether nothing is in progress at an owned engine, and a
-// draining daemon has handed over what another can own.
-func (node *Node) idleOwner() bool {
-	for name, held := range node.owning.owned {
+// released reports whether a draining daemon has handed over every engine that
+// another can own.
+func (node *Node) released() bool {
+	for name := range node.owning.owned {
 		engine, known := node.config.Engine(name)
-		if held.owner.Busy() || node.draining && known && node.firstCandidate(engine) != node.options.Self {
+		if known && node.firstCandidate(engine) != node.options.Self {
 			return false
 		}
 	}
--- a/internal/decide/node/node.go
+++ b/internal/decide/node/node.go
@@ -86,13 +86,16 @@
 	brokers  map[string]*loads.Broker // load broker role, by weight store
 	fallback map[string]clock.Millis  // next load without the broker, by weight store
 
-	// regionNames are the region's live daemons; localNames and remoteNames are
-	// those of the own data centre and of each other one.
+	// regionNames are the region's live daemons, and remoteNames those of each
+	// other data centre; localNames are those of the own one, leaving ones too.
 	regionNames []ident.DaemonID
 	localNames  []ident.DaemonID
 	remoteNames map[string][]ident.DaemonID
 
 	draining bool
+	// drainingSince is when the graceful end began, busyAt when anything was last
+	// in progress since.
+	drainingSince, busyAt clock.Millis
 	// informed says that every engine of the region was heard of once.
 	informed bool
 	local    []message.Message // sent to itself, not delivered yet
@@ -290,19 +293,5 @@
 	node.tickNews()
 	node.tickFallback()
 	node.tickRequests()
-}
-
-func (node *Node) shutdown() {
-	node.draining = true
-	node.news.due = true
-	node.homeEffects(node.home.Shutdown(node.now))
-	node.emit(effect.Audit{At: node.now, Kind: effect.ShutdownStarted, Object: string(node.options.Self), Cause: "signal"})
-}
-
-// Idle reports whether nothing is in progress, so that a draining daemon may exit.
-func (node *Node) Idle() bool {
-	if len(node.requests) > 0 || len(node.finishes) > 0 || !node.home.Idle() {
-		return false
-	}
-	return len(node.owning.former) == 0 && node.idleOwner()
+	node.tickShutdown()
 }
--- a/internal/decide/node/owning.go
+++ b/internal/decide/node/owning.go
@@ -29,8 +29,12 @@
 	claims map[ident.EngineID]ownership.Heard
 	// handed holds handovers that have not been taken up.
 	handed map[ident.EngineID]message.Handover
-	// asked holds when the first candidate last asked for an engine.
-	asked map[ident.EngineID]clock.Millis
+	// heirs holds whom this daemon handed engines over to.
+	heirs map[ident.EngineID]ident.DaemonID
+	// asked holds when the first candidate last asked for an engine of this daemon,
+	// asking when this daemon last asked for another's.
+	asked  map[ident.EngineID]clock.Millis
+	asking map[ident.EngineID]clock.Millis
 	// early holds requests passed on by a former owner ahead of its handover.
 	early []earlySubmit
 	// departing holds when engines were last said to be leaving.
@@ -57,7 +61,9 @@
 		former:    map[ident.EngineID][]*owned{},
 		claims:    map[ident.EngineID]ownership.Heard{},
 		handed:    map[ident.EngineID]message.Handover{},
+		heirs:     map[ident.EngineID]ident.DaemonID{},
 		asked:     map[ident.EngineID]clock.Millis{},
+		asking:    map[ident.EngineID]clock.Millis{},
 		departing: map[ident.EngineID]clock.Millis{},
 	}
 }
@@ -89,7 +95,10 @@
 			candidates = ownership.Candidates(node.vms, engine.DataCentre, engine.Region)
 			byCentre[engine.DataCentre] = candidates
 		}
-		if slices.Contains(candidates, node.options.Self) {
+		// An owner that is no candidate any more, because the list shows it as
+		// leaving, needs the order to know whom to hand over to.
+		_, held := node.owning.owned[engine.Name]
+		if held || slices.Contains(candidates, node.options.Self) {
 			node.owning.order[engine.Name] = ownership.Rank(string(engine.Name), candidates)
 		}
 	}
@@ -231,6 +240,7 @@
 		cause = "first candidate that is heard from; the engine checks fencing numbers"
 	}
 	delete(node.owning.handed, engine.Name)
+	delete(node.owning.heirs, engine.Name)
 	held.owner.TakeOver(node.now+quiet, handover.Runs)
 	node.emit(effect.Audit{
 		At: node.now, Kind: effect.OwnershipClaimed, Object: string(engine.Name),
@@ -264,6 +274,9 @@
 func (node *Node) retire(name ident.EngineID, cause string) {
 	held := node.owning.owned[name]
 	delete(node.owning.owned, name)
+	if view := node.views.View(name); view != nil && view.State.Owner == node.options.Self {
+		node.views.Drop(name) // nobody is known to own it now
+	}
 	node.ownerEffects(held, held.owner.Retire())
 	if held.owner.Busy() {
 		node.owning.former[name] = append(node.owning.former[name], held)
@@ -323,9 +336,21 @@
 	node.ownerEffects(held, held.owner.Submit(node.now, from, submit))
 }
 
+// passOnSubmit sends a request after an engine that was handed over while the
+// request was on its way.
+func (node *Node) passOnSubmit(heir, entry ident.DaemonID, submit message.Submit) {
+	submit.Entry = entry
+	node.send(heir, submit)
+	node.send(entry, message.Moved{Stream: submit.Stream, Class: submit.Request.Class, Owner: heir})
+}
+
 // submittedElsewhere refuses a request for an engine that this daemon does not
 // own, unless a former owner passed it on ahead of its handover.
 func (node *Node) submittedElsewhere(from ident.DaemonID, submit message.Submit) {
+	if heir, handed := node.owning.heirs[submit.Engine]; handed && !submit.Resume {
+		node.passOnSubmit(heir, from, submit)
+		return
+	}
 	if submit.Entry != "" {
 		node.owning.early = append(node.owning.early, earlySubmit{submit: submit, at: node.now})
 		return
--- a/internal/serve/daemon/step.go
+++ b/internal/serve/daemon/step.go
@@ -11,8 +11,9 @@
 	"teaselmoor/internal/decide/node"
 )
 
-// exitBroken is the exit code after a broken invariant.
-const exitBroken = 3
+// exitBroken is the exit code after a broken invariant; the command line has the
+// lower ones.
+const exitBroken = 6
 
 // step is one event that the node has taken in, and what it asked for.
 type step struct {
--- a/internal/serve/daemon/step_test.go
+++ b/internal/serve/daemon/step_test.go
@@ -31,7 +31,7 @@
 	out, err := command.CombinedOutput()
 	var exit *exec.ExitError
 	require.ErrorAs(t, err, &exit, "%s", out)
-	require.Equal(t, 3, exit.ExitCode(), "%s", out)
+	require.Equal(t, 6, exit.ExitCode(), "%s", out)
 	require.Contains(t, string(out), "two and two are four: five")
 }
 
