daemon: the node knows that it leaves before it is asked whether it is idle

A rolling replacement told some callers Unknown/OwnerLost. Cause: Drain queued the word for a worker and asked at once whether the node was idle; a node that does not know yet is idle whenever no request is open, so the daemon could end 4 ms after the signal, with other daemons' requests on the way to it. The word is now stepped before the question.

Ruled out: the flush of connections at the end (frames arrived whole in 100 of 100 repetitions), the handover itself (it had not begun).

--- a/internal/serve/daemon/daemon.go
+++ b/internal/serve/daemon/daemon.go
@@ -155,7 +155,9 @@
 // Drain refuses new requests and waits until those in progress have ended, or
 // the context has.
 func (daemon *Daemon) Drain(ctx context.Context) {
-	daemon.enqueue(promptLane, node.Shutdown{})
+	// The node must know before it is asked whether it is idle: until then it
+	// counts as idle whenever no request is open.
+	daemon.step(node.Shutdown{})
 	for !daemon.idle() {
 		select {
 		case <-ctx.Done():
