owner: nothing is evicted before the engine has seen the new number

An engine that checks fencing numbers learns of a new one only by an order. The new owner's quiet period counted from its claim, so that a former owner that had not heard of it could still begin a run, which a lagging report did not show: its adapter was evicted under it. The new owner shows its number by the cancel of a run that never was, and evicts nothing before a report taken after the answer.

--- a/internal/decide/node/owning.go
+++ b/internal/decide/node/owning.go
@@ -242,6 +242,9 @@
 	delete(node.owning.handed, engine.Name)
 	delete(node.owning.heirs, engine.Name)
 	held.owner.TakeOver(node.now+quiet, handover.Runs)
+	if engine.ChecksFencing {
+		held.owner.AwaitNumber()
+	}
 	node.emit(effect.Audit{
 		At: node.now, Kind: effect.OwnershipClaimed, Object: string(engine.Name),
 		Cause: cause, Before: versionText(uint64(highest)), After: versionText(uint64(fence)),
@@ -292,6 +295,7 @@
 func (node *Node) tickOwned(name ident.EngineID, held *owned) {
 	if node.now-held.readAt >= node.options.ReadInterval {
 		held.readAt = node.now
+		node.showNumber(name, held)
 		node.emit(effect.ReadEngine{Engine: name, Fence: held.owner.Fence, At: node.now})
 	}
 	node.permit(name, held)
@@ -380,6 +384,10 @@
 
 func (node *Node) runEnded(event RunEnded) {
 	if held, known := node.owning.owned[event.Engine]; known {
+		if event.Result.Stream == node.numberStream(held) {
+			held.owner.NumberSeen(node.now + node.options.Ownership.ReportLag)
+			return
+		}
 		node.permit(event.Engine, held)
 		node.ownerEffects(held, held.owner.RunEnded(node.now, event.Result))
 		if event.Result.Result == owner.ResultFenced {
@@ -392,6 +400,19 @@
 	node.forgetFormer(event.Engine)
 }
 
+// showNumber lets an engine that checks fencing numbers see this owner's, by the
+// cancel of a run that never was.
+func (node *Node) showNumber(name ident.EngineID, held *owned) {
+	if held.owner.NumberUnseen() {
+		node.emit(effect.CancelRun{Stream: node.numberStream(held), Engine: name, Fence: held.owner.Fence})
+	}
+}
+
+// numberStream is an id that no attempt has: the number stands for the life.
+func (node *Node) numberStream(held *owned) ident.StreamID {
+	return ident.StreamID{Daemon: node.options.Self, Incarnation: ident.Incarnation(held.owner.Fence)}
+}
+
 // fenced takes in that the engine has seen a higher number.
 func (node *Node) fenced(name ident.EngineID) {
 	node.outbid(name, "the engine refused an order for its old fencing number")
--- a/internal/decide/owner/takeover.go
+++ b/internal/decide/owner/takeover.go
@@ -23,6 +23,8 @@
 type takeover struct {
 	// quietUntil is when a report must have been taken before anything is evicted.
 	quietUntil clock.Millis
+	// unseen says that the engine may still take orders under an older number.
+	unseen bool
 	// foreign holds unfinished runs that another owner dispatched, by run id.
 	foreign map[string]*foreignRun
 	// suspended says that no run may be dispatched and no other order given.
@@ -58,6 +60,26 @@
 	}
 }
 
+// AwaitNumber holds evictions back until the engine has seen this owner's number:
+// before, it takes orders of a former owner that does not know of this one.
+func (owner *Owner) AwaitNumber() {
+	owner.takeover.unseen = true
+}
+
+// NumberSeen says that the engine refuses older numbers from now on. Reports from
+// the given time on show all that former owners began.
+func (owner *Owner) NumberSeen(quietUntil clock.Millis) {
+	if owner.takeover.unseen {
+		owner.takeover.unseen = false
+		owner.takeover.quietUntil = max(owner.takeover.quietUntil, quietUntil)
+	}
+}
+
+// NumberUnseen reports whether the engine is not known to have seen the number.
+func (owner *Owner) NumberUnseen() bool {
+	return owner.takeover.unseen
+}
+
 // Suspend allows or forbids dispatches and orders. Reports, cancels and the
 // ends of runs are taken in either way.
 func (owner *Owner) Suspend(suspended bool) {
@@ -145,7 +167,7 @@
 
 // mayEvict reports whether the quiet period after a takeover is over.
 func (owner *Owner) mayEvict() bool {
-	return owner.reportedAt >= owner.takeover.quietUntil
+	return !owner.takeover.unseen && owner.reportedAt >= owner.takeover.quietUntil
 }
 
 func (owner *Owner) pinForeign(id string, adapter ident.Adapter) *foreignRun {
