link: pings do not grow with the number of peers

At 78 daemons a region has 231 lanes to a daemon; a ping a second on each would be some 45 KB/s both ways with headers, three times the budget of control traffic. Pings of a daemon over all lanes are now at least 50 ms apart and the silence of a lane is three pings, which leaves seven daemons as they were. Daemons that fall silent are noticed by their updates.

--- a/internal/inner/link/conn.go
+++ b/internal/inner/link/conn.go
@@ -34,7 +34,9 @@
 	peer   ident.DaemonID
 	lane   message.Lane
 	socket *websocket.Conn
-	timing Timing
+	// timing is asked anew for each ping and each read: it changes with the
+	// number of peers.
+	timing func() Timing
 
 	mutex   sync.Mutex // guards pending, closed
 	pending *bytes.Buffer
@@ -42,7 +44,7 @@
 	wake    chan struct{} // holds a token while pending is not empty
 }
 
-func newConn(peer ident.DaemonID, lane message.Lane, socket *websocket.Conn, timing Timing) *conn {
+func newConn(peer ident.DaemonID, lane message.Lane, socket *websocket.Conn, timing func() Timing) *conn {
 	return &conn{
 		peer: peer, lane: lane, socket: socket, timing: timing,
 		pending: &bytes.Buffer{}, wake: make(chan struct{}, 1),
@@ -128,7 +130,7 @@
 func (conn *conn) read(handler Handler) error {
 	conn.socket.SetReadLimit(maxMessage)
 	extend := func() error {
-		return conn.socket.SetReadDeadline(time.Now().Add(conn.timing.Silence.Duration()))
+		return conn.socket.SetReadDeadline(time.Now().Add(conn.timing().Silence.Duration()))
 	}
 	conn.socket.SetPongHandler(func(string) error { return extend() })
 	conn.socket.SetPingHandler(func(data string) error {
@@ -150,7 +152,7 @@
 }
 
 func (conn *conn) write(ctx context.Context) error {
-	ping := time.NewTicker(conn.timing.Ping.Duration())
+	ping := time.NewTimer(conn.timing().Ping.Duration())
 	defer ping.Stop()
 	spare := &bytes.Buffer{}
 	for {
@@ -159,13 +161,14 @@
 			conn.finish(spare)
 			return nil
 		case <-ping.C:
-			err := conn.socket.WriteControl(websocket.PingMessage, nil, time.Now().Add(conn.timing.Silence.Duration()))
+			ping.Reset(conn.timing().Ping.Duration())
+			err := conn.socket.WriteControl(websocket.PingMessage, nil, time.Now().Add(conn.timing().Silence.Duration()))
 			if err != nil {
 				return errors.Wrap(err, "ping")
 			}
 		case <-conn.wake:
 			batch := conn.swap(spare)
-			if err := conn.flush(batch, conn.timing.Silence); err != nil {
+			if err := conn.flush(batch, conn.timing().Silence); err != nil {
 				return err
 			}
 			spare = recycle(batch)
--- a/internal/inner/link/link_test.go
+++ b/internal/inner/link/link_test.go
@@ -155,3 +155,12 @@
 	dialing.stop()
 	wait(t, func() bool { return dialed.got.chunksOf(stream) == count })
 }
+
+// TestPingsStayFewWithManyPeers: the pings of a daemon do not grow with its lanes.
+func TestPingsStayFewWithManyPeers(t *testing.T) {
+	timing := link.DefaultTiming()
+	require.Equal(t, timing, timing.Scaled(18), "seven daemons keep the spans of the settings")
+	large := timing.Scaled(231)
+	require.LessOrEqual(t, float64(231)/large.Ping.Seconds(), 20.0)
+	require.GreaterOrEqual(t, large.Silence, 3*large.Ping)
+}
--- a/internal/inner/link/set.go
+++ b/internal/inner/link/set.go
@@ -59,6 +59,23 @@
 	return Timing{Ping: clock.Second, Silence: 3 * clock.Second, Redial: 250 * clock.Millisecond}
 }
 
+// pingSpan is the least span between two pings of a daemon over all its lanes.
+// With many peers each lane is pinged more rarely, so that pings stay a small
+// part of a daemon's control traffic; that a daemon is silent is noticed by its
+// updates, which come through relays.
+const pingSpan = 50 * clock.Millisecond
+
+// silencePings is the least number of pings that fit into the silence after
+// which a lane counts as lost.
+const silencePings = 3
+
+// Scaled returns the spans for a number of lanes.
+func (timing Timing) Scaled(lanes int) Timing {
+	timing.Ping = max(timing.Ping, pingSpan*clock.Millis(lanes))
+	timing.Silence = max(timing.Silence, silencePings*timing.Ping)
+	return timing
+}
+
 // Peer is a daemon to be connected with.
 type Peer struct {
 	Name    ident.DaemonID
@@ -142,7 +159,7 @@
 			_ = response.Body.Close()
 		}
 		if err == nil {
-			set.serve(ctx, newConn(peer.Name, lane, socket, set.timing))
+			set.serve(ctx, newConn(peer.Name, lane, socket, set.pace))
 		}
 		select {
 		case <-ctx.Done():
@@ -164,7 +181,7 @@
 	if err != nil {
 		return // the upgrader has answered
 	}
-	set.serve(set.tasks.Context(), newConn(from, message.Lane(lane), socket, set.timing))
+	set.serve(set.tasks.Context(), newConn(from, message.Lane(lane), socket, set.pace))
 }
 
 // serve runs a connection to its end. A newer connection of the same lane
@@ -190,6 +207,13 @@
 	set.handler.Lost(conn.peer, conn.lane)
 }
 
+// pace returns the spans for the lanes there are now.
+func (set *Set) pace() Timing {
+	set.mutex.RLock()
+	defer set.mutex.RUnlock()
+	return set.timing.Scaled(len(set.conns))
+}
+
 func (set *Set) conn(peer ident.DaemonID, lane message.Lane) *conn {
 	set.mutex.RLock()
 	defer set.mutex.RUnlock()
