--- a/internal/decide/node/ownership_test.go
+++ b/internal/decide/node/ownership_test.go
@@ -1,9 +1,7 @@
 package node_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -18,25 +16,8 @@
 	"teaselmoor/internal/decide/outcome"
 )
 
-// historiesVariable sets how many histories each proof draws, and frees their
-// seed; without it a few histories of a fixed seed are run.
-const (
-	historiesVariable = "TEASELMOOR_HISTORIES"
-	fewHistories      = "12"
-)
-
-// checkHistories runs a proof over as many histories as asked for.
-func checkHistories(t *testing.T, history func(*rapid.T)) {
-	t.Helper()
-	count, seed := os.Getenv(historiesVariable), "0"
-	if count == "" {
-		count, seed = fewHistories, "1"
-	}
-	require.NoError(t, flag.Set("rapid.checks", count))
-	require.NoError(t, flag.Set("rapid.seed", seed))
-	require.NoError(t, flag.Set("rapid.nofailfile", "true"))
-	rapid.Check(t, history)
-}
+// fewHistories is the number of histories that each proof draws in CI.
+const fewHistories = 25
 
 // Bounds of the faults that a history draws. The list lag and the transit of an
 // order stay within what ownership.Options assume.
@@ -313,7 +294,7 @@
 	for name, checksFencing := range map[string]bool{"numbers checked": true, "numbers ignored": false} {
 		t.Run(name, func(t *testing.T) {
 			var total tally
-			checkHistories(t, func(t *rapid.T) {
+			nodetest.CheckHistories(t, fewHistories, func(t *rapid.T) {
 				drawn := newHistory(t, checksFencing)
 				drawn.run()
 				total.add(drawn)
