daemon: the reader of a lane steps what it has read

A message waited for a worker to wake before it was stepped. The reader now takes the next job itself after it has queued its own, so that urgent jobs still go first and a routine message never overtakes them.

--- a/internal/serve/daemon/peers.go
+++ b/internal/serve/daemon/peers.go
@@ -16,10 +16,11 @@
 	event := node.Received{From: from, Message: received}
 	lane := laneOf(received.Lane())
 	if ended, isEnd := received.(message.Ended); isEnd {
-		handler.daemon.enqueue(lane, handler.daemon.received(ended.Stream), event)
-		return
+		handler.daemon.jobs.push(lane, []node.Event{handler.daemon.received(ended.Stream), event})
+	} else {
+		handler.daemon.jobs.push(lane, []node.Event{event})
 	}
-	handler.daemon.enqueue(lane, event)
+	handler.daemon.workOnce()
 }
 
 // Head opens an answer.
--- a/internal/serve/daemon/step.go
+++ b/internal/serve/daemon/step.go
@@ -59,16 +59,21 @@
 // work steps the node with queued events until the queue closes.
 func (daemon *Daemon) work(context.Context) error {
 	for daemon.jobs.wait() {
-		daemon.exclusive(func() {
-			for _, event := range daemon.jobs.take() {
-				daemon.stepLocked(event)
-			}
-		})
-		daemon.flush()
+		daemon.workOnce()
 	}
 	return nil
 }
 
+// workOnce steps the node with the next job, if there is one.
+func (daemon *Daemon) workOnce() {
+	daemon.exclusive(func() {
+		for _, event := range daemon.jobs.take() {
+			daemon.stepLocked(event)
+		}
+	})
+	daemon.flush()
+}
+
 // step feeds one event to the node and returns once its effects are carried out.
 func (daemon *Daemon) step(event node.Event) {
 	daemon.exclusive(func() { daemon.stepLocked(event) })
