--- a/internal/decide/node/node_test.go
+++ b/internal/decide/node/node_test.go
@@ -109,3 +109,20 @@
 	}
 	require.Equal(t, map[outcome.Reason]int{outcome.Complete: 1, outcome.KeyInProgress: 2}, kinds)
 }
+
+// TestReadyOnlyWhileListedLive: the balancer is to leave out a daemon that the VM
+// list names as leaving or does not name.
+func TestReadyOnlyWhileListedLive(t *testing.T) {
+	network := newNetwork(t, 3, 2)
+	network.Run(15 * clock.Second)
+	ready := network.Nodes["daemon-1"].Node.Ready
+	require.True(t, ready())
+	vms := network.VMs()
+	vms[1].State = members.Leaving
+	network.SetVMs(vms)
+	network.Run(clock.Second)
+	require.False(t, ready())
+	network.SetVMs(append(vms[:1:1], vms[2:]...))
+	network.Run(clock.Second)
+	require.False(t, ready())
+}
--- a/internal/decide/node/status.go
+++ b/internal/decide/node/status.go
@@ -88,12 +88,21 @@
 	return listed
 }
 
-// Ready reports whether the daemon can serve callers.
+// Ready reports whether the daemon can serve callers. One that the VM list does
+// not name as live has no engines or keys of its own, and is about to end.
 func (node *Node) Ready() bool {
-	return node.rollout.Ready() && node.config != nil && node.vms != nil && !node.draining && (node.informed || node.informedNow()) &&
+	return node.listedLive() && node.rollout.Ready() && node.config != nil && node.vms != nil && !node.draining && (node.informed || node.informedNow()) &&
 		node.home.VouchesFresh(node.now)
 }
 
+func (node *Node) listedLive() bool {
+	if node.vms == nil {
+		return false
+	}
+	vm, listed := node.vms.Daemon(node.options.Self)
+	return listed && vm.State == members.Live
+}
+
 // warmUp is the span after which a daemon serves callers although it has not
 // heard of every engine.
 const warmUp = 10 * clock.Second
--- a/internal/standin/modelengine/cache.go
+++ b/internal/standin/modelengine/cache.go
@@ -2,10 +2,11 @@
 
 import (
 	"encoding/json"
-	"hash/fnv"
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // EventsPath is where the engine shows cache events; After in the query is the
@@ -51,9 +52,7 @@
 
 // use brings a prompt's prefix into the cache.
 func (cache *prefixCache) use(model, prompt string) {
-	digest := fnv.New64a()
-	_, _ = digest.Write([]byte(prompt[:min(len(prompt), prefixBytes)]))
-	wanted := cachedPrefix{model: model, prefix: digest.Sum64()}
+	wanted := cachedPrefix{model: model, prefix: xxhash.Sum64String(prompt[:min(len(prompt), prefixBytes)])}
 	for at, present := range cache.used {
 		if present == wanted {
 			cache.used = append(append(cache.used[:at:at], cache.used[at+1:]...), wanted)
