owner: a failed load gives the pins of its slot back

A run of a former owner had been pinned to an adapter that this owner was loading; the load failed, because the adapter was there already, and the slot was emptied and filled anew with its pin lost, while the run still held it.

Ruled out: taking the load as done because a run uses the adapter, which would be wrong for a resumed run that does not exist.

The holders of the pins lose their slot with it and are pinned anew where the next report shows their adapter.

--- a/internal/decide/outcome/outcome_test.go
+++ b/internal/decide/outcome/outcome_test.go
@@ -133,11 +133,12 @@
 	t.Logf("%+v", total)
 }
 
-// TestLateCopyIsNotRun repeats a history in which a copy of a submit arrived
-// after its request had been refused and its engine handed over.
-func TestLateCopyIsNotRun(t *testing.T) {
+// TestHistoriesThatShowedFaults repeats two histories. In the first a copy of a
+// submit arrived after its request had been refused and its engine handed over;
+// in the second a load failed at a slot that a former owner's run was pinned to.
+func TestHistoriesThatShowedFaults(t *testing.T) {
 	var total tally
-	nodetest.CheckSeeds(t, []uint64{41811044}, total.outcomeHistory)
+	nodetest.CheckSeeds(t, []uint64{41811044, 1798561}, total.outcomeHistory)
 }
 
 // tally sums what histories went through and what callers were told.
--- a/internal/decide/owner/loading.go
+++ b/internal/decide/owner/loading.go
@@ -146,6 +146,7 @@
 func (owner *Owner) loadFailed(now clock.Millis, at int, adapter ident.Adapter) {
 	slotTable.Must(&owner.slots[at].state, failLoad)
 	delete(owner.resident, adapter)
+	owner.unplace(at)
 	if wanted := owner.backlog.wants[adapter]; wanted != nil {
 		wanted.granted = false
 	}
--- a/internal/decide/owner/takeover.go
+++ b/internal/decide/owner/takeover.go
@@ -193,6 +193,26 @@
 	return at
 }
 
+// unplace takes the pins off a slot that turned out to be empty. Runs of a former
+// owner, or resumed ones, may have been pinned to an adapter while it was being
+// loaded; they are pinned anew when a report shows where their adapter is.
+func (owner *Owner) unplace(at int) {
+	if owner.slots[at].pins == 0 {
+		return
+	}
+	for _, found := range owner.runs {
+		if found.state != runWaiting && found.slot == at {
+			found.slot = noSlot
+		}
+	}
+	for _, foreign := range owner.takeover.foreign {
+		if foreign.slot == at {
+			foreign.slot = noSlot
+		}
+	}
+	owner.slots[at].pins = 0
+}
+
 // release gives a pin and the run's place in the batch back.
 func (owner *Owner) release(at int) {
 	invariant.Check(owner.running > 0, "every run leaves the batch once", "slot %d", at)
--- a/internal/decide/owner/takeover_test.go
+++ b/internal/decide/owner/takeover_test.go
@@ -165,3 +165,29 @@
 	require.True(t, done)
 	require.False(t, taken.Busy())
 }
+
+// TestFailedLoadGivesPinsBack pins a former owner's run to an adapter that is
+// being loaded. The load fails, because the adapter is there already: the pin
+// goes to the slot that the next report shows it in, and is released once.
+func TestFailedLoadGivesPinsBack(t *testing.T) {
+	bench := newBench(t, 2, 4)
+	own := bench.submit(1, config.Routine, true)
+	require.Len(t, bench.loads, 1)
+	adapter := bench.loads[0]
+	former := []owner.ReportedRun{{Run: "former-1-1", Adapter: adapter}}
+	reports := []owner.Report{
+		{Boot: "boot", Runs: former},
+		{Boot: "boot", Runs: former, Resident: []ident.Adapter{adapter}},
+		{Boot: "boot", Resident: []ident.Adapter{adapter}},
+	}
+	for i, report := range reports {
+		bench.now += clock.Second
+		bench.take(bench.owner.Reported(bench.now, report))
+		if i == 0 {
+			bench.loadOnce(true)
+		}
+	}
+	require.Contains(t, bench.running, own)
+	bench.end(own, owner.ResultComplete)
+	require.Equal(t, []ident.Adapter{adapter}, bench.owner.State(bench.now).Resident)
+}
