--- a/internal/decide/node/orders.go
+++ b/internal/decide/node/orders.go
@@ -19,6 +19,7 @@
 	}
 }
 
+// submitted queues a request at its engine, or sends it where the engine went.
 func (node *Node) submitted(from ident.DaemonID, submit message.Submit) {
 	if submit.Entry != "" {
 		from = submit.Entry
--- a/internal/integration/daemons/killed_test.go
+++ b/internal/integration/daemons/killed_test.go
@@ -19,6 +19,18 @@
 	return open
 }
 
+// beginKeyed starts a site and begins a long streamed answer under a key, at an
+// entry that is not the engine's owner.
+func beginKeyed(t *testing.T, task string) (*harness.Site, harness.Call, *harness.Open) {
+	t.Helper()
+	running := harness.New(t, oneEngine())
+	_, entry := ownerAndEntry(running)
+	model := running.Adapter(task)
+	waitVouched(running, running.Daemons[entry], model)
+	call := harness.NewCall(model, longTokens).Streamed().Keyed()
+	return running, call, beginLong(t, running.Daemons[entry], call)
+}
+
 // waitVouched waits until a key that is issued now is vouched for.
 func waitVouched(running *harness.Site, entry *harness.Daemon, model string) {
 	running.WaitFor("keys vouched for", func() bool {
@@ -36,12 +48,8 @@
 	for _, task := range []string{"review", "quote"} {
 		t.Run(task, func(t *testing.T) {
 			t.Parallel()
-			running := harness.New(t, oneEngine())
-			owner, entry := ownerAndEntry(running)
-			model := running.Adapter(task)
-			waitVouched(running, running.Daemons[entry], model)
-			call := harness.NewCall(model, longTokens).Streamed().Keyed()
-			open := beginLong(t, running.Daemons[entry], call)
+			running, call, open := beginKeyed(t, task)
+			owner, _ := ownerAndEntry(running)
 			running.Daemons[owner].Kill()
 			running.SetVMs(running.Without(owner))
 			told := open.Finish()
@@ -102,19 +110,15 @@
 	for _, task := range []string{"review", "quote"} {
 		t.Run(task, func(t *testing.T) {
 			t.Parallel()
-			running := harness.New(t, oneEngine())
+			running, call, open := beginKeyed(t, task)
 			owner, entry := ownerAndEntry(running)
-			model := running.Adapter(task)
-			waitVouched(running, running.Daemons[entry], model)
-			call := harness.NewCall(model, longTokens).Streamed().Keyed()
-			open := beginLong(t, running.Daemons[entry], call)
 			running.Daemons[owner].Freeze()
 			told := open.Finish()
 			require.NotEmpty(t, told.Kind, "a frozen peer is noticed")
 			running.Daemons[owner].Wake()
 			running.Judge(call, told)
 			running.WaitFor("service again", func() bool {
-				next := harness.NewCall(model, 3).Keyed()
+				next := harness.NewCall(running.Adapter(task), 3).Keyed()
 				told := running.Daemons[entry].Do(next)
 				running.Judge(next, told)
 				return told.Kind == outcome.Answered
--- a/internal/serve/daemon/daemon.go
+++ b/internal/serve/daemon/daemon.go
@@ -1,10 +1,11 @@
 // Package daemon carries out what the decision machines ask for: it joins a
 // node with connections, engine and service clients, the platform and timers.
 //
-// Events go through a pool of workers, urgent ones first. Each worker holds the
+// Events go through a pool of workers, urgent ones first; the reader of a lane
+// takes the next job itself after queueing what it read. Whoever steps holds the
 // node's lock for one step and carries out the effects after letting it go, in
-// the order of the steps. Lock order: node, then outbox, then streams, then the locks of a single inbox, window or
-// connection. No lock but that of the VM list reader is held during I/O.
+// the order of the steps. Lock order: node, then outbox, then streams, then the
+// locks of a single inbox, window or connection. No lock but that of the VM list reader is held during I/O.
 package daemon
 
 import (
