direct: daemons that know each other by a third one's word meet; an unload that waits keeps its place

Cause of two holders under one number: a daemon told only those that it had heard, so daemons that are no seeds never heard each other and claimed the same servers. Cause of the crashed servers: two holders, each with a report some hundred milliseconds old.

--- a/internal/direct/gateway/gossip.go
+++ b/internal/direct/gateway/gossip.go
@@ -167,36 +167,28 @@
 	return len(core.work.Own().Loads) > 0
 }
 
+// tellAll updates everyone that there is a connection to, heard or not: daemons
+// that know each other by a third one's word only meet this way.
 func (gateway *Gateway) tellAll(now clock.Millis) {
-	for address, update := range gateway.core.updates(now) {
+	for address, update := range gateway.core.updates(now, gateway.mesh.Addresses()) {
 		gateway.send(address, peers.Message{Update: update})
 	}
-	for _, seed := range gateway.core.unmetSeeds() {
-		gateway.send(seed, peers.Message{Update: gateway.core.introduction(now)})
-	}
 }
 
 // updates returns what to tell each peer.
-func (core *core) updates(now clock.Millis) map[string]*peers.Update {
+func (core *core) updates(now clock.Millis, addresses []string) map[string]*peers.Update {
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
 	common := core.update(now)
-	updates := make(map[string]*peers.Update, len(core.peers))
-	for _, known := range core.peers {
+	updates := make(map[string]*peers.Update, len(addresses))
+	for _, address := range addresses {
 		update := common
-		update.Tables = core.newTables(known.member.Address)
-		updates[known.member.Address] = &update
+		update.Tables = core.newTables(address)
+		updates[address] = &update
 	}
 	return updates
 }
 
-func (core *core) introduction(now clock.Millis) *peers.Update {
-	core.mutex.Lock()
-	defer core.mutex.Unlock()
-	update := core.update(now)
-	return &update
-}
-
 // update is what all peers are told. The mutex is held.
 func (core *core) update(now clock.Millis) peers.Update {
 	own := core.work.Own()
@@ -233,23 +225,6 @@
 	return tables
 }
 
-// unmetSeeds returns the seeds that no known peer listens at.
-func (core *core) unmetSeeds() []string {
-	core.mutex.Lock()
-	defer core.mutex.Unlock()
-	met := map[string]bool{core.settings.PeerAddress: true}
-	for _, known := range core.peers {
-		met[known.member.Address] = true
-	}
-	var unmet []string
-	for _, seed := range core.settings.Seeds {
-		if !met[seed] {
-			unmet = append(unmet, seed)
-		}
-	}
-	return unmet
-}
-
 // tick does what passing time calls for.
 func (gateway *Gateway) tick(now clock.Millis) {
 	core := gateway.core
--- a/internal/direct/gateway/orders.go
+++ b/internal/direct/gateway/orders.go
@@ -63,7 +63,7 @@
 		wake: make(chan struct{}, 1), stop: cancel,
 	}
 	core.orders[server] = held
-	core.log.Info("orders taken over", "Server", server, "Fence", fence)
+	core.log.Info("orders taken over", "Server", server, "Fence", fence, "Live", core.tenure.Live(core.now()))
 	gateway.group.Go("orders "+server, func(context.Context) error { return gateway.order(ctx, server, held) })
 }
 
--- a/internal/direct/loading/planner.go
+++ b/internal/direct/loading/planner.go
@@ -55,7 +55,8 @@
 type slot struct {
 	version int
 	loading bool
-	checkAt clock.Millis // when to ask whether the load has ended
+	leaving bool         // an unload was accepted and waits for runs to end
+	checkAt clock.Millis // when to ask whether the load or unload has ended
 	checks  int
 	score   float64 // uses, halved each HalfLife
 	usedAt  clock.Millis
@@ -172,7 +173,7 @@
 func (planner *Planner) Table() (number int64, models []string, slots []fleet.Slot) {
 	models = slices.Sorted(maps.Keys(planner.models))
 	for adapter, held := range planner.slots {
-		slots = append(slots, fleet.Slot{Adapter: adapter, Version: held.version, Coming: held.loading})
+		slots = append(slots, fleet.Slot{Adapter: adapter, Version: held.version, Coming: held.loading || held.leaving})
 	}
 	slices.SortFunc(slots, func(a, b fleet.Slot) int { return byName(a.Adapter, b.Adapter) })
 	return planner.number, models, slots
@@ -235,9 +236,13 @@
 // answers that it holds, at once and cheaper than a report, which lags.
 func (planner *Planner) nextCheck(now clock.Millis) (port.Order, bool) {
 	for adapter, held := range planner.slots {
-		if held.loading && now >= held.checkAt {
-			return port.Order{Load: true, Adapter: adapter, Version: held.version}, true
+		if now < held.checkAt || !held.loading && !held.leaving {
+			continue
+		}
+		if held.leaving {
+			return port.Order{Adapter: adapter}, true
 		}
+		return port.Order{Load: true, Adapter: adapter, Version: held.version}, true
 	}
 	return port.Order{}, false
 }
@@ -246,7 +251,7 @@
 func (planner *Planner) nextVersion(uses Uses, newest func(port.Adapter) int) (port.Order, bool) {
 	for adapter, held := range planner.slots {
 		version := newest(adapter)
-		if held.loading || held.version >= version {
+		if held.loading || held.leaving || held.version >= version {
 			continue
 		}
 		if uses(adapter) > 0 || planner.wants[adapter] != nil {
@@ -277,7 +282,7 @@
 	var first port.Adapter
 	var best *want
 	for adapter, wanted := range planner.wants {
-		if held, ok := planner.slots[adapter]; ok && (held.loading || held.version >= wanted.version) || !planner.models[adapter.Model] {
+		if held, ok := planner.slots[adapter]; ok && (held.loading || held.leaving || held.version >= wanted.version) || !planner.models[adapter.Model] {
 			continue
 		}
 		if best == nil || wanted.rank < best.rank || wanted.rank == best.rank && wanted.since < best.since {
@@ -321,7 +326,7 @@
 	var victim port.Adapter
 	least := -1.0
 	for adapter, held := range planner.slots {
-		if held.loading || now-held.usedAt < planner.options.Settle || planner.wants[adapter] != nil || uses(adapter) > 0 {
+		if held.loading || held.leaving || now-held.usedAt < planner.options.Settle || planner.wants[adapter] != nil || uses(adapter) > 0 {
 			continue
 		}
 		score := planner.score(now, held)
@@ -347,7 +352,7 @@
 		earlier(checkAt)
 	}
 	for _, held := range planner.slots {
-		if held.loading {
+		if held.loading || held.leaving {
 			earlier(held.checkAt)
 		}
 	}
@@ -378,12 +383,24 @@
 	case order.Adapter.Name == "":
 		planner.modelAccepted(now, order.Adapter.Model, holds)
 	case !order.Load:
-		delete(planner.slots, order.Adapter)
+		planner.unloadAccepted(now, order.Adapter, holds)
 	default:
 		planner.loadAccepted(now, order, holds, crowd)
 	}
 }
 
+// unloadAccepted frees the place once nothing runs on the adapter any more: until
+// then the server still counts it.
+func (planner *Planner) unloadAccepted(now clock.Millis, adapter port.Adapter, holds bool) {
+	held, ok := planner.slots[adapter]
+	if holds || !ok {
+		delete(planner.slots, adapter)
+		return
+	}
+	held.leaving = true
+	held.checkAt = now + planner.options.CheckInterval
+}
+
 func (planner *Planner) modelAccepted(now clock.Millis, model string, holds bool) {
 	if holds {
 		planner.models[model] = true
--- a/internal/direct/peers/mesh.go
+++ b/internal/direct/peers/mesh.go
@@ -91,6 +91,19 @@
 	}
 }
 
+// Addresses returns the addresses that there is a connection to.
+func (mesh *Mesh) Addresses() []string {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	var addresses []string
+	for address, known := range mesh.peers {
+		if known.queue != nil {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
 // Send queues a message for the daemon at an address. It reports false when
 // there is no connection; a message may also be lost with its connection.
 func (mesh *Mesh) Send(address string, message Message) (bool, error) {
--- a/internal/direct/tenure/tenure.go
+++ b/internal/direct/tenure/tenure.go
@@ -9,9 +9,9 @@
 	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/base/ident"
+	"teaselmoor/internal/decide/ownership"
 )
 
 // Options are the times of claims.
@@ -64,7 +64,6 @@
 	barred  clock.Millis            // no orders before this time
 	heard   map[string]clock.Millis // peers, and when they were heard
 	holders map[string]*holder
-	floor   int64 // no own fencing number is below it
 }
 
 // New returns the tenure of a daemon that starts now.
@@ -134,10 +133,10 @@
 	if now < tenure.barred || now < tenure.started+tenure.options.Quiet {
 		return nil
 	}
-	live := tenure.live(now)
+	live := tenure.Live(now)
 	var taken []string
 	for _, server := range servers {
-		if first(live, server) == tenure.self && tenure.free(now, server) {
+		if tenure.first(live, server) && tenure.free(now, server) {
 			tenure.take(now, server)
 			taken = append(taken, server)
 		}
@@ -145,7 +144,8 @@
 	return taken
 }
 
-func (tenure *Tenure) live(now clock.Millis) []string {
+// Live returns the daemons that were heard of late, this one first.
+func (tenure *Tenure) Live(now clock.Millis) []string {
 	live := []string{tenure.self}
 	for peer, at := range tenure.heard {
 		if now-at < tenure.options.Suspicion {
@@ -155,6 +155,16 @@
 	return live
 }
 
+// first reports whether this daemon is the one for a server by rendezvous hash.
+func (tenure *Tenure) first(live []string, server string) bool {
+	daemons := make([]ident.DaemonID, 0, len(live))
+	for _, daemon := range live {
+		daemons = append(daemons, ident.DaemonID(daemon))
+	}
+	best, _ := ownership.First(server, daemons)
+	return best == ident.DaemonID(tenure.self)
+}
+
 // free reports whether no daemon orders a server and the quiet span is over.
 func (tenure *Tenure) free(now clock.Millis, server string) bool {
 	known, ok := tenure.holders[server]
@@ -176,7 +186,7 @@
 		known = &holder{}
 		tenure.holders[server] = known
 	}
-	known.fence = max(int64(tenure.wall()), known.fence+1, tenure.floor)
+	known.fence = int64(ownership.NextFence(tenure.wall(), ident.DaemonID(tenure.self), ident.Fence(known.fence)))
 	known.owner = tenure.self
 	known.heardAt = now
 }
@@ -223,8 +233,9 @@
 }
 
 // fenceStep is how far the next fencing number lies above one that a server
-// refused: more than clocks are apart, in milliseconds.
-const fenceStep = 10_000
+// refused: ten seconds of a wall clock's milliseconds, which is more than clocks
+// are apart, above the bits that tell daemons apart.
+const fenceStep = 10_000 << 10
 
 // Fenced gives a server up: it has seen a higher number.
 func (tenure *Tenure) Fenced(now clock.Millis, server string) {
@@ -274,18 +285,3 @@
 	}
 	return known.owner, now-known.heardAt < tenure.options.Suspicion
 }
-
-func first(daemons []string, server string) string {
-	best, most := "", uint64(0)
-	for _, daemon := range daemons {
-		var digest xxhash.Digest
-		digest.Reset()
-		_, _ = digest.WriteString(daemon)
-		_, _ = digest.WriteString("\x00")
-		_, _ = digest.WriteString(server)
-		if score := digest.Sum64(); best == "" || score > most {
-			best, most = daemon, score
-		}
-	}
-	return best
-}
