direct: what is wanted counts as coming; uses through other daemons count

Cause: an adapter that was asked for but not yet ordered was invisible, so each request asked at another server; uses through other daemons were not counted, so adapters in use were evicted first. Ruled out: too few places (153 for 361 adapters).

--- a/internal/direct/choose/choose.go
+++ b/internal/direct/choose/choose.go
@@ -44,6 +44,7 @@
 	Version    int          // least version of the adapter
 	Prompt     int          // tokens
 	Tried      []string     // servers that had the request before
+	Waiting    string       // the server that is loading the adapter for the request; empty if none
 }
 
 // Choice is a server and why it was chosen.
@@ -66,7 +67,7 @@
 func (weights Weights) Choose(query Query, adapterHash uint64, servers *fleet.Fleet, work *tally.Tally) (Choice, bool) {
 	usable := servers.Usable(query.Service)
 	copies := held(usable, query)
-	best := Choice{}
+	best, waiting := Choice{}, Choice{}
 	for _, member := range usable {
 		if tried(query.Tried, member.ID) {
 			continue
@@ -76,10 +77,18 @@
 		if !choice.Held {
 			choice.Cost += weights.load(query, member, usable, adapterHash, copies)
 		}
+		if member.ID == query.Waiting && !choice.Held {
+			waiting = choice
+		}
 		if best.Member == nil || choice.Cost < best.Cost {
 			best = choice
 		}
 	}
+	// A request that waits stays where it waits, unless another server can run it
+	// at once: moving on would have the adapter loaded at two servers.
+	if waiting.Member != nil && !best.Held && !waiting.Member.Suspect(query.Now) {
+		return waiting, true
+	}
 	return best, best.Member != nil
 }
 
--- a/internal/direct/gateway/dispatch.go
+++ b/internal/direct/gateway/dispatch.go
@@ -123,7 +123,7 @@
 	var waitingAt tally.Use
 	for {
 		now := core.now()
-		choice, ok := core.choose(core.query(now, job), job.hash)
+		choice, ok := core.choose(core.query(now, job, waitingAt.Server), job.hash)
 		if !ok {
 			core.unplace(waitingAt, job)
 			return placed{}, &verdict{status: http.StatusServiceUnavailable, reason: reasonNoServer}
@@ -161,10 +161,10 @@
 	return &verdict{status: http.StatusServiceUnavailable, reason: reasonLoadWait}
 }
 
-func (core *core) query(now clock.Millis, job *job) choose.Query {
+func (core *core) query(now clock.Millis, job *job, waiting string) choose.Query {
 	return choose.Query{
 		Now: now, Service: job.service, DataCentre: core.settings.DataCentre, Adapter: job.adapter,
-		Version: core.required(now, job.adapter), Prompt: job.call.Prompt, Tried: job.tried,
+		Version: core.required(now, job.adapter), Prompt: job.call.Prompt, Tried: job.tried, Waiting: waiting,
 	}
 }
 
--- a/internal/direct/gateway/gossip.go
+++ b/internal/direct/gateway/gossip.go
@@ -7,6 +7,7 @@
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/fleet"
 	"teaselmoor/internal/direct/peers"
+	"teaselmoor/internal/direct/tally"
 )
 
 // Received implements peers.Handler.
@@ -63,7 +64,7 @@
 	known.leaving = update.Leaving
 	known.revision = update.StoreRevision
 	known.version = update.Version
-	core.work.Peer(update.From.Name, update.Share)
+	core.countUses(now, core.work.Peer(update.From.Name, update.Share))
 	core.tenure.Heard(now, update.From.Name, update.Claims)
 	if update.Leaving {
 		core.tenure.Left(update.From.Name)
@@ -71,6 +72,16 @@
 	core.takeTables(update.Tables)
 }
 
+// countUses has planners know how often adapters are used through other daemons.
+// The mutex is held.
+func (core *core) countUses(now clock.Millis, uses map[tally.Use]int) {
+	for use, more := range uses {
+		if held, ok := core.orders[use.Server]; ok {
+			held.planner.Used(now, use.Adapter, more)
+		}
+	}
+}
+
 func (core *core) takeTables(tables []fleet.Table) {
 	news := false
 	for _, table := range tables {
@@ -100,6 +111,7 @@
 		core.publish(want.Server, held)
 	}
 	held.planner.Want(now, want.Adapter, want.Version, want.Rank, now+want.Left)
+	core.publish(want.Server, held)
 	held.poke()
 }
 
--- a/internal/direct/loading/planner.go
+++ b/internal/direct/loading/planner.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 
 	"teaselmoor/internal/base/clock"
@@ -139,6 +140,7 @@
 	wanted, ok := planner.wants[adapter]
 	if !ok {
 		planner.wants[adapter] = &want{version: version, rank: rank, since: now, until: until}
+		planner.number++
 		return
 	}
 	wanted.version = max(wanted.version, version)
@@ -157,8 +159,7 @@
 }
 
 func (planner *Planner) score(now clock.Millis, held *slot) float64 {
-	halfLife := float64(planner.options.HalfLife)
-	return held.score * halfLife / (halfLife + float64(now-held.usedAt))
+	return held.score * math.Exp2(-float64(now-held.usedAt)/float64(planner.options.HalfLife))
 }
 
 // Absent notes that the server refused a request because it lacks the adapter.
@@ -169,12 +170,19 @@
 	}
 }
 
-// Table returns what the server holds, to be told to the other daemons.
+// Table returns what the server holds, to be told to the other daemons. What is
+// wanted counts as coming, so that other requests for it wait at the same server
+// instead of having it loaded at a second one.
 func (planner *Planner) Table() (number int64, models []string, slots []fleet.Slot) {
 	models = slices.Sorted(maps.Keys(planner.models))
 	for adapter, held := range planner.slots {
 		slots = append(slots, fleet.Slot{Adapter: adapter, Version: held.version, Coming: held.loading || held.leaving})
 	}
+	for adapter, wanted := range planner.wants {
+		if _, held := planner.slots[adapter]; !held {
+			slots = append(slots, fleet.Slot{Adapter: adapter, Version: wanted.version, Coming: true})
+		}
+	}
 	slices.SortFunc(slots, func(a, b fleet.Slot) int { return byName(a.Adapter, b.Adapter) })
 	return planner.number, models, slots
 }
@@ -210,7 +218,12 @@
 
 // expire drops wants whose requests have given up.
 func (planner *Planner) expire(now clock.Millis) {
-	maps.DeleteFunc(planner.wants, func(_ port.Adapter, wanted *want) bool { return now >= wanted.until })
+	for adapter, wanted := range planner.wants {
+		if now >= wanted.until {
+			delete(planner.wants, adapter)
+			planner.number++
+		}
+	}
 }
 
 // nextModel loads a base model where the server holds none: servers restart empty.
--- a/internal/direct/tally/tally.go
+++ b/internal/direct/tally/tally.go
@@ -88,11 +88,25 @@
 	return tally.own
 }
 
-// Peer replaces the share of another daemon.
-func (tally *Tally) Peer(name string, share Share) {
+// Peer replaces the share of another daemon. It returns the uses that are more
+// than before, with the difference, and those that have ended, with 0.
+func (tally *Tally) Peer(name string, share Share) map[Use]int {
+	changed := make(map[Use]int)
+	before := tally.peers[name].Uses
+	for use, uses := range share.Uses {
+		if more := uses - before[use]; more > 0 {
+			changed[use] = more
+		}
+	}
+	for use := range before {
+		if share.Uses[use] == 0 {
+			changed[use] = 0
+		}
+	}
 	tally.Forget(name)
 	tally.peers[name] = share
 	tally.apply(share, 1)
+	return changed
 }
 
 // Forget drops the share of a daemon that is gone.
