direct: the crowd at the weight store counts loads on their way only; hopeless requests are refused

Cause: adapters that were only wanted counted as on their way, so the end of a load was looked for seconds too late and its place stood idle meanwhile. Ruled out: slots all in use (loads of 250 ms took 2 s by the log of orders). Besides: requests are sent away from servers whose places are all in use, a crowded store gets one load a server, and what will take longer than the caller's patience is refused at once.

--- a/internal/direct/choose/choose.go
+++ b/internal/direct/choose/choose.go
@@ -18,6 +18,7 @@
 	Load            float64 // of an adapter that the server does not hold
 	Coming          float64 // what is left, on average, of a load on its way
 	Copy            float64 // for making a further copy of an adapter that is held elsewhere
+	Crowded         float64 // for each adapter in use beyond the places of the server
 	Step            float64 // for each step down the adapter's order of servers
 	Trouble         float64 // for a server that fails all its requests
 	Suspect         float64 // for a server that could not be reached
@@ -30,7 +31,7 @@
 func DefaultWeights() Weights {
 	return Weights{
 		ReadTokensPerMS: 20, Run: 4, Queued: 40,
-		Load: 300, Coming: 160, Copy: 150, Step: 40,
+		Load: 300, Coming: 160, Copy: 150, Crowded: 300, Step: 40,
 		Trouble: 1500, Suspect: 3000, Away: 1, Homes: 3,
 	}
 }
@@ -43,6 +44,7 @@
 	Adapter    port.Adapter // its name is empty for the base model, both for a plain service
 	Version    int          // least version of the adapter
 	Prompt     int          // tokens
+	Places     int          // for adapters at each server
 	Tried      []string     // servers that had the request before
 	Waiting    string       // the server that is loading the adapter for the request; empty if none
 }
@@ -75,7 +77,7 @@
 		choice := Choice{Member: member, Held: ready(member, query)}
 		choice.Cost = weights.base(query, servers, work, member)
 		if !choice.Held {
-			choice.Cost += weights.load(query, member, usable, adapterHash, copies)
+			choice.Cost += weights.load(query, member, usable, adapterHash, copies) + weights.crowding(query, member, work)
 		}
 		if member.ID == query.Waiting && !choice.Held {
 			waiting = choice
@@ -126,6 +128,16 @@
 	return cost
 }
 
+// crowding is the cost of a server whose places are taken by adapters in use:
+// one of them has to end before another adapter can be loaded.
+func (weights Weights) crowding(query Query, member *fleet.Member, work *tally.Tally) float64 {
+	beyond := work.Distinct(member.ID) + 1 - query.Places
+	if beyond <= 0 || query.Adapter.Name == "" {
+		return 0
+	}
+	return weights.Crowded * float64(beyond)
+}
+
 // stepsBefore counts the servers that come before member in the adapter's order.
 func stepsBefore(member *fleet.Member, usable []*fleet.Member, adapterHash uint64) int {
 	own := rank(adapterHash, member)
--- a/internal/direct/fleet/fleet.go
+++ b/internal/direct/fleet/fleet.go
@@ -46,7 +46,8 @@
 type Slot struct {
 	Adapter port.Adapter
 	Version int
-	Coming  bool // being loaded; not usable yet
+	Coming  bool // being loaded, or to be loaded; not usable yet
+	Queued  bool // coming, but the load has not begun
 }
 
 // Table is what the daemon that gives orders to a server says of its adapters.
@@ -91,15 +92,18 @@
 	return len(member.slots)
 }
 
-// Coming returns how many adapters are on their way to the server.
-func (member *Member) Coming() int {
-	coming := 0
+// Coming returns how many adapters are on their way to the server, and how many
+// wait for their load to begin.
+func (member *Member) Coming() (loading, queued int) {
 	for _, slot := range member.slots {
-		if slot.Coming {
-			coming++
+		switch {
+		case slot.Queued:
+			queued++
+		case slot.Coming:
+			loading++
 		}
 	}
-	return coming
+	return loading, queued
 }
 
 // Suspect reports whether the server could not be reached of late.
--- a/internal/direct/gateway/dispatch.go
+++ b/internal/direct/gateway/dispatch.go
@@ -14,6 +14,7 @@
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/catalog"
 	"teaselmoor/internal/direct/choose"
+	"teaselmoor/internal/direct/fleet"
 	"teaselmoor/internal/direct/peers"
 	"teaselmoor/internal/direct/port"
 	"teaselmoor/internal/direct/tally"
@@ -137,7 +138,8 @@
 		if choice.Held {
 			return core.settled(now, started, job, choice, use), nil
 		}
-		if now-started >= patience || ctx.Err() != nil {
+		hopeless := waitingAt == use && asked == 0 && !coming(choice.Member, job.adapter) && core.loadWait() > patience
+		if hopeless || now-started >= patience || ctx.Err() != nil {
 			core.unplace(use, job)
 			job.waited += now - started
 			return placed{}, notPlaced(ctx, job)
@@ -150,6 +152,11 @@
 	}
 }
 
+func coming(member *fleet.Member, adapter port.Adapter) bool {
+	slot, ok := member.Slot(adapter)
+	return ok && slot.Coming
+}
+
 // notPlaced says why a request got no server in time.
 func notPlaced(ctx context.Context, job *job) *verdict {
 	if job.incoming.Context().Err() != nil {
@@ -164,14 +171,33 @@
 func (core *core) query(now clock.Millis, job *job, waiting string) choose.Query {
 	return choose.Query{
 		Now: now, Service: job.service, DataCentre: core.settings.DataCentre, Adapter: job.adapter,
-		Version: core.required(now, job.adapter), Prompt: job.call.Prompt, Tried: job.tried, Waiting: waiting,
+		Version: core.required(now, job.adapter), Prompt: job.call.Prompt, Tried: job.tried, Waiting: waiting, Places: job.places,
 	}
 }
 
-// patience is how long a request may wait for its adapter.
+// patience is how long a request may wait for its adapter: callers abandon a
+// stream that is silent for longer than its goals suggest.
 func (core *core) patience(now clock.Millis, job *job) clock.Millis {
-	left := job.deadline - now
-	return min(core.options.MostLoadWait, clock.Millis(core.options.LoadPatience*float64(left)))
+	silence := max(leastSilence, goalSilence*job.route.Goal, gapSilence*job.route.GapGoal)
+	byCaller := clock.Millis(core.options.LoadPatience * float64(job.arrived+silence-now))
+	byDeadline := clock.Millis(core.options.LoadPatience * float64(job.deadline-now))
+	return min(byCaller, byDeadline)
+}
+
+// Callers abandon a stream after the longest of these silences: a fixed one, and
+// multiples of the route's goals for the first event and for gaps.
+const (
+	leastSilence = 2 * clock.Second
+	goalSilence  = 4
+	gapSilence   = 8
+)
+
+// loadWait is how long an adapter that nobody has asked for yet will take: the
+// weight store sends a number at a time, and those that wait go first.
+func (core *core) loadWait() clock.Millis {
+	loading, queued := core.coming()
+	ahead := max(0, loading+queued-fullSpeedLoads)
+	return core.options.Loading.LoadTime + core.options.Loading.LoadTime*clock.Millis(ahead)/fullSpeedLoads
 }
 
 func (core *core) unplace(use tally.Use, job *job) {
--- a/internal/direct/gateway/handler.go
+++ b/internal/direct/gateway/handler.go
@@ -22,6 +22,7 @@
 	engine   bool
 	adapter  port.Adapter // empty for a plain service
 	hash     uint64
+	places   int // for adapters at each server of the service
 	arrived  clock.Millis
 	deadline clock.Millis // the caller's or the route's, whichever is first
 
@@ -101,6 +102,7 @@
 	if job.engine {
 		job.adapter = port.Adapter{Model: call.Model, Name: call.Adapter}
 		job.hash = hashOf(job.adapter)
+		job.places = service.Engine.AdapterSlots
 	}
 	limit := gateway.options.BodyBytes
 	if config.Limits.BodyBytes > 0 {
--- a/internal/direct/gateway/orders.go
+++ b/internal/direct/gateway/orders.go
@@ -123,7 +123,7 @@
 		return gateway.readReport(ctx, target, held)
 	}
 	uses := func(adapter port.Adapter) int { return core.work.Uses(tally.Use{Server: server, Adapter: adapter}) }
-	order, ok, at := held.planner.Next(now, uses, core.newest)
+	order, ok, at := held.planner.Next(now, uses, core.newest, core.crowd())
 	if !ok {
 		core.mutex.Unlock()
 		if at == 0 {
@@ -166,14 +166,22 @@
 // fullSpeedLoads is how many adapters the weight store sends at full speed.
 const fullSpeedLoads = 8
 
+// coming returns how many adapters are on their way to all servers, and how many
+// wait for their load to begin. The mutex is held.
+func (core *core) coming() (loading, queued int) {
+	for _, member := range core.fleet.Members() {
+		loadingHere, queuedHere := member.Coming()
+		loading += loadingHere
+		queued += queuedHere
+	}
+	return loading, queued
+}
+
 // crowd is how many adapters are on their way, over those that travel at full
 // speed. The mutex is held.
 func (core *core) crowd() float64 {
-	coming := 0
-	for _, member := range core.fleet.Members() {
-		coming += member.Coming()
-	}
-	return float64(coming) / fullSpeedLoads
+	loading, _ := core.coming()
+	return float64(loading) / fullSpeedLoads
 }
 
 // publish makes a planner's table known here and to peers. The mutex is held.
--- a/internal/direct/gateway/settings.go
+++ b/internal/direct/gateway/settings.go
@@ -72,10 +72,9 @@
 	// VersionGrace is how long after a new version of an adapter was named an
 	// older one is still used. The platform allows 5 s.
 	VersionGrace clock.Millis
-	// LoadPatience is the part of a request's time that it may wait for its
-	// adapter, and MostLoadWait the most.
+	// LoadPatience is the part of a caller's patience that a request may wait for
+	// its adapter; the rest is for the answer's first event.
 	LoadPatience float64
-	MostLoadWait clock.Millis
 	// WantInterval is the time between two asks for the same adapter, in case
 	// the daemon that gives orders has changed.
 	WantInterval clock.Millis
@@ -108,7 +107,7 @@
 		Upstream: upstream.DefaultOptions(),
 
 		TellInterval: 150, QuietTell: 500, PeerTimeout: 1500, VersionGrace: 2500,
-		LoadPatience: 0.4, MostLoadWait: 4 * clock.Second, WantInterval: 400,
+		LoadPatience: 0.8, WantInterval: 400,
 		RetryAfter: 500, MostSends: 4, LeaveSpan: 2500, ExitMargin: 400,
 		IdleTimeout: 60 * clock.Second, BodyBytes: 4 << 20, SparePeers: 8, LogLines: 1024,
 	}
--- a/internal/direct/loading/planner.go
+++ b/internal/direct/loading/planner.go
@@ -36,8 +36,10 @@
 	// Settle is how long after its last use an adapter is not evicted: other
 	// daemons' requests become known that late.
 	Settle clock.Millis
-	// MostIncoming is how many adapters a server takes at a time.
-	MostIncoming int
+	// MostIncoming is how many adapters a server takes at a time. While the weight
+	// store is crowded a server gets CrowdedIncoming only: loads one after another
+	// end sooner, on average, than the same loads side by side.
+	MostIncoming, CrowdedIncoming int
 	// HalfLife is the time in which the count of an adapter's uses halves.
 	HalfLife clock.Millis
 	// MostChecks is how many checks a load gets before the server's report is
@@ -49,7 +51,7 @@
 func DefaultOptions() Options {
 	return Options{
 		LoadTime: 250, CheckInterval: 30, ModelCheckInterval: 250, Backoff: 100,
-		Settle: 300, MostIncoming: 4, HalfLife: 10 * clock.Second, MostChecks: 60,
+		Settle: 300, MostIncoming: 4, CrowdedIncoming: 1, HalfLife: 10 * clock.Second, MostChecks: 60,
 	}
 }
 
@@ -180,7 +182,7 @@
 	}
 	for adapter, wanted := range planner.wants {
 		if _, held := planner.slots[adapter]; !held {
-			slots = append(slots, fleet.Slot{Adapter: adapter, Version: wanted.version, Coming: true})
+			slots = append(slots, fleet.Slot{Adapter: adapter, Version: wanted.version, Coming: true, Queued: true})
 		}
 	}
 	slices.SortFunc(slots, func(a, b fleet.Slot) int { return byName(a.Adapter, b.Adapter) })
@@ -196,7 +198,9 @@
 
 // Next returns the order to give now. Without one it returns the time at which
 // to ask again, which is 0 when only a change calls for it.
-func (planner *Planner) Next(now clock.Millis, uses Uses, newest func(port.Adapter) int) (port.Order, bool, clock.Millis) {
+// Crowd is how many adapters are on their way to all servers, over the number
+// that the weight store serves at full speed.
+func (planner *Planner) Next(now clock.Millis, uses Uses, newest func(port.Adapter) int, crowd float64) (port.Order, bool, clock.Millis) {
 	if now < planner.waitTo {
 		return port.Order{}, false, planner.waitTo
 	}
@@ -210,7 +214,7 @@
 	if order, ok := planner.nextVersion(uses, newest); ok {
 		return order, true, 0
 	}
-	if order, ok := planner.nextWant(now, uses); ok {
+	if order, ok := planner.nextWant(now, uses, crowd); ok {
 		return order, true, 0
 	}
 	return port.Order{}, false, planner.wakeAt(now)
@@ -276,8 +280,12 @@
 }
 
 // nextWant loads the adapter that is wanted most urgently, or makes room for it.
-func (planner *Planner) nextWant(now clock.Millis, uses Uses) (port.Order, bool) {
-	if planner.incoming() >= planner.options.MostIncoming {
+func (planner *Planner) nextWant(now clock.Millis, uses Uses, crowd float64) (port.Order, bool) {
+	most := planner.options.MostIncoming
+	if crowd >= 1 {
+		most = planner.options.CrowdedIncoming
+	}
+	if planner.incoming() >= most {
 		return port.Order{}, false
 	}
 	adapter, wanted, ok := planner.firstWant()
@@ -375,8 +383,7 @@
 	return at
 }
 
-// Done takes the result of an order. Crowd is how many adapters are on their way
-// to all servers, over the number that the weight store serves at full speed.
+// Done takes the result of an order.
 func (planner *Planner) Done(now clock.Millis, order port.Order, result port.Result, crowd float64) {
 	switch result {
 	case port.Accepted, port.Holds:
--- a/internal/direct/peers/message.go
+++ b/internal/direct/peers/message.go
@@ -112,6 +112,7 @@
 		Model, Named string
 		Version      int
 		Coming       bool
+		Queued       bool
 	}
 	wireWant struct {
 		_                    struct{} `cbor:",toarray"`
@@ -164,7 +165,7 @@
 func encodeTable(table fleet.Table) wireTable {
 	wire := wireTable{Server: table.Server, Born: table.Born, Fence: table.Fence, Number: table.Number, Models: table.Models}
 	for _, slot := range table.Slots {
-		wire.Slots = append(wire.Slots, wireSlot{Model: slot.Adapter.Model, Named: slot.Adapter.Name, Version: slot.Version, Coming: slot.Coming})
+		wire.Slots = append(wire.Slots, wireSlot{Model: slot.Adapter.Model, Named: slot.Adapter.Name, Version: slot.Version, Coming: slot.Coming, Queued: slot.Queued})
 	}
 	return wire
 }
@@ -217,7 +218,7 @@
 	table := fleet.Table{Server: wire.Server, Born: wire.Born, Fence: wire.Fence, Number: wire.Number, Models: wire.Models}
 	for _, slot := range wire.Slots {
 		adapter := port.Adapter{Model: slot.Model, Name: slot.Named}
-		table.Slots = append(table.Slots, fleet.Slot{Adapter: adapter, Version: slot.Version, Coming: slot.Coming})
+		table.Slots = append(table.Slots, fleet.Slot{Adapter: adapter, Version: slot.Version, Coming: slot.Coming, Queued: slot.Queued})
 	}
 	return table
 }
--- a/internal/direct/tally/tally.go
+++ b/internal/direct/tally/tally.go
@@ -31,11 +31,14 @@
 	own   Share
 	peers map[string]Share
 	total Share
+	// distinct counts the adapters in use at each server, those that requests
+	// wait for included: each takes a place there.
+	distinct map[string]int
 }
 
 // New returns a tally of nothing.
 func New() *Tally {
-	return &Tally{own: newShare(), peers: make(map[string]Share), total: newShare()}
+	return &Tally{own: newShare(), peers: make(map[string]Share), total: newShare(), distinct: make(map[string]int)}
 }
 
 // Begin counts a request of this daemon.
@@ -54,15 +57,34 @@
 }
 
 func (tally *Tally) change(use Use, load Load, uses int) {
-	add(tally.own, use, load, uses)
-	add(tally.total, use, load, uses)
+	addLoad(tally.own, use.Server, load)
+	addLoad(tally.total, use.Server, load)
+	if uses != 0 {
+		addUse(tally.own, use, uses)
+		tally.addTotal(use, uses)
+	}
 }
 
-func add(share Share, use Use, load Load, uses int) {
-	addLoad(share, use.Server, load)
-	if uses != 0 {
-		addUse(share, use, uses)
+func (tally *Tally) addTotal(use Use, uses int) {
+	before := tally.total.Uses[use] > 0
+	addUse(tally.total, use, uses)
+	after := tally.total.Uses[use] > 0
+	if before == after || use.Adapter.Name == "" {
+		return
 	}
+	if after {
+		tally.distinct[use.Server]++
+		return
+	}
+	tally.distinct[use.Server]--
+	if tally.distinct[use.Server] == 0 {
+		delete(tally.distinct, use.Server)
+	}
+}
+
+// Distinct returns how many adapters are in use or waited for at a server.
+func (tally *Tally) Distinct(server string) int {
+	return tally.distinct[server]
 }
 
 func addLoad(share Share, server string, load Load) {
@@ -120,7 +142,7 @@
 		addLoad(tally.total, server, Load{Runs: sign * load.Runs, Reading: sign * load.Reading})
 	}
 	for use, uses := range share.Uses {
-		addUse(tally.total, use, sign*uses)
+		tally.addTotal(use, sign*uses)
 	}
 }
 
