--- a/internal/direct/gateway/relay.go
+++ b/internal/direct/gateway/relay.go
@@ -70,19 +70,14 @@
 // resumed stream goes on behind it.
 func (gateway *Gateway) stream(ctx context.Context, writer http.ResponseWriter, job *job, to placed, held *placement, answer *upstream.Answer) verdict {
 	control := http.NewResponseController(writer)
-	if !job.started {
-		copyHeader(writer.Header(), answer.Header)
-		// A caller that does not read must not keep the stream beyond its deadline.
-		_ = control.SetWriteDeadline(time.Now().Add((job.deadline - gateway.core.now()).Duration()))
-	}
+	// A caller that does not read must not keep the stream beyond its deadline.
+	_ = control.SetWriteDeadline(time.Now().Add((job.deadline - gateway.core.now()).Duration()))
 	relayed := &events{answer: answer, buffer: make([]byte, 0, eventBuffer)}
 	for {
 		event, err := relayed.next()
 		if len(event) > 0 {
 			if !job.started {
-				job.started = true
-				job.firstAt = gateway.core.now()
-				writer.WriteHeader(answer.StatusCode)
+				gateway.begin(writer, job, answer)
 				held.first()
 			}
 			if _, failed := writer.Write(event); failed != nil {
@@ -104,11 +99,20 @@
 	}
 }
 
+// begin sends the head of an answer. Until then nothing of it is set, so that a
+// refusal in its place bears no signature of the server.
+func (gateway *Gateway) begin(writer http.ResponseWriter, job *job, answer *upstream.Answer) {
+	job.started = true
+	job.firstAt = gateway.core.now()
+	copyHeader(writer.Header(), answer.Header)
+	writer.WriteHeader(answer.StatusCode)
+}
+
 func (gateway *Gateway) streamEnded(writer http.ResponseWriter, job *job, to placed, answer *upstream.Answer) verdict {
 	answer.Close(true)
 	gateway.note(to, false)
 	if !job.started {
-		writer.WriteHeader(answer.StatusCode)
+		gateway.begin(writer, job, answer)
 	}
 	gateway.ended(job, answer.StatusCode, reasonComplete)
 	return verdict{done: true}
