--- a/internal/direct/choose/choose.go
+++ b/internal/direct/choose/choose.go
@@ -41,6 +41,7 @@
 	Now        clock.Millis
 	Service    string
 	DataCentre string       // of this daemon
+	Attempt    uint64       // hash of the request's id
 	Adapter    port.Adapter // its name is empty for the base model, both for a plain service
 	Version    int          // least version of the adapter
 	Prompt     int          // tokens
@@ -75,7 +76,7 @@
 			continue
 		}
 		choice := Choice{Member: member, Held: ready(member, query)}
-		choice.Cost = weights.base(query, servers, work, member)
+		choice.Cost = weights.base(query, servers, work, member) + spread(query, member)
 		if !choice.Held {
 			choice.Cost += weights.load(query, member, usable, adapterHash, copies) + weights.crowding(query, member, work)
 		}
@@ -94,6 +95,12 @@
 	return best, best.Member != nil
 }
 
+// spread decides between servers that cost the same: without it the first one
+// would get all requests that come one after another.
+func spread(query Query, member *fleet.Member) float64 {
+	return float64(rank(query.Attempt, member)>>32) / (1 << 32)
+}
+
 // base is the cost of a server apart from its adapters.
 func (weights Weights) base(query Query, servers *fleet.Fleet, work *tally.Tally, member *fleet.Member) float64 {
 	load := work.Load(member.ID)
--- a/internal/direct/gateway/dispatch.go
+++ b/internal/direct/gateway/dispatch.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"teaselmoor/internal/base/clock"
@@ -53,6 +54,9 @@
 // fail ends a request for which no further server is tried.
 func (gateway *Gateway) fail(writer http.ResponseWriter, job *job, result verdict) {
 	if !job.started {
+		if job.sends > 0 && promises(result.status) {
+			result.status = http.StatusBadGateway // an earlier try may have run
+		}
 		gateway.refuse(writer, job, result.status, result.reason)
 		return
 	}
@@ -171,7 +175,7 @@
 func (core *core) query(now clock.Millis, job *job, waiting string) choose.Query {
 	return choose.Query{
 		Now: now, Service: job.service, DataCentre: core.settings.DataCentre, Adapter: job.adapter,
-		Version: core.required(now, job.adapter), Prompt: job.call.Prompt, Tried: job.tried, Waiting: waiting, Places: job.places,
+		Attempt: xxhash.Sum64String(job.call.Attempt), Version: core.required(now, job.adapter), Prompt: job.call.Prompt, Tried: job.tried, Waiting: waiting, Places: job.places,
 	}
 }
 
