--- a/internal/base/document/document.go
+++ b/internal/base/document/document.go
@@ -207,9 +207,13 @@
 	return reflect.Value{}, false
 }
 
-// FieldKey returns the key of a struct's field in documents.
+// FieldKey returns the key of a struct's field in documents: its tag's, or else
+// its name.
 func FieldKey(field reflect.StructField) string {
 	key, _, _ := strings.Cut(field.Tag.Get("yaml"), ",")
+	if key == "" {
+		return field.Name
+	}
 	return key
 }
 
--- a/internal/direct/gateway/settings.go
+++ b/internal/direct/gateway/settings.go
@@ -30,6 +30,7 @@
 	MetricsAddress string
 	Seeds          []string // peer addresses; some may be stale or down
 	MemoryMB       int64
+	Fenced         bool         // servers check the fencing numbers of orders
 	Lease          clock.Millis // quiet span between the orders of two daemons to one server
 	Grace          clock.Millis // between the signal to stop and the kill
 	Retry          retry.Limits
@@ -103,7 +104,7 @@
 func DefaultOptions(settings Settings) Options {
 	return Options{
 		Fleet: fleet.DefaultOptions(), Weights: choose.DefaultWeights(), Loading: loading.DefaultOptions(),
-		Mirror: mirror.DefaultOptions(), Peers: peers.DefaultOptions(), Tenure: tenure.DefaultOptions(settings.Lease),
+		Mirror: mirror.DefaultOptions(), Peers: peers.DefaultOptions(), Tenure: tenure.DefaultOptions(settings.Lease, settings.Fenced),
 		Upstream: upstream.DefaultOptions(),
 
 		TellInterval: 150, QuietTell: 500, PeerTimeout: 1500, VersionGrace: 2500,
--- a/internal/direct/tenure/tenure.go
+++ b/internal/direct/tenure/tenure.go
@@ -19,6 +19,11 @@
 	// Quiet is the span without orders between two daemons (the lease of the
 	// platform's settings, and a margin for an order on its way).
 	Quiet clock.Millis
+	// StartWait is the wait between a daemon's start and its first claims. Where
+	// servers check fencing numbers it is the time that peers need to tell what
+	// they claim; where they do not, the orders of a daemon that has stopped may
+	// still be on their way, and it is Quiet.
+	StartWait clock.Millis
 	// Silence is how long a daemon that hears none of its peers goes on giving
 	// orders. It is shorter than Suspicion, so that it has stopped before another
 	// daemon starts to wait.
@@ -32,9 +37,22 @@
 	Settle clock.Millis
 }
 
-// DefaultOptions returns times for a lease in milliseconds.
-func DefaultOptions(lease clock.Millis) Options {
-	return Options{Quiet: lease + 200, Silence: 1200, Suspicion: 1500, Pause: 400, Settle: 600}
+// settleWait is the time that peers need to tell what they claim: an update
+// each 500 ms at least, and a connection made anew each 300 ms.
+const settleWait = 900 * clock.Millisecond
+
+// quietMargin is added to the lease for an order on its way.
+const quietMargin = 200 * clock.Millisecond
+
+// DefaultOptions returns times for a lease. Fenced tells that servers check
+// fencing numbers.
+func DefaultOptions(lease clock.Millis, fenced bool) Options {
+	options := Options{Quiet: lease + quietMargin, Silence: 1200, Suspicion: 1500, Pause: 400, Settle: 600}
+	options.StartWait = options.Quiet
+	if fenced {
+		options.StartWait = min(options.Quiet, settleWait)
+	}
+	return options
 }
 
 // Claim is a daemon's word that it gives orders to a server.
@@ -130,7 +148,7 @@
 // Claim takes over the servers that are this daemon's to order and free. It
 // returns the servers that were claimed.
 func (tenure *Tenure) Claim(now clock.Millis, servers []string) []string {
-	if now < tenure.barred || now < tenure.started+tenure.options.Quiet {
+	if now < tenure.barred || now < tenure.started+tenure.options.StartWait {
 		return nil
 	}
 	live := tenure.Live(now)
