--- a/internal/direct/choose/choose.go
+++ b/internal/direct/choose/choose.go
@@ -16,6 +16,7 @@
 	Run             float64 // for each request in progress at the server
 	Queued          float64 // for each request beyond the server's slots
 	Load            float64 // of an adapter that the server does not hold
+	AtHand          float64 // of an adapter that the server held of late
 	Coming          float64 // what is left, on average, of a load on its way
 	Copy            float64 // for making a further copy of an adapter that is held elsewhere
 	Crowded         float64 // for each adapter in use beyond the places of the server
@@ -31,7 +32,7 @@
 func DefaultWeights() Weights {
 	return Weights{
 		ReadTokensPerMS: 20, Run: 4, Queued: 40,
-		Load: 300, Coming: 160, Copy: 150, Crowded: 300, Step: 40,
+		Load: 300, AtHand: 60, Coming: 160, Copy: 150, Crowded: 300, Step: 40,
 		Trouble: 1500, Suspect: 3000, Away: 1, Homes: 3,
 	}
 }
@@ -123,6 +124,9 @@
 	if slot, ok := member.Slot(query.Adapter); ok && slot.Coming {
 		return weights.Coming
 	}
+	if member.AtHand(query.Adapter) {
+		return weights.AtHand
+	}
 	cost := weights.Load
 	if copies > 0 {
 		cost += weights.Copy
--- a/internal/direct/fleet/fleet.go
+++ b/internal/direct/fleet/fleet.go
@@ -28,6 +28,9 @@
 	FirstBackoff, MostBackoff clock.Millis
 	// TroubleHalfLife is the time in which the memory of failures halves.
 	TroubleHalfLife clock.Millis
+	// Recent is how many adapters a server keeps at hand after it has dropped
+	// them: it loads those ten times as fast and not from the weight store.
+	Recent int
 	// Tombstone is how long the removal of a server is remembered, so that an
 	// older entry that a peer passes on does not bring it back.
 	Tombstone clock.Millis
@@ -38,7 +41,7 @@
 	return Options{
 		OutageSpan: clock.Second, ReturnGrace: 2*clock.Second + 300,
 		FirstBackoff: 150, MostBackoff: 1600,
-		TroubleHalfLife: 2 * clock.Second, Tombstone: clock.Minute,
+		TroubleHalfLife: 2 * clock.Second, Recent: 80, Tombstone: clock.Minute,
 	}
 }
 
@@ -67,7 +70,9 @@
 	Revision int64  // of its entry in the store
 	slots    map[port.Adapter]Slot
 	models   map[string]bool
-	table    Table // zero while no daemon gives orders to it
+	table    Table                // zero while no daemon gives orders to it
+	recent   map[port.Adapter]int // adapters that it held of late, and when: numbers that rise
+	turn     int                  // the last of those numbers
 
 	lapsesAt     clock.Millis // when a missing entry is taken as gone; 0: its entry is there
 	suspectUntil clock.Millis
@@ -82,6 +87,13 @@
 	return slot, ok
 }
 
+// AtHand reports whether the server held the adapter of late, so that it need not
+// come from the weight store.
+func (member *Member) AtHand(adapter port.Adapter) bool {
+	_, ok := member.recent[adapter]
+	return ok
+}
+
 // HoldsModel reports whether the server holds a base model.
 func (member *Member) HoldsModel(name string) bool {
 	return member.models[name]
@@ -167,9 +179,12 @@
 	}
 	news := !known || revision > member.Revision
 	if !known {
-		member = &Member{Hash: xxhash.Sum64String(server.ID), table: fleet.tables[server.ID]}
+		member = &Member{Hash: xxhash.Sum64String(server.ID), table: fleet.tables[server.ID], recent: make(map[port.Adapter]int)}
 		fleet.members[server.ID] = member
 	}
+	if member.Born != server.Born {
+		clear(member.recent) // it has restarted
+	}
 	member.Server = server
 	member.Revision = revision
 	member.lapsesAt = 0
@@ -205,7 +220,21 @@
 	member.slots = make(map[port.Adapter]Slot, len(slots))
 	for _, slot := range slots {
 		member.slots[slot.Adapter] = slot
+		if !slot.Queued {
+			member.turn++
+			member.recent[slot.Adapter] = member.turn
+		}
+	}
+}
+
+// trim forgets the adapters that were held longest ago.
+func (member *Member) trim(most int) {
+	if len(member.recent) <= 2*most {
+		return
 	}
+	turns := slices.Sorted(maps.Values(member.recent))
+	oldest := turns[len(turns)-most]
+	maps.DeleteFunc(member.recent, func(_ port.Adapter, turn int) bool { return turn < oldest })
 }
 
 // SetTable takes over what the daemon that gives orders to a server says.
@@ -219,6 +248,7 @@
 	if member, ok := fleet.members[table.Server]; ok {
 		member.table = table
 		member.settle()
+		member.trim(fleet.options.Recent)
 	}
 	return true
 }
--- a/internal/direct/gateway/orders.go
+++ b/internal/direct/gateway/orders.go
@@ -58,8 +58,12 @@
 	core := gateway.core
 	fence, _ := core.tenure.Holds(server)
 	ctx, cancel := context.WithCancel(gateway.group.Context())
+	atHand := func(adapter port.Adapter) bool {
+		member, ok := core.fleet.Member(server)
+		return ok && member.AtHand(adapter)
+	}
 	held := &ordering{
-		planner: loading.New(core.options.Loading, loading.Limits{}), fence: fence,
+		planner: loading.New(core.options.Loading, loading.Limits{}, atHand), fence: fence,
 		wake: make(chan struct{}, 1), stop: cancel,
 	}
 	core.orders[server] = held
--- a/internal/direct/loading/planner.go
+++ b/internal/direct/loading/planner.go
@@ -27,6 +27,8 @@
 	// LoadTime is how long an adapter takes from the weight store while few are
 	// on their way (250 ms on the platform's sheets).
 	LoadTime clock.Millis
+	// AtHandTime is the same for one that the server held of late.
+	AtHandTime clock.Millis
 	// CheckInterval is the time between two questions whether a load has ended.
 	CheckInterval clock.Millis
 	// ModelCheckInterval is the same for a base model, which takes seconds.
@@ -50,7 +52,7 @@
 // DefaultOptions returns the options for the platform's engines.
 func DefaultOptions() Options {
 	return Options{
-		LoadTime: 250, CheckInterval: 30, ModelCheckInterval: 250, Backoff: 100,
+		LoadTime: 250, AtHandTime: 26, CheckInterval: 30, ModelCheckInterval: 250, Backoff: 100,
 		Settle: 300, MostIncoming: 4, CrowdedIncoming: 1, HalfLife: 10 * clock.Second, MostChecks: 60,
 	}
 }
@@ -76,7 +78,8 @@
 type Planner struct {
 	options Options
 	limits  Limits
-	known   bool // a report was read under this order of things
+	atHand  func(port.Adapter) bool // whether the server held an adapter of late
+	known   bool                    // a report was read under this order of things
 	models  map[string]bool
 	coming  map[string]clock.Millis // base models being loaded, and when to check
 	slots   map[port.Adapter]*slot
@@ -86,9 +89,10 @@
 }
 
 // New returns a planner that knows nothing of its server yet.
-func New(options Options, limits Limits) *Planner {
+// AtHand tells whether the server held an adapter of late.
+func New(options Options, limits Limits, atHand func(port.Adapter) bool) *Planner {
 	return &Planner{
-		options: options, limits: limits, models: make(map[string]bool),
+		options: options, limits: limits, atHand: atHand, models: make(map[string]bool),
 		coming: make(map[string]clock.Millis),
 		slots:  make(map[port.Adapter]*slot), wants: make(map[port.Adapter]*want),
 	}
@@ -448,7 +452,7 @@
 	if !held.loading {
 		held.loading = true
 		held.checks = 0
-		held.checkAt = now + clock.Millis(float64(planner.options.LoadTime)*max(1, crowd))
+		held.checkAt = now + planner.loadTime(order.Adapter, crowd)
 		return
 	}
 	held.checks++
@@ -458,6 +462,14 @@
 	}
 }
 
+// loadTime is how long a load is expected to take.
+func (planner *Planner) loadTime(adapter port.Adapter, crowd float64) clock.Millis {
+	if planner.atHand(adapter) {
+		return planner.options.AtHandTime
+	}
+	return clock.Millis(float64(planner.options.LoadTime) * max(1, crowd))
+}
+
 // refused drops what the server says makes no sense, so that it is not tried for ever.
 func (planner *Planner) refused(now clock.Millis, order port.Order) {
 	delete(planner.wants, order.Adapter)
