peers: tables are told apart from updates; names once a message; updates each 100 ms

A test with a lease of 300 ms found daemons that claimed before they had met; the wait after a start is never below 0.9 s now, and a new connection hears claims at once.

--- a/internal/direct/gateway/gossip.go
+++ b/internal/direct/gateway/gossip.go
@@ -15,6 +15,8 @@
 	switch {
 	case message.Update != nil:
 		gateway.updated(message.Update)
+	case message.Tables != nil:
+		gateway.core.takeTables(message.Tables.Tables)
 	case message.Want != nil:
 		gateway.core.wanted(*message.Want)
 	case message.Pull != nil:
@@ -27,10 +29,13 @@
 // Connected implements peers.Handler: what a peer was told on an earlier
 // connection may have been lost.
 func (gateway *Gateway) Connected(address string) {
-	gateway.core.mutex.Lock()
-	defer gateway.core.mutex.Unlock()
-	delete(gateway.core.told, address)
-	gateway.core.hurry()
+	core := gateway.core
+	core.mutex.Lock()
+	delete(core.told, address)
+	core.hurry()
+	update := core.update(core.now())
+	core.mutex.Unlock()
+	gateway.send(address, peers.Message{Update: update})
 }
 
 func (gateway *Gateway) updated(update *peers.Update) {
@@ -69,7 +74,6 @@
 	if update.Leaving {
 		core.tenure.Left(update.From.Name)
 	}
-	core.takeTables(update.Tables)
 }
 
 // countUses has planners know how often adapters are used through other daemons.
@@ -82,7 +86,10 @@
 	}
 }
 
+// takeTables takes over what the daemon that orders servers says of them.
 func (core *core) takeTables(tables []fleet.Table) {
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
 	news := false
 	for _, table := range tables {
 		news = core.fleet.SetTable(table) || news
@@ -146,28 +153,26 @@
 	return sent
 }
 
-// tell updates peers until the context ends: soon after a table has changed,
-// else at intervals.
+// tell updates peers until the context ends: of tables that change soon, of the
+// rest at intervals.
 func (gateway *Gateway) tell(ctx context.Context) error {
 	interval := time.NewTicker(gateway.options.TellInterval.Duration())
 	defer interval.Stop()
-	quietSince := gateway.core.now()
+	told := gateway.core.now()
 	for {
-		forced := false
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-interval.C:
 		case <-gateway.core.dirty:
-			forced = true
+			gateway.tellTables()
+			continue
+		case <-interval.C:
 		}
 		now := gateway.core.now()
-		gateway.tick(now)
-		if !forced && !gateway.core.busy() && now-quietSince < gateway.options.QuietTell {
-			continue
+		if gateway.core.busy() || now-told >= gateway.options.QuietTell {
+			told = now
+			gateway.tellUpdate(now)
 		}
-		quietSince = now
-		gateway.tellAll(now)
 	}
 }
 
@@ -175,35 +180,42 @@
 func (core *core) busy() bool {
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
-	return len(core.work.Own().Loads) > 0
+	return len(core.work.Own().Loads) > 0 || core.leaving
 }
 
-// tellAll updates everyone that there is a connection to, heard or not: daemons
-// that know each other by a third one's word only meet this way.
-func (gateway *Gateway) tellAll(now clock.Millis) {
-	for address, update := range gateway.core.updates(now, gateway.mesh.Addresses()) {
-		gateway.send(address, peers.Message{Update: update})
+// tellUpdate updates everyone that there is a connection to, heard or not:
+// daemons that know each other by a third one's word only meet this way.
+func (gateway *Gateway) tellUpdate(now clock.Millis) {
+	core := gateway.core
+	core.mutex.Lock()
+	encoded, err := peers.Encode(peers.Message{Update: core.update(now)})
+	core.mutex.Unlock()
+	if err != nil {
+		gateway.log.Error("update not encoded", "Error", err.Error())
+		return
+	}
+	for _, address := range gateway.mesh.Addresses() {
+		gateway.mesh.SendEncoded(address, encoded)
 	}
 }
 
-// updates returns what to tell each peer.
-func (core *core) updates(now clock.Millis, addresses []string) map[string]*peers.Update {
-	core.mutex.Lock()
-	defer core.mutex.Unlock()
-	common := core.update(now)
-	updates := make(map[string]*peers.Update, len(addresses))
-	for _, address := range addresses {
-		update := common
-		update.Tables = core.newTables(address)
-		updates[address] = &update
+// tellTables tells each peer the tables that it has not been told.
+func (gateway *Gateway) tellTables() {
+	core := gateway.core
+	for _, address := range gateway.mesh.Addresses() {
+		core.mutex.Lock()
+		tables := core.newTables(address)
+		core.mutex.Unlock()
+		if len(tables) > 0 {
+			gateway.send(address, peers.Message{Tables: &peers.Tables{From: core.settings.Name, Tables: tables}})
+		}
 	}
-	return updates
 }
 
 // update is what all peers are told. The mutex is held.
-func (core *core) update(now clock.Millis) peers.Update {
+func (core *core) update(now clock.Millis) *peers.Update {
 	own := core.work.Own()
-	update := peers.Update{
+	update := &peers.Update{
 		From:        peers.Member{Name: core.settings.Name, Address: core.settings.PeerAddress},
 		Incarnation: core.born, Leaving: core.leaving, StoreRevision: core.store.revision,
 		Share: own, Claims: core.tenure.Claims(now),
@@ -236,6 +248,24 @@
 	return tables
 }
 
+// tickInterval is how often the daemon looks at what passing time calls for. It
+// is well below the gap that counts as a pause.
+const tickInterval = 100 * time.Millisecond
+
+// ticks looks at the time until the context ends.
+func (gateway *Gateway) ticks(ctx context.Context) error {
+	interval := time.NewTicker(tickInterval)
+	defer interval.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-interval.C:
+			gateway.tick(gateway.core.now())
+		}
+	}
+}
+
 // tick does what passing time calls for.
 func (gateway *Gateway) tick(now clock.Millis) {
 	core := gateway.core
--- a/internal/direct/gateway/run.go
+++ b/internal/direct/gateway/run.go
@@ -123,6 +123,7 @@
 		}
 	}
 	gateway.group.Go("tell", gateway.tell)
+	gateway.group.Go("ticks", gateway.ticks)
 	gateway.group.Go("sweep", gateway.sweep)
 }
 
--- a/internal/direct/gateway/settings.go
+++ b/internal/direct/gateway/settings.go
@@ -107,7 +107,7 @@
 		Mirror: mirror.DefaultOptions(), Peers: peers.DefaultOptions(), Tenure: tenure.DefaultOptions(settings.Lease, settings.Fenced),
 		Upstream: upstream.DefaultOptions(),
 
-		TellInterval: 150, QuietTell: 500, PeerTimeout: 1500, VersionGrace: 2500,
+		TellInterval: 100, QuietTell: 500, PeerTimeout: 1500, VersionGrace: 2500,
 		LoadPatience: 0.8, WantInterval: 400,
 		RetryAfter: 500, MostSends: 4, LeaveSpan: 2500, ExitMargin: 400,
 		IdleTimeout: 60 * clock.Second, BodyBytes: 4 << 20, SparePeers: 8, LogLines: 1024,
--- a/internal/direct/mirror/mirror.go
+++ b/internal/direct/mirror/mirror.go
@@ -32,7 +32,7 @@
 // DefaultOptions returns times that bring a change into force well within 2 s.
 func DefaultOptions() Options {
 	return Options{
-		Wait: 1200, Pause: 600, CallTimeout: 1000,
+		Wait: 1200, Pause: 900, CallTimeout: 1000,
 		FirstBackoff: 100, MostBackoff: 800,
 	}
 }
--- a/internal/direct/peers/mesh.go
+++ b/internal/direct/peers/mesh.go
@@ -58,8 +58,9 @@
 
 type peer struct {
 	member Member
-	queue  chan []byte // nil while not connected
-	gone   context.CancelFunc
+	queue  chan []byte        // nil while not connected
+	broken context.CancelFunc // ends the connection
+	gone   context.CancelFunc // ends all tries to connect
 }
 
 // New returns a mesh whose goroutines belong to group.
@@ -111,17 +112,23 @@
 	if err != nil {
 		return false, err
 	}
+	return mesh.SendEncoded(address, encoded), nil
+}
+
+// SendEncoded is Send for a message that was encoded before.
+func (mesh *Mesh) SendEncoded(address string, encoded []byte) bool {
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
 	known, ok := mesh.peers[address]
 	if !ok || known.queue == nil {
-		return false, nil
+		return false
 	}
 	select {
 	case known.queue <- encoded:
-		return true, nil
+		return true
 	default:
-		return false, nil
+		known.broken() // what was not told must be told anew
+		return false
 	}
 }
 
@@ -155,18 +162,19 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	queue := make(chan []byte, mesh.options.QueueLength)
-	mesh.attach(to, queue)
-	defer mesh.attach(to, nil)
+	mesh.attach(to, queue, cancel)
+	defer mesh.attach(to, nil, nil)
 	mesh.group.Go("pongs "+to.member.Address, func(context.Context) error { return mesh.pongs(conn, cancel) })
 	mesh.handler.Connected(to.member.Address)
 	mesh.write(ctx, conn, queue)
 	_ = conn.Close()
 }
 
-func (mesh *Mesh) attach(to *peer, queue chan []byte) {
+func (mesh *Mesh) attach(to *peer, queue chan []byte, broken context.CancelFunc) {
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
 	to.queue = queue
+	to.broken = broken
 }
 
 // pongs reads until the connection breaks or falls silent.
--- a/internal/direct/peers/message.go
+++ b/internal/direct/peers/message.go
@@ -5,6 +5,8 @@
 package peers
 
 import (
+	"slices"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
@@ -31,7 +33,13 @@
 	Version       int64 // of the configuration in force
 	Share         tally.Share
 	Claims        []tenure.Claim
-	Tables        []fleet.Table // those that changed since the last update on this connection
+}
+
+// Tables are the tables of a daemon that changed since it told them last on the
+// same connection.
+type Tables struct {
+	From   string
+	Tables []fleet.Table
 }
 
 // Want asks the daemon that gives orders to a server for an adapter.
@@ -58,16 +66,19 @@
 // Message is one of its parts; the others are nil.
 type Message struct {
 	Update *Update
+	Tables *Tables
 	Want   *Want
 	Pull   *Pull
 	Items  *Items
 }
 
-// The wire types are arrays, so that names of fields cost no bytes. Fields are
-// added at the end only: old and new daemons meet during a replacement.
+// The wire types are arrays, so that names of fields cost no bytes, and name each
+// server and model once. Fields are added at the end only: old and new daemons
+// meet during a replacement.
 type (
 	wireMessage struct {
 		Update *wireUpdate `cbor:",omitempty"`
+		Tables *wireTables `cbor:",omitempty"`
 		Want   *wireWant   `cbor:",omitempty"`
 		Pull   *Pull       `cbor:",omitempty"`
 		Items  *Items      `cbor:",omitempty"`
@@ -80,20 +91,21 @@
 		Members       [][2]string
 		StoreRevision int64
 		Version       int64
+		Models        []string
 		Loads         []wireLoad
-		Uses          []wireUse
 		Claims        []wireClaim
-		Tables        []wireTable
 	}
 	wireLoad struct {
 		_             struct{} `cbor:",toarray"`
 		Server        string
 		Runs, Reading int
+		Uses          []wireUse
 	}
 	wireUse struct {
-		_                    struct{} `cbor:",toarray"`
-		Server, Model, Named string
-		Count                int
+		_     struct{} `cbor:",toarray"`
+		Model int      // index in the update's models
+		Named string
+		Count int
 	}
 	wireClaim struct {
 		_           struct{} `cbor:",toarray"`
@@ -104,15 +116,21 @@
 		_                   struct{} `cbor:",toarray"`
 		Server              string
 		Born, Fence, Number int64
+		Held                int // the first of Models that the server holds; the rest are named by slots only
 		Models              []string
 		Slots               []wireSlot
 	}
+	wireTables struct {
+		_      struct{} `cbor:",toarray"`
+		From   string
+		Tables []wireTable
+	}
 	wireSlot struct {
-		_            struct{} `cbor:",toarray"`
-		Model, Named string
-		Version      int
-		Coming       bool
-		Queued       bool
+		_              struct{} `cbor:",toarray"`
+		Model          int      // index in the table's models
+		Named          string
+		Version        int
+		Coming, Queued bool
 	}
 	wireWant struct {
 		_                    struct{} `cbor:",toarray"`
@@ -129,6 +147,12 @@
 	if message.Update != nil {
 		wire.Update = encodeUpdate(message.Update)
 	}
+	if message.Tables != nil {
+		wire.Tables = &wireTables{From: message.Tables.From}
+		for _, table := range message.Tables.Tables {
+			wire.Tables.Tables = append(wire.Tables.Tables, encodeTable(table))
+		}
+	}
 	if want := message.Want; want != nil {
 		wire.Want = &wireWant{
 			Server: want.Server, Model: want.Adapter.Model, Named: want.Adapter.Name, Version: want.Version,
@@ -147,26 +171,74 @@
 	for _, member := range update.Members {
 		wire.Members = append(wire.Members, [2]string{member.Name, member.Address})
 	}
-	for server, load := range update.Share.Loads {
-		wire.Loads = append(wire.Loads, wireLoad{Server: server, Runs: load.Runs, Reading: load.Reading})
-	}
-	for use, count := range update.Share.Uses {
-		wire.Uses = append(wire.Uses, wireUse{Server: use.Server, Model: use.Adapter.Model, Named: use.Adapter.Name, Count: count})
-	}
+	wire.Loads, wire.Models = encodeShare(update.Share)
 	for _, claim := range update.Claims {
 		wire.Claims = append(wire.Claims, wireClaim{Server: claim.Server, Fence: claim.Fence, Idle: int64(claim.Idle)})
 	}
-	for _, table := range update.Tables {
-		wire.Tables = append(wire.Tables, encodeTable(table))
-	}
 	return wire
 }
 
+// names gives each name a number.
+type names struct {
+	list []string
+}
+
+func (names *names) index(name string) int {
+	if at := slices.Index(names.list, name); at >= 0 {
+		return at
+	}
+	names.list = append(names.list, name)
+	return len(names.list) - 1
+}
+
+// named returns the name of a number, or none for a number that was not given.
+func named(list []string, index int) string {
+	if index < 0 || index >= len(list) {
+		return ""
+	}
+	return list[index]
+}
+
+func encodeShare(share tally.Share) ([]wireLoad, []string) {
+	models := names{}
+	at := make(map[string]int, len(share.Loads))
+	loads := make([]wireLoad, 0, len(share.Loads))
+	for server, load := range share.Loads {
+		at[server] = len(loads)
+		loads = append(loads, wireLoad{Server: server, Runs: load.Runs, Reading: load.Reading})
+	}
+	for use, count := range share.Uses {
+		index, ok := at[use.Server]
+		if !ok {
+			continue
+		}
+		loads[index].Uses = append(loads[index].Uses, wireUse{Model: models.index(use.Adapter.Model), Named: use.Adapter.Name, Count: count})
+	}
+	return loads, models.list
+}
+
+func decodeShare(loads []wireLoad, models []string) tally.Share {
+	share := tally.Share{Loads: make(map[string]tally.Load, len(loads)), Uses: make(map[tally.Use]int)}
+	for _, load := range loads {
+		share.Loads[load.Server] = tally.Load{Runs: load.Runs, Reading: load.Reading}
+		for _, use := range load.Uses {
+			adapter := port.Adapter{Model: named(models, use.Model), Name: use.Named}
+			share.Uses[tally.Use{Server: load.Server, Adapter: adapter}] = use.Count
+		}
+	}
+	return share
+}
+
 func encodeTable(table fleet.Table) wireTable {
-	wire := wireTable{Server: table.Server, Born: table.Born, Fence: table.Fence, Number: table.Number, Models: table.Models}
+	models := names{list: slices.Clone(table.Models)}
+	wire := wireTable{Server: table.Server, Born: table.Born, Fence: table.Fence, Number: table.Number, Held: len(table.Models)}
 	for _, slot := range table.Slots {
-		wire.Slots = append(wire.Slots, wireSlot{Model: slot.Adapter.Model, Named: slot.Adapter.Name, Version: slot.Version, Coming: slot.Coming, Queued: slot.Queued})
+		wire.Slots = append(wire.Slots, wireSlot{
+			Model: models.index(slot.Adapter.Model), Named: slot.Adapter.Name,
+			Version: slot.Version, Coming: slot.Coming, Queued: slot.Queued,
+		})
 	}
+	wire.Models = models.list
 	return wire
 }
 
@@ -180,6 +252,12 @@
 	if wire.Update != nil {
 		message.Update = decodeUpdate(wire.Update)
 	}
+	if wire.Tables != nil {
+		message.Tables = &Tables{From: wire.Tables.From}
+		for _, table := range wire.Tables.Tables {
+			message.Tables.Tables = append(message.Tables.Tables, decodeTable(table))
+		}
+	}
 	if want := wire.Want; want != nil {
 		message.Want = &Want{
 			Server: want.Server, Adapter: port.Adapter{Model: want.Model, Name: want.Named}, Version: want.Version,
@@ -193,31 +271,22 @@
 	update := &Update{
 		From: Member{Name: wire.Name, Address: wire.Address}, Incarnation: wire.Incarnation,
 		Leaving: wire.Leaving, StoreRevision: wire.StoreRevision, Version: wire.Version,
-		Share: tally.Share{Loads: make(map[string]tally.Load, len(wire.Loads)), Uses: make(map[tally.Use]int, len(wire.Uses))},
+		Share: decodeShare(wire.Loads, wire.Models),
 	}
 	for _, member := range wire.Members {
 		update.Members = append(update.Members, Member{Name: member[0], Address: member[1]})
 	}
-	for _, load := range wire.Loads {
-		update.Share.Loads[load.Server] = tally.Load{Runs: load.Runs, Reading: load.Reading}
-	}
-	for _, use := range wire.Uses {
-		key := tally.Use{Server: use.Server, Adapter: port.Adapter{Model: use.Model, Name: use.Named}}
-		update.Share.Uses[key] = use.Count
-	}
 	for _, claim := range wire.Claims {
 		update.Claims = append(update.Claims, tenure.Claim{Server: claim.Server, Fence: claim.Fence, Idle: clock.Millis(claim.Idle)})
 	}
-	for _, table := range wire.Tables {
-		update.Tables = append(update.Tables, decodeTable(table))
-	}
 	return update
 }
 
 func decodeTable(wire wireTable) fleet.Table {
-	table := fleet.Table{Server: wire.Server, Born: wire.Born, Fence: wire.Fence, Number: wire.Number, Models: wire.Models}
+	held := min(max(wire.Held, 0), len(wire.Models))
+	table := fleet.Table{Server: wire.Server, Born: wire.Born, Fence: wire.Fence, Number: wire.Number, Models: wire.Models[:held]}
 	for _, slot := range wire.Slots {
-		adapter := port.Adapter{Model: slot.Model, Name: slot.Named}
+		adapter := port.Adapter{Model: named(wire.Models, slot.Model), Name: slot.Named}
 		table.Slots = append(table.Slots, fleet.Slot{Adapter: adapter, Version: slot.Version, Coming: slot.Coming, Queued: slot.Queued})
 	}
 	return table
--- a/internal/direct/tenure/tenure.go
+++ b/internal/direct/tenure/tenure.go
@@ -48,9 +48,9 @@
 // fencing numbers.
 func DefaultOptions(lease clock.Millis, fenced bool) Options {
 	options := Options{Quiet: lease + quietMargin, Silence: 1200, Suspicion: 1500, Pause: 400, Settle: 600}
-	options.StartWait = options.Quiet
-	if fenced {
-		options.StartWait = min(options.Quiet, settleWait)
+	options.StartWait = settleWait
+	if !fenced {
+		options.StartWait = max(options.Quiet, settleWait)
 	}
 	return options
 }
