tenure, loading: drawn histories of claims and of lost answers; what they found

A second adapter was unloaded while the place of the first was still awaited.

Drawn histories of claims found two daemons ordering one server within a lease: quiet span shorter than the time between two updates; a daemon killed between its claim and its next update; a daemon that woke with old claims after the one that had taken over was gone; a claim under a lower number ignored though its daemon was the one that ordered; a daemon that missed updates while it stood still.

--- a/internal/direct/gateway/gossip.go
+++ b/internal/direct/gateway/gossip.go
@@ -70,9 +70,13 @@
 	known.revision = update.StoreRevision
 	known.version = update.Version
 	core.countUses(now, core.work.Peer(update.From.Name, update.Share))
-	core.tenure.Heard(now, update.From.Name, update.Claims)
+	names := make([]string, 0, len(update.Members))
+	for _, member := range update.Members {
+		names = append(names, member.Name)
+	}
+	core.tenure.Heard(now, update.From.Name, update.Claims, names...)
 	if update.Leaving {
-		core.tenure.Left(update.From.Name)
+		core.tenure.Left(now, update.From.Name)
 	}
 }
 
@@ -280,7 +284,7 @@
 		}
 		if now-known.heardAt > peerMemory {
 			core.log.Info("peer forgotten", "Peer", name, "SilentMillis", now-known.heardAt)
-			core.tenure.Left(name)
+			core.tenure.Left(now, name)
 			delete(core.peers, name)
 		}
 	}
--- a/internal/direct/gateway/orders.go
+++ b/internal/direct/gateway/orders.go
@@ -23,11 +23,18 @@
 // claim takes over the servers whose orders fall to this daemon, and gives up
 // those that another one has claimed.
 func (gateway *Gateway) claim(now clock.Millis) {
+	if gateway.claimed(now) {
+		gateway.tellUpdate(now)
+	}
+}
+
+// claimed reports whether anything was claimed.
+func (gateway *Gateway) claimed(now clock.Millis) bool {
 	core := gateway.core
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
 	if core.catalog == nil || core.leaving {
-		return
+		return false
 	}
 	var servers []string
 	for _, member := range core.fleet.Members() {
@@ -35,9 +42,17 @@
 			servers = append(servers, member.ID)
 		}
 	}
-	for _, server := range core.tenure.Claim(now, servers) {
+	taken := core.tenure.Claim(now, servers)
+	for _, server := range taken {
 		gateway.startOrders(server)
 	}
+	core.dropOrders()
+	return len(taken) > 0
+}
+
+// dropOrders gives up the servers that are gone or that another daemon has
+// claimed. The mutex is held.
+func (core *core) dropOrders() {
 	for server, held := range core.orders {
 		_, claimed := core.tenure.Holds(server)
 		_, known := core.fleet.Member(server)
--- a/internal/direct/loading/planner.go
+++ b/internal/direct/loading/planner.go
@@ -299,6 +299,9 @@
 	if planner.hasRoom(adapter) {
 		return port.Order{Load: true, Adapter: adapter, Version: wanted.version}, true
 	}
+	if planner.leaving() >= len(planner.wants) {
+		return port.Order{}, false // there will be room
+	}
 	victim, ok := planner.victim(now, uses)
 	return port.Order{Adapter: victim}, ok
 }
@@ -327,6 +330,16 @@
 	return count
 }
 
+func (planner *Planner) leaving() int {
+	count := 0
+	for _, held := range planner.slots {
+		if held.leaving {
+			count++
+		}
+	}
+	return count
+}
+
 // hasRoom reports whether one more adapter fits: a server that is ordered to
 // load more than it can hold crashes.
 func (planner *Planner) hasRoom(adapter port.Adapter) bool {
@@ -392,8 +405,10 @@
 	switch result {
 	case port.Accepted, port.Holds:
 		planner.accepted(now, order, result == port.Holds, crowd)
-	case port.Conflict, port.Unknown:
+	case port.Conflict:
 		planner.waitTo = now + planner.options.Backoff
+	case port.Unknown:
+		planner.unanswered(now, order)
 	case port.Other, port.Fenced:
 		planner.known = false
 	case port.Invalid:
@@ -401,6 +416,27 @@
 	}
 }
 
+// unanswered counts a load that may have been accepted: its place is taken until
+// the order, given again, is answered.
+func (planner *Planner) unanswered(now clock.Millis, order port.Order) {
+	planner.waitTo = now + planner.options.Backoff
+	planner.number++
+	if !order.Load {
+		return // the adapter keeps its place
+	}
+	if order.Adapter.Name == "" {
+		planner.coming[order.Adapter.Model] = planner.waitTo
+		return
+	}
+	held, ok := planner.slots[order.Adapter]
+	if !ok {
+		held = &slot{version: order.Version}
+		planner.slots[order.Adapter] = held
+	}
+	held.loading = true
+	held.checkAt = planner.waitTo
+}
+
 func (planner *Planner) accepted(now clock.Millis, order port.Order, holds bool, crowd float64) {
 	planner.number++
 	switch {
--- /dev/null
+++ b/internal/direct/loading/planner_test.go
@@ -0,0 +1,220 @@
+package loading_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/direct/loading"
+	"teaselmoor/internal/direct/port"
+)
+
+const places = 4
+
+var limits = loading.Limits{
+	AdapterSlots: places, MemoryMB: 1000,
+	ModelMB: map[string]float64{"m": 900}, AdapterMB: map[string]float64{"m": 10},
+}
+
+func never(port.Adapter) bool { return false }
+
+func noVersion(port.Adapter) int { return 0 }
+
+func nobody(port.Adapter) int { return 0 }
+
+func adapter(name string) port.Adapter { return port.Adapter{Model: "m", Name: name} }
+
+func newPlanner(now clock.Millis, adapters ...string) *loading.Planner {
+	planner := loading.New(loading.DefaultOptions(), limits, never)
+	held := make(map[string]int)
+	for _, name := range adapters {
+		held[name] = 1
+	}
+	planner.SetReport(now, port.Report{Models: []port.Holding{{Model: "m", Adapters: held}}})
+	return planner
+}
+
+func TestServerThatHoldsNothingGetsItsModel(t *testing.T) {
+	planner := loading.New(loading.DefaultOptions(), limits, never)
+	require.True(t, planner.NeedsReport())
+	planner.SetReport(1000, port.Report{})
+	order, ok, _ := planner.Next(1000, nobody, noVersion, 0)
+	require.True(t, ok)
+	require.Equal(t, port.Order{Load: true, Adapter: port.Adapter{Model: "m"}}, order)
+	planner.Done(1000, order, port.Accepted, 0)
+	_, ok, at := planner.Next(1010, nobody, noVersion, 0)
+	require.False(t, ok, "it is being loaded")
+	require.Positive(t, at)
+}
+
+// TestAdapterInUseIsNotEvicted fills a server whose adapters are all in use.
+func TestAdapterInUseIsNotEvicted(t *testing.T) {
+	planner := newPlanner(1000, "a", "b", "c", "d")
+	planner.Want(10_000, adapter("e"), 0, 1, 20_000)
+	inUse := func(used port.Adapter) int {
+		if used.Name == "c" {
+			return 0
+		}
+		return 1
+	}
+	_, ok, at := planner.Next(10_000, func(port.Adapter) int { return 1 }, noVersion, 0)
+	require.False(t, ok)
+	require.Greater(t, at, clock.Millis(10_000), "it looks again")
+	order, ok, _ := planner.Next(10_100, inUse, noVersion, 0)
+	require.True(t, ok)
+	require.Equal(t, port.Order{Adapter: adapter("c")}, order)
+	planner.Done(10_100, order, port.Holds, 0)
+	order, _, _ = planner.Next(10_110, inUse, noVersion, 0)
+	require.Equal(t, port.Order{Load: true, Adapter: adapter("e")}, order)
+}
+
+func TestAdapterAskedForLeastGoes(t *testing.T) {
+	planner := newPlanner(1000, "a", "b", "c", "d")
+	for i, name := range []string{"a", "b", "c", "d"} {
+		planner.Used(2000, adapter(name), 1+(i+2)%4)
+	}
+	planner.Want(10_000, adapter("e"), 0, 1, 20_000)
+	order, _, _ := planner.Next(10_000, nobody, noVersion, 0)
+	require.Equal(t, port.Order{Adapter: adapter("c")}, order)
+}
+
+func TestMostUrgentWantGoesFirst(t *testing.T) {
+	planner := newPlanner(1000)
+	planner.Want(1000, adapter("a"), 0, 2, 9000)
+	planner.Want(1001, adapter("b"), 0, 0, 9000)
+	order, _, _ := planner.Next(1002, nobody, noVersion, 0)
+	require.Equal(t, adapter("b"), order.Adapter)
+}
+
+// TestCrowdedStore: while the weight store is crowded one load a server is on its way.
+func TestCrowdedStore(t *testing.T) {
+	for crowd, most := range map[float64]int{0.5: 4, 2: 1} {
+		planner := newPlanner(1000)
+		for _, name := range []string{"a", "b", "c", "d"} {
+			planner.Want(1000, adapter(name), 0, 0, 9000)
+		}
+		loads := 0
+		for {
+			order, ok, _ := planner.Next(1000, nobody, noVersion, crowd)
+			if !ok {
+				break
+			}
+			loads++
+			planner.Done(1000, order, port.Accepted, crowd)
+		}
+		require.Equal(t, most, loads, "crowd %g", crowd)
+	}
+}
+
+// TestUnansweredLoadKeepsItsPlace: a load without an answer may have been
+// accepted, and one more than the places would crash the server.
+func TestUnansweredLoadKeepsItsPlace(t *testing.T) {
+	planner := newPlanner(1000, "a", "b", "c")
+	planner.Want(1000, adapter("d"), 0, 0, 9000)
+	order, _, _ := planner.Next(1000, nobody, noVersion, 0)
+	planner.Done(1000, order, port.Unknown, 0)
+	planner.Want(1100, adapter("e"), 0, 0, 9000)
+	order, ok, _ := planner.Next(1200, nobody, noVersion, 0)
+	require.True(t, ok)
+	require.Equal(t, adapter("d"), order.Adapter, "the order is given again")
+	planner.Done(1200, order, port.Holds, 0)
+	order, ok, _ = planner.Next(2000, nobody, noVersion, 0)
+	require.True(t, ok)
+	require.False(t, order.Load, "there is no room for e: %v", order)
+}
+
+// TestUnloadThatWaitsKeepsItsPlace: the server counts an adapter until its runs end.
+func TestUnloadThatWaitsKeepsItsPlace(t *testing.T) {
+	planner := newPlanner(1000, "a", "b", "c", "d")
+	planner.Want(10_000, adapter("e"), 0, 0, 20_000)
+	order, _, _ := planner.Next(10_000, nobody, noVersion, 0)
+	require.False(t, order.Load)
+	planner.Done(10_000, order, port.Accepted, 0)
+	next, ok, at := planner.Next(10_001, nobody, noVersion, 0)
+	require.False(t, ok && next.Load, "%v", next)
+	if !ok {
+		next, _, _ = planner.Next(at, nobody, noVersion, 0)
+	}
+	require.Equal(t, order, next, "the unload is asked after")
+}
+
+func TestNewVersionIsLoadedWhereItIsUsed(t *testing.T) {
+	planner := newPlanner(1000, "a", "b")
+	newest := func(named port.Adapter) int { return map[string]int{"a": 2, "b": 3}[named.Name] }
+	inUse := func(used port.Adapter) int { return map[string]int{"a": 1}[used.Name] }
+	orders := make(map[string]port.Order)
+	for range 2 {
+		order, ok, _ := planner.Next(2000, inUse, newest, 0)
+		require.True(t, ok)
+		orders[order.Adapter.Name] = order
+		planner.Done(2000, order, port.Holds, 0)
+	}
+	require.Equal(t, port.Order{Load: true, Adapter: adapter("a"), Version: 2}, orders["a"])
+	require.Equal(t, port.Order{Adapter: adapter("b")}, orders["b"], "one that nobody uses makes room")
+}
+
+// server is a model engine of a drawn history.
+type server struct {
+	held map[string]clock.Millis // when the load ends
+	runs map[string]int
+}
+
+func (server *server) take(t *rapid.T, now clock.Millis, order port.Order) port.Result {
+	name := order.Adapter.Name
+	until, known := server.held[name]
+	switch {
+	case !order.Load && server.runs[name] > 0:
+		return port.Accepted
+	case !order.Load:
+		delete(server.held, name)
+		return port.Holds
+	case known && now >= until:
+		return port.Holds
+	case known:
+		return port.Accepted
+	}
+	server.held[name] = now + clock.Millis(rapid.IntRange(20, 900).Draw(t, "load"))
+	return port.Accepted
+}
+
+// TestPlacesAreNeverExceeded draws wants, runs and lost answers.
+func TestPlacesAreNeverExceeded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := clock.Millis(1000)
+		planner := newPlanner(now)
+		engine := &server{held: make(map[string]clock.Millis), runs: make(map[string]int)}
+		uses := func(used port.Adapter) int { return engine.runs[used.Name] }
+		for range rapid.IntRange(20, 300).Draw(t, "steps") {
+			now += clock.Millis(rapid.IntRange(1, 200).Draw(t, "gap"))
+			name := fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "adapter"))
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				planner.Want(now, adapter(name), 0, rapid.IntRange(0, 2).Draw(t, "rank"), now+2000)
+			case 1:
+				if at, ok := engine.held[name]; ok && now >= at {
+					engine.runs[name]++
+					planner.Used(now, adapter(name), 1)
+				}
+			case 2:
+				engine.runs[name] = 0
+			}
+			order, ok, _ := planner.Next(now, uses, noVersion, 0)
+			if !ok {
+				continue
+			}
+			result := port.Unknown
+			reached := rapid.IntRange(0, 9).Draw(t, "reached") > 1
+			if reached {
+				result = engine.take(t, now, order)
+			}
+			if rapid.IntRange(0, 9).Draw(t, "answered") < 2 {
+				result = port.Unknown
+			}
+			planner.Done(now, order, result, 0)
+			require.LessOrEqual(t, len(engine.held), places)
+		}
+	})
+}
--- a/internal/direct/tenure/tenure.go
+++ b/internal/direct/tenure/tenure.go
@@ -24,10 +24,18 @@
 	// they claim; where they do not, the orders of a daemon that has stopped may
 	// still be on their way, and it is Quiet.
 	StartWait clock.Millis
+	// Announce is the wait between a claim and the first order under it. The claim
+	// is told at once; a daemon that stopped before it was heard would leave orders
+	// that nobody waits for.
+	Announce clock.Millis
 	// Silence is how long a daemon that hears none of its peers goes on giving
 	// orders. It is shorter than Suspicion, so that it has stopped before another
 	// daemon starts to wait.
 	Silence clock.Millis
+	// Stale is how long claims stand that peers could not be told of, or since
+	// peers could last tell theirs: after it another daemon may have taken a server
+	// over, and may have stopped since.
+	Stale clock.Millis
 	// Suspicion is how long a peer is silent before others claim its servers.
 	Suspicion clock.Millis
 	// Pause is a gap between two ticks after which nothing is ordered before
@@ -41,13 +49,14 @@
 // each 500 ms at least, and a connection made anew each 300 ms.
 const settleWait = 900 * clock.Millisecond
 
-// quietMargin is added to the lease for an order on its way.
-const quietMargin = 200 * clock.Millisecond
+// quietMargin is added to the lease for orders that a daemon gave after it was
+// last heard (it tells at least each 500 ms), and for one on its way.
+const quietMargin = 700 * clock.Millisecond
 
 // DefaultOptions returns times for a lease. Fenced tells that servers check
 // fencing numbers.
 func DefaultOptions(lease clock.Millis, fenced bool) Options {
-	options := Options{Quiet: lease + quietMargin, Silence: 1200, Suspicion: 1500, Pause: 400, Settle: 600}
+	options := Options{Quiet: lease + quietMargin, Announce: 200, Silence: 1200, Stale: lease, Suspicion: 1500, Pause: 400, Settle: 600}
 	options.StartWait = settleWait
 	if !fenced {
 		options.StartWait = max(options.Quiet, settleWait)
@@ -70,6 +79,7 @@
 	fence   int64
 	heardAt clock.Millis // of the last word of its owner
 	orderAt clock.Millis // no order of its owner is known after it
+	takenAt clock.Millis // when this daemon claimed the server
 }
 
 // Tenure holds the claims of one daemon and what it knows of others'.
@@ -79,26 +89,36 @@
 	wall    clock.Source // for fencing numbers, which rise across restarts
 	started clock.Millis
 	ticked  clock.Millis
+	toldAt  clock.Millis            // when claims were last told
 	barred  clock.Millis            // no orders before this time
 	heard   map[string]clock.Millis // peers, and when they were heard
+	first   map[string]clock.Millis // the same, for the first time
+	named   map[string]bool         // daemons that peers have named
 	holders map[string]*holder
 }
 
 // New returns the tenure of a daemon that starts now.
 func New(options Options, self string, now clock.Millis, wall clock.Source) *Tenure {
 	return &Tenure{
-		options: options, self: self, wall: wall, started: now, ticked: now,
-		heard: make(map[string]clock.Millis), holders: make(map[string]*holder),
+		options: options, self: self, wall: wall, started: now, ticked: now, toldAt: now,
+		heard: make(map[string]clock.Millis), first: make(map[string]clock.Millis), named: make(map[string]bool), holders: make(map[string]*holder),
 	}
 }
 
-// Heard notes an update of a peer with all its claims.
-func (tenure *Tenure) Heard(now clock.Millis, peer string, claims []Claim) {
+// Heard notes an update of a peer with all its claims and the daemons it knows.
+func (tenure *Tenure) Heard(now clock.Millis, peer string, claims []Claim, named ...string) {
 	tenure.heard[peer] = now
+	if _, ok := tenure.first[peer]; !ok {
+		tenure.first[peer] = now
+	}
+	for _, name := range named {
+		tenure.named[name] = true
+	}
 	for server, known := range tenure.holders {
 		given := !slices.ContainsFunc(claims, func(claim Claim) bool { return claim.Server == server })
 		if known.owner == peer && given {
 			known.owner = ""
+			known.orderAt = now // it may have given orders since it told last
 		}
 	}
 	for _, claim := range claims {
@@ -112,21 +132,29 @@
 		known = &holder{}
 		tenure.holders[claim.Server] = known
 	}
-	if claim.Fence < known.fence {
+	if claim.Fence < known.fence && tenure.stands(now, known) {
 		return
 	}
+	// A claim under a lower number counts where the higher one's daemon is gone:
+	// it is the one that gives orders.
 	known.owner = peer
-	known.fence = claim.Fence
+	known.fence = max(known.fence, claim.Fence)
 	known.heardAt = now
 	known.orderAt = max(known.orderAt, now-claim.Idle)
 }
 
-// Left notes that a peer gives no orders any more. Its last orders count on.
-func (tenure *Tenure) Left(peer string) {
+// stands reports whether the owner of a server is this daemon, or was heard of late.
+func (tenure *Tenure) stands(now clock.Millis, known *holder) bool {
+	return known.owner == tenure.self || known.owner != "" && now-known.heardAt < tenure.options.Suspicion
+}
+
+// Left notes that a peer gives no orders any more.
+func (tenure *Tenure) Left(now clock.Millis, peer string) {
 	delete(tenure.heard, peer)
 	for _, known := range tenure.holders {
 		if known.owner == peer {
 			known.owner = ""
+			known.orderAt = now
 		}
 	}
 }
@@ -138,23 +166,58 @@
 		tenure.Paused(now)
 	}
 	tenure.ticked = now
+	if now-tenure.toldAt >= tenure.options.Stale || tenure.silence(now) >= tenure.options.Stale {
+		tenure.giveUp(now)
+	}
 }
 
-// Paused bars orders for a while: the process stood still.
+// giveUp drops claims that were made before peers fell silent.
+func (tenure *Tenure) giveUp(now clock.Millis) {
+	since := min(tenure.toldAt, now-tenure.silence(now))
+	for _, known := range tenure.holders {
+		if known.owner == tenure.self && known.takenAt <= since {
+			known.owner = ""
+			known.orderAt = now
+		}
+	}
+}
+
+// silence is how long no peer was heard; 0 where there is none.
+func (tenure *Tenure) silence(now clock.Millis) clock.Millis {
+	if len(tenure.heard) == 0 {
+		return 0
+	}
+	latest := clock.Millis(0)
+	for _, at := range tenure.heard {
+		latest = max(latest, at)
+	}
+	return now - latest
+}
+
+// Paused bars orders for a while: the process stood still. Other daemons may have
+// given orders meanwhile of which this one heard nothing.
 func (tenure *Tenure) Paused(now clock.Millis) {
 	tenure.barred = now + tenure.options.Settle
+	tenure.started = now // new claims wait as after a start
+	clear(tenure.first)
+	for _, known := range tenure.holders {
+		if known.owner != tenure.self {
+			known.heardAt = now
+			known.orderAt = now
+		}
+	}
 }
 
 // Claim takes over the servers that are this daemon's to order and free. It
-// returns the servers that were claimed.
+// returns the servers that were claimed, which peers must be told at once.
 func (tenure *Tenure) Claim(now clock.Millis, servers []string) []string {
-	if now < tenure.barred || now < tenure.started+tenure.options.StartWait {
+	if now < tenure.barred || now < tenure.started+tenure.startWait() {
 		return nil
 	}
 	live := tenure.Live(now)
 	var taken []string
 	for _, server := range servers {
-		if tenure.first(live, server) && tenure.free(now, server) {
+		if tenure.chosen(live, server) && tenure.free(now, server) {
 			tenure.take(now, server)
 			taken = append(taken, server)
 		}
@@ -162,6 +225,18 @@
 	return taken
 }
 
+// startWait is the wait between the start and the first claims. A daemon that
+// others know but that was not heard in time may have given orders after the start.
+func (tenure *Tenure) startWait() clock.Millis {
+	for name := range tenure.named {
+		first, heard := tenure.first[name]
+		if name != tenure.self && (!heard || first > tenure.started+tenure.options.StartWait) {
+			return max(tenure.options.StartWait, tenure.options.Quiet)
+		}
+	}
+	return tenure.options.StartWait
+}
+
 // Live returns the daemons that were heard of late, this one first.
 func (tenure *Tenure) Live(now clock.Millis) []string {
 	live := []string{tenure.self}
@@ -173,8 +248,8 @@
 	return live
 }
 
-// first reports whether this daemon is the one for a server by rendezvous hash.
-func (tenure *Tenure) first(live []string, server string) bool {
+// chosen reports whether this daemon is the one for a server by rendezvous hash.
+func (tenure *Tenure) chosen(live []string, server string) bool {
 	daemons := make([]ident.DaemonID, 0, len(live))
 	for _, daemon := range live {
 		daemons = append(daemons, ident.DaemonID(daemon))
@@ -207,6 +282,7 @@
 	known.fence = int64(ownership.NextFence(tenure.wall(), ident.DaemonID(tenure.self), ident.Fence(known.fence)))
 	known.owner = tenure.self
 	known.heardAt = now
+	known.takenAt = now
 }
 
 // Holds returns the fencing number under which this daemon claims a server.
@@ -222,25 +298,18 @@
 // when this daemon must not order the server.
 func (tenure *Tenure) MayOrder(now clock.Millis, server string) (int64, bool) {
 	fence, ok := tenure.Holds(server)
-	if !ok || now < tenure.barred || now-tenure.ticked > tenure.options.Pause || tenure.isolated(now) {
+	if !ok || now < tenure.holders[server].takenAt+tenure.options.Announce || now < tenure.barred || now-tenure.ticked > tenure.options.Pause || tenure.isolated(now, server) {
 		return 0, false
 	}
 	return fence, true
 }
 
-// isolated reports whether all peers have just fallen silent: others may be
-// about to take over. Once the quiet span has passed as well it is the daemon
+// isolated reports whether all peers have fallen silent since the claim was made:
+// others may be about to take over. A claim made since then is that of the daemon
 // that is left.
-func (tenure *Tenure) isolated(now clock.Millis) bool {
-	if len(tenure.heard) == 0 {
-		return false
-	}
-	latest := clock.Millis(0)
-	for _, at := range tenure.heard {
-		latest = max(latest, at)
-	}
-	silent := now - latest
-	return silent >= tenure.options.Silence && silent < tenure.options.Silence+2*tenure.options.Quiet
+func (tenure *Tenure) isolated(now clock.Millis, server string) bool {
+	silence := tenure.silence(now)
+	return silence >= tenure.options.Silence && tenure.holders[server].takenAt <= now-silence+tenure.options.Silence
 }
 
 // Ordered notes an order that was given.
@@ -280,8 +349,9 @@
 	delete(tenure.holders, server)
 }
 
-// Claims returns the claims to tell peers.
+// Claims returns the claims, which peers are told now.
 func (tenure *Tenure) Claims(now clock.Millis) []Claim {
+	tenure.toldAt = now
 	var claims []Claim
 	for server, known := range tenure.holders {
 		if known.owner == tenure.self {
--- /dev/null
+++ b/internal/direct/tenure/tenure_test.go
@@ -0,0 +1,203 @@
+package tenure_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/direct/tenure"
+)
+
+const lease = 3 * clock.Second
+
+func wallAt(now *clock.Millis) clock.Source { return func() clock.Millis { return *now } }
+
+func TestClaimWaitsAfterStart(t *testing.T) {
+	for _, fenced := range []bool{true, false} {
+		now := clock.Millis(1_000_000)
+		options := tenure.DefaultOptions(lease, fenced)
+		daemon := tenure.New(options, "a", now, wallAt(&now))
+		start := now
+		for now < start+options.StartWait {
+			daemon.Tick(now)
+			require.Empty(t, daemon.Claim(now, []string{"s"}))
+			now += 100
+		}
+		daemon.Tick(now)
+		require.Equal(t, []string{"s"}, daemon.Claim(now, []string{"s"}))
+		_, ok := daemon.MayOrder(now, "s")
+		require.False(t, ok, "peers do not know of the claim yet")
+		now += options.Announce
+		daemon.Tick(now)
+		fence, ok := daemon.MayOrder(now, "s")
+		require.True(t, ok)
+		require.Positive(t, fence)
+	}
+}
+
+func TestSilentOwnerIsReplacedAfterTheQuietSpan(t *testing.T) {
+	now := clock.Millis(1_000_000)
+	options := tenure.DefaultOptions(lease, true)
+	daemon := tenure.New(options, "a", now, wallAt(&now))
+	now += options.StartWait
+	daemon.Tick(now)
+	daemon.Heard(now, "b", []tenure.Claim{{Server: "s", Fence: 7}})
+	heard := now
+	for now < heard+options.Quiet {
+		daemon.Tick(now)
+		require.Empty(t, daemon.Claim(now, []string{"s"}), "%d ms after b was heard", now-heard)
+		now += 100
+	}
+	daemon.Tick(now)
+	require.Equal(t, []string{"s"}, daemon.Claim(now, []string{"s"}))
+	fence, _ := daemon.Holds("s")
+	require.Greater(t, fence, int64(7))
+}
+
+func TestPausedDaemonDoesNotOrder(t *testing.T) {
+	now := clock.Millis(1_000_000)
+	options := tenure.DefaultOptions(lease, true)
+	daemon := tenure.New(options, "a", now, wallAt(&now))
+	now += options.StartWait
+	daemon.Tick(now)
+	daemon.Claim(now, []string{"s"})
+	now += 5 * clock.Second
+	_, ok := daemon.MayOrder(now, "s")
+	require.False(t, ok, "before the first tick after the pause")
+	daemon.Tick(now)
+	_, ok = daemon.MayOrder(now, "s")
+	require.False(t, ok, "before peers could tell")
+	daemon.Heard(now, "b", []tenure.Claim{{Server: "s", Fence: 1 << 60}})
+	for range 20 {
+		now += 100
+		daemon.Tick(now)
+		daemon.Heard(now, "b", []tenure.Claim{{Server: "s", Fence: 1 << 60}})
+	}
+	_, ok = daemon.MayOrder(now, "s")
+	require.False(t, ok, "b has taken over")
+}
+
+func TestFencedDaemonGivesUp(t *testing.T) {
+	now := clock.Millis(1_000_000)
+	options := tenure.DefaultOptions(lease, true)
+	daemon := tenure.New(options, "a", now, wallAt(&now))
+	now += options.StartWait
+	daemon.Tick(now)
+	daemon.Claim(now, []string{"s"})
+	before, _ := daemon.Holds("s")
+	daemon.Fenced(now, "s")
+	_, ok := daemon.MayOrder(now, "s")
+	require.False(t, ok)
+	for range int(options.Quiet/100) + 1 {
+		now += 100
+		daemon.Tick(now)
+	}
+	daemon.Claim(now, []string{"s"})
+	after, ok := daemon.Holds("s")
+	require.True(t, ok)
+	require.Greater(t, after, before+10_000)
+}
+
+// member is a daemon of a drawn history.
+type member struct {
+	*tenure.Tenure
+	name    string
+	asleep  clock.Millis // until
+	stopped bool
+}
+
+// TestNoTurnsWithinTheLease draws kills, starts and pauses of daemons that hear
+// each other. Every daemon orders whenever it may. Two daemons that have both run
+// for a lease never order one server within a lease of each other, and no two use
+// one number.
+func TestNoTurnsWithinTheLease(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := clock.Millis(1_000_000)
+		options := tenure.DefaultOptions(lease, rapid.Bool().Draw(t, "fenced"))
+		servers := []string{"s1", "s2", "s3"}
+		daemons := make([]*member, rapid.IntRange(2, 5).Draw(t, "daemons"))
+		began := make([]clock.Millis, len(daemons)) // undisturbed since
+		for i := range daemons {
+			daemons[i] = &member{Tenure: tenure.New(options, fmt.Sprint(i), now, wallAt(&now)), name: fmt.Sprint(i)}
+			began[i] = now
+		}
+		type order struct {
+			daemon int
+			at     clock.Millis
+			steady bool // the daemon had run undisturbed for a lease
+		}
+		last := make(map[string]order)
+		numbers := make(map[int64]int)
+		var history []string
+		note := func(format string, arguments ...any) {
+			history = append(history, fmt.Sprintf("%d ", now-1_000_000)+fmt.Sprintf(format, arguments...))
+		}
+		for step := range rapid.IntRange(50, 400).Draw(t, "steps") {
+			now += 100
+			switch rapid.IntRange(0, 60).Draw(t, "fault") {
+			case 0:
+				at := rapid.IntRange(0, len(daemons)-1).Draw(t, "killed")
+				daemons[at].stopped = true
+				note("%d is killed", at)
+			case 1:
+				at := rapid.IntRange(0, len(daemons)-1).Draw(t, "paused")
+				note("%d pauses", at)
+				daemons[at].asleep = now + clock.Millis(rapid.IntRange(5, 80).Draw(t, "for"))*100
+			case 2:
+				for at, daemon := range daemons {
+					if daemon.stopped {
+						note("%d starts", at)
+						daemons[at] = &member{Tenure: tenure.New(options, daemon.name, now, wallAt(&now)), name: daemon.name}
+					}
+				}
+			}
+			for at, daemon := range daemons {
+				if daemon.stopped || now < daemon.asleep {
+					began[at] = now
+					continue
+				}
+				daemon.Tick(now)
+				if step%3 == 0 {
+					tell(now, daemon, daemons)
+				}
+				if taken := daemon.Claim(now, servers); len(taken) > 0 {
+					note("%d claims %v", at, taken)
+					tell(now, daemon, daemons)
+				}
+				for _, server := range servers {
+					fence, ok := daemon.MayOrder(now, server)
+					if !ok {
+						continue
+					}
+					daemon.Ordered(now, server)
+					former, known := numbers[fence]
+					require.True(t, !known || former == at, "one number of two daemons")
+					numbers[fence] = at
+					before, ordered := last[server]
+					steady := now-began[at] >= lease
+					if ordered && before.daemon != at && steady && before.steady {
+						require.GreaterOrEqual(t, now-before.at, lease, "daemons %d and %d order %s\n%s", before.daemon, at, server,
+							strings.Join(history[max(0, len(history)-20):], "\n"))
+					}
+					last[server] = order{daemon: at, at: now, steady: steady}
+				}
+			}
+		}
+	})
+}
+
+func tell(now clock.Millis, from *member, all []*member) {
+	var names []string
+	for _, daemon := range all {
+		names = append(names, daemon.name)
+	}
+	for _, to := range all {
+		if to != from && !to.stopped && now >= to.asleep {
+			to.Heard(now, from.name, from.Claims(now), names...)
+		}
+	}
+}
