--- a/internal/direct/loading/planner_test.go
+++ b/internal/direct/loading/planner_test.go
@@ -134,11 +134,13 @@
 	require.False(t, order.Load)
 	planner.Done(10_000, order, port.Accepted, 0)
 	next, ok, at := planner.Next(10_001, nobody, noVersion, 0)
-	require.False(t, ok && next.Load, "%v", next)
-	if !ok {
-		next, _, _ = planner.Next(at, nobody, noVersion, 0)
+	for range 5 { // it wakes for the want as well
+		if ok {
+			break
+		}
+		next, ok, at = planner.Next(at, nobody, noVersion, 0)
 	}
-	require.Equal(t, order, next, "the unload is asked after")
+	require.Equal(t, order, next, "the unload is asked after, and nothing else is ordered")
 }
 
 func TestNewVersionIsLoadedWhereItIsUsed(t *testing.T) {
