loading: a server sees the new fencing number before its report counts

The successor orders the base model first, which changes nothing and shows its number, and reads the report 500 ms later.

--- a/internal/direct/gateway/orders.go
+++ b/internal/direct/gateway/orders.go
@@ -137,8 +137,11 @@
 	target := member.Server
 	held.fence = fence
 	held.planner.SetLimits(limitsOf(core.catalog.Services[member.Service]))
-	if held.planner.NeedsReport() {
+	if needed, from := held.planner.NeedsReport(); needed {
 		core.mutex.Unlock()
+		if now < from {
+			return from - now
+		}
 		return gateway.readReport(ctx, target, held)
 	}
 	uses := func(adapter port.Adapter) int { return core.work.Uses(tally.Use{Server: server, Adapter: adapter}) }
--- a/internal/direct/loading/planner.go
+++ b/internal/direct/loading/planner.go
@@ -27,6 +27,9 @@
 	// LoadTime is how long an adapter takes from the weight store while few are
 	// on their way (250 ms on the platform's sheets).
 	LoadTime clock.Millis
+	// ReportLag is how old a server's report may be. A report counts only if it was
+	// read that long after the last order that the server may have accepted.
+	ReportLag clock.Millis
 	// AtHandTime is the same for one that the server held of late.
 	AtHandTime clock.Millis
 	// CheckInterval is the time between two questions whether a load has ended.
@@ -52,7 +55,7 @@
 // DefaultOptions returns the options for the platform's engines.
 func DefaultOptions() Options {
 	return Options{
-		LoadTime: 250, AtHandTime: 26, CheckInterval: 30, ModelCheckInterval: 250, Backoff: 100,
+		LoadTime: 250, ReportLag: 500, AtHandTime: 26, CheckInterval: 30, ModelCheckInterval: 250, Backoff: 100,
 		Settle: 300, MostIncoming: 4, CrowdedIncoming: 1, HalfLife: 10 * clock.Second, MostChecks: 60,
 	}
 }
@@ -79,7 +82,9 @@
 	options Options
 	limits  Limits
 	atHand  func(port.Adapter) bool // whether the server held an adapter of late
-	known   bool                    // a report was read under this order of things
+	shown   bool                    // the server has seen this daemon's fencing number
+	known   bool                    // a report was read since
+	ordered clock.Millis            // when the server may last have accepted an order
 	models  map[string]bool
 	coming  map[string]clock.Millis // base models being loaded, and when to check
 	slots   map[port.Adapter]*slot
@@ -99,9 +104,11 @@
 }
 
 // NeedsReport reports whether the server's report must be read before anything
-// is ordered.
-func (planner *Planner) NeedsReport() bool {
-	return !planner.known
+// else, and from when on it can be relied on. Before that the server has to see
+// this daemon's fencing number: until then another daemon's orders may be accepted
+// that the report does not show.
+func (planner *Planner) NeedsReport() (bool, clock.Millis) {
+	return planner.shown && !planner.known, planner.ordered + planner.options.ReportLag
 }
 
 // Forget makes the planner read the report again: the server may have restarted.
@@ -209,6 +216,10 @@
 		return port.Order{}, false, planner.waitTo
 	}
 	planner.expire(now)
+	if !planner.shown {
+		order, ok := planner.firstModel()
+		return order, ok, 0
+	}
 	if order, ok := planner.nextModel(now); ok {
 		return order, true, 0
 	}
@@ -245,6 +256,12 @@
 	if len(planner.models) > 0 {
 		return port.Order{}, false
 	}
+	return planner.firstModel()
+}
+
+// firstModel is the order for the model that every server should hold. It shows
+// a fencing number without changing a server that holds the model already.
+func (planner *Planner) firstModel() (port.Order, bool) {
 	for _, name := range slices.Sorted(maps.Keys(planner.limits.ModelMB)) {
 		if planner.limits.ModelMB[name] <= planner.limits.MemoryMB {
 			return port.Order{Load: true, Adapter: port.Adapter{Model: name}}, true
@@ -402,8 +419,12 @@
 
 // Done takes the result of an order.
 func (planner *Planner) Done(now clock.Millis, order port.Order, result port.Result, crowd float64) {
+	if result != port.Conflict && result != port.Fenced && result != port.Other {
+		planner.ordered = now
+	}
 	switch result {
 	case port.Accepted, port.Holds:
+		planner.shown = true
 		planner.accepted(now, order, result == port.Holds, crowd)
 	case port.Conflict:
 		planner.waitTo = now + planner.options.Backoff
@@ -411,6 +432,7 @@
 		planner.unanswered(now, order)
 	case port.Other, port.Fenced:
 		planner.known = false
+		planner.shown = false
 	case port.Invalid:
 		planner.refused(now, order)
 	}
--- a/internal/direct/loading/planner_test.go
+++ b/internal/direct/loading/planner_test.go
@@ -29,6 +29,7 @@
 
 func newPlanner(now clock.Millis, adapters ...string) *loading.Planner {
 	planner := loading.New(loading.DefaultOptions(), limits, never)
+	show(planner, now)
 	held := make(map[string]int)
 	for _, name := range adapters {
 		held[name] = 1
@@ -37,9 +38,34 @@
 	return planner
 }
 
+// show has the server see the planner's fencing number.
+func show(planner *loading.Planner, now clock.Millis) {
+	order, _, _ := planner.Next(now, nobody, noVersion, 0)
+	planner.Done(now, order, port.Holds, 0)
+}
+
+// TestReportIsReadAfterTheNumberIsSeen: until the server has seen the number, the
+// daemon that ordered before may have had a load accepted that no report shows.
+func TestReportIsReadAfterTheNumberIsSeen(t *testing.T) {
+	planner := loading.New(loading.DefaultOptions(), limits, never)
+	needed, _ := planner.NeedsReport()
+	require.False(t, needed)
+	order, ok, _ := planner.Next(1000, nobody, noVersion, 0)
+	require.True(t, ok)
+	require.Equal(t, port.Order{Load: true, Adapter: port.Adapter{Model: "m"}}, order)
+	planner.Done(1000, order, port.Unknown, 0)
+	needed, _ = planner.NeedsReport()
+	require.False(t, needed)
+	order, _, _ = planner.Next(1200, nobody, noVersion, 0)
+	planner.Done(1200, order, port.Holds, 0)
+	needed, from := planner.NeedsReport()
+	require.True(t, needed)
+	require.Equal(t, 1200+loading.DefaultOptions().ReportLag, from)
+}
+
 func TestServerThatHoldsNothingGetsItsModel(t *testing.T) {
 	planner := loading.New(loading.DefaultOptions(), limits, never)
-	require.True(t, planner.NeedsReport())
+	show(planner, 500)
 	planner.SetReport(1000, port.Report{})
 	order, ok, _ := planner.Next(1000, nobody, noVersion, 0)
 	require.True(t, ok)
--- a/internal/direct/tenure/tenure.go
+++ b/internal/direct/tenure/tenure.go
@@ -53,10 +53,14 @@
 // last heard (it tells at least each 500 ms), and for one on its way.
 const quietMargin = 700 * clock.Millisecond
 
+// staleMargin is how long before others may take over that claims lapse.
+const staleMargin = 300 * clock.Millisecond
+
 // DefaultOptions returns times for a lease. Fenced tells that servers check
 // fencing numbers.
 func DefaultOptions(lease clock.Millis, fenced bool) Options {
-	options := Options{Quiet: lease + quietMargin, Announce: 200, Silence: 1200, Stale: lease, Suspicion: 1500, Pause: 400, Settle: 600}
+	options := Options{Quiet: lease + quietMargin, Announce: 200, Silence: 1200, Suspicion: 1500, Pause: 400, Settle: 600}
+	options.Stale = max(options.Quiet, options.Suspicion) - staleMargin
 	options.StartWait = settleWait
 	if !fenced {
 		options.StartWait = max(options.Quiet, settleWait)
