--- /dev/null
+++ b/internal/direct/topology/topology.go
@@ -0,0 +1,100 @@
+// Package topology decides which daemons tell each other what. A small site is a
+// mesh: each daemon tells all others what is its own. In a larger one each data
+// centre has a hub; the others tell it what is their own, and hubs tell each other
+// and their data centre what they know. Every daemon computes this from whom it
+// has heard; where two disagree for a moment, news arrives twice or later. It does
+// no I/O and keeps no state.
+package topology
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// MeshLimit is the number of daemons up to which a site is a mesh: a mesh of 12
+// at ten updates a second is 110 messages a second for each daemon, about 0.5% of
+// a core at 20 us a message, both ways.
+const MeshLimit = 12
+
+// Daemon is a live daemon.
+type Daemon struct {
+	Name       string
+	Address    string
+	DataCentre string
+	Capacity   int // in thousandths of a core; hubs are chosen among the largest
+}
+
+// Target is a daemon to tell news to.
+type Target struct {
+	Address string
+	All     bool // all that is known; else only what is this daemon's own
+}
+
+// Plan is what a daemon has to do.
+type Plan struct {
+	Targets []Target
+	// Reads reports whether this daemon reads the store for others too.
+	Reads bool
+}
+
+// readers is how many daemons of a mesh read the store: one may fail.
+const readers = 2
+
+// Of returns the plan of self among live daemons, which need not include it.
+func Of(self Daemon, live []Daemon) Plan {
+	all := append(slices.Clone(live), self)
+	slices.SortFunc(all, better)
+	if len(all) <= MeshLimit {
+		return mesh(self, all)
+	}
+	hubs := hubsOf(all)
+	if hubs[self.DataCentre].Name != self.Name {
+		return Plan{Targets: []Target{{Address: hubs[self.DataCentre].Address}}}
+	}
+	return hubPlan(self, all, hubs)
+}
+
+func better(a, b Daemon) int {
+	return cmp.Or(
+		cmp.Compare(b.Capacity, a.Capacity),
+		cmp.Compare(xxhash.Sum64String(b.Name), xxhash.Sum64String(a.Name)),
+		cmp.Compare(a.Name, b.Name),
+	)
+}
+
+func mesh(self Daemon, all []Daemon) Plan {
+	var plan Plan
+	for i, daemon := range all {
+		if daemon.Name == self.Name {
+			plan.Reads = i < readers
+			continue
+		}
+		plan.Targets = append(plan.Targets, Target{Address: daemon.Address})
+	}
+	return plan
+}
+
+// hubsOf returns the first daemon of each data centre.
+func hubsOf(all []Daemon) map[string]Daemon {
+	hubs := make(map[string]Daemon)
+	for _, daemon := range all {
+		if _, ok := hubs[daemon.DataCentre]; !ok {
+			hubs[daemon.DataCentre] = daemon
+		}
+	}
+	return hubs
+}
+
+func hubPlan(self Daemon, all []Daemon, hubs map[string]Daemon) Plan {
+	plan := Plan{Reads: true}
+	for _, daemon := range all {
+		near := daemon.DataCentre == self.DataCentre
+		hub := hubs[daemon.DataCentre].Name == daemon.Name
+		if daemon.Name != self.Name && (near || hub) {
+			plan.Targets = append(plan.Targets, Target{Address: daemon.Address, All: true})
+		}
+	}
+	return plan
+}
