choose: no wall beyond the homes of an adapter; full speed of the weight store by servers

Cause: an adapter with more work than three servers could do was never copied to a fourth one, and the store was thought to be crowded at 8 loads instead of 45.

--- a/internal/direct/choose/choose.go
+++ b/internal/direct/choose/choose.go
@@ -3,6 +3,8 @@
 package choose
 
 import (
+	"slices"
+
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/fleet"
 	"teaselmoor/internal/direct/port"
@@ -24,7 +26,7 @@
 	Trouble         float64 // for a server that fails all its requests
 	Suspect         float64 // for a server that could not be reached
 	Away            float64 // for a server in another data centre
-	Homes           int     // servers, first in an adapter's order, that may load it
+	Homes           int     // servers, first in an adapter's order, that steps are counted among; 4 at most
 }
 
 // DefaultWeights returns weights for the engines of the platform: 19 to 26
@@ -67,19 +69,49 @@
 	return mixed * mixer
 }
 
+// homes are the highest ranks of an adapter among the servers, highest first.
+type homes [mostHomes]uint64
+
+// mostHomes bounds Weights.Homes.
+const mostHomes = 4
+
+// add takes a rank in, if it is among the highest.
+func (homes *homes) add(rank uint64) {
+	for i, other := range homes {
+		if rank > other {
+			homes[i], rank = rank, other
+		}
+	}
+}
+
+// steps counts the homes before a rank, up to most.
+func (homes *homes) steps(rank uint64, most int) int {
+	for i := range min(most, len(homes)) {
+		if homes[i] <= rank {
+			return i
+		}
+	}
+	return min(most, len(homes))
+}
+
 // Choose returns the best server, or false when none may take the request.
 func (weights Weights) Choose(query Query, adapterHash uint64, servers *fleet.Fleet, work *tally.Tally) (Choice, bool) {
 	usable := servers.Usable(query.Service)
-	copies := held(usable, query)
+	copies := 0
+	var first homes
+	if query.Adapter.Name != "" {
+		copies, first = survey(usable, query, adapterHash)
+	}
 	best, waiting := Choice{}, Choice{}
 	for _, member := range usable {
-		if tried(query.Tried, member.ID) {
+		if slices.Contains(query.Tried, member.ID) {
 			continue
 		}
 		choice := Choice{Member: member, Held: ready(member, query)}
 		choice.Cost = weights.base(query, servers, work, member) + spread(query, member)
 		if !choice.Held {
-			choice.Cost += weights.load(query, member, usable, adapterHash, copies) + weights.crowding(query, member, work)
+			steps := first.steps(rank(adapterHash, member), weights.Homes)
+			choice.Cost += weights.load(query, member, steps, copies) + weights.crowding(query, member, work)
 		}
 		if member.ID == query.Waiting && !choice.Held {
 			waiting = choice
@@ -96,6 +128,18 @@
 	return best, best.Member != nil
 }
 
+// survey counts the servers that can run a request at once, and finds the homes
+// of its adapter.
+func survey(usable []*fleet.Member, query Query, adapterHash uint64) (copies int, first homes) {
+	for _, member := range usable {
+		first.add(rank(adapterHash, member))
+		if ready(member, query) {
+			copies++
+		}
+	}
+	return copies, first
+}
+
 // spread decides between servers that cost the same: without it the first one
 // would get all requests that come one after another.
 func spread(query Query, member *fleet.Member) float64 {
@@ -120,22 +164,17 @@
 }
 
 // load is the cost of an adapter that the server does not hold.
-func (weights Weights) load(query Query, member *fleet.Member, usable []*fleet.Member, adapterHash uint64, copies int) float64 {
+func (weights Weights) load(query Query, member *fleet.Member, steps, copies int) float64 {
 	if slot, ok := member.Slot(query.Adapter); ok && slot.Coming {
 		return weights.Coming
 	}
 	if member.AtHand(query.Adapter) {
 		return weights.AtHand
 	}
-	cost := weights.Load
+	cost := weights.Load + weights.Step*float64(steps)
 	if copies > 0 {
 		cost += weights.Copy
 	}
-	steps := stepsBefore(member, usable, adapterHash)
-	cost += weights.Step * float64(steps)
-	if steps >= weights.Homes {
-		cost += weights.Load
-	}
 	return cost
 }
 
@@ -149,18 +188,6 @@
 	return weights.Crowded * float64(beyond)
 }
 
-// stepsBefore counts the servers that come before member in the adapter's order.
-func stepsBefore(member *fleet.Member, usable []*fleet.Member, adapterHash uint64) int {
-	own := rank(adapterHash, member)
-	steps := 0
-	for _, other := range usable {
-		if rank(adapterHash, other) > own {
-			steps++
-		}
-	}
-	return steps
-}
-
 func ready(member *fleet.Member, query Query) bool {
 	if query.Adapter.Model == "" {
 		return true
@@ -171,22 +198,3 @@
 	slot, ok := member.Slot(query.Adapter)
 	return ok && !slot.Coming && slot.Version >= query.Version
 }
-
-func held(usable []*fleet.Member, query Query) int {
-	copies := 0
-	for _, member := range usable {
-		if ready(member, query) {
-			copies++
-		}
-	}
-	return copies
-}
-
-func tried(servers []string, id string) bool {
-	for _, server := range servers {
-		if server == id {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/direct/gateway/dispatch.go
+++ b/internal/direct/gateway/dispatch.go
@@ -200,8 +200,9 @@
 // weight store sends a number at a time, and those that wait go first.
 func (core *core) loadWait() clock.Millis {
 	loading, queued := core.coming()
-	ahead := max(0, loading+queued-fullSpeedLoads)
-	return core.options.Loading.LoadTime + core.options.Loading.LoadTime*clock.Millis(ahead)/fullSpeedLoads
+	atOnce := core.fullSpeedLoads()
+	ahead := max(0, loading+queued-atOnce)
+	return core.options.Loading.LoadTime + core.options.Loading.LoadTime*clock.Millis(ahead)/clock.Millis(atOnce)
 }
 
 func (core *core) unplace(use tally.Use, job *job) {
--- a/internal/direct/gateway/orders.go
+++ b/internal/direct/gateway/orders.go
@@ -185,8 +185,18 @@
 	core.publish(target.ID, held)
 }
 
-// fullSpeedLoads is how many adapters the weight store sends at full speed.
-const fullSpeedLoads = 8
+// Adapters that the weight store sends at full speed: at least 8, and 0.51 for
+// each server. The platform's sheets name 8 for 9 servers, 48 for 90 and 72 for 140.
+const (
+	leastFullSpeed = 8
+	fullSpeedShare = 0.51
+)
+
+// fullSpeedLoads is how many adapters the weight store sends at full speed. The
+// mutex is held.
+func (core *core) fullSpeedLoads() int {
+	return max(leastFullSpeed, int(fullSpeedShare*float64(len(core.fleet.Tables()))))
+}
 
 // coming returns how many adapters are on their way to all servers, and how many
 // wait for their load to begin. The mutex is held.
@@ -203,7 +213,7 @@
 // speed. The mutex is held.
 func (core *core) crowd() float64 {
 	loading, _ := core.coming()
-	return float64(loading) / fullSpeedLoads
+	return float64(loading) / float64(core.fullSpeedLoads())
 }
 
 // publish makes a planner's table known here and to peers. The mutex is held.
