--- /dev/null
+++ b/internal/direct/choose/choose_test.go
@@ -0,0 +1,167 @@
+package choose_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/require"
+
+	"teaselmoor/internal/direct/choose"
+	"teaselmoor/internal/direct/fleet"
+	"teaselmoor/internal/direct/port"
+	"teaselmoor/internal/direct/tally"
+)
+
+const service = "engines"
+
+var adapter = port.Adapter{Model: "m", Name: "a1"}
+
+// site is a fleet of servers that hold the base model and no adapter.
+func site(count int) (*fleet.Fleet, *tally.Tally) {
+	servers := fleet.New(fleet.DefaultOptions())
+	for i := range count {
+		servers.Put(port.Server{ID: fmt.Sprint("s", i), Service: service, Slots: 64, Models: []port.Holding{{Model: "m"}}}, int64(i+1))
+	}
+	return servers, tally.New()
+}
+
+func query(attempt string) choose.Query {
+	return choose.Query{Now: 100_000, Service: service, Attempt: xxhash.Sum64String(attempt), Adapter: adapter, Prompt: 1000, Places: 17}
+}
+
+func hold(servers *fleet.Fleet, server string, number int64, slots ...fleet.Slot) {
+	servers.SetTable(fleet.Table{Server: server, Fence: 1, Number: number, Models: []string{"m"}, Slots: slots})
+}
+
+var hash = xxhash.Sum64String("m/a1")
+
+func pick(t testing.TB, servers *fleet.Fleet, work *tally.Tally, asked choose.Query) choose.Choice {
+	t.Helper()
+	choice, ok := choose.DefaultWeights().Choose(asked, hash, servers, work)
+	require.True(t, ok)
+	return choice
+}
+
+// TestDaemonsAgreeOnTheHomeOfAColdAdapter: requests that come to several daemons
+// at once have the adapter loaded at one server.
+func TestDaemonsAgreeOnTheHomeOfAColdAdapter(t *testing.T) {
+	servers, work := site(9)
+	home := pick(t, servers, work, query("r0")).Member.ID
+	for i := range 50 {
+		require.Equal(t, home, pick(t, servers, work, query(fmt.Sprint("r", i))).Member.ID)
+	}
+}
+
+func TestHolderIsPreferredToALoad(t *testing.T) {
+	servers, work := site(9)
+	home := pick(t, servers, work, query("r")).Member.ID
+	holder := "s0"
+	if home == holder {
+		holder = "s1"
+	}
+	hold(servers, holder, 1, fleet.Slot{Adapter: adapter, Version: 1})
+	choice := pick(t, servers, work, query("r"))
+	require.Equal(t, holder, choice.Member.ID)
+	require.True(t, choice.Held)
+	work.Begin(tally.Use{Server: holder, Adapter: adapter}, 40_000) // two seconds of prompts to read
+	require.NotEqual(t, holder, pick(t, servers, work, query("r")).Member.ID, "a second copy is cheaper than the wait")
+}
+
+// TestServerThatHeldItOfLate loads it ten times as fast and not from the store.
+func TestServerThatHeldItOfLate(t *testing.T) {
+	servers, work := site(9)
+	home := pick(t, servers, work, query("r")).Member.ID
+	former := "s0"
+	if home == former {
+		former = "s1"
+	}
+	hold(servers, former, 1, fleet.Slot{Adapter: adapter, Version: 1})
+	hold(servers, former, 2)
+	require.Equal(t, former, pick(t, servers, work, query("r")).Member.ID)
+}
+
+// TestWaitingRequestStays where its adapter is loaded, unless another server can
+// run it at once.
+func TestWaitingRequestStays(t *testing.T) {
+	servers, work := site(9)
+	asked := query("r")
+	asked.Waiting = pick(t, servers, work, asked).Member.ID
+	work.Begin(tally.Use{Server: asked.Waiting}, 400_000)
+	require.Equal(t, asked.Waiting, pick(t, servers, work, asked).Member.ID)
+	other := "s0"
+	if asked.Waiting == other {
+		other = "s1"
+	}
+	hold(servers, other, 1, fleet.Slot{Adapter: adapter, Version: 1})
+	require.Equal(t, other, pick(t, servers, work, asked).Member.ID)
+}
+
+func TestOldVersionDoesNotServe(t *testing.T) {
+	servers, work := site(2)
+	hold(servers, "s0", 1, fleet.Slot{Adapter: adapter, Version: 1})
+	asked := query("r")
+	asked.Version = 2
+	require.False(t, pick(t, servers, work, asked).Held)
+}
+
+// TestCrowdedPlaces: a server whose places are all in use is no place to load at.
+func TestCrowdedPlaces(t *testing.T) {
+	servers, work := site(2)
+	home := pick(t, servers, work, query("r")).Member.ID
+	for i := range 18 {
+		work.Begin(tally.Use{Server: home, Adapter: port.Adapter{Model: "m", Name: fmt.Sprint("x", i)}}, 0)
+	}
+	require.NotEqual(t, home, pick(t, servers, work, query("r")).Member.ID)
+}
+
+func TestFailingServerIsPassedOver(t *testing.T) {
+	servers, work := site(2)
+	hold(servers, "s0", 1, fleet.Slot{Adapter: adapter, Version: 1})
+	hold(servers, "s1", 1, fleet.Slot{Adapter: adapter, Version: 1})
+	for range 3 {
+		servers.Answered(100_000, "s0", true)
+	}
+	for i := range 20 {
+		require.Equal(t, "s1", pick(t, servers, work, query(fmt.Sprint(i))).Member.ID)
+	}
+}
+
+// TestHotAdapterIsCopied replays the load of one adapter that takes the work of
+// many servers: every request runs on, none ends. Copies must follow beyond the
+// adapter's first homes; without it one server of 90 had 2.8 times the mean.
+func TestHotAdapterIsCopied(t *testing.T) {
+	servers, work := site(30)
+	loads := 0
+	for i := range 1500 {
+		choice := pick(t, servers, work, query(fmt.Sprint(i)))
+		if !choice.Held {
+			loads++
+			hold(servers, choice.Member.ID, int64(i+1), fleet.Slot{Adapter: adapter, Version: 1})
+		}
+		chosen := tally.Use{Server: choice.Member.ID, Adapter: adapter}
+		work.Begin(chosen, 1000)
+		work.First(chosen, 1000)
+	}
+	require.GreaterOrEqual(t, loads, 20)
+	most := 0
+	for _, member := range servers.Members() {
+		most = max(most, work.Load(member.ID).Runs)
+	}
+	require.LessOrEqual(t, most, 150)
+}
+
+// BenchmarkChoose is one placement decision.
+func BenchmarkChoose(b *testing.B) {
+	for _, count := range []int{9, 140, 1500} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			servers, work := site(count)
+			weights := choose.DefaultWeights()
+			asked := query("r")
+			b.ReportAllocs()
+			for b.Loop() {
+				weights.Choose(asked, hash, servers, work)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/direct/fleet/fleet_test.go
@@ -0,0 +1,141 @@
+package fleet_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/direct/fleet"
+	"teaselmoor/internal/direct/port"
+)
+
+const service = "engines"
+
+func server(id string) port.Server {
+	return port.Server{ID: id, Service: service, Address: id + ":1", Slots: 4}
+}
+
+func ids(members []*fleet.Member) []string {
+	names := []string{}
+	for _, member := range members {
+		names = append(names, member.ID)
+	}
+	return names
+}
+
+func TestDrainingAndRemovedServersGetNoWork(t *testing.T) {
+	servers := fleet.New(fleet.DefaultOptions())
+	servers.Put(server("a"), 1)
+	servers.Put(server("b"), 2)
+	draining := server("a")
+	draining.Draining = true
+	servers.Put(draining, 3)
+	require.Equal(t, []string{"b"}, ids(servers.Usable(service)))
+	require.False(t, servers.Put(server("a"), 1), "an older entry changes nothing")
+	require.Equal(t, []string{"b"}, ids(servers.Usable(service)))
+	servers.Remove(1000, "b", 4)
+	require.Empty(t, servers.Usable(service))
+	require.False(t, servers.Put(server("b"), 2), "an older entry does not bring it back")
+	require.True(t, servers.Put(server("b"), 5))
+}
+
+// TestEntriesThatLapsedInAnOutage: servers whose entries are missing when the
+// store returns are used until there was time for them to come back.
+func TestEntriesThatLapsedInAnOutage(t *testing.T) {
+	options := fleet.DefaultOptions()
+	servers := fleet.New(options)
+	servers.Put(server("a"), 1)
+	servers.Put(server("b"), 2)
+	servers.StoreLost(10_000)
+	servers.StoreBack(20_000)
+	servers.Retain(20_000, map[string]bool{}, 9)
+	require.Len(t, servers.Usable(service), 2)
+	servers.Put(server("b"), 10)
+	require.Empty(t, servers.Tick(20_000+options.ReturnGrace-1))
+	require.Equal(t, []string{"a"}, servers.Tick(20_000+options.ReturnGrace))
+	require.Equal(t, []string{"b"}, ids(servers.Usable(service)))
+	servers.Remove(30_000, "b", 11)
+	require.Empty(t, servers.Usable(service), "later removals count at once")
+}
+
+func TestShortSilenceOfTheStoreIsNoOutage(t *testing.T) {
+	servers := fleet.New(fleet.DefaultOptions())
+	servers.Put(server("a"), 1)
+	servers.StoreLost(10_000)
+	servers.StoreBack(10_300)
+	servers.Remove(10_300, "a", 2)
+	require.Empty(t, servers.Usable(service))
+}
+
+// TestRestartUnderTheSameID: what was known of holdings is void.
+func TestRestartUnderTheSameID(t *testing.T) {
+	servers := fleet.New(fleet.DefaultOptions())
+	adapter := port.Adapter{Model: "m", Name: "a1"}
+	entry := server("a")
+	entry.Born = 100
+	servers.Put(entry, 1)
+	slots := []fleet.Slot{{Adapter: adapter, Version: 1}}
+	require.True(t, servers.SetTable(fleet.Table{Server: "a", Born: 100, Fence: 5, Number: 1, Models: []string{"m"}, Slots: slots}))
+	member, _ := servers.Member("a")
+	_, held := member.Slot(adapter)
+	require.True(t, held)
+	entry.Born = 200
+	servers.Put(entry, 2)
+	member, _ = servers.Member("a")
+	_, held = member.Slot(adapter)
+	require.False(t, held)
+	require.False(t, member.AtHand(adapter))
+	require.False(t, member.HoldsModel("m"))
+}
+
+// TestTableOfAServerThatIsNotKnownYet is not lost: it is told once.
+func TestTableOfAServerThatIsNotKnownYet(t *testing.T) {
+	servers := fleet.New(fleet.DefaultOptions())
+	adapter := port.Adapter{Model: "m", Name: "a1"}
+	servers.SetTable(fleet.Table{Server: "a", Fence: 5, Number: 1, Models: []string{"m"}, Slots: []fleet.Slot{{Adapter: adapter, Version: 1}}})
+	require.False(t, servers.SetTable(fleet.Table{Server: "a", Fence: 4, Number: 9}), "a lower number is older")
+	servers.Put(server("a"), 1)
+	member, _ := servers.Member("a")
+	_, held := member.Slot(adapter)
+	require.True(t, held)
+}
+
+func TestUnreachableServerIsTriedAgain(t *testing.T) {
+	options := fleet.DefaultOptions()
+	servers := fleet.New(options)
+	servers.Put(server("a"), 1)
+	member, _ := servers.Member("a")
+	now := clock.Millis(1000)
+	last := clock.Millis(0)
+	for range 6 {
+		servers.Unreachable(now, "a")
+		require.True(t, member.Suspect(now))
+		wait := clock.Millis(0)
+		for member.Suspect(now + wait) {
+			wait += 10
+		}
+		require.GreaterOrEqual(t, wait, last)
+		require.LessOrEqual(t, wait, options.MostBackoff+10)
+		last = wait
+		now += wait
+	}
+	servers.Answered(now, "a", false)
+	servers.Unreachable(now, "a")
+	require.False(t, member.Suspect(now+options.FirstBackoff))
+}
+
+func TestTroubleFades(t *testing.T) {
+	servers := fleet.New(fleet.DefaultOptions())
+	servers.Put(server("a"), 1)
+	member, _ := servers.Member("a")
+	for range 5 {
+		servers.Answered(1000, "a", true)
+	}
+	require.Greater(t, servers.Trouble(1000, member), 0.6)
+	require.Less(t, servers.Trouble(9000, member), 0.2)
+	for range 10 {
+		servers.Answered(1000, "a", false)
+	}
+	require.Less(t, servers.Trouble(1000, member), 0.1)
+}
--- /dev/null
+++ b/internal/direct/peers/message_test.go
@@ -0,0 +1,64 @@
+package peers_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"teaselmoor/internal/direct/fleet"
+	"teaselmoor/internal/direct/peers"
+	"teaselmoor/internal/direct/port"
+	"teaselmoor/internal/direct/tally"
+	"teaselmoor/internal/direct/tenure"
+)
+
+func messages() []peers.Message {
+	adapter := port.Adapter{Model: "m", Name: "a"}
+	return []peers.Message{
+		{Update: &peers.Update{
+			From: peers.Member{Name: "d", Address: "1.2.3.4:5", DataCentre: "z", Capacity: 400}, Incarnation: 7, Leaving: true,
+			Members: []peers.Member{{Name: "e", Address: "x", DataCentre: "y", Capacity: 1}}, StoreRevision: 9, Version: 3,
+			Claims: []tenure.Claim{{Server: "s", Fence: 1 << 52, Idle: 12}},
+		}},
+		{Digest: &peers.Digest{
+			Shares: []peers.DaemonShare{{Name: "d", Incarnation: 7, Number: 2, Share: tally.Share{
+				Loads: map[string]tally.Load{"s": {Runs: 1, Reading: 20}}, Uses: map[tally.Use]int{{Server: "s", Adapter: adapter}: 1},
+			}}},
+			Tables: []fleet.Table{{
+				Server: "s", Born: 1, Fence: 2, Number: 3, Models: []string{"m"},
+				Slots: []fleet.Slot{{Adapter: adapter, Version: 4, Coming: true, Queued: true}, {Adapter: port.Adapter{Model: "n", Name: "b"}}},
+			}},
+			Store: &peers.StoreNews{Items: []port.Item{{Key: "k", Value: []byte("v"), Revision: 4}}, AsOf: 5, Age: 6, Back: 7},
+		}},
+		{Want: &peers.Want{Server: "s", Adapter: adapter, Version: 2, Rank: 1, Left: 300, Absent: true}},
+		{Pull: &peers.Pull{After: 4}},
+		{Items: &peers.Items{Items: []port.Item{{Key: "k", Deleted: true, Revision: 4}}, AsOf: 5}},
+	}
+}
+
+func TestMessagesArriveAsSent(t *testing.T) {
+	for _, message := range messages() {
+		encoded, err := peers.Encode(message)
+		require.NoError(t, err)
+		decoded, err := peers.Decode(encoded)
+		require.NoError(t, err)
+		require.Equal(t, message, decoded)
+	}
+}
+
+// FuzzDecode: whatever arrives is a message or an error.
+func FuzzDecode(f *testing.F) {
+	for _, message := range messages() {
+		encoded, err := peers.Encode(message)
+		require.NoError(f, err)
+		f.Add(encoded)
+	}
+	f.Fuzz(func(t *testing.T, encoded []byte) {
+		message, err := peers.Decode(encoded)
+		if err != nil {
+			return
+		}
+		_, err = peers.Encode(message)
+		require.NoError(t, err)
+	})
+}
--- /dev/null
+++ b/internal/direct/upstream/pool_test.go
@@ -0,0 +1,188 @@
+package upstream_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"teaselmoor/internal/direct/upstream"
+)
+
+// answering serves connections with scripts: each is called with the number of
+// the connection and writes what it likes.
+func answering(t testing.TB, serve func(number int, conn net.Conn)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for number := 0; ; number++ {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(number, conn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// readRequest reads one request without a body.
+func readRequest(conn net.Conn) bool {
+	var got []byte
+	one := make([]byte, 1)
+	for !strings.HasSuffix(string(got), "\r\n\r\n") {
+		if _, err := conn.Read(one); err != nil {
+			return false
+		}
+		got = append(got, one[0])
+	}
+	return true
+}
+
+func request(t testing.TB) *http.Request {
+	made, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://server/x", http.NoBody)
+	require.NoError(t, err)
+	return made
+}
+
+func accept(*http.Response, bool) bool { return true }
+
+const answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func readAll(t testing.TB, got *upstream.Answer) string {
+	t.Helper()
+	body, err := io.ReadAll(got.Body)
+	require.NoError(t, err)
+	got.Close(true)
+	return string(body)
+}
+
+func TestConnectionsAreKept(t *testing.T) {
+	address := answering(t, func(_ int, conn net.Conn) {
+		for readRequest(conn) {
+			_, _ = conn.Write([]byte(answer))
+		}
+	})
+	pool := upstream.New(upstream.DefaultOptions())
+	for range 5 {
+		got, err := pool.Send(t.Context(), address, request(t), accept)
+		require.NoError(t, err)
+		require.Equal(t, "ok", readAll(t, got))
+	}
+	require.EqualValues(t, 1, pool.Opened())
+}
+
+// TestConnectionClosedWhileIdle is not used again.
+func TestConnectionClosedWhileIdle(t *testing.T) {
+	closed := make(chan struct{}, 10)
+	address := answering(t, func(_ int, conn net.Conn) {
+		readRequest(conn)
+		_, _ = conn.Write([]byte(answer))
+		_ = conn.Close()
+		closed <- struct{}{}
+	})
+	pool := upstream.New(upstream.DefaultOptions())
+	for range 3 {
+		got, err := pool.Send(t.Context(), address, request(t), accept)
+		require.NoError(t, err)
+		require.Equal(t, "ok", readAll(t, got))
+		<-closed
+	}
+}
+
+func TestKeepAliveOfTheServerIsRespected(t *testing.T) {
+	address := answering(t, func(_ int, conn net.Conn) {
+		for readRequest(conn) {
+			_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok"))
+		}
+	})
+	options := upstream.DefaultOptions()
+	options.IdleTimeout = 100 // below the margin: never used again
+	pool := upstream.New(options)
+	for range 2 {
+		got, err := pool.Send(t.Context(), address, request(t), accept)
+		require.NoError(t, err)
+		readAll(t, got)
+	}
+	require.EqualValues(t, 2, pool.Opened())
+}
+
+func TestRefusedConnectionWasNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	_, err = upstream.New(upstream.DefaultOptions()).Send(t.Context(), address, request(t), accept)
+	var failed *upstream.Error
+	require.True(t, errors.As(err, &failed))
+	require.True(t, failed.Dial)
+	require.False(t, failed.Sent)
+}
+
+// TestConnectionThatEndsWithoutAnAnswer: the request may have run.
+func TestConnectionThatEndsWithoutAnAnswer(t *testing.T) {
+	address := answering(t, func(_ int, conn net.Conn) {
+		readRequest(conn)
+		_ = conn.Close()
+	})
+	_, err := upstream.New(upstream.DefaultOptions()).Send(t.Context(), address, request(t), accept)
+	var failed *upstream.Error
+	require.True(t, errors.As(err, &failed))
+	require.True(t, failed.Sent)
+}
+
+// TestAnswerToAnotherRequestIsSkipped: the right one may follow.
+func TestAnswerToAnotherRequestIsSkipped(t *testing.T) {
+	address := answering(t, func(_ int, conn net.Conn) {
+		readRequest(conn)
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nFor: other\r\nContent-Length: 5\r\n\r\nother" +
+			"HTTP/1.1 200 OK\r\nFor: me\r\nContent-Length: 2\r\n\r\nok"))
+	})
+	mine := func(response *http.Response, _ bool) bool { return response.Header.Get("For") == "me" }
+	got, err := upstream.New(upstream.DefaultOptions()).Send(t.Context(), address, request(t), mine)
+	require.NoError(t, err)
+	require.Equal(t, "ok", readAll(t, got))
+}
+
+// TestContextEndsTheExchange at once, also in the middle of an answer.
+func TestContextEndsTheExchange(t *testing.T) {
+	address := answering(t, func(_ int, conn net.Conn) {
+		readRequest(conn)
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhalf"))
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	got, err := upstream.New(upstream.DefaultOptions()).Send(ctx, address, request(t), accept)
+	require.NoError(t, err)
+	cancel()
+	_, err = io.ReadAll(got.Body)
+	require.Error(t, err)
+	got.Close(false)
+}
+
+// TestAnswerBeforeTheBodyWasRead: a long request that is answered early leaves a
+// connection on which the rest of its body is due; it is not used again.
+func TestAnswerBeforeTheBodyWasRead(t *testing.T) {
+	address := answering(t, func(_ int, conn net.Conn) {
+		if readRequest(conn) {
+			_, _ = conn.Write([]byte(answer))
+		}
+		time.Sleep(50 * time.Millisecond)
+	})
+	pool := upstream.New(upstream.DefaultOptions())
+	for i := range 2 {
+		long, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://server/x", strings.NewReader(strings.Repeat("x", 16<<20)))
+		require.NoError(t, err)
+		got, err := pool.Send(t.Context(), address, long, accept)
+		require.NoError(t, err)
+		require.Equal(t, "ok", readAll(t, got))
+		require.EqualValues(t, i+1, pool.Opened())
+	}
+}
