--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -45,6 +45,7 @@
 	changed      chan struct{}                // closed when holdings change
 	dirty        chan struct{}                // holds a token when peers should be told soon
 	leaving      bool
+	ordersGiven  int64
 	born         int64 // wall clock at the start, in milliseconds
 }
 
--- /dev/null
+++ b/internal/direct/gateway/metrics.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+
+	"teaselmoor/internal/base/clock"
+)
+
+// gauge is one figure of the present state.
+type gauge struct {
+	name  string
+	value float64
+}
+
+// serveMetrics writes counters and gauges as text that common collectors read.
+func (gateway *Gateway) serveMetrics(writer http.ResponseWriter, _ *http.Request) {
+	writer.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	gateway.counters.write(writer)
+	gateway.core.writeGauges(writer)
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	writeGauge(writer, gauge{"teaselmoor_heap_bytes", float64(memory.HeapInuse)})
+	writeGauge(writer, gauge{"teaselmoor_goroutines", float64(runtime.NumGoroutine())})
+	writeGauge(writer, gauge{"teaselmoor_server_connections_opened_total", float64(gateway.pool.Opened())})
+	if gateway.options.Dropped != nil {
+		writeGauge(writer, gauge{"teaselmoor_log_lines_dropped_total", float64(gateway.options.Dropped())})
+	}
+}
+
+func writeGauge(out io.Writer, gauge gauge) {
+	_, _ = fmt.Fprintf(out, "%s %g\n", gauge.name, gauge.value) // the collector may have left
+}
+
+// writeGauges writes what this daemon believes, and how old that is.
+func (core *core) writeGauges(out io.Writer) {
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	now := core.now()
+	for _, each := range core.gauges(now) {
+		writeGauge(out, each)
+	}
+	for service := range core.budgets {
+		left := core.budgets[service].Left(now, core.daemons())
+		_, _ = fmt.Fprintf(out, "teaselmoor_retry_budget_left{service=%q} %g\n", service, left)
+	}
+}
+
+// gauges returns the beliefs. The mutex is held.
+func (core *core) gauges(now clock.Millis) []gauge {
+	version := int64(0)
+	if core.catalog != nil {
+		version = core.catalog.Version
+	}
+	lost := clock.Millis(0)
+	if core.store.lostAt > 0 {
+		lost = now - core.store.lostAt
+	}
+	loading, queued := core.coming()
+	own := 0
+	for _, load := range core.work.Own().Loads {
+		own += load.Runs
+	}
+	return []gauge{
+		{"teaselmoor_config_version", float64(version)},
+		{"teaselmoor_store_revision", float64(core.store.revision)},
+		{"teaselmoor_store_away_millis", float64(lost)},
+		{"teaselmoor_peers", float64(len(core.peers))},
+		{"teaselmoor_servers", float64(len(core.fleet.Members()))},
+		{"teaselmoor_servers_ordered", float64(len(core.orders))},
+		{"teaselmoor_adapters_loading", float64(loading)},
+		{"teaselmoor_adapters_queued", float64(queued)},
+		{"teaselmoor_requests_in_progress", float64(own)},
+		{"teaselmoor_orders_total", float64(core.ordersGiven)},
+	}
+}
--- a/internal/direct/gateway/orders.go
+++ b/internal/direct/gateway/orders.go
@@ -167,6 +167,7 @@
 	defer core.mutex.Unlock()
 	now := core.now()
 	core.tenure.Ordered(now, target.ID)
+	core.ordersGiven++
 	line := []any{
 		"Server", target.ID, "Load", order.Load, "Model", order.Adapter.Model, "Adapter", order.Adapter.Name,
 		"Version", order.Version, "Fence", order.Fence, "Result", result.String(),
--- a/internal/direct/gateway/run.go
+++ b/internal/direct/gateway/run.go
@@ -164,11 +164,6 @@
 	writer.WriteHeader(http.StatusOK)
 }
 
-func (gateway *Gateway) serveMetrics(writer http.ResponseWriter, _ *http.Request) {
-	writer.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	gateway.counters.write(writer)
-}
-
 // leave stops the daemon: it is not ready any more, takes the connections that
 // still come, and ends once the requests in progress have.
 func (gateway *Gateway) leave(stop <-chan struct{}, callers *http.Server) {
@@ -186,7 +181,10 @@
 	core.mutex.Unlock()
 	gateway.log.Info("stopping")
 	time.Sleep(gateway.options.LeaveSpan.Duration())
-	rest := gateway.settings.Grace - gateway.options.LeaveSpan - gateway.options.ExitMargin
+	core.mutex.Lock()
+	grace := core.settings.Grace
+	core.mutex.Unlock()
+	rest := grace - gateway.options.LeaveSpan - gateway.options.ExitMargin
 	ctx, cancel := context.WithTimeout(context.Background(), rest.Duration())
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
--- a/internal/direct/gateway/settings.go
+++ b/internal/direct/gateway/settings.go
@@ -6,6 +6,8 @@
 package gateway
 
 import (
+	"reflect"
+
 	"github.com/pkg/errors"
 
 	"teaselmoor/internal/base/clock"
@@ -56,6 +58,38 @@
 	return nil
 }
 
+// Changes names the settings that differ between two readings of the file.
+func (settings Settings) Changes(after Settings) []string {
+	var changed []string
+	before, now := reflect.ValueOf(settings), reflect.ValueOf(after)
+	for i := range before.NumField() {
+		if !reflect.DeepEqual(before.Field(i).Interface(), now.Field(i).Interface()) {
+			changed = append(changed, before.Type().Field(i).Name)
+		}
+	}
+	return changed
+}
+
+// Reload takes over what may change while the daemon runs: seeds, the retry
+// budget, the grace span. It returns the settings that wait for a restart.
+func (gateway *Gateway) Reload(after Settings) (changed, waiting []string) {
+	core := gateway.core
+	core.mutex.Lock()
+	before := core.settings
+	core.settings.Seeds, core.settings.Retry, core.settings.Grace = after.Seeds, after.Retry, after.Grace
+	for _, budget := range core.budgets {
+		budget.SetLimits(after.Retry)
+	}
+	waiting = core.settings.Changes(after)
+	core.mutex.Unlock()
+	for _, seed := range after.Seeds {
+		if seed != before.PeerAddress {
+			gateway.mesh.Learn(peers.Member{Address: seed})
+		}
+	}
+	return before.Changes(after), waiting
+}
+
 // Options are the project's own limits.
 type Options struct {
 	Fleet    fleet.Options
@@ -106,6 +140,8 @@
 	SparePeers int
 	// LogLines is how many log lines may wait to be written.
 	LogLines int
+	// Dropped tells how many log lines were dropped; nil when nobody counts them.
+	Dropped func() int64 `yaml:"-"`
 }
 
 // DefaultOptions returns the options for the settings' lease.
--- a/internal/direct/retry/budget.go
+++ b/internal/direct/retry/budget.go
@@ -30,6 +30,13 @@
 	return &Budget{limits: limits, width: max(1, limits.Window/buckets)}
 }
 
+// SetLimits replaces ratio and allowance. The window stays as it was: what was
+// counted is counted by it.
+func (budget *Budget) SetLimits(limits Limits) {
+	limits.Window = budget.limits.Window
+	budget.limits = limits
+}
+
 // Request counts a request of a caller.
 func (budget *Budget) Request(now clock.Millis) {
 	budget.advance(now)
