--- a/internal/direct/choose/choose.go
+++ b/internal/direct/choose/choose.go
@@ -22,6 +22,7 @@
 	Coming          float64 // what is left, on average, of a load on its way
 	Copy            float64 // for making a further copy of an adapter that is held elsewhere
 	Crowded         float64 // for each adapter in use beyond the places of the server
+	Orderless       float64 // for a load at a server that no daemon gives orders to
 	Step            float64 // for each step down the adapter's order of servers
 	Trouble         float64 // for a server that fails all its requests
 	Suspect         float64 // for a server that could not be reached
@@ -34,7 +35,7 @@
 func DefaultWeights() Weights {
 	return Weights{
 		ReadTokensPerMS: 20, Run: 4, Queued: 40,
-		Load: 300, AtHand: 60, Coming: 160, Copy: 150, Crowded: 300, Step: 40,
+		Load: 300, AtHand: 60, Coming: 160, Copy: 150, Crowded: 300, Orderless: 1500, Step: 40,
 		Trouble: 1500, Suspect: 3000, Away: 1, Homes: 3,
 	}
 }
@@ -43,14 +44,15 @@
 type Query struct {
 	Now        clock.Millis
 	Service    string
-	DataCentre string       // of this daemon
-	Attempt    uint64       // hash of the request's id
-	Adapter    port.Adapter // its name is empty for the base model, both for a plain service
-	Version    int          // least version of the adapter
-	Prompt     int          // tokens
-	Places     int          // for adapters at each server
-	Tried      []string     // servers that had the request before
-	Waiting    string       // the server that is loading the adapter for the request; empty if none
+	DataCentre string                   // of this daemon
+	Attempt    uint64                   // hash of the request's id
+	Adapter    port.Adapter             // its name is empty for the base model, both for a plain service
+	Version    int                      // least version of the adapter
+	Prompt     int                      // tokens
+	Places     int                      // for adapters at each server
+	Tried      []string                 // servers that had the request before
+	Ordered    func(server string) bool // whether a daemon gives orders to a server; nil: all have one
+	Waiting    string                   // the server that is loading the adapter for the request; empty if none
 }
 
 // Choice is a server and why it was chosen.
@@ -172,6 +174,9 @@
 		return weights.AtHand
 	}
 	cost := weights.Load + weights.Step*float64(steps)
+	if query.Ordered != nil && !query.Ordered(member.ID) {
+		cost += weights.Orderless
+	}
 	if copies > 0 {
 		cost += weights.Copy
 	}
--- a/internal/direct/choose/choose_test.go
+++ b/internal/direct/choose/choose_test.go
@@ -105,6 +105,15 @@
 	require.False(t, pick(t, servers, work, asked).Held)
 }
 
+// TestServerWithoutOrders: a load there waits until some daemon has taken over.
+func TestServerWithoutOrders(t *testing.T) {
+	servers, work := site(9)
+	asked := query("r")
+	home := pick(t, servers, work, asked).Member.ID
+	asked.Ordered = func(server string) bool { return server != home }
+	require.NotEqual(t, home, pick(t, servers, work, asked).Member.ID)
+}
+
 // TestCrowdedPlaces: a server whose places are all in use is no place to load at.
 func TestCrowdedPlaces(t *testing.T) {
 	servers, work := site(2)
--- a/internal/direct/gateway/dispatch.go
+++ b/internal/direct/gateway/dispatch.go
@@ -146,6 +146,7 @@
 		if hopeless || now-started >= patience || ctx.Err() != nil {
 			core.unplace(use, job)
 			job.waited += now - started
+			core.logNotPlaced(now, job, use, hopeless, patience)
 			return placed{}, notPlaced(ctx, job)
 		}
 		if asked == 0 || now-asked >= core.options.WantInterval {
@@ -161,6 +162,15 @@
 	return ok && slot.Coming
 }
 
+// logNotPlaced writes what decided that a request does not wait any longer. The
+// mutex is held.
+func (core *core) logNotPlaced(now clock.Millis, job *job, use tally.Use, hopeless bool, patience clock.Millis) {
+	loading, queued := core.coming()
+	owner, _ := core.tenure.Owner(now, use.Server)
+	core.log.Info("adapter not ready", "Request", job.call.Attempt, "Server", use.Server, "Adapter", use.Adapter.Name, "Owner", owner,
+		"AtOnce", hopeless, "PatienceMillis", patience, "LoadMillis", core.loadWait(), "Loading", loading, "Queued", queued)
+}
+
 // notPlaced says why a request got no server in time.
 func notPlaced(ctx context.Context, job *job) *verdict {
 	if job.incoming.Context().Err() != nil {
@@ -175,7 +185,8 @@
 func (core *core) query(now clock.Millis, job *job, waiting string) choose.Query {
 	return choose.Query{
 		Now: now, Service: job.service, DataCentre: core.settings.DataCentre, Adapter: job.adapter,
-		Attempt: xxhash.Sum64String(job.call.Attempt), Version: core.required(now, job.adapter), Prompt: job.call.Prompt, Tried: job.tried, Waiting: waiting, Places: job.places,
+		Attempt: xxhash.Sum64String(job.call.Attempt), Version: core.required(now, job.adapter), Prompt: job.call.Prompt, Tried: job.tried, Waiting: waiting,
+		Ordered: func(server string) bool { _, ok := core.tenure.Owner(now, server); return ok }, Places: job.places,
 	}
 }
 
@@ -418,6 +429,7 @@
 func (gateway *Gateway) failure(writer http.ResponseWriter, job *job, to placed, answer *upstream.Answer) verdict {
 	gateway.note(to, answer.StatusCode >= 500)
 	job.tried = append(job.tried, to.server.ID)
+	gateway.log.Info("server failed", "Request", job.call.Attempt, "Server", to.server.ID, "Status", answer.StatusCode)
 	if answer.StatusCode >= 500 && job.route.Repeatable() && job.sends < job.route.Attempts && gateway.mayRepeat(job) {
 		gateway.finish(answer)
 		return verdict{again: true, status: http.StatusBadGateway, reason: reasonLost}
--- a/internal/direct/gateway/handler.go
+++ b/internal/direct/gateway/handler.go
@@ -17,6 +17,7 @@
 	call     port.Call
 	incoming *http.Request
 	body     []byte
+	config   int64 // version of the configuration that it is served by
 	route    *catalog.Route
 	service  string
 	engine   bool
@@ -84,7 +85,7 @@
 // refuses it.
 func (gateway *Gateway) accept(writer http.ResponseWriter, request *http.Request, config *catalog.Catalog) (*job, int, reason) {
 	core := gateway.core
-	job := &job{incoming: request, arrived: core.now()}
+	job := &job{incoming: request, arrived: core.now(), config: config.Version}
 	call, err := gateway.protocol.Call(request)
 	job.call = call
 	if err != nil || strings.HasPrefix(request.RequestURI, "//") {
@@ -163,7 +164,10 @@
 	now := gateway.core.now()
 	line := []any{
 		"Request", job.call.Attempt, "Status", status, "Reason", string(why), "Millis", now - job.arrived,
-		"Offers", job.offers, "WaitedMillis", job.waited,
+		"Offers", job.offers, "WaitedMillis", job.waited, "Config", job.config,
+	}
+	if why == reasonNoRoute {
+		line = append(line, "Host", job.incoming.Host, "Path", job.incoming.URL.Path)
 	}
 	if job.route != nil {
 		line = append(line, "Route", job.route.Name, "Service", job.service, "Adapter", job.adapter.Name, "LeftMillis", job.deadline-now)
