--- a/internal/direct/choose/choose.go
+++ b/internal/direct/choose/choose.go
@@ -60,7 +60,6 @@
 	Member *fleet.Member
 	Cost   float64 // expected time in milliseconds
 	Held   bool    // the server can run the request at once
-	Work   float64 // the part of it that the work in progress explains
 }
 
 // mixer spreads the hash of a pair over all bits (the golden ratio times 2^64).
@@ -112,7 +111,6 @@
 		}
 		choice := Choice{Member: member, Held: ready(member, query)}
 		choice.Cost = weights.base(query, servers, work, member) + spread(query, member)
-		choice.Work = weights.expected(query, work.Load(member.ID))
 		if !choice.Held {
 			steps := first.steps(rank(adapterHash, member), weights.Homes)
 			choice.Cost += weights.load(query, member, steps, copies) + weights.crowding(query, member, work)
@@ -150,15 +148,10 @@
 	return float64(rank(query.Attempt, member)>>32) / (1 << 32)
 }
 
-// expected is the time to the first event that the work at a server explains.
-func (weights Weights) expected(query Query, load tally.Load) float64 {
-	return float64(load.Reading+query.Prompt)/weights.ReadTokensPerMS + weights.Run*float64(load.Runs)
-}
-
 // base is the cost of a server apart from its adapters.
 func (weights Weights) base(query Query, servers *fleet.Fleet, work *tally.Tally, member *fleet.Member) float64 {
 	load := work.Load(member.ID)
-	cost := weights.expected(query, load) * max(1, servers.Pace(query.Now, member))
+	cost := float64(load.Reading+query.Prompt)/weights.ReadTokensPerMS + weights.Run*float64(load.Runs)
 	if beyond := load.Runs + 1 - member.Slots; beyond > 0 {
 		cost += weights.Queued * float64(beyond)
 	}
--- a/internal/direct/fleet/fleet.go
+++ b/internal/direct/fleet/fleet.go
@@ -28,8 +28,6 @@
 	FirstBackoff, MostBackoff clock.Millis
 	// TroubleHalfLife is the time in which the memory of failures halves.
 	TroubleHalfLife clock.Millis
-	// PaceHalfLife is the same for what is known of a server's pace.
-	PaceHalfLife clock.Millis
 	// Recent is how many adapters a server keeps at hand after it has dropped
 	// them: it loads those ten times as fast and not from the weight store.
 	Recent int
@@ -43,7 +41,7 @@
 	return Options{
 		OutageSpan: clock.Second, ReturnGrace: 2*clock.Second + 300,
 		FirstBackoff: 150, MostBackoff: 1600,
-		TroubleHalfLife: 2 * clock.Second, PaceHalfLife: 3 * clock.Second, Recent: 80, Tombstone: clock.Minute,
+		TroubleHalfLife: 2 * clock.Second, Recent: 80, Tombstone: clock.Minute,
 	}
 }
 
@@ -79,8 +77,6 @@
 	lapsesAt     clock.Millis // when a missing entry is taken as gone; 0: its entry is there
 	suspectUntil clock.Millis
 	backoff      clock.Millis
-	pace         float64 // how much longer than expected its first events take
-	paceAt       clock.Millis
 	trouble      float64
 	troubleAt    clock.Millis
 }
@@ -369,37 +365,6 @@
 	member.suspectUntil = now + member.backoff
 }
 
-// paceStep is the weight of one answer in the memory of a server's pace, mostPace
-// the most that is believed of it, paceFloor what is added to both times, so that
-// short ones do not count for much (milliseconds).
-const (
-	paceStep  = 0.2
-	mostPace  = 8.0
-	paceFloor = 30.0
-)
-
-// Began notes when the first event of an answer came, against what was expected.
-func (fleet *Fleet) Began(now clock.Millis, id string, expected, observed float64) {
-	member, ok := fleet.members[id]
-	if !ok {
-		return
-	}
-	ratio := min((observed+paceFloor)/(expected+paceFloor), mostPace)
-	pace := fleet.Pace(now, member)
-	member.pace = pace + paceStep*(ratio-pace)
-	member.paceAt = now
-}
-
-// Pace returns how many times longer than expected a server takes. What is known
-// fades, so that a server that was slow is tried again.
-func (fleet *Fleet) Pace(now clock.Millis, member *Member) float64 {
-	if member.paceAt == 0 {
-		return 1
-	}
-	halfLife := float64(fleet.options.PaceHalfLife)
-	return 1 + (member.pace-1)*halfLife/(halfLife+float64(now-member.paceAt))
-}
-
 // troubleStep is the weight of one answer in the memory of failures: after
 // three failures in a row half of the full weight is reached.
 const troubleStep = 0.2
--- a/internal/direct/fleet/fleet_test.go
+++ b/internal/direct/fleet/fleet_test.go
@@ -125,23 +125,6 @@
 	require.False(t, member.Suspect(now+options.FirstBackoff))
 }
 
-// TestSlowServer: one whose first events take long is known by it, for a while.
-func TestSlowServer(t *testing.T) {
-	servers := fleet.New(fleet.DefaultOptions())
-	servers.Put(server("a"), 1)
-	member, _ := servers.Member("a")
-	require.InDelta(t, 1, servers.Pace(1000, member), 0.01)
-	for range 10 {
-		servers.Began(1000, "a", 100, 490)
-	}
-	require.Greater(t, servers.Pace(1000, member), 3.0)
-	require.Less(t, servers.Pace(20_000, member), 1.6)
-	for range 20 {
-		servers.Began(1000, "a", 100, 100)
-	}
-	require.InDelta(t, 1, servers.Pace(1000, member), 0.1)
-}
-
 func TestTroubleFades(t *testing.T) {
 	servers := fleet.New(fleet.DefaultOptions())
 	servers.Put(server("a"), 1)
--- a/internal/direct/gateway/dispatch.go
+++ b/internal/direct/gateway/dispatch.go
@@ -89,8 +89,6 @@
 	use     tally.Use
 	version int
 	cost    float64
-	work    float64 // the time to the first event that the work there explains
-	sentAt  clock.Millis
 }
 
 // placement counts a request at its server until end.
@@ -101,12 +99,10 @@
 }
 
 // first notes the first event of the answer.
-func (placement *placement) first(to placed) {
+func (placement *placement) first() {
 	core := placement.gateway.core
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
-	now := core.now()
-	core.fleet.Began(now, to.server.ID, to.work, float64(now-to.sentAt))
 	core.work.First(placement.use, placement.prompt)
 	placement.prompt = 0
 }
@@ -231,7 +227,7 @@
 	if held, ok := core.orders[use.Server]; ok {
 		held.planner.Used(now, job.adapter, 1)
 	}
-	result := placed{server: choice.Member.Server, use: use, cost: choice.Cost, work: choice.Work, sentAt: now}
+	result := placed{server: choice.Member.Server, use: use, cost: choice.Cost}
 	if slot, ok := choice.Member.Slot(job.adapter); ok && core.newest(job.adapter) > 0 && slot.Version >= core.newest(job.adapter) {
 		result.version = core.newest(job.adapter)
 	}
--- a/internal/direct/gateway/relay.go
+++ b/internal/direct/gateway/relay.go
@@ -78,7 +78,7 @@
 		if len(event) > 0 {
 			if !job.started {
 				gateway.begin(writer, job, answer)
-				held.first(to)
+				held.first()
 			}
 			if _, failed := writer.Write(event); failed != nil {
 				answer.Close(false)
