--- a/internal/base/logpipe/logpipe_test.go
+++ b/internal/base/logpipe/logpipe_test.go
@@ -27,7 +27,7 @@
 	require.GreaterOrEqual(t, pipe.Dropped(), int64(1000-8-1))
 	require.NoError(t, reader.Close())
 	cancel()
-	<-ended
+	require.ErrorIs(t, <-ended, io.ErrClosedPipe)
 }
 
 // TestDroppedLinesAreSaid counts every line: written or said to be dropped.
--- a/internal/direct/gateway/gossip.go
+++ b/internal/direct/gateway/gossip.go
@@ -1,9 +1,7 @@
 package gateway
 
 import (
-	"context"
 	"slices"
-	"time"
 
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/peers"
@@ -133,23 +131,9 @@
 	return sent
 }
 
-// tellUpdates tells everyone that there is a connection to, heard or not, at
-// intervals until the context ends: daemons that know each other by a third one's
-// word only meet this way.
-func (gateway *Gateway) tellUpdates(ctx context.Context) error {
-	interval := time.NewTicker(gateway.options.UpdateInterval.Duration())
-	defer interval.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-interval.C:
-			gateway.tellUpdate(gateway.core.now())
-		}
-	}
-}
-
-// tellUpdate names all members to those that have not been told them yet.
+// tellUpdate tells everyone that there is a connection to, heard or not: daemons
+// that know each other by a third one's word only meet this way. It names all
+// members to those that have not been told them yet.
 func (gateway *Gateway) tellUpdate(now clock.Millis) {
 	core := gateway.core
 	addresses := gateway.mesh.Addresses()
@@ -201,24 +185,6 @@
 	return update
 }
 
-// tickInterval is how often the daemon looks at what passing time calls for. It
-// is well below the gap that counts as a pause.
-const tickInterval = 100 * time.Millisecond
-
-// ticks looks at the time until the context ends.
-func (gateway *Gateway) ticks(ctx context.Context) error {
-	interval := time.NewTicker(tickInterval)
-	defer interval.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-interval.C:
-			gateway.tick(gateway.core.now())
-		}
-	}
-}
-
 // tick does what passing time calls for.
 func (gateway *Gateway) tick(now clock.Millis) {
 	core := gateway.core
--- /dev/null
+++ b/internal/direct/gateway/place.go
@@ -0,0 +1,201 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/direct/choose"
+	"teaselmoor/internal/direct/fleet"
+	"teaselmoor/internal/direct/peers"
+	"teaselmoor/internal/direct/port"
+	"teaselmoor/internal/direct/tally"
+)
+
+// placed is the server that a request goes to.
+type placed struct {
+	server  port.Server
+	use     tally.Use
+	version int
+	cost    float64
+}
+
+// placement counts a request at its server until end.
+type placement struct {
+	gateway *Gateway
+	use     tally.Use
+	prompt  int
+}
+
+// first notes the first event of the answer.
+func (placement *placement) first() {
+	core := placement.gateway.core
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	core.work.First(placement.use, placement.prompt)
+	placement.prompt = 0
+}
+
+func (placement *placement) end() {
+	core := placement.gateway.core
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	core.work.End(placement.use, placement.prompt)
+	if held, ok := core.orders[placement.use.Server]; ok {
+		held.poke()
+	}
+}
+
+// place chooses a server and waits there for the adapter where it is not held.
+func (gateway *Gateway) place(ctx context.Context, job *job) (placed, *verdict) {
+	core := gateway.core
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	started := core.now()
+	patience := core.patience(started, job)
+	asked := clock.Millis(0)
+	var waitingAt tally.Use
+	for {
+		now := core.now()
+		choice, ok := core.choose(core.query(now, job, waitingAt.Server), job.hash)
+		if !ok {
+			core.unplace(waitingAt, job)
+			return placed{}, &verdict{status: http.StatusServiceUnavailable, reason: reasonNoServer}
+		}
+		use := tally.Use{Server: choice.Member.ID, Adapter: job.adapter}
+		if use != waitingAt {
+			core.unplace(waitingAt, job)
+			core.work.Begin(use, job.call.Prompt)
+			waitingAt, asked = use, 0
+		}
+		if choice.Held {
+			return core.settled(now, started, job, choice, use), nil
+		}
+		hopeless := waitingAt == use && asked == 0 && !coming(choice.Member, job.adapter) && core.loadWait() > patience
+		if hopeless || now-started >= patience || ctx.Err() != nil {
+			core.unplace(use, job)
+			job.waited += now - started
+			core.logNotPlaced(now, job, use, hopeless, patience)
+			return placed{}, notPlaced(ctx, job)
+		}
+		if asked == 0 || now-asked >= core.options.WantInterval {
+			asked = now
+			gateway.ask(job, use, now, patience-(now-started))
+		}
+		gateway.await(ctx, min(core.options.WantInterval, patience-(now-started)))
+	}
+}
+
+func coming(member *fleet.Member, adapter port.Adapter) bool {
+	slot, ok := member.Slot(adapter)
+	return ok && slot.Coming
+}
+
+// logNotPlaced writes what decided that a request does not wait any longer. The
+// mutex is held.
+func (core *core) logNotPlaced(now clock.Millis, job *job, use tally.Use, hopeless bool, patience clock.Millis) {
+	loading, queued := core.coming()
+	owner, _ := core.tenure.Owner(now, use.Server)
+	core.log.Info("adapter not ready", "Request", job.call.Attempt, "Server", use.Server, "Adapter", use.Adapter.Name, "Owner", owner,
+		"AtOnce", hopeless, "PatienceMillis", patience, "LoadMillis", core.loadWait(), "Loading", loading, "Queued", queued)
+}
+
+// notPlaced says why a request got no server in time.
+func notPlaced(ctx context.Context, job *job) *verdict {
+	if job.incoming.Context().Err() != nil {
+		return &verdict{done: false, status: http.StatusServiceUnavailable, reason: reasonCallerLeft}
+	}
+	if ctx.Err() != nil {
+		return &verdict{status: http.StatusServiceUnavailable, reason: reasonDeadline}
+	}
+	return &verdict{status: http.StatusServiceUnavailable, reason: reasonLoadWait}
+}
+
+func (core *core) query(now clock.Millis, job *job, waiting string) choose.Query {
+	return choose.Query{
+		Now: now, Service: job.service, DataCentre: core.settings.DataCentre, Adapter: job.adapter,
+		Attempt: xxhash.Sum64String(job.call.Attempt), Version: core.required(now, job.adapter), Prompt: job.call.Prompt, Tried: job.tried, Waiting: waiting,
+		Ordered: func(server string) bool { _, ok := core.tenure.Owner(now, server); return ok }, Places: job.places,
+	}
+}
+
+// patience is how long a request may wait for its adapter: callers abandon a
+// stream that is silent for longer than its goals suggest.
+func (core *core) patience(now clock.Millis, job *job) clock.Millis {
+	silence := max(leastSilence, goalSilence*job.route.Goal, gapSilence*job.route.GapGoal)
+	byCaller := clock.Millis(core.options.LoadPatience * float64(job.arrived+silence-now))
+	byDeadline := clock.Millis(core.options.LoadPatience * float64(job.deadline-now))
+	return min(byCaller, byDeadline)
+}
+
+// Callers abandon a stream after the longest of these silences: a fixed one, and
+// multiples of the route's goals for the first event and for gaps.
+const (
+	leastSilence = 2 * clock.Second
+	goalSilence  = 4
+	gapSilence   = 8
+)
+
+// loadWait is how long an adapter that nobody has asked for yet will take: the
+// weight store sends a number at a time, and those that wait go first.
+func (core *core) loadWait() clock.Millis {
+	loading, queued := core.coming()
+	atOnce := core.fullSpeedLoads()
+	ahead := max(0, loading+queued-atOnce)
+	return core.options.Loading.LoadTime + core.options.Loading.LoadTime*clock.Millis(ahead)/clock.Millis(atOnce)
+}
+
+func (core *core) unplace(use tally.Use, job *job) {
+	if use.Server != "" {
+		core.work.End(use, job.call.Prompt)
+	}
+}
+
+func (core *core) settled(now, started clock.Millis, job *job, choice choose.Choice, use tally.Use) placed {
+	job.waited += now - started
+	if held, ok := core.orders[use.Server]; ok {
+		held.planner.Used(now, job.adapter, 1)
+	}
+	result := placed{server: choice.Member.Server, use: use, cost: choice.Cost}
+	if slot, ok := choice.Member.Slot(job.adapter); ok && core.newest(job.adapter) > 0 && slot.Version >= core.newest(job.adapter) {
+		result.version = core.newest(job.adapter)
+	}
+	return result
+}
+
+// ask tells the daemon that orders a server which adapter is needed. The mutex
+// is held.
+func (gateway *Gateway) ask(job *job, use tally.Use, now, left clock.Millis) {
+	core := gateway.core
+	want := peers.Want{Server: use.Server, Adapter: use.Adapter, Version: core.newest(use.Adapter), Rank: job.route.Rank, Left: left}
+	owner, ok := core.tenure.Owner(now, use.Server)
+	gateway.log.Info("adapter asked for", "Request", job.call.Attempt, "Server", use.Server, "Adapter", use.Adapter.Name, "Owner", owner)
+	if !ok {
+		return
+	}
+	if owner == core.settings.Name {
+		core.want(want)
+		return
+	}
+	if peer, ok := core.peers[owner]; ok {
+		gateway.send(peer.member.Address, peers.Message{Want: &want})
+	}
+}
+
+// await releases the mutex until holdings change or the time is over.
+func (gateway *Gateway) await(ctx context.Context, most clock.Millis) {
+	core := gateway.core
+	changed := core.changed
+	core.mutex.Unlock()
+	timer := time.NewTimer(max(1, most).Duration())
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	timer.Stop()
+	core.mutex.Lock()
+}
--- a/internal/direct/gateway/run.go
+++ b/internal/direct/gateway/run.go
@@ -123,9 +123,9 @@
 		}
 	}
 	gateway.group.Go("news", gateway.tellNews)
-	gateway.group.Go("updates", gateway.tellUpdates)
-	gateway.group.Go("ticks", gateway.ticks)
-	gateway.group.Go("sweep", gateway.sweep)
+	gateway.every("updates", gateway.options.UpdateInterval, func() { gateway.tellUpdate(gateway.core.now()) })
+	gateway.every("ticks", tickInterval, func() { gateway.tick(gateway.core.now()) })
+	gateway.every("sweep", sweepInterval, gateway.pool.Sweep)
 }
 
 func (gateway *Gateway) serve(name string, listener net.Listener, server *http.Server) {
@@ -141,19 +141,26 @@
 }
 
 // sweepInterval is how often expired connections are looked for.
-const sweepInterval = time.Second
-
-func (gateway *Gateway) sweep(ctx context.Context) error {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			gateway.pool.Sweep()
+const sweepInterval = clock.Second
+
+// tickInterval is how often the daemon looks at what passing time calls for. It
+// is well below the gap that counts as a pause.
+const tickInterval = 100 * clock.Millisecond
+
+// every does something at intervals until the daemon ends.
+func (gateway *Gateway) every(name string, interval clock.Millis, do func()) {
+	gateway.group.Go(name, func(ctx context.Context) error {
+		ticker := time.NewTicker(interval.Duration())
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-ticker.C:
+				do()
+			}
 		}
-	}
+	})
 }
 
 func (gateway *Gateway) serveReady(writer http.ResponseWriter, _ *http.Request) {
--- /dev/null
+++ b/internal/direct/loading/results.go
@@ -0,0 +1,124 @@
+package loading
+
+import (
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/direct/port"
+)
+
+// Done takes the result of an order.
+func (planner *Planner) Done(now clock.Millis, order port.Order, result port.Result, crowd float64) {
+	if result != port.Conflict && result != port.Fenced && result != port.Other {
+		planner.ordered = now
+	}
+	switch result {
+	case port.Accepted, port.Holds:
+		planner.shown = true
+		planner.accepted(now, order, result == port.Holds, crowd)
+	case port.Conflict:
+		planner.waitTo = now + planner.options.Backoff
+	case port.Unknown:
+		planner.unanswered(now, order)
+	case port.Other, port.Fenced:
+		planner.known = false
+		planner.shown = false
+	case port.Invalid:
+		planner.refused(now, order)
+	}
+}
+
+// unanswered counts a load that may have been accepted: its place is taken until
+// the order, given again, is answered.
+func (planner *Planner) unanswered(now clock.Millis, order port.Order) {
+	planner.waitTo = now + planner.options.Backoff
+	planner.number++
+	if !order.Load {
+		return // the adapter keeps its place
+	}
+	if order.Adapter.Name == "" {
+		planner.coming[order.Adapter.Model] = planner.waitTo
+		return
+	}
+	held, ok := planner.slots[order.Adapter]
+	if !ok {
+		held = &slot{version: order.Version}
+		planner.slots[order.Adapter] = held
+	}
+	held.loading = true
+	held.checkAt = planner.waitTo
+}
+
+func (planner *Planner) accepted(now clock.Millis, order port.Order, holds bool, crowd float64) {
+	planner.number++
+	switch {
+	case order.Adapter.Name == "":
+		planner.modelAccepted(now, order.Adapter.Model, holds)
+	case !order.Load:
+		planner.unloadAccepted(now, order.Adapter, holds)
+	default:
+		planner.loadAccepted(now, order, holds, crowd)
+	}
+}
+
+// unloadAccepted frees the place once nothing runs on the adapter any more: until
+// then the server still counts it.
+func (planner *Planner) unloadAccepted(now clock.Millis, adapter port.Adapter, holds bool) {
+	held, ok := planner.slots[adapter]
+	if holds || !ok {
+		delete(planner.slots, adapter)
+		return
+	}
+	held.leaving = true
+	held.checkAt = now + planner.options.CheckInterval
+}
+
+func (planner *Planner) modelAccepted(now clock.Millis, model string, holds bool) {
+	if holds {
+		planner.models[model] = true
+		delete(planner.coming, model)
+		return
+	}
+	planner.coming[model] = now + planner.options.ModelCheckInterval
+}
+
+func (planner *Planner) loadAccepted(now clock.Millis, order port.Order, holds bool, crowd float64) {
+	held, ok := planner.slots[order.Adapter]
+	if !ok {
+		held = &slot{}
+		planner.slots[order.Adapter] = held
+	}
+	if holds {
+		held.loading = false
+		held.checks = 0
+		held.version = max(held.version, order.Version, 1)
+		held.usedAt = now
+		delete(planner.wants, order.Adapter)
+		return
+	}
+	held.version = max(held.version, order.Version)
+	if !held.loading {
+		held.loading = true
+		held.checks = 0
+		held.checkAt = now + planner.loadTime(order.Adapter, crowd)
+		return
+	}
+	held.checks++
+	held.checkAt = now + planner.options.CheckInterval
+	if held.checks > planner.options.MostChecks {
+		planner.known = false
+	}
+}
+
+// loadTime is how long a load is expected to take.
+func (planner *Planner) loadTime(adapter port.Adapter, crowd float64) clock.Millis {
+	if planner.atHand(adapter) {
+		return planner.options.AtHandTime
+	}
+	return clock.Millis(float64(planner.options.LoadTime) * max(1, crowd))
+}
+
+// refused drops what the server says makes no sense, so that it is not tried for ever.
+func (planner *Planner) refused(now clock.Millis, order port.Order) {
+	delete(planner.wants, order.Adapter)
+	planner.waitTo = now + planner.options.Backoff
+	planner.known = false
+}
