gateway, tenure: a daemon that stops orders until its end; replaced daemons are preferred

Cause: each server was without orders for 4 s at each replacement, and went to a daemon that was replaced next.

--- a/internal/direct/gateway/gossip.go
+++ b/internal/direct/gateway/gossip.go
@@ -64,6 +64,9 @@
 	known.member = update.From
 	known.incarnation = update.Incarnation
 	known.heardAt = now
+	if known.leaving != update.Leaving {
+		core.memberNumber++
+	}
 	known.leaving = update.Leaving
 	known.revision = update.StoreRevision
 	known.version = update.Version
@@ -71,10 +74,8 @@
 	for _, member := range update.Members {
 		names = append(names, member.Name)
 	}
+	core.tenure.Born(update.From.Name, clock.Millis(update.Incarnation))
 	core.tenure.Heard(now, update.From.Name, update.Claims, names...)
-	if update.Leaving {
-		core.tenure.Left(now, update.From.Name)
-	}
 }
 
 // wanted asks the planner of a server for an adapter on a peer's behalf.
@@ -180,7 +181,11 @@
 		update.Version = core.catalog.Version
 	}
 	for _, known := range core.peers {
-		update.Members = append(update.Members, known.member)
+		// A daemon that has said that it leaves gives no orders any more; one that
+		// was named would make daemons that start wait for its word.
+		if !known.leaving {
+			update.Members = append(update.Members, known.member)
+		}
 	}
 	return update
 }
--- a/internal/direct/tenure/tenure.go
+++ b/internal/direct/tenure/tenure.go
@@ -41,6 +41,9 @@
 	// Pause is a gap between two ticks after which nothing is ordered before
 	// peers were heard again.
 	Pause clock.Millis
+	// Fresh is how much later than the others a daemon must have started to be
+	// preferred: in a rolling replacement it will not be replaced again soon.
+	Fresh clock.Millis
 	// Settle is the wait after a pause.
 	Settle clock.Millis
 }
@@ -53,13 +56,16 @@
 // last heard (it tells at least each 500 ms), and for one on its way.
 const quietMargin = 700 * clock.Millisecond
 
+// onItsWay is how long an order may take to a server.
+const onItsWay = 200 * clock.Millisecond
+
 // staleMargin is how long before others may take over that claims lapse.
 const staleMargin = 300 * clock.Millisecond
 
 // DefaultOptions returns times for a lease. Fenced tells that servers check
 // fencing numbers.
 func DefaultOptions(lease clock.Millis, fenced bool) Options {
-	options := Options{Quiet: lease + quietMargin, Announce: 200, Silence: 1200, Suspicion: 1500, Pause: 400, Settle: 600}
+	options := Options{Quiet: lease + quietMargin, Announce: 200, Silence: 1200, Suspicion: 1500, Pause: 400, Settle: 600, Fresh: 10 * clock.Second}
 	options.Stale = max(options.Quiet, options.Suspicion) - staleMargin
 	options.StartWait = settleWait
 	if !fenced {
@@ -98,6 +104,7 @@
 	heard   map[string]clock.Millis // peers, and when they were heard
 	first   map[string]clock.Millis // the same, for the first time
 	named   map[string]bool         // daemons that peers have named
+	born    map[string]clock.Millis // wall clock at the start of each process
 	holders map[string]*holder
 }
 
@@ -105,7 +112,7 @@
 func New(options Options, self string, now clock.Millis, wall clock.Source) *Tenure {
 	return &Tenure{
 		options: options, self: self, wall: wall, started: now, ticked: now, toldAt: now,
-		heard: make(map[string]clock.Millis), first: make(map[string]clock.Millis), named: make(map[string]bool), holders: make(map[string]*holder),
+		heard: make(map[string]clock.Millis), first: make(map[string]clock.Millis), named: make(map[string]bool), born: map[string]clock.Millis{self: wall()}, holders: make(map[string]*holder),
 	}
 }
 
@@ -158,7 +165,8 @@
 	for _, known := range tenure.holders {
 		if known.owner == peer {
 			known.owner = ""
-			known.orderAt = now
+			// It has stopped before it said so: no order follows its word.
+			known.orderAt = max(known.orderAt, now-quietMargin+onItsWay)
 		}
 	}
 }
@@ -218,7 +226,7 @@
 	if now < tenure.barred || now < tenure.started+tenure.startWait() {
 		return nil
 	}
-	live := tenure.Live(now)
+	live := tenure.preferred(tenure.Live(now))
 	var taken []string
 	for _, server := range servers {
 		if tenure.chosen(live, server) && tenure.free(now, server) {
@@ -241,6 +249,23 @@
 	return tenure.options.StartWait
 }
 
+// Born notes when the process of a daemon started, by its own wall clock.
+func (tenure *Tenure) Born(daemon string, at clock.Millis) {
+	tenure.born[daemon] = at
+}
+
+// preferred returns the daemons that started last, in the order of their names:
+// all, unless some have been replaced since.
+func (tenure *Tenure) preferred(live []string) []string {
+	newest := clock.Millis(0)
+	for _, daemon := range live {
+		newest = max(newest, tenure.born[daemon])
+	}
+	return slices.DeleteFunc(slices.Clone(live), func(daemon string) bool {
+		return tenure.born[daemon] < newest-tenure.options.Fresh
+	})
+}
+
 // Live returns the daemons that were heard of late, this one first.
 func (tenure *Tenure) Live(now clock.Millis) []string {
 	live := []string{tenure.self}
--- a/internal/direct/tenure/tenure_test.go
+++ b/internal/direct/tenure/tenure_test.go
@@ -102,11 +102,35 @@
 	require.Greater(t, after, before+10_000)
 }
 
+// TestReplacedDaemonIsPreferred: in a rolling replacement servers go to daemons
+// that were replaced already.
+func TestReplacedDaemonIsPreferred(t *testing.T) {
+	now := clock.Millis(1_000_000)
+	options := tenure.DefaultOptions(lease, true)
+	daemon := tenure.New(options, "a", now, wallAt(&now))
+	servers := []string{"s1", "s2", "s3", "s4", "s5", "s6"}
+	now += 20 * clock.Second
+	daemon.Tick(now)
+	now += options.StartWait + options.Settle
+	daemon.Tick(now)
+	for now < 1_000_000+30*clock.Second {
+		now += 100
+		daemon.Tick(now)
+		daemon.Claims(now)
+	}
+	daemon.Born("b", now-clock.Second)
+	daemon.Heard(now, "b", nil)
+	require.Empty(t, daemon.Claim(now, servers))
+	daemon.Left(now, "b")
+	require.NotEmpty(t, daemon.Claim(now, servers))
+}
+
 // member is a daemon of a drawn history.
 type member struct {
 	*tenure.Tenure
 	name    string
 	asleep  clock.Millis // until
+	born    clock.Millis
 	stopped bool
 }
 
@@ -122,7 +146,7 @@
 		daemons := make([]*member, rapid.IntRange(2, 5).Draw(t, "daemons"))
 		began := make([]clock.Millis, len(daemons)) // undisturbed since
 		for i := range daemons {
-			daemons[i] = &member{Tenure: tenure.New(options, fmt.Sprint(i), now, wallAt(&now)), name: fmt.Sprint(i)}
+			daemons[i] = &member{Tenure: tenure.New(options, fmt.Sprint(i), now, wallAt(&now)), name: fmt.Sprint(i), born: now}
 			began[i] = now
 		}
 		type order struct {
@@ -151,7 +175,7 @@
 				for at, daemon := range daemons {
 					if daemon.stopped {
 						note("%d starts", at)
-						daemons[at] = &member{Tenure: tenure.New(options, daemon.name, now, wallAt(&now)), name: daemon.name}
+						daemons[at] = &member{Tenure: tenure.New(options, daemon.name, now, wallAt(&now)), name: daemon.name, born: now}
 					}
 				}
 			}
@@ -197,6 +221,7 @@
 	}
 	for _, to := range all {
 		if to != from && !to.stopped && now >= to.asleep {
+			to.Born(from.name, from.born)
 			to.Heard(now, from.name, from.Claims(now), names...)
 		}
 	}
