--- a/internal/direct/gateway/gossip.go
+++ b/internal/direct/gateway/gossip.go
@@ -75,6 +75,9 @@
 		names = append(names, member.Name)
 	}
 	core.tenure.Born(update.From.Name, clock.Millis(update.Incarnation))
+	if update.Leaving {
+		core.tenure.Leaving(update.From.Name)
+	}
 	core.tenure.Heard(now, update.From.Name, update.Claims, names...)
 }
 
@@ -193,6 +196,7 @@
 // tick does what passing time calls for.
 func (gateway *Gateway) tick(now clock.Millis) {
 	core := gateway.core
+	var gone []string // addresses of peers that are forgotten
 	core.mutex.Lock()
 	core.tenure.Tick(now)
 	for _, id := range core.fleet.Tick(now) {
@@ -207,12 +211,20 @@
 			core.tenure.Left(now, name)
 			delete(core.peers, name)
 			delete(core.shares, name)
+			delete(core.told, known.member.Address)
+			gone = append(gone, known.member.Address)
 			core.memberNumber++
 		}
 	}
+	core.tenure.Prune(now, func(server string) bool { _, ok := core.fleet.Member(server); return ok })
 	core.forgetRemoved()
 	pull, address := core.pullFrom(now)
 	core.mutex.Unlock()
+	for _, address := range gone {
+		if !slices.Contains(gateway.settings.Seeds, address) {
+			gateway.mesh.Forget(address)
+		}
+	}
 	gateway.claim(now)
 	if address != "" {
 		gateway.send(address, peers.Message{Pull: &pull})
--- a/internal/direct/tenure/tenure.go
+++ b/internal/direct/tenure/tenure.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"teaselmoor/internal/base/clock"
@@ -104,7 +105,7 @@
 	heard   map[string]clock.Millis // peers, and when they were heard
 	first   map[string]clock.Millis // the same, for the first time
 	named   map[string]bool         // daemons that peers have named
-	born    map[string]clock.Millis // wall clock at the start of each process
+	born    map[string]clock.Millis // wall clock at the start of each process; 0: it leaves
 	holders map[string]*holder
 }
 
@@ -112,7 +113,8 @@
 func New(options Options, self string, now clock.Millis, wall clock.Source) *Tenure {
 	return &Tenure{
 		options: options, self: self, wall: wall, started: now, ticked: now, toldAt: now,
-		heard: make(map[string]clock.Millis), first: make(map[string]clock.Millis), named: make(map[string]bool), born: map[string]clock.Millis{self: wall()}, holders: make(map[string]*holder),
+		heard: make(map[string]clock.Millis), first: make(map[string]clock.Millis), named: make(map[string]bool),
+		born: map[string]clock.Millis{self: wall()}, holders: make(map[string]*holder),
 	}
 }
 
@@ -254,8 +256,25 @@
 	tenure.born[daemon] = at
 }
 
-// preferred returns the daemons that started last, in the order of their names:
-// all, unless some have been replaced since.
+// Leaving notes that a daemon claims nothing any more. It keeps what it has.
+func (tenure *Tenure) Leaving(daemon string) {
+	tenure.born[daemon] = 0
+}
+
+// Prune drops what is known of servers that are gone and were not ordered for so
+// long that no order can be on its way.
+func (tenure *Tenure) Prune(now clock.Millis, exists func(server string) bool) {
+	maps.DeleteFunc(tenure.holders, func(server string, known *holder) bool {
+		return now-max(known.heardAt, known.orderAt, known.takenAt) > holderMemory && !exists(server)
+	})
+}
+
+// holderMemory is how long a server that is gone is remembered: its entry may
+// have lapsed with the store.
+const holderMemory = clock.Minute
+
+// preferred returns the daemons that started last: all, unless some have been
+// replaced since. Those that leave are none of them.
 func (tenure *Tenure) preferred(live []string) []string {
 	newest := clock.Millis(0)
 	for _, daemon := range live {
--- a/internal/direct/tenure/tenure_test.go
+++ b/internal/direct/tenure/tenure_test.go
@@ -125,6 +125,45 @@
 	require.NotEmpty(t, daemon.Claim(now, servers))
 }
 
+// TestLeavingDaemonIsPassedOver: a free server does not wait for a daemon that
+// claims nothing any more.
+func TestLeavingDaemonIsPassedOver(t *testing.T) {
+	now := clock.Millis(1_000_000)
+	options := tenure.DefaultOptions(lease, true)
+	daemon := tenure.New(options, "a", now, wallAt(&now))
+	servers := []string{"s1", "s2", "s3", "s4", "s5", "s6", "s7", "s8"}
+	daemon.Born("b", now)
+	daemon.Heard(now, "b", nil)
+	for range options.StartWait / 100 {
+		now += 100
+		daemon.Tick(now)
+		daemon.Heard(now, "b", nil)
+	}
+	taken := len(daemon.Claim(now, servers))
+	require.Positive(t, taken)
+	require.Less(t, taken, len(servers))
+	daemon.Leaving("b")
+	daemon.Claim(now, servers)
+	for _, server := range servers {
+		_, held := daemon.Holds(server)
+		require.True(t, held, server)
+	}
+}
+
+// TestGoneServersAreForgotten, but not while an order may be on its way.
+func TestGoneServersAreForgotten(t *testing.T) {
+	now := clock.Millis(1_000_000)
+	daemon := tenure.New(tenure.DefaultOptions(lease, true), "a", now, wallAt(&now))
+	daemon.Heard(now, "b", []tenure.Claim{{Server: "s", Fence: 7}})
+	none := func(string) bool { return false }
+	daemon.Prune(now+clock.Second, none)
+	owner, _ := daemon.Owner(now, "s")
+	require.Equal(t, "b", owner)
+	daemon.Prune(now+2*clock.Minute, none)
+	owner, _ = daemon.Owner(now, "s")
+	require.Empty(t, owner)
+}
+
 // member is a daemon of a drawn history.
 type member struct {
 	*tenure.Tenure
