gateway: who waits for an adapter hears of it from the daemon that orders the server

Cause: on a large site news of a server passed two hubs, each up to 300 ms: a load that had ended at 7.487 s was known to the daemon that waited at 7.927 s. Median wait for an adapter 475 ms, of which the load is 290. Ruled out: the weight store (12 loads on their way, 48 at full speed) and victims in use.

--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -74,6 +74,7 @@
 	fence   int64
 	wake    chan struct{} // holds a token when there may be something to order
 	stop    func()
+	askers  map[string]clock.Millis // peers that wait for an adapter there, and until when
 }
 
 func newCore(settings Settings, options Options, decoder port.Decoder, now, wall clock.Source, log *slog.Logger) *core {
--- a/internal/direct/gateway/dispatch.go
+++ b/internal/direct/gateway/dispatch.go
@@ -220,7 +220,7 @@
 	defer core.mutex.Unlock()
 	now := core.now()
 	if reply.Absent && job.engine {
-		core.absent(now, gateway, job, to)
+		gateway.absent(now, job, to)
 	} else {
 		core.fleet.Answered(now, to.server.ID, true)
 		job.tried = append(job.tried, to.server.ID)
@@ -230,7 +230,8 @@
 
 // absent notes that a server lacks an adapter that it was thought to hold. The
 // mutex is held.
-func (core *core) absent(now clock.Millis, gateway *Gateway, job *job, to placed) {
+func (gateway *Gateway) absent(now clock.Millis, job *job, to placed) {
+	core := gateway.core
 	core.fleet.Lacks(to.server.ID, job.adapter)
 	owner, ok := core.tenure.Owner(now, to.server.ID)
 	want := peers.Want{
@@ -241,7 +242,7 @@
 	case !ok:
 		job.tried = append(job.tried, to.server.ID)
 	case owner == core.settings.Name:
-		core.want(want)
+		gateway.want(want)
 	default:
 		if peer, ok := core.peers[owner]; ok {
 			gateway.send(peer.member.Address, peers.Message{Want: &want})
--- a/internal/direct/gateway/gossip.go
+++ b/internal/direct/gateway/gossip.go
@@ -15,7 +15,7 @@
 	case message.Digest != nil:
 		gateway.core.takeDigest(from, message.Digest)
 	case message.Want != nil:
-		gateway.core.wanted(*message.Want)
+		gateway.wanted(from, *message.Want)
 	case message.Pull != nil:
 		gateway.pulled(from, *message.Pull)
 	case message.Items != nil:
@@ -81,14 +81,24 @@
 }
 
 // wanted asks the planner of a server for an adapter on a peer's behalf.
-func (core *core) wanted(want peers.Want) {
+func (gateway *Gateway) wanted(from string, want peers.Want) {
+	core := gateway.core
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
-	core.want(want)
+	if held, ok := core.orders[want.Server]; ok {
+		held.asked(from, core.now()+want.Left)
+	}
+	gateway.want(want)
+}
+
+// asked notes that a peer waits for an adapter until a time.
+func (ordering *ordering) asked(peer string, until clock.Millis) {
+	ordering.askers[peer] = max(ordering.askers[peer], until)
 }
 
 // want passes a request's need to the planner, if it is this daemon's. The mutex is held.
-func (core *core) want(want peers.Want) {
+func (gateway *Gateway) want(want peers.Want) {
+	core := gateway.core
 	held, ok := core.orders[want.Server]
 	if !ok {
 		return
@@ -96,10 +106,10 @@
 	now := core.now()
 	if want.Absent {
 		held.planner.Absent(want.Adapter)
-		core.publish(want.Server, held)
+		gateway.publish(want.Server, held)
 	}
 	held.planner.Want(now, want.Adapter, want.Version, want.Rank, now+want.Left)
-	core.publish(want.Server, held)
+	gateway.publish(want.Server, held)
 	held.poke()
 }
 
--- a/internal/direct/gateway/orders.go
+++ b/internal/direct/gateway/orders.go
@@ -8,6 +8,7 @@
 	"teaselmoor/internal/direct/catalog"
 	"teaselmoor/internal/direct/fleet"
 	"teaselmoor/internal/direct/loading"
+	"teaselmoor/internal/direct/peers"
 	"teaselmoor/internal/direct/port"
 	"teaselmoor/internal/direct/tally"
 )
@@ -79,7 +80,7 @@
 	}
 	held := &ordering{
 		planner: loading.New(core.options.Loading, loading.Limits{}, atHand), fence: fence,
-		wake: make(chan struct{}, 1), stop: cancel,
+		wake: make(chan struct{}, 1), stop: cancel, askers: make(map[string]clock.Millis),
 	}
 	core.orders[server] = held
 	core.log.Info("orders taken over", "Server", server, "Fence", fence, "Live", core.tenure.Live(core.now()))
@@ -183,7 +184,7 @@
 		core.fleet.Unreachable(now, target.ID)
 	}
 	held.planner.Done(now, order, result, core.crowd())
-	core.publish(target.ID, held)
+	gateway.publish(target.ID, held)
 }
 
 // Adapters that the weight store sends at full speed: at least 8, and 0.51 for
@@ -218,12 +219,32 @@
 }
 
 // publish makes a planner's table known here and to peers. The mutex is held.
-func (core *core) publish(server string, held *ordering) {
+func (gateway *Gateway) publish(server string, held *ordering) {
+	core := gateway.core
 	number, models, slots := held.planner.Table()
 	table := fleet.Table{Server: server, Born: held.born, Fence: held.fence, Number: number, Models: models, Slots: slots}
 	if core.fleet.SetTable(table) {
 		core.notify()
 		core.hurry()
+		gateway.tellAskers(held, table)
+	}
+}
+
+// tellAskers tells a table to the peers that wait for an adapter of the server: in
+// a site with hubs it would reach them after two hops, each up to HubInterval long.
+// The mutex is held.
+func (gateway *Gateway) tellAskers(held *ordering, table fleet.Table) {
+	core := gateway.core
+	now := core.now()
+	for name, until := range held.askers {
+		known, ok := core.peers[name]
+		if !ok || now >= until {
+			delete(held.askers, name)
+			continue
+		}
+		if gateway.send(known.member.Address, peers.Message{Digest: &peers.Digest{Tables: []fleet.Table{table}}}) {
+			core.toldTo(known.member.Address).tables[table.Server] = stampOf(table)
+		}
 	}
 }
 
@@ -242,6 +263,6 @@
 	held.born = max(report.Born, target.Born)
 	held.planner.SetReport(now, report)
 	core.log.Info("report read", "Server", target.ID, "Born", report.Born, "Models", len(report.Models), "Incoming", len(report.Incoming))
-	core.publish(target.ID, held)
+	gateway.publish(target.ID, held)
 	return 0
 }
--- a/internal/direct/gateway/place.go
+++ b/internal/direct/gateway/place.go
@@ -177,7 +177,7 @@
 		return
 	}
 	if owner == core.settings.Name {
-		core.want(want)
+		gateway.want(want)
 		return
 	}
 	if peer, ok := core.peers[owner]; ok {
