choose, gateway, tally: copies ahead of queues; hubs tell sums

Cause: on a large site a hot adapter got a further copy only when a request found waiting for a load (450 ms) cheaper than the queues at all holders: some servers had twice the mean, and 9 in 100 reviews began late. Now a holder that is 100 ms busier than a server that could hold a copy has one made, while requests go on to the holder; hubs tell shares to hubs and sums by server to their data centre, each 100 ms instead of 300. Ruled out: the weight store (12 of 48 loads on their way).

--- a/internal/direct/choose/choose.go
+++ b/internal/direct/choose/choose.go
@@ -27,6 +27,7 @@
 	Trouble         float64 // for a server that fails all its requests
 	Suspect         float64 // for a server that could not be reached
 	Away            float64 // for a server in another data centre
+	Relief          float64 // by which a server that could hold a copy is better when one is made
 	Homes           int     // servers, first in an adapter's order, that steps are counted among; 4 at most
 }
 
@@ -36,7 +37,7 @@
 	return Weights{
 		ReadTokensPerMS: 20, Run: 4, Queued: 40,
 		Load: 300, AtHand: 60, Coming: 160, Copy: 150, Crowded: 300, Orderless: 1500, Step: 40,
-		Trouble: 1500, Suspect: 3000, Away: 1, Homes: 3,
+		Trouble: 1500, Suspect: 3000, Away: 1, Relief: 100, Homes: 3,
 	}
 }
 
@@ -60,6 +61,9 @@
 	Member *fleet.Member
 	Cost   float64 // expected time in milliseconds
 	Held   bool    // the server can run the request at once
+	// Copy is a server that should load the adapter as well, for requests to come:
+	// all that hold it are much busier. Nil when there is none.
+	Copy *fleet.Member
 }
 
 // mixer spreads the hash of a pair over all bits (the golden ratio times 2^64).
@@ -104,7 +108,7 @@
 	if query.Adapter.Name != "" {
 		copies, first = survey(usable, query, adapterHash)
 	}
-	best, waiting := Choice{}, Choice{}
+	best, waiting, spare := Choice{}, Choice{}, Choice{}
 	for _, member := range usable {
 		if slices.Contains(query.Tried, member.ID) {
 			continue
@@ -113,7 +117,12 @@
 		choice.Cost = weights.base(query, servers, work, member) + spread(query, member)
 		if !choice.Held {
 			steps := first.steps(rank(adapterHash, member), weights.Homes)
-			choice.Cost += weights.load(query, member, steps, copies) + weights.crowding(query, member, work)
+			crowding := weights.crowding(query, member, work)
+			loaded := choice.Cost + weights.Step*float64(steps) + crowding
+			if spare.Member == nil || loaded < spare.Cost {
+				spare = Choice{Member: member, Cost: loaded}
+			}
+			choice.Cost += weights.load(query, member, steps, copies) + crowding
 		}
 		if member.ID == query.Waiting && !choice.Held {
 			waiting = choice
@@ -127,9 +136,25 @@
 	if waiting.Member != nil && !best.Held && !waiting.Member.Suspect(query.Now) {
 		return waiting, true
 	}
+	if best.Held && spare.Member != nil && best.Cost > spare.Cost+weights.Relief && query.Adapter.Name != "" {
+		best.Copy = weights.copyTo(query, usable, spare.Member)
+	}
 	return best, best.Member != nil
 }
 
+// copyTo returns the server for a further copy, unless one is on its way already.
+func (weights Weights) copyTo(query Query, usable []*fleet.Member, spare *fleet.Member) *fleet.Member {
+	if query.Ordered != nil && !query.Ordered(spare.ID) {
+		return nil
+	}
+	for _, member := range usable {
+		if slot, ok := member.Slot(query.Adapter); ok && slot.Coming {
+			return nil
+		}
+	}
+	return spare
+}
+
 // survey counts the servers that can run a request at once, and finds the homes
 // of its adapter.
 func survey(usable []*fleet.Member, query Query, adapterHash uint64) (copies int, first homes) {
--- a/internal/direct/choose/choose_test.go
+++ b/internal/direct/choose/choose_test.go
@@ -160,6 +160,27 @@
 	require.LessOrEqual(t, most, 150)
 }
 
+// TestCopyAheadOfTheQueue: while the only holder is a little busier than others no
+// copy is made; once it is much busier one is, at one server, and the request itself
+// does not wait for it.
+func TestCopyAheadOfTheQueue(t *testing.T) {
+	servers, work := site(9)
+	hold(servers, "s0", 1, fleet.Slot{Adapter: adapter, Version: 1})
+	use := tally.Use{Server: "s0", Adapter: adapter}
+	work.Begin(use, 1000) // 50 ms to read
+	require.Nil(t, pick(t, servers, work, query("r")).Copy)
+	work.Begin(use, 2000)
+	choice := pick(t, servers, work, query("r"))
+	require.Equal(t, "s0", choice.Member.ID)
+	require.NotNil(t, choice.Copy)
+	require.NotEqual(t, "s0", choice.Copy.ID)
+	asked := query("r")
+	asked.Ordered = func(string) bool { return false }
+	require.Nil(t, pick(t, servers, work, asked).Copy, "nobody could load it")
+	hold(servers, choice.Copy.ID, 1, fleet.Slot{Adapter: adapter, Coming: true})
+	require.Nil(t, pick(t, servers, work, query("r")).Copy, "one is on its way")
+}
+
 // BenchmarkChoose is one placement decision.
 func BenchmarkChoose(b *testing.B) {
 	for _, count := range []int{9, 140, 1500} {
--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -36,16 +36,18 @@
 	tenure       *tenure.Tenure
 	store        *storeCopy
 	versions     map[port.Adapter]namedVersion
-	budgets      map[string]*retry.Budget     // by service
-	orders       map[string]*ordering         // by server, those that this daemon orders
-	peers        map[string]*peerState        // by name
-	told         map[string]*toldState        // by address
-	shares       map[string]peers.DaemonShare // by daemon, this one included
-	digestAt     clock.Millis                 // when digests were last due
-	updatedAt    clock.Millis                 // when an update was last told
-	memberNumber int64                        // rises when a peer is found or forgotten
-	changed      chan struct{}                // closed when holdings change
-	dirty        chan struct{}                // holds a token when peers should be told soon
+	budgets      map[string]*retry.Budget        // by service
+	orders       map[string]*ordering            // by server, those that this daemon orders
+	peers        map[string]*peerState           // by name
+	told         map[string]*toldState           // by address
+	shares       map[string]peers.DaemonShare    // by daemon, this one included
+	sums         map[string]map[string]tally.Sum // of others' work, by hub and server
+	hub          string                          // whose sums count; empty: each daemon tells itself
+	digestAt     clock.Millis                    // when digests were last due
+	updatedAt    clock.Millis                    // when an update was last told
+	memberNumber int64                           // rises when a peer is found or forgotten
+	changed      chan struct{}                   // closed when holdings change
+	dirty        chan struct{}                   // holds a token when peers should be told soon
 	leaving      bool
 	ordersGiven  int64
 	born         int64 // wall clock at the start, in milliseconds
@@ -84,7 +86,7 @@
 		tenure: tenure.New(options.Tenure, settings.Name, now(), wall), store: newStoreCopy(),
 		versions: make(map[port.Adapter]namedVersion), budgets: make(map[string]*retry.Budget),
 		orders: make(map[string]*ordering), peers: make(map[string]*peerState),
-		told: make(map[string]*toldState), shares: make(map[string]peers.DaemonShare), changed: make(chan struct{}), dirty: make(chan struct{}, 1),
+		told: make(map[string]*toldState), sums: make(map[string]map[string]tally.Sum), shares: make(map[string]peers.DaemonShare), changed: make(chan struct{}), dirty: make(chan struct{}, 1),
 		born: int64(wall()),
 	}
 }
--- a/internal/direct/gateway/gossip.go
+++ b/internal/direct/gateway/gossip.go
@@ -229,6 +229,7 @@
 	var gone []string // addresses of peers that are forgotten
 	core.mutex.Lock()
 	core.tenure.Tick(now)
+	core.follow(now)
 	for _, id := range core.fleet.Tick(now) {
 		core.log.Info("server gone", "Server", id, "Cause", "its entry did not come back")
 	}
@@ -241,6 +242,7 @@
 			core.tenure.Left(now, name)
 			delete(core.peers, name)
 			delete(core.shares, name)
+			delete(core.sums, name)
 			delete(core.told, known.member.Address)
 			gone = append(gone, known.member.Address)
 			core.memberNumber++
--- a/internal/direct/gateway/place.go
+++ b/internal/direct/gateway/place.go
@@ -72,6 +72,9 @@
 			waitingAt, asked = use, 0
 		}
 		if choice.Held {
+			if choice.Copy != nil {
+				gateway.askCopy(job, choice.Copy, now)
+			}
 			return core.settled(now, started, job, choice, use), nil
 		}
 		hopeless := waitingAt == use && asked == 0 && !coming(choice.Member, job.adapter) && core.loadWait() > patience
@@ -166,6 +169,21 @@
 	return result
 }
 
+// copyCrowd is how crowded the weight store may be for loads that no request
+// waits for, as a share of what it sends at full speed.
+const copyCrowd = 0.5
+
+// copyLife is how long the want of a copy stands: some loads.
+const copyLife = 1 * clock.Second
+
+// askCopy asks for a further copy of an adapter. The mutex is held.
+func (gateway *Gateway) askCopy(job *job, server *fleet.Member, now clock.Millis) {
+	if gateway.core.crowd() > copyCrowd {
+		return
+	}
+	gateway.ask(job, tally.Use{Server: server.ID, Adapter: job.adapter}, now, copyLife)
+}
+
 // ask tells the daemon that orders a server which adapter is needed. The mutex
 // is held.
 func (gateway *Gateway) ask(job *job, use tally.Use, now, left clock.Millis) {
--- a/internal/direct/gateway/settings.go
+++ b/internal/direct/gateway/settings.go
@@ -104,8 +104,8 @@
 	// Peers place requests by them: with 300 ms instead of 100 ms 0.01 to 0.02 of
 	// the worth of a busy day is lost (replayed on both sites).
 	TellInterval clock.Millis
-	// HubInterval is TellInterval in a site with hubs: a digest there names all
-	// daemons, and costs some hundred microseconds to write and to read.
+	// HubInterval is TellInterval in a site with hubs, where news takes up to three
+	// of them.
 	HubInterval clock.Millis
 	// UpdateInterval is the time between two updates, by which daemons hear of each
 	// other and of claims.
@@ -154,7 +154,7 @@
 		Mirror: mirror.DefaultOptions(), Peers: peers.DefaultOptions(), Tenure: tenure.DefaultOptions(settings.Lease, settings.Fenced),
 		Upstream: upstream.DefaultOptions(),
 
-		TellInterval: 100, HubInterval: 300, UpdateInterval: 500, CoverLimit: 2500, PeerTimeout: 1500, VersionGrace: 2500,
+		TellInterval: 100, HubInterval: 100, UpdateInterval: 500, CoverLimit: 2500, PeerTimeout: 1500, VersionGrace: 2500,
 		LoadPatience: 0.8, WantInterval: 400,
 		RetryAfter: 500, MostSends: 4, LeaveSpan: 2500, ExitMargin: 400,
 		IdleTimeout: 60 * clock.Second, BodyBytes: 4 << 20, SparePeers: 8, LogLines: 1024,
--- a/internal/direct/gateway/spread.go
+++ b/internal/direct/gateway/spread.go
@@ -7,6 +7,7 @@
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/fleet"
 	"teaselmoor/internal/direct/peers"
+	"teaselmoor/internal/direct/port"
 	"teaselmoor/internal/direct/tally"
 	"teaselmoor/internal/direct/topology"
 )
@@ -24,21 +25,29 @@
 // told itself.
 type toldState struct {
 	members  int64
-	shares   map[string]stamp // by daemon
-	tables   map[string]stamp // by server
-	revision int64            // of the store
+	shares   map[string]stamp                // by daemon
+	tables   map[string]stamp                // by server
+	sums     map[string]tally.Sum            // by server; nil: none yet
+	uses     map[string]map[port.Adapter]int // by server
+	revision int64                           // of the store
 }
 
 // toldTo returns what an address has been told. The mutex is held.
 func (core *core) toldTo(address string) *toldState {
 	told, ok := core.told[address]
 	if !ok {
-		told = &toldState{shares: make(map[string]stamp), tables: make(map[string]stamp)}
+		told = newTold()
 		core.told[address] = told
 	}
 	return told
 }
 
+func newTold() *toldState {
+	return &toldState{
+		shares: make(map[string]stamp), tables: make(map[string]stamp), uses: make(map[string]map[port.Adapter]int),
+	}
+}
+
 // self is this daemon as its peers know it.
 func (core *core) self() peers.Member {
 	return peers.Member{
@@ -72,9 +81,10 @@
 				continue
 			}
 			gateway.core.renewShare()
+			gateway.tellDigests(true)
 		case <-gateway.core.dirty:
+			gateway.tellDigests(false)
 		}
-		gateway.tellDigests()
 	}
 }
 
@@ -109,7 +119,8 @@
 	}
 }
 
-func (gateway *Gateway) tellDigests() {
+// tellDigests tells each target its news, the requests in progress only if work is set.
+func (gateway *Gateway) tellDigests(work bool) {
 	core := gateway.core
 	core.mutex.Lock()
 	now := core.now()
@@ -117,7 +128,7 @@
 	core.mutex.Unlock()
 	for _, target := range targets {
 		core.mutex.Lock()
-		digest := core.digest(core.now(), target)
+		digest := core.digest(core.now(), target, work)
 		core.mutex.Unlock()
 		if digest != nil {
 			gateway.send(target.Address, peers.Message{Digest: digest})
@@ -126,31 +137,64 @@
 }
 
 // digest returns the news for a target, or nil. The mutex is held.
-func (core *core) digest(now clock.Millis, target topology.Target) *peers.Digest {
+func (core *core) digest(now clock.Millis, target topology.Target, work bool) *peers.Digest {
 	told := core.toldTo(target.Address)
-	digest := &peers.Digest{}
+	digest := &peers.Digest{Tables: core.tableNews(now, target, told)}
+	if work && target.Scope == topology.Sums {
+		digest.Sums = core.sumNews(now, target.Name, told)
+	} else if work {
+		digest.Shares = core.shareNews(target, told)
+	}
+	if target.Store {
+		digest.Store = core.storeNews(now, told)
+	}
+	if digest.Store == nil && digest.Sums == nil && len(digest.Shares) == 0 && len(digest.Tables) == 0 {
+		return nil
+	}
+	return digest
+}
+
+// shareNews returns the shares that a target has not been told. The mutex is held.
+func (core *core) shareNews(target topology.Target, told *toldState) []peers.DaemonShare {
+	var news []peers.DaemonShare
 	for name, share := range core.shares {
 		version := stamp{share.Incarnation, share.Number}
-		if (target.All || name == core.settings.Name) && version.after(told.shares[name]) {
+		meant := name == core.settings.Name || target.Scope == topology.Near && core.near(name)
+		if meant && version.after(told.shares[name]) {
 			told.shares[name] = version
-			digest.Shares = append(digest.Shares, share)
+			news = append(news, share)
 		}
 	}
+	return news
+}
+
+// tableNews returns the tables that a target has not been told. The mutex is held.
+func (core *core) tableNews(now clock.Millis, target topology.Target, told *toldState) []fleet.Table {
+	var news []fleet.Table
 	for server, table := range core.fleet.Tables() {
-		_, own := core.orders[server]
 		version := stampOf(table)
-		if (target.All || own) && version.after(told.tables[server]) {
+		if version.after(told.tables[server]) && core.tellsTable(now, target.Scope, server) {
 			told.tables[server] = version
-			digest.Tables = append(digest.Tables, table)
+			news = append(news, table)
 		}
 	}
-	if target.Store {
-		digest.Store = core.storeNews(now, told)
-	}
-	if digest.Store == nil && len(digest.Shares) == 0 && len(digest.Tables) == 0 {
-		return nil
+	return news
+}
+
+// tellsTable reports whether a target is told the table of a server by this daemon.
+// The mutex is held.
+func (core *core) tellsTable(now clock.Millis, scope topology.Scope, server string) bool {
+	if _, own := core.orders[server]; own || scope == topology.Sums {
+		return true
 	}
-	return digest
+	owner, known := core.tenure.Owner(now, server)
+	return scope == topology.Near && (!known || core.near(owner))
+}
+
+// near reports whether a daemon is in this one's data centre. The mutex is held.
+func (core *core) near(name string) bool {
+	known, ok := core.peers[name]
+	return ok && known.member.DataCentre == core.settings.DataCentre
 }
 
 func stampOf(table fleet.Table) stamp {
@@ -176,7 +220,7 @@
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
 	now := core.now()
-	told := &toldState{shares: make(map[string]stamp), tables: make(map[string]stamp)}
+	told := newTold()
 	if known, ok := core.peers[from]; ok {
 		told = core.toldTo(known.member.Address)
 	}
@@ -192,6 +236,9 @@
 	if news {
 		core.notify()
 	}
+	if digest.Sums != nil {
+		core.takeSums(now, from, digest.Sums)
+	}
 	if digest.Store != nil {
 		core.takeStoreNews(now, digest.Store)
 	}
@@ -205,7 +252,9 @@
 		return
 	}
 	core.shares[share.Name] = share
-	core.countUses(now, core.work.Peer(share.Name, share.Share))
+	if core.hub == "" {
+		core.countUses(now, core.work.Peer(share.Name, share.Share))
+	}
 }
 
 // countUses has planners know how often adapters are used through other daemons.
--- /dev/null
+++ b/internal/direct/gateway/sums.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"maps"
+
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/direct/peers"
+	"teaselmoor/internal/direct/tally"
+)
+
+// sumNews returns the sums that a daemon has not been told, and who uses the
+// servers that it orders. The mutex is held.
+func (core *core) sumNews(now clock.Millis, target string, told *toldState) *peers.Sums {
+	sums := core.work.Others(target)
+	news := &peers.Sums{Whole: told.sums == nil, Servers: changedSums(told.sums, sums)}
+	told.sums = sums
+	for server := range core.fleet.Tables() {
+		if owner, _ := core.tenure.Owner(now, server); owner != target {
+			delete(told.uses, server)
+			continue
+		}
+		uses := core.work.UsesBut(target, server)
+		if before, ok := told.uses[server]; !ok || !maps.Equal(before, uses) {
+			told.uses[server] = uses
+			news.Uses = append(news.Uses, peers.ServerUses{Server: server, Uses: uses})
+		}
+	}
+	if !news.Whole && len(news.Servers) == 0 && len(news.Uses) == 0 {
+		return nil
+	}
+	return news
+}
+
+// changedSums returns the sums that differ, 0 for those that are no more.
+func changedSums(before, after map[string]tally.Sum) map[string]tally.Sum {
+	changed := make(map[string]tally.Sum)
+	for server, sum := range after {
+		if before[server] != sum {
+			changed[server] = sum
+		}
+	}
+	for server := range before {
+		if _, ok := after[server]; !ok {
+			changed[server] = tally.Sum{}
+		}
+	}
+	return changed
+}
+
+// takeSums takes over what a hub has added up. What another daemon than this one's
+// hub says is kept, in case it becomes the hub. The mutex is held.
+func (core *core) takeSums(now clock.Millis, from string, sums *peers.Sums) {
+	if sums.Whole {
+		core.sums[from] = make(map[string]tally.Sum, len(sums.Servers))
+	}
+	known, ok := core.sums[from]
+	if !ok {
+		return // the first, whole ones were lost with their connection
+	}
+	maps.Copy(known, sums.Servers)
+	core.follow(now)
+	if core.hub != from {
+		return
+	}
+	core.work.SetOthers(known)
+	for _, uses := range sums.Uses {
+		core.countUses(now, core.work.SetUses(uses.Server, uses.Uses))
+	}
+}
+
+// follow has the sums of this daemon's present hub count, or what each daemon tells
+// itself where there is none. The mutex is held.
+func (core *core) follow(now clock.Millis) {
+	hub := core.plan(now).Hub
+	if hub == core.hub {
+		return
+	}
+	core.log.Info("hub changed", "Hub", hub, "Before", core.hub)
+	core.hub = hub
+	core.work.ClearOthers()
+	if hub != "" {
+		core.work.SetOthers(core.sums[hub])
+		return
+	}
+	for name, share := range core.shares {
+		known, ok := core.peers[name]
+		if ok && now-known.heardAt < core.options.PeerTimeout {
+			core.work.Peer(name, share.Share)
+		}
+	}
+}
--- a/internal/direct/peers/message.go
+++ b/internal/direct/peers/message.go
@@ -42,6 +42,20 @@
 	Shares []DaemonShare
 	Tables []fleet.Table
 	Store  *StoreNews // nil when the sender does not read the store for the receiver
+	Sums   *Sums      // nil when the sender is not the receiver's hub
+}
+
+// Sums is what all daemons but the receiver have in progress.
+type Sums struct {
+	Whole   bool                 // servers that are not named have no work; else nothing has changed there
+	Servers map[string]tally.Sum // those whose sums have changed
+	Uses    []ServerUses         // at servers that the receiver orders
+}
+
+// ServerUses is how many requests use each adapter of a server.
+type ServerUses struct {
+	Server string
+	Uses   map[port.Adapter]int
 }
 
 // DaemonShare is what a daemon has in progress. Of two, the one of the later
@@ -128,6 +142,24 @@
 		Shares []wireShare
 		Tables []wireTable
 		Store  *StoreNews
+		Sums   *wireSums
+	}
+	wireSums struct {
+		_       struct{} `cbor:",toarray"`
+		Whole   bool
+		Servers []wireSum
+		Models  []string
+		Uses    []wireServerUses
+	}
+	wireSum struct {
+		_                       struct{} `cbor:",toarray"`
+		Server                  string
+		Runs, Reading, Adapters int
+	}
+	wireServerUses struct {
+		_      struct{} `cbor:",toarray"`
+		Server string
+		Uses   []wireUse
 	}
 	wireShare struct {
 		_                   struct{} `cbor:",toarray"`
@@ -224,9 +256,44 @@
 	for _, table := range digest.Tables {
 		wire.Tables = append(wire.Tables, encodeTable(table))
 	}
+	if digest.Sums != nil {
+		wire.Sums = encodeSums(digest.Sums)
+	}
+	return wire
+}
+
+func encodeSums(sums *Sums) *wireSums {
+	wire := &wireSums{Whole: sums.Whole}
+	for server, sum := range sums.Servers {
+		wire.Servers = append(wire.Servers, wireSum{Server: server, Runs: sum.Runs, Reading: sum.Reading, Adapters: sum.Adapters})
+	}
+	models := names{}
+	for _, uses := range sums.Uses {
+		encoded := wireServerUses{Server: uses.Server}
+		for adapter, count := range uses.Uses {
+			encoded.Uses = append(encoded.Uses, wireUse{Model: models.index(adapter.Model), Named: adapter.Name, Count: count})
+		}
+		wire.Uses = append(wire.Uses, encoded)
+	}
+	wire.Models = models.list
 	return wire
 }
 
+func decodeSums(wire *wireSums) *Sums {
+	sums := &Sums{Whole: wire.Whole, Servers: make(map[string]tally.Sum, len(wire.Servers))}
+	for _, sum := range wire.Servers {
+		sums.Servers[sum.Server] = tally.Sum{Load: tally.Load{Runs: sum.Runs, Reading: sum.Reading}, Adapters: sum.Adapters}
+	}
+	for _, uses := range wire.Uses {
+		decoded := ServerUses{Server: uses.Server, Uses: make(map[port.Adapter]int, len(uses.Uses))}
+		for _, use := range uses.Uses {
+			decoded.Uses[port.Adapter{Model: named(wire.Models, use.Model), Name: use.Named}] = use.Count
+		}
+		sums.Uses = append(sums.Uses, decoded)
+	}
+	return sums
+}
+
 func decodeDigest(wire *wireDigest) *Digest {
 	digest := &Digest{Store: wire.Store}
 	for _, share := range wire.Shares {
@@ -237,6 +304,9 @@
 	for _, table := range wire.Tables {
 		digest.Tables = append(digest.Tables, decodeTable(table))
 	}
+	if wire.Sums != nil {
+		digest.Sums = decodeSums(wire.Sums)
+	}
 	return digest
 }
 
--- a/internal/direct/peers/message_test.go
+++ b/internal/direct/peers/message_test.go
@@ -30,6 +30,10 @@
 			}},
 			Store: &peers.StoreNews{Items: []port.Item{{Key: "k", Value: []byte("v"), Revision: 4}}, AsOf: 5, Age: 6, Back: 7},
 		}},
+		{Digest: &peers.Digest{Sums: &peers.Sums{
+			Whole: true, Servers: map[string]tally.Sum{"s": {Load: tally.Load{Runs: 3, Reading: 40}, Adapters: 2}},
+			Uses: []peers.ServerUses{{Server: "s", Uses: map[port.Adapter]int{adapter: 2}}},
+		}}},
 		{Want: &peers.Want{Server: "s", Adapter: adapter, Version: 2, Rank: 1, Left: 300, Absent: true}},
 		{Pull: &peers.Pull{After: 4}},
 		{Items: &peers.Items{Items: []port.Item{{Key: "k", Deleted: true, Revision: 4}}, AsOf: 5}},
--- a/internal/direct/tally/tally.go
+++ b/internal/direct/tally/tally.go
@@ -1,5 +1,6 @@
 // Package tally counts the requests in progress at backend servers: a daemon's
-// own at once, those of other daemons as they tell. It does no I/O.
+// own at once, those of other daemons as they tell, either each by itself or added
+// up by a hub. It does no I/O.
 package tally
 
 import (
@@ -20,6 +21,12 @@
 	Adapter port.Adapter
 }
 
+// Sum is the work of several daemons at a server.
+type Sum struct {
+	Load
+	Adapters int // in use or waited for
+}
+
 // Share is what one daemon has in progress.
 type Share struct {
 	Loads map[string]Load
@@ -37,17 +44,43 @@
 
 // Tally adds the shares of all daemons.
 type Tally struct {
-	own   Share
-	peers map[string]Share
-	total Share
-	// distinct counts the adapters in use at each server, those that requests
-	// wait for included: each takes a place there.
-	distinct map[string]int
+	own    Share
+	peers  map[string]Share
+	loads  map[string]Load // own and peers' work, by server
+	uses   serverUses      // the same for adapters
+	others map[string]Sum  // by server, added up by a hub
+	used   serverUses      // the same for uses, at servers that this daemon orders
+}
+
+// serverUses counts the requests that use adapters, by server, those that wait for
+// one included: each adapter takes a place there. Requests without an adapter are
+// not counted.
+type serverUses map[string]map[port.Adapter]int
+
+func (uses serverUses) add(use Use, count int) {
+	if use.Adapter.Name == "" {
+		return
+	}
+	of, ok := uses[use.Server]
+	if !ok {
+		of = make(map[port.Adapter]int)
+		uses[use.Server] = of
+	}
+	of[use.Adapter] += count
+	if of[use.Adapter] == 0 {
+		delete(of, use.Adapter)
+	}
+	if len(of) == 0 {
+		delete(uses, use.Server)
+	}
 }
 
 // New returns a tally of nothing.
 func New() *Tally {
-	return &Tally{own: newShare(), peers: make(map[string]Share), total: newShare(), distinct: make(map[string]int)}
+	return &Tally{
+		own: newShare(), peers: make(map[string]Share), loads: make(map[string]Load), uses: make(serverUses),
+		others: make(map[string]Sum), used: make(serverUses),
+	}
 }
 
 // Begin counts a request of this daemon.
@@ -66,45 +99,29 @@
 }
 
 func (tally *Tally) change(use Use, load Load, uses int) {
-	addLoad(tally.own, use.Server, load)
-	addLoad(tally.total, use.Server, load)
+	addLoad(tally.own.Loads, use.Server, load)
+	addLoad(tally.loads, use.Server, load)
 	if uses != 0 {
 		addUse(tally.own, use, uses)
-		tally.addTotal(use, uses)
+		tally.uses.add(use, uses)
 	}
 }
 
-func (tally *Tally) addTotal(use Use, uses int) {
-	before := tally.total.Uses[use] > 0
-	addUse(tally.total, use, uses)
-	after := tally.total.Uses[use] > 0
-	if before == after || use.Adapter.Name == "" {
-		return
-	}
-	if after {
-		tally.distinct[use.Server]++
-		return
-	}
-	tally.distinct[use.Server]--
-	if tally.distinct[use.Server] == 0 {
-		delete(tally.distinct, use.Server)
-	}
-}
-
-// Distinct returns how many adapters are in use or waited for at a server.
+// Distinct returns how many adapters are in use or waited for at a server. Of the
+// own ones and those of a hub's sum most are the same: the larger number counts.
 func (tally *Tally) Distinct(server string) int {
-	return tally.distinct[server]
+	return max(len(tally.uses[server]), tally.others[server].Adapters)
 }
 
-func addLoad(share Share, server string, load Load) {
-	sum := share.Loads[server]
+func addLoad(loads map[string]Load, server string, load Load) {
+	sum := loads[server]
 	sum.Runs += load.Runs
 	sum.Reading += load.Reading
 	if sum == (Load{}) {
-		delete(share.Loads, server)
+		delete(loads, server)
 		return
 	}
-	share.Loads[server] = sum
+	loads[server] = sum
 }
 
 func addUse(share Share, use Use, uses int) {
@@ -148,19 +165,81 @@
 
 func (tally *Tally) apply(share Share, sign int) {
 	for server, load := range share.Loads {
-		addLoad(tally.total, server, Load{Runs: sign * load.Runs, Reading: sign * load.Reading})
+		addLoad(tally.loads, server, Load{Runs: sign * load.Runs, Reading: sign * load.Reading})
 	}
 	for use, uses := range share.Uses {
-		tally.addTotal(use, sign*uses)
+		tally.uses.add(use, sign*uses)
 	}
 }
 
 // Load returns the work in progress at a server, of all daemons.
 func (tally *Tally) Load(server string) Load {
-	return tally.total.Loads[server]
+	own, others := tally.loads[server], tally.others[server]
+	return Load{Runs: own.Runs + others.Runs, Reading: own.Reading + others.Reading}
 }
 
 // Uses returns how many requests of all daemons use an adapter at a server.
 func (tally *Tally) Uses(use Use) int {
-	return tally.total.Uses[use]
+	return tally.uses[use.Server][use.Adapter] + tally.used[use.Server][use.Adapter]
+}
+
+// Others adds up the work of all daemons but one, by server.
+func (tally *Tally) Others(but string) map[string]Sum {
+	left := tally.peers[but]
+	sums := make(map[string]Sum, len(tally.loads))
+	for server, load := range tally.loads {
+		taken := left.Loads[server]
+		sums[server] = Sum{
+			Load:     Load{Runs: load.Runs - taken.Runs, Reading: load.Reading - taken.Reading},
+			Adapters: len(tally.uses[server]),
+		}
+	}
+	return sums
+}
+
+// UsesBut returns how many requests of all daemons but one use each adapter of a
+// server.
+func (tally *Tally) UsesBut(but, server string) map[port.Adapter]int {
+	left := tally.peers[but].Uses
+	uses := make(map[port.Adapter]int)
+	for adapter, count := range tally.uses[server] {
+		if more := count - left[Use{Server: server, Adapter: adapter}]; more > 0 {
+			uses[adapter] = more
+		}
+	}
+	return uses
+}
+
+// SetOthers replaces what a hub has added up; what daemons told themselves counts
+// no more.
+func (tally *Tally) SetOthers(sums map[string]Sum) {
+	for name := range tally.peers {
+		tally.Forget(name)
+	}
+	tally.others = sums
+}
+
+// ClearOthers drops what a hub has added up: each daemon tells itself now.
+func (tally *Tally) ClearOthers() {
+	tally.others = make(map[string]Sum)
+	clear(tally.used)
+}
+
+// SetUses replaces the uses of adapters by other daemons at a server that this one
+// orders. It returns the changes as Peer does.
+func (tally *Tally) SetUses(server string, uses map[port.Adapter]int) map[Use]int {
+	changed := make(map[Use]int)
+	before := tally.used[server]
+	for adapter, count := range uses {
+		if more := count - before[adapter]; more > 0 {
+			changed[Use{Server: server, Adapter: adapter}] = more
+		}
+	}
+	for adapter := range before {
+		if uses[adapter] == 0 {
+			changed[Use{Server: server, Adapter: adapter}] = 0
+		}
+	}
+	tally.used[server] = uses
+	return changed
 }
--- a/internal/direct/tally/tally_test.go
+++ b/internal/direct/tally/tally_test.go
@@ -33,6 +33,39 @@
 	require.Zero(t, work.Distinct("s"))
 }
 
+// TestSumsOfAHub: a daemon that a hub tells sums counts what one that hears all
+// others counts.
+func TestSumsOfAHub(t *testing.T) {
+	hub, member, full := tally.New(), tally.New(), tally.New()
+	own := tally.Share{
+		Loads: map[string]tally.Load{"s": {Runs: 1, Reading: 10}}, Uses: map[tally.Use]int{use("s", "a"): 1},
+	}
+	other := tally.Share{
+		Loads: map[string]tally.Load{"s": {Runs: 2, Reading: 50}, "r": {Runs: 1}},
+		Uses:  map[tally.Use]int{use("s", "a"): 1, use("s", "b"): 1, use("r", "c"): 1},
+	}
+	hub.Peer("member", own)
+	hub.Peer("other", other)
+	for _, each := range []*tally.Tally{member, full} {
+		each.Begin(use("s", "a"), 10)
+		each.Peer("other", other)
+	}
+	member.SetOthers(hub.Others("member"))
+	changed := member.SetUses("s", hub.UsesBut("member", "s"))
+	require.Equal(t, map[tally.Use]int{use("s", "a"): 1, use("s", "b"): 1}, changed)
+	for _, server := range []string{"s", "r"} {
+		require.Equal(t, full.Load(server), member.Load(server))
+		require.Equal(t, full.Distinct(server), member.Distinct(server))
+	}
+	for _, each := range []string{"a", "b"} {
+		require.Equal(t, full.Uses(use("s", each)), member.Uses(use("s", each)))
+	}
+	require.Equal(t, map[tally.Use]int{use("s", "b"): 0}, member.SetUses("s", map[port.Adapter]int{use("s", "a").Adapter: 1}))
+	member.ClearOthers()
+	require.Equal(t, tally.Load{Runs: 1, Reading: 10}, member.Load("s"))
+	require.Equal(t, 1, member.Uses(use("s", "a")))
+}
+
 // TestNothingIsLeft draws requests and shares; when all have ended nothing counts.
 func TestNothingIsLeft(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/direct/topology/topology.go
+++ b/internal/direct/topology/topology.go
@@ -4,6 +4,10 @@
 // and their data centre what they know. Every daemon computes this from whom it
 // has heard; where two disagree for a moment, news arrives twice or later. It does
 // no I/O and keeps no state.
+//
+// What a daemon has in progress goes from hub to hub as it is, and from a hub to its
+// data centre added up by server: what a daemon hears grows with the servers, not
+// with the requests of all others.
 package topology
 
 import (
@@ -26,10 +30,21 @@
 	Capacity   int // in thousandths of a core; hubs are chosen among the largest
 }
 
+// Scope is what a target is told.
+type Scope int
+
+// Scopes.
+const (
+	Own  Scope = iota // what is this daemon's own
+	Near              // what is known of the daemons of this data centre
+	Sums              // all that is known, requests in progress added up
+)
+
 // Target is a daemon to tell news to.
 type Target struct {
+	Name    string
 	Address string
-	All     bool // all that is known; else only what is this daemon's own
+	Scope   Scope
 	Store   bool // what was read of the store as well
 }
 
@@ -40,6 +55,9 @@
 	// messages that go from every daemon to every other one: their number must not
 	// grow with the square of the site.
 	Pace int
+	// Hub is the daemon that tells this one what all others have in progress; it is
+	// empty where each tells itself.
+	Hub string
 	// Reads reports whether this daemon reads the store itself. In a mesh each
 	// does: passing entries on costs more there than the calls that it saves.
 	Reads bool
@@ -54,7 +72,8 @@
 	}
 	hubs := hubsOf(all)
 	if hubs[self.DataCentre].Name != self.Name {
-		return Plan{Pace: pace(len(all)), Targets: []Target{{Address: hubs[self.DataCentre].Address}}}
+		hub := hubs[self.DataCentre]
+		return Plan{Pace: pace(len(all)), Hub: hub.Name, Targets: []Target{{Name: hub.Name, Address: hub.Address}}}
 	}
 	return hubPlan(self, all, hubs)
 }
@@ -71,7 +90,7 @@
 	plan := Plan{Reads: true, Pace: 1}
 	for _, daemon := range all {
 		if daemon.Name != self.Name {
-			plan.Targets = append(plan.Targets, Target{Address: daemon.Address})
+			plan.Targets = append(plan.Targets, Target{Name: daemon.Name, Address: daemon.Address})
 		}
 	}
 	return plan
@@ -99,11 +118,18 @@
 func hubPlan(self Daemon, all []Daemon, hubs map[string]Daemon) Plan {
 	plan := Plan{Reads: true, Pace: pace(len(all))}
 	for _, daemon := range all {
-		near := daemon.DataCentre == self.DataCentre
-		hub := hubs[daemon.DataCentre].Name == daemon.Name
-		if daemon.Name != self.Name && (near || hub) {
-			plan.Targets = append(plan.Targets, Target{Address: daemon.Address, All: true, Store: near})
+		target := Target{Name: daemon.Name, Address: daemon.Address}
+		switch {
+		case daemon.Name == self.Name:
+			continue
+		case daemon.DataCentre == self.DataCentre:
+			target.Scope, target.Store = Sums, true
+		case hubs[daemon.DataCentre].Name == daemon.Name:
+			target.Scope = Near
+		default:
+			continue
 		}
+		plan.Targets = append(plan.Targets, target)
 	}
 	return plan
 }
--- a/internal/direct/topology/topology_test.go
+++ b/internal/direct/topology/topology_test.go
@@ -37,7 +37,8 @@
 			messages += len(plan.Targets)
 			for _, target := range plan.Targets {
 				own := daemon.Address == daemons[origin].Address
-				if known[daemon.Address] && (own || target.All) {
+				near := target.Scope == topology.Near && daemon.DataCentre == daemons[origin].DataCentre
+				if known[daemon.Address] && (own || near || target.Scope == topology.Sums) {
 					next[target.Address] = true
 				}
 			}
@@ -67,6 +68,31 @@
 	require.LessOrEqual(t, many, 2*390+12)
 }
 
+// TestOneHubTellsSums: a daemon hears the others' work from its hub only, else it
+// would count it twice.
+func TestOneHubTellsSums(t *testing.T) {
+	daemons := site(69)
+	tellers := make(map[string][]string)
+	hubs := make(map[string]string)
+	for i, daemon := range daemons {
+		others := append(append([]topology.Daemon{}, daemons[:i]...), daemons[i+1:]...)
+		plan := topology.Of(daemon, others)
+		hubs[daemon.Name] = plan.Hub
+		for _, target := range plan.Targets {
+			if target.Scope == topology.Sums {
+				tellers[target.Name] = append(tellers[target.Name], daemon.Name)
+			}
+		}
+	}
+	for _, daemon := range daemons {
+		if hub := hubs[daemon.Name]; hub != "" {
+			require.Equal(t, []string{hub}, tellers[daemon.Name])
+			continue
+		}
+		require.Empty(t, tellers[daemon.Name], "a hub adds up itself")
+	}
+}
+
 func TestSomebodyReadsTheStore(t *testing.T) {
 	for _, count := range []int{1, 7, 69} {
 		daemons := site(count)
