--- a/internal/direct/choose/choose.go
+++ b/internal/direct/choose/choose.go
@@ -53,6 +53,7 @@
 	Places     int                      // for adapters at each server
 	Tried      []string                 // servers that had the request before
 	Ordered    func(server string) bool // whether a daemon gives orders to a server; nil: all have one
+	Frequent   bool                     // the adapter was asked for before of late: a copy pays
 	Waiting    string                   // the server that is loading the adapter for the request; empty if none
 }
 
@@ -136,7 +137,7 @@
 	if waiting.Member != nil && !best.Held && !waiting.Member.Suspect(query.Now) {
 		return waiting, true
 	}
-	if best.Held && spare.Member != nil && best.Cost > spare.Cost+weights.Relief && query.Adapter.Name != "" {
+	if query.Frequent && best.Held && spare.Member != nil && best.Cost > spare.Cost+weights.Relief {
 		best.Copy = weights.copyTo(query, usable, spare.Member)
 	}
 	return best, best.Member != nil
--- a/internal/direct/choose/choose_test.go
+++ b/internal/direct/choose/choose_test.go
@@ -165,20 +165,23 @@
 // does not wait for it.
 func TestCopyAheadOfTheQueue(t *testing.T) {
 	servers, work := site(9)
+	often := query("r")
+	often.Frequent = true
 	hold(servers, "s0", 1, fleet.Slot{Adapter: adapter, Version: 1})
 	use := tally.Use{Server: "s0", Adapter: adapter}
 	work.Begin(use, 1000) // 50 ms to read
-	require.Nil(t, pick(t, servers, work, query("r")).Copy)
+	require.Nil(t, pick(t, servers, work, often).Copy)
 	work.Begin(use, 2000)
-	choice := pick(t, servers, work, query("r"))
+	choice := pick(t, servers, work, often)
 	require.Equal(t, "s0", choice.Member.ID)
 	require.NotNil(t, choice.Copy)
 	require.NotEqual(t, "s0", choice.Copy.ID)
-	asked := query("r")
+	require.Nil(t, pick(t, servers, work, query("r")).Copy, "one that is seldom asked for")
+	asked := often
 	asked.Ordered = func(string) bool { return false }
 	require.Nil(t, pick(t, servers, work, asked).Copy, "nobody could load it")
 	hold(servers, choice.Copy.ID, 1, fleet.Slot{Adapter: adapter, Coming: true})
-	require.Nil(t, pick(t, servers, work, query("r")).Copy, "one is on its way")
+	require.Nil(t, pick(t, servers, work, often).Copy, "one is on its way")
 }
 
 // BenchmarkChoose is one placement decision.
--- a/internal/direct/gateway/gossip.go
+++ b/internal/direct/gateway/gossip.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/peers"
+	"teaselmoor/internal/direct/port"
 )
 
 // Received implements peers.Handler.
@@ -250,6 +252,7 @@
 	}
 	core.tenure.Prune(now, func(server string) bool { _, ok := core.fleet.Member(server); return ok })
 	core.forgetRemoved()
+	maps.DeleteFunc(core.askedAt, func(_ port.Adapter, at clock.Millis) bool { return now-at >= frequentSpan })
 	pull, address := core.pullFrom(now)
 	core.mutex.Unlock()
 	for _, address := range gone {
--- a/internal/direct/gateway/place.go
+++ b/internal/direct/gateway/place.go
@@ -55,12 +55,13 @@
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
 	started := core.now()
+	frequent := core.frequent(started, job)
 	patience := core.patience(started, job)
 	asked := clock.Millis(0)
 	var waitingAt tally.Use
 	for {
 		now := core.now()
-		choice, ok := core.choose(core.query(now, job, waitingAt.Server), job.hash)
+		choice, ok := core.choose(core.query(now, job, waitingAt.Server, frequent), job.hash)
 		if !ok {
 			core.unplace(waitingAt, job)
 			return placed{}, &verdict{status: http.StatusServiceUnavailable, reason: reasonNoServer}
@@ -117,10 +118,26 @@
 	return &verdict{status: http.StatusServiceUnavailable, reason: reasonLoadWait}
 }
 
-func (core *core) query(now clock.Millis, job *job, waiting string) choose.Query {
+// frequentSpan is how long ago an adapter may have been asked for here last to count
+// as one that is asked for often. Of 10,000 adapters by popularity (Zipf 1.2) a daemon
+// of 69 sees those above 7 requests a second at the site within it, as a rule.
+const frequentSpan = 10 * clock.Second
+
+// frequent reports whether callers asked for the adapter here of late, and notes
+// that one does now. The mutex is held.
+func (core *core) frequent(now clock.Millis, job *job) bool {
+	if job.adapter.Name == "" {
+		return false
+	}
+	last, ok := core.askedAt[job.adapter]
+	core.askedAt[job.adapter] = now
+	return ok && now-last < frequentSpan
+}
+
+func (core *core) query(now clock.Millis, job *job, waiting string, frequent bool) choose.Query {
 	return choose.Query{
 		Now: now, Service: job.service, DataCentre: core.settings.DataCentre, Adapter: job.adapter,
-		Attempt: xxhash.Sum64String(job.call.Attempt), Version: core.required(now, job.adapter), Prompt: job.call.Prompt, Tried: job.tried, Waiting: waiting,
+		Attempt: xxhash.Sum64String(job.call.Attempt), Version: core.required(now, job.adapter), Prompt: job.call.Prompt, Tried: job.tried, Waiting: waiting, Frequent: frequent,
 		Ordered: func(server string) bool { _, ok := core.tenure.Owner(now, server); return ok }, Places: job.places,
 	}
 }
