trail, ending, command: explain and status on a gateway's log and metrics; the end does not wait for the log's reader

The log of gateways is put together to the record that explain renders, so both ways share one set of reasons and sentences; status reads the metrics with the collectors' own parser.

--- a/internal/base/logpipe/logpipe.go
+++ b/internal/base/logpipe/logpipe.go
@@ -8,6 +8,11 @@
 	"fmt"
 	"io"
 	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"teaselmoor/internal/base/clock"
 )
 
 // Pipe is an io.Writer for whole lines.
@@ -52,6 +57,21 @@
 	}
 }
 
+// ErrStuck is returned when the reader of the log does not read.
+var ErrStuck = errors.New("the log's reader does not read; lines are lost")
+
+// Finish waits until Run, whose context has ended, has written what is left. A reader
+// that does not read holds nobody up for longer than the patience: the process must
+// end within its grace span.
+func Finish(written <-chan error, patience clock.Millis) error {
+	select {
+	case err := <-written:
+		return err
+	case <-time.After(patience.Duration()):
+		return ErrStuck
+	}
+}
+
 func (pipe *Pipe) drain() error {
 	for {
 		select {
--- a/internal/decide/outcome/outcome.go
+++ b/internal/decide/outcome/outcome.go
@@ -65,6 +65,7 @@
 	Quarantined  Verdict = "Quarantined"
 	TriedBefore  Verdict = "TriedBefore"
 	LoadsFail    Verdict = "LoadsFail"
+	LoadsAdapter Verdict = "LoadsAdapter"
 )
 
 // Attempt is one submission of a request to an engine's owner or a service.
--- a/internal/decide/outcome/reason.go
+++ b/internal/decide/outcome/reason.go
@@ -44,6 +44,10 @@
 	CallerGone          Reason = "CallerGone"
 	Cancelled           Reason = "Cancelled"
 	ShuttingDown        Reason = "ShuttingDown"
+	ServerFailed        Reason = "ServerFailed"
+	AdapterLate         Reason = "AdapterLate"
+	AnswerLate          Reason = "AnswerLate"
+	InvalidAnswer       Reason = "InvalidAnswer"
 )
 
 var sentences = map[Reason]string{
@@ -86,6 +90,10 @@
 	CallerGone:          "The caller closed its connection.",
 	Cancelled:           "The run was cancelled to make room for urgent work.",
 	ShuttingDown:        "The process is shutting down and accepts no new requests.",
+	ServerFailed:        "The server ran the request and reported a failure of its own, which was passed on.",
+	AdapterLate:         "The adapter could not be made ready in time at any server.",
+	AnswerLate:          "The time allowed ran out after the request was sent and before its answer was complete.",
+	InvalidAnswer:       "What came back was not an answer of the server to this request, and it was discarded.",
 }
 
 // Sentence explains the reason in a form fit for a letter.
--- a/internal/direct/catalog/catalog.go
+++ b/internal/direct/catalog/catalog.go
@@ -22,6 +22,17 @@
 	Streaming              // answered by events; at most once unless resumable
 )
 
+// String returns the name of the kind as the log has it.
+func (kind Kind) String() string {
+	switch kind {
+	case Idempotent:
+		return "idempotent"
+	case Streaming:
+		return "streaming"
+	}
+	return "at most once"
+}
+
 // Route says where requests of a host and path prefix go.
 type Route struct {
 	Name      string
--- /dev/null
+++ b/internal/direct/ending/ending.go
@@ -0,0 +1,89 @@
+// Package ending names what a gateway's log says of a request, the ways in which
+// one ends, and what each means to its caller. The names are the log's format.
+package ending
+
+import "teaselmoor/internal/decide/outcome"
+
+// Messages of the log lines that speak of a request.
+const (
+	MessageSent      = "request sent"
+	MessageAskedFor  = "adapter asked for"
+	MessageNotReady  = "adapter not ready"
+	MessageDeclined  = "server declined"
+	MessageFailed    = "server failed"
+	MessageNoAnswer  = "no answer"
+	MessageBroken    = "answer broken"
+	MessageStreamCut = "stream broken"
+	MessageEnded     = "request ended"
+)
+
+// Reason says why a request ended as it did.
+type Reason string
+
+// Reasons.
+const (
+	Complete      Reason = "Complete"
+	ServerFailure Reason = "ServerFailure"   // the server's own failure was passed on
+	NotReady      Reason = "NotReady"        // the daemon knows no configuration yet
+	NoRoute       Reason = "NoRoute"         // no route matches
+	BadRequest    Reason = "BadRequest"      // headers or body cannot be read
+	TooLarge      Reason = "TooLarge"        // the body is over the limit
+	NoServer      Reason = "NoServer"        // no server of the service can take it
+	LoadWait      Reason = "AdapterNotReady" // its adapter did not arrive in time
+	NoBudget      Reason = "RetryBudget"     // the budget for repeats is used up
+	Tries         Reason = "TriesUsed"       // all tries were refused by servers
+	Deadline      Reason = "Deadline"        // the time ran out before it was sent
+	Timeout       Reason = "Timeout"         // the time ran out after it was sent
+	Lost          Reason = "AnswerLost"      // it was sent, and no whole answer came
+	Invalid       Reason = "InvalidAnswer"   // the answer is not one of the server
+	CallerLeft    Reason = "CallerLeft"
+	StreamBroke   Reason = "StreamBroken" // a stream broke off and could not go on
+)
+
+// reasons are what a caller's record calls the reasons.
+var reasons = map[Reason]outcome.Reason{
+	Complete: outcome.Complete, ServerFailure: outcome.ServerFailed, NotReady: outcome.NoConfiguration,
+	NoRoute: outcome.UnknownPath, BadRequest: outcome.BadRequest, TooLarge: outcome.BodyTooLarge,
+	NoServer: outcome.NoEngine, LoadWait: outcome.AdapterLate, NoBudget: outcome.RetryBudget,
+	Tries: outcome.EngineRefused, Deadline: outcome.DeadlinePassed, Timeout: outcome.AnswerLate,
+	Lost: outcome.ServiceLost, Invalid: outcome.InvalidAnswer, CallerLeft: outcome.CallerGone,
+	StreamBroke: outcome.Truncated,
+}
+
+// Reasons lists every reason, in no particular order.
+func Reasons() []Reason {
+	all := make([]Reason, 0, len(reasons))
+	for reason := range reasons {
+		all = append(all, reason)
+	}
+	return all
+}
+
+// Ending is how a request ended.
+type Ending struct {
+	Reason Reason
+	Status int // 0: the connection was broken off
+	Offers int // times that the request was sent to a server
+}
+
+// Outcome returns what the ending means to the caller, and false for a reason that
+// has no name here.
+func (ending Ending) Outcome() (outcome.Outcome, bool) {
+	reason, known := reasons[ending.Reason]
+	result := outcome.Outcome{Kind: outcome.Unknown, Reason: reason}
+	switch {
+	case ending.Reason == Complete || ending.Reason == ServerFailure:
+		result.Kind = outcome.Answered
+	case ending.Offers == 0 || PromisesNotRun(ending.Status):
+		result.Kind = outcome.NotRun
+	}
+	return result, known
+}
+
+// notRun are the statuses that promise that a request has not run and never will.
+var notRun = map[int]bool{408: true, 421: true, 429: true, 503: true}
+
+// PromisesNotRun reports whether a status tells callers that a request has not run.
+func PromisesNotRun(status int) bool {
+	return notRun[status]
+}
--- /dev/null
+++ b/internal/direct/ending/ending_test.go
@@ -0,0 +1,40 @@
+package ending_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"teaselmoor/internal/decide/outcome"
+	"teaselmoor/internal/direct/ending"
+)
+
+// TestOutcomes: "not run" is said only where no server saw the request, or where
+// the caller was told so.
+func TestOutcomes(t *testing.T) {
+	for given, want := range map[ending.Ending]outcome.Kind{
+		{Reason: ending.Complete, Status: 200, Offers: 1}:      outcome.Answered,
+		{Reason: ending.ServerFailure, Status: 500, Offers: 2}: outcome.Answered,
+		{Reason: ending.LoadWait, Status: 503}:                 outcome.NotRun,
+		{Reason: ending.Tries, Status: 503, Offers: 2}:         outcome.NotRun,
+		{Reason: ending.Tries, Status: 502, Offers: 2}:         outcome.Unknown,
+		{Reason: ending.NoRoute, Status: 404}:                  outcome.NotRun,
+		{Reason: ending.CallerLeft}:                            outcome.NotRun,
+		{Reason: ending.CallerLeft, Offers: 1}:                 outcome.Unknown,
+		{Reason: ending.Timeout, Status: 504, Offers: 1}:       outcome.Unknown,
+	} {
+		got, known := given.Outcome()
+		require.True(t, known)
+		require.Equal(t, want, got.Kind, "%+v", given)
+	}
+	_, known := ending.Ending{Reason: "Other"}.Outcome()
+	require.False(t, known)
+}
+
+func TestEveryReasonHasASentence(t *testing.T) {
+	for _, reason := range ending.Reasons() {
+		result, known := ending.Ending{Reason: reason}.Outcome()
+		require.True(t, known)
+		require.NotEmpty(t, result.Reason.Sentence(), reason)
+	}
+}
--- a/internal/direct/gateway/counters.go
+++ b/internal/direct/gateway/counters.go
@@ -10,6 +10,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/direct/ending"
 )
 
 // maxSeries bounds the number of label sets, so that names made up by callers or
@@ -26,14 +27,14 @@
 type endLabels struct {
 	Service string
 	Status  int
-	Reason  reason
+	Reason  ending.Reason
 }
 
 func newCounters() *counters {
 	return &counters{ends: make(map[endLabels]int64), latency: make(map[string]*hdrhistogram.Histogram)}
 }
 
-func (counters *counters) ended(job *job, status int, why reason, now clock.Millis) {
+func (counters *counters) ended(job *job, status int, why ending.Reason, now clock.Millis) {
 	counters.mutex.Lock()
 	defer counters.mutex.Unlock()
 	labels := endLabels{Service: job.service, Status: status, Reason: why}
--- a/internal/direct/gateway/dispatch.go
+++ b/internal/direct/gateway/dispatch.go
@@ -6,12 +6,12 @@
 	"io"
 	"net/http"
 	"net/url"
-	"slices"
 
 	"github.com/pkg/errors"
 
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/catalog"
+	"teaselmoor/internal/direct/ending"
 	"teaselmoor/internal/direct/peers"
 	"teaselmoor/internal/direct/port"
 	"teaselmoor/internal/direct/upstream"
@@ -19,11 +19,11 @@
 
 // verdict is what one try of a request came to.
 type verdict struct {
-	done   bool   // the caller has its answer, or has left
-	again  bool   // another try is allowed
-	status int    // to answer with when there is no other try
-	reason reason // why
-	repeat bool   // another try is a repeat, which the budget must allow
+	done   bool          // the caller has its answer, or has left
+	again  bool          // another try is allowed
+	status int           // to answer with when there is no other try
+	reason ending.Reason // why
+	repeat bool          // another try is a repeat, which the budget must allow
 }
 
 // dispatch tries servers until the request has its answer or none is left.
@@ -37,7 +37,7 @@
 		}
 		if result.again && result.repeat && !gateway.mayRepeat(job) {
 			result.again = false
-			result.reason = reasonNoBudget
+			result.reason = ending.NoBudget
 		}
 		if !result.again || job.offers >= gateway.options.MostSends {
 			gateway.fail(writer, job, result)
@@ -49,7 +49,7 @@
 // fail ends a request for which no further server is tried.
 func (gateway *Gateway) fail(writer http.ResponseWriter, job *job, result verdict) {
 	if !job.started {
-		if job.sends > 0 && promises(result.status) {
+		if job.sends > 0 && ending.PromisesNotRun(result.status) {
 			result.status = http.StatusBadGateway // an earlier try may have run
 		}
 		gateway.refuse(writer, job, result.status, result.reason)
@@ -83,10 +83,10 @@
 	now := gateway.core.now()
 	left := job.deadline - now
 	if left <= 0 {
-		return verdict{status: http.StatusServiceUnavailable, reason: reasonDeadline}
+		return verdict{status: http.StatusServiceUnavailable, reason: ending.Deadline}
 	}
 	job.offers++
-	gateway.log.Info("request sent", "Request", job.call.Attempt, "Server", to.server.ID, "Adapter", job.adapter.Name,
+	gateway.log.Info(ending.MessageSent, "Request", job.call.Attempt, "Server", to.server.ID, "Adapter", job.adapter.Name,
 		"Offer", job.offers, "CostMillis", int(to.cost), "LeftMillis", left, "Version", to.version, "WaitedMillis", job.waited)
 	tryCtx, cancel := context.WithTimeout(ctx, job.tryTime(left).Duration())
 	defer cancel()
@@ -142,9 +142,9 @@
 func (gateway *Gateway) unanswered(ctx context.Context, job *job, to placed, err error) verdict {
 	var failed *upstream.Error
 	sent := !errors.As(err, &failed) || failed.Sent
-	gateway.log.Info("no answer", "Request", job.call.Attempt, "Server", to.server.ID, "Sent", sent, "Error", err.Error())
+	gateway.log.Info(ending.MessageNoAnswer, "Request", job.call.Attempt, "Server", to.server.ID, "Sent", sent, "Error", err.Error())
 	if job.incoming.Context().Err() != nil {
-		gateway.ended(job, 0, reasonCallerLeft)
+		gateway.ended(job, 0, ending.CallerLeft)
 		return verdict{done: true}
 	}
 	core := gateway.core
@@ -159,17 +159,17 @@
 	job.tried = append(job.tried, to.server.ID)
 	if !sent {
 		job.offers-- // no server has seen it
-		return verdict{again: ctx.Err() == nil && len(job.tried) < gateway.options.MostSends, status: http.StatusServiceUnavailable, reason: reasonNoServer}
+		return verdict{again: ctx.Err() == nil && len(job.tried) < gateway.options.MostSends, status: http.StatusServiceUnavailable, reason: ending.NoServer}
 	}
 	job.sends++
 	if ctx.Err() != nil {
-		return verdict{status: http.StatusGatewayTimeout, reason: reasonTimeout}
+		return verdict{status: http.StatusGatewayTimeout, reason: ending.Timeout}
 	}
-	return gateway.lost(job, http.StatusBadGateway, reasonLost)
+	return gateway.lost(job, http.StatusBadGateway, ending.Lost)
 }
 
 // lost judges a request that may have run without an answer that can be used.
-func (gateway *Gateway) lost(job *job, status int, why reason) verdict {
+func (gateway *Gateway) lost(job *job, status int, why ending.Reason) verdict {
 	again := job.route.Repeatable() && job.sends < job.route.Attempts
 	return verdict{again: again, repeat: true, status: status, reason: why}
 }
@@ -187,7 +187,7 @@
 		answer.Close(false)
 		gateway.note(to, true)
 		job.tried = append(job.tried, to.server.ID)
-		return gateway.lost(job, http.StatusBadGateway, reasonInvalid)
+		return gateway.lost(job, http.StatusBadGateway, ending.Invalid)
 	}
 	if !success {
 		return gateway.failure(writer, job, to, answer)
@@ -214,7 +214,7 @@
 
 // declined judges the statement of a server that it did not run the request.
 func (gateway *Gateway) declined(job *job, to placed, status int, reply port.Reply) verdict {
-	gateway.log.Info("server declined", "Request", job.call.Attempt, "Server", to.server.ID, "Status", status, "Absent", reply.Absent)
+	gateway.log.Info(ending.MessageDeclined, "Request", job.call.Attempt, "Server", to.server.ID, "Status", status, "Absent", reply.Absent)
 	core := gateway.core
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
@@ -225,7 +225,7 @@
 		core.fleet.Answered(now, to.server.ID, true)
 		job.tried = append(job.tried, to.server.ID)
 	}
-	return verdict{again: true, repeat: true, status: http.StatusServiceUnavailable, reason: reasonTries}
+	return verdict{again: true, repeat: true, status: http.StatusServiceUnavailable, reason: ending.Tries}
 }
 
 // absent notes that a server lacks an adapter that it was thought to hold. The
@@ -255,31 +255,23 @@
 func (gateway *Gateway) failure(writer http.ResponseWriter, job *job, to placed, answer *upstream.Answer) verdict {
 	gateway.note(to, answer.StatusCode >= 500)
 	job.tried = append(job.tried, to.server.ID)
-	gateway.log.Info("server failed", "Request", job.call.Attempt, "Server", to.server.ID, "Status", answer.StatusCode)
+	gateway.log.Info(ending.MessageFailed, "Request", job.call.Attempt, "Server", to.server.ID, "Status", answer.StatusCode)
 	if answer.StatusCode >= 500 && job.route.Repeatable() && job.sends < job.route.Attempts && gateway.mayRepeat(job) {
 		gateway.finish(answer)
-		return verdict{again: true, status: http.StatusBadGateway, reason: reasonLost}
+		return verdict{again: true, status: http.StatusBadGateway, reason: ending.Lost}
 	}
-	if promises(answer.StatusCode) || job.started {
+	if ending.PromisesNotRun(answer.StatusCode) || job.started {
 		gateway.finish(answer)
-		return verdict{status: http.StatusBadGateway, reason: reasonInvalid}
+		return verdict{status: http.StatusBadGateway, reason: ending.Invalid}
 	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxFailureBytes))
 	answer.Close(err == nil)
 	if err != nil {
-		return verdict{status: http.StatusBadGateway, reason: reasonLost}
+		return verdict{status: http.StatusBadGateway, reason: ending.Lost}
 	}
 	copyHeader(writer.Header(), answer.Header)
-	gateway.ended(job, answer.StatusCode, reasonRelayed)
+	gateway.ended(job, answer.StatusCode, ending.ServerFailure)
 	writer.WriteHeader(answer.StatusCode)
 	_, _ = writer.Write(body) // the caller may have left
 	return verdict{done: true}
 }
-
-// promises reports whether a status tells callers that a request has not run,
-// which is not so when the server did not state it.
-func promises(status int) bool {
-	return slices.Contains([]int{
-		http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest,
-	}, status)
-}
--- a/internal/direct/gateway/handler.go
+++ b/internal/direct/gateway/handler.go
@@ -9,6 +9,7 @@
 
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/catalog"
+	"teaselmoor/internal/direct/ending"
 	"teaselmoor/internal/direct/port"
 )
 
@@ -35,31 +36,9 @@
 	heardAt  clock.Millis // when the caller last got something; its arrival until then
 	lastSent string       // the last event that went to the caller whole
 	firstAt  clock.Millis
+	comeBack clock.Millis // after which a refused caller was told to come back
 }
 
-// reason says why a request ended as it did. Reasons are part of the log format.
-type reason string
-
-// Reasons.
-const (
-	reasonComplete    reason = "Complete"
-	reasonRelayed     reason = "ServerFailure"   // the server's own failure was passed on
-	reasonNotReady    reason = "NotReady"        // this daemon knows no configuration yet
-	reasonNoRoute     reason = "NoRoute"         // no route matches
-	reasonBadRequest  reason = "BadRequest"      // headers or body cannot be read
-	reasonTooLarge    reason = "TooLarge"        // the body is over the limit
-	reasonNoServer    reason = "NoServer"        // no server of the service can take it
-	reasonLoadWait    reason = "AdapterNotReady" // its adapter did not arrive in time
-	reasonNoBudget    reason = "RetryBudget"     // the budget for repeats is used up
-	reasonTries       reason = "TriesUsed"       // all tries were refused by servers
-	reasonDeadline    reason = "Deadline"        // the time ran out before it was sent
-	reasonTimeout     reason = "Timeout"         // the time ran out after it was sent
-	reasonLost        reason = "AnswerLost"      // it was sent, and no whole answer came
-	reasonInvalid     reason = "InvalidAnswer"   // the answer is not one of the server
-	reasonCallerLeft  reason = "CallerLeft"
-	reasonStreamBroke reason = "StreamBroken" // a stream broke off and could not go on
-)
-
 // ServeHTTP serves a caller's request.
 func (gateway *Gateway) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	core := gateway.core
@@ -71,7 +50,7 @@
 		writer.Header().Set("Connection", "close")
 	}
 	if config == nil {
-		gateway.refuse(writer, &job{incoming: request, arrived: core.now()}, http.StatusServiceUnavailable, reasonNotReady)
+		gateway.refuse(writer, &job{incoming: request, arrived: core.now()}, http.StatusServiceUnavailable, ending.NotReady)
 		return
 	}
 	job, status, why := gateway.accept(writer, request, config)
@@ -84,18 +63,18 @@
 
 // accept reads a request whole and finds its route. A status other than 0
 // refuses it.
-func (gateway *Gateway) accept(writer http.ResponseWriter, request *http.Request, config *catalog.Catalog) (*job, int, reason) {
+func (gateway *Gateway) accept(writer http.ResponseWriter, request *http.Request, config *catalog.Catalog) (*job, int, ending.Reason) {
 	core := gateway.core
 	now := core.now()
 	job := &job{incoming: request, arrived: now, heardAt: now, config: config.Version}
 	call, err := gateway.protocol.Call(request)
 	job.call = call
 	if err != nil || strings.HasPrefix(request.RequestURI, "//") {
-		return job, http.StatusBadRequest, reasonBadRequest
+		return job, http.StatusBadRequest, ending.BadRequest
 	}
 	route, ok := config.Match(hostOf(request.Host), request.URL.Path)
 	if !ok {
-		return job, http.StatusNotFound, reasonNoRoute
+		return job, http.StatusNotFound, ending.NoRoute
 	}
 	job.route = route
 	job.service = route.Service(call.Attempt)
@@ -115,9 +94,9 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return job, http.StatusRequestEntityTooLarge, reasonTooLarge
+		return job, http.StatusRequestEntityTooLarge, ending.TooLarge
 	case err != nil:
-		return job, http.StatusBadRequest, reasonBadRequest
+		return job, http.StatusBadRequest, ending.BadRequest
 	}
 	core.mutex.Lock()
 	core.budget(job.service).Request(job.arrived)
@@ -145,38 +124,38 @@
 	return job.arrived + span
 }
 
-// notRun are the statuses that promise that a request has not run.
-func notRun(status int) bool {
-	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
-}
-
 // refuse answers a request that no server answers.
-func (gateway *Gateway) refuse(writer http.ResponseWriter, job *job, status int, why reason) {
+func (gateway *Gateway) refuse(writer http.ResponseWriter, job *job, status int, why ending.Reason) {
 	after := clock.Millis(0)
-	if notRun(status) {
+	if ending.PromisesNotRun(status) {
 		after = gateway.options.RetryAfter
 	}
+	job.comeBack = after
 	gateway.protocol.Refusal(writer.Header(), after)
 	gateway.ended(job, status, why)
 	http.Error(writer, string(why), status)
 }
 
 // ended writes the line that says how a request ended.
-func (gateway *Gateway) ended(job *job, status int, why reason) {
+func (gateway *Gateway) ended(job *job, status int, why ending.Reason) {
 	now := gateway.core.now()
 	line := []any{
 		"Request", job.call.Attempt, "Status", status, "Reason", string(why), "Millis", now - job.arrived,
-		"Offers", job.offers, "WaitedMillis", job.waited, "Config", job.config,
+		"Offers", job.offers, "WaitedMillis", job.waited, "Config", job.config, "Daemon", gateway.settings.Name,
+	}
+	if job.comeBack > 0 {
+		line = append(line, "RetryAfterMillis", job.comeBack)
 	}
-	if why == reasonNoRoute {
+	if why == ending.NoRoute {
 		line = append(line, "Host", job.incoming.Host, "Path", job.incoming.URL.Path)
 	}
 	if job.route != nil {
-		line = append(line, "Route", job.route.Name, "Service", job.service, "Adapter", job.adapter.Name, "LeftMillis", job.deadline-now)
+		line = append(line, "Route", job.route.Name, "Service", job.service, "Adapter", job.adapter.Name, "LeftMillis", job.deadline-now,
+			"Kind", job.route.Kind.String(), "Repeatable", job.route.Repeatable())
 	}
 	if job.firstAt > 0 {
 		line = append(line, "FirstMillis", job.firstAt-job.arrived)
 	}
-	gateway.log.Info("request ended", line...)
+	gateway.log.Info(ending.MessageEnded, line...)
 	gateway.counters.ended(job, status, why, now)
 }
--- a/internal/direct/gateway/place.go
+++ b/internal/direct/gateway/place.go
@@ -9,6 +9,7 @@
 
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/choose"
+	"teaselmoor/internal/direct/ending"
 	"teaselmoor/internal/direct/fleet"
 	"teaselmoor/internal/direct/peers"
 	"teaselmoor/internal/direct/port"
@@ -64,7 +65,7 @@
 		choice, ok := core.choose(core.query(now, job, waitingAt.Server, frequent), job.hash)
 		if !ok {
 			core.unplace(waitingAt, job)
-			return placed{}, &verdict{status: http.StatusServiceUnavailable, reason: reasonNoServer}
+			return placed{}, &verdict{status: http.StatusServiceUnavailable, reason: ending.NoServer}
 		}
 		use := tally.Use{Server: choice.Member.ID, Adapter: job.adapter}
 		if use != waitingAt {
@@ -103,19 +104,19 @@
 func (core *core) logNotPlaced(now clock.Millis, job *job, use tally.Use, hopeless bool, patience clock.Millis) {
 	loading, queued := core.coming()
 	owner, _ := core.tenure.Owner(now, use.Server)
-	core.log.Info("adapter not ready", "Request", job.call.Attempt, "Server", use.Server, "Adapter", use.Adapter.Name, "Owner", owner,
+	core.log.Info(ending.MessageNotReady, "Request", job.call.Attempt, "Server", use.Server, "Adapter", use.Adapter.Name, "Owner", owner,
 		"AtOnce", hopeless, "PatienceMillis", patience, "LoadMillis", core.loadWait(), "Loading", loading, "Queued", queued)
 }
 
 // notPlaced says why a request got no server in time.
 func notPlaced(ctx context.Context, job *job) *verdict {
 	if job.incoming.Context().Err() != nil {
-		return &verdict{done: false, status: http.StatusServiceUnavailable, reason: reasonCallerLeft}
+		return &verdict{done: false, status: http.StatusServiceUnavailable, reason: ending.CallerLeft}
 	}
 	if ctx.Err() != nil {
-		return &verdict{status: http.StatusServiceUnavailable, reason: reasonDeadline}
+		return &verdict{status: http.StatusServiceUnavailable, reason: ending.Deadline}
 	}
-	return &verdict{status: http.StatusServiceUnavailable, reason: reasonLoadWait}
+	return &verdict{status: http.StatusServiceUnavailable, reason: ending.LoadWait}
 }
 
 // frequentSpan is how long ago an adapter may have been asked for here last to count
@@ -207,7 +208,7 @@
 	core := gateway.core
 	want := peers.Want{Server: use.Server, Adapter: use.Adapter, Version: core.newest(use.Adapter), Rank: job.route.Rank, Left: left}
 	owner, ok := core.tenure.Owner(now, use.Server)
-	gateway.log.Info("adapter asked for", "Request", job.call.Attempt, "Server", use.Server, "Adapter", use.Adapter.Name, "Owner", owner)
+	gateway.log.Info(ending.MessageAskedFor, "Request", job.call.Attempt, "Server", use.Server, "Adapter", use.Adapter.Name, "Owner", owner)
 	if !ok {
 		return
 	}
--- a/internal/direct/gateway/relay.go
+++ b/internal/direct/gateway/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"teaselmoor/internal/direct/ending"
 	"teaselmoor/internal/direct/upstream"
 )
 
@@ -46,7 +47,7 @@
 		return gateway.broken(ctx, job, err)
 	}
 	copyHeader(writer.Header(), answer.Header)
-	gateway.ended(job, answer.StatusCode, reasonComplete)
+	gateway.ended(job, answer.StatusCode, ending.Complete)
 	job.started = true
 	writer.WriteHeader(answer.StatusCode)
 	_, _ = writer.Write(body) // the caller may have left
@@ -55,15 +56,15 @@
 
 // broken judges an answer that broke off before the caller saw any of it.
 func (gateway *Gateway) broken(ctx context.Context, job *job, err error) verdict {
-	gateway.log.Info("answer broken", "Request", job.call.Attempt, "Error", err.Error())
+	gateway.log.Info(ending.MessageBroken, "Request", job.call.Attempt, "Error", err.Error())
 	if job.incoming.Context().Err() != nil {
-		gateway.ended(job, 0, reasonCallerLeft)
+		gateway.ended(job, 0, ending.CallerLeft)
 		return verdict{done: true}
 	}
 	if ctx.Err() != nil {
-		return verdict{status: http.StatusGatewayTimeout, reason: reasonTimeout}
+		return verdict{status: http.StatusGatewayTimeout, reason: ending.Timeout}
 	}
-	return gateway.lost(job, http.StatusBadGateway, reasonLost)
+	return gateway.lost(job, http.StatusBadGateway, ending.Lost)
 }
 
 // stream passes events on as they arrive. An event is passed on whole, so that a
@@ -82,7 +83,7 @@
 			}
 			if _, failed := writer.Write(event); failed != nil {
 				answer.Close(false)
-				gateway.ended(job, answer.StatusCode, reasonCallerLeft)
+				gateway.ended(job, answer.StatusCode, ending.CallerLeft)
 				return verdict{done: true}
 			}
 			_ = control.Flush() // a failure shows at the next write
@@ -115,7 +116,7 @@
 	if !job.started {
 		gateway.begin(writer, job, answer)
 	}
-	gateway.ended(job, answer.StatusCode, reasonComplete)
+	gateway.ended(job, answer.StatusCode, ending.Complete)
 	return verdict{done: true}
 }
 
@@ -123,15 +124,15 @@
 // on at another server.
 func (gateway *Gateway) streamBroken(ctx context.Context, job *job, err error) verdict {
 	if job.started && job.incoming.Context().Err() == nil && ctx.Err() == nil {
-		gateway.log.Info("stream broken", "Request", job.call.Attempt, "After", job.lastSent, "Error", err.Error())
-		result := gateway.lost(job, http.StatusBadGateway, reasonStreamBroke)
+		gateway.log.Info(ending.MessageStreamCut, "Request", job.call.Attempt, "After", job.lastSent, "Error", err.Error())
+		result := gateway.lost(job, http.StatusBadGateway, ending.StreamBroke)
 		result.again = result.again && job.lastSent != ""
 		return result
 	}
 	if job.started {
-		why := reasonTimeout
+		why := ending.Timeout
 		if job.incoming.Context().Err() != nil {
-			why = reasonCallerLeft
+			why = ending.CallerLeft
 		}
 		return verdict{status: http.StatusGatewayTimeout, reason: why}
 	}
--- /dev/null
+++ b/internal/direct/trail/trail_test.go
@@ -0,0 +1,66 @@
+package trail_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"teaselmoor/internal/decide/outcome"
+	"teaselmoor/internal/direct/trail"
+)
+
+// The lines are of a played day; two have what a collector puts before them.
+const log = `
+  35.543 front-gijon-1 {"time":"2026-06-10T17:35:35.543Z","level":"INFO","msg":"adapter asked for","Request":"765d","Server":"i-62","Adapter":"a2602","Owner":""}
+  36.789 front-gijon-1 {"time":"2026-06-10T17:35:36.789Z","level":"INFO","msg":"adapter asked for","Request":"765d","Server":"i-62","Adapter":"a2602","Owner":"front-oviedo-a-1"}
+{"time":"2026-06-10T17:35:37.464Z","level":"INFO","msg":"adapter not ready","Request":"765d","Server":"i-62","Adapter":"a2602","Owner":"front-oviedo-a-1","AtOnce":false,"PatienceMillis":1920,"LoadMillis":1875,"Loading":10,"Queued":50}
+{"time":"2026-06-10T17:35:37.464Z","level":"INFO","msg":"request ended","Request":"765d","Status":503,"Reason":"AdapterNotReady","Millis":1921,"Offers":0,"WaitedMillis":1921,"Config":21,"Daemon":"front-gijon-1","RetryAfterMillis":500,"Route":"r1","Service":"s","Adapter":"a2602","LeftMillis":6079,"Kind":"streaming","Repeatable":true}
+{"time":"2026-06-10T17:35:05.664Z","level":"INFO","msg":"request sent","Request":"6bfc","Server":"i-f3","Adapter":"a446","Offer":1}
+not of a gateway: 6bfc {
+{"time":"2026-06-10T17:35:06.528Z","level":"INFO","msg":"stream broken","Request":"6bfc","After":"24","Error":"unexpected EOF"}
+{"time":"2026-06-10T17:35:06.528Z","level":"INFO","msg":"request ended","Request":"6bfc","Status":0,"Reason":"StreamBroken","Millis":1200,"Offers":1,"Config":21,"Daemon":"d","Route":"r1","Service":"s","Adapter":"a446","LeftMillis":100,"Kind":"streaming","Repeatable":false}
+{"time":"2026-06-10T17:35:06.600Z","level":"INFO","msg":"request sent","Request":"aaaa","Server":"i-f3","Adapter":"a446","Offer":1}
+`
+
+func TestRefusedWhileItWaited(t *testing.T) {
+	record, err := trail.Read(strings.NewReader(log), "765d")
+	require.NoError(t, err)
+	require.Equal(t, outcome.Refused(outcome.AdapterLate, 500), record.Outcome)
+	require.Equal(t, "a2602", record.Target)
+	require.EqualValues(t, "front-gijon-1", record.Daemon)
+	require.EqualValues(t, 21, record.ConfigVersion)
+	require.Equal(t, []outcome.Candidate{
+		{Engine: "i-62", Verdict: outcome.OwnerUnknown}, {Engine: "i-62", Verdict: outcome.LoadsAdapter},
+	}, record.Candidates)
+	require.Empty(t, record.Attempts)
+	require.Contains(t, record.Detail, "10 adapters were on their way and 50 waited")
+}
+
+func TestLostWithItsServer(t *testing.T) {
+	record, err := trail.Read(strings.NewReader(log), "6bfc")
+	require.NoError(t, err)
+	require.Equal(t, outcome.Lost(outcome.Truncated), record.Outcome)
+	require.Len(t, record.Attempts, 1)
+	require.EqualValues(t, "i-f3", record.Attempts[0].Engine)
+	require.Equal(t, outcome.Lost(outcome.Truncated), record.Attempts[0].Outcome)
+}
+
+func TestWhatTheLogDoesNotSay(t *testing.T) {
+	_, err := trail.Read(strings.NewReader(log), "none")
+	require.ErrorIs(t, err, trail.ErrNotFound)
+	_, err = trail.Read(strings.NewReader(log), "aaaa")
+	require.ErrorContains(t, err, "not how it ended")
+}
+
+// FuzzRead: a log is what somebody collected; nothing in it stops the command.
+func FuzzRead(f *testing.F) {
+	f.Add(log, "765d")
+	f.Fuzz(func(t *testing.T, text, request string) {
+		record, err := trail.Read(strings.NewReader(text), request)
+		if err == nil {
+			require.Equal(t, request, record.Request)
+			require.NotEmpty(t, record.Outcome.Kind)
+		}
+	})
+}
--- a/internal/serve/command/explain.go
+++ b/internal/serve/command/explain.go
@@ -10,6 +10,7 @@
 	"github.com/urfave/cli/v2"
 
 	"teaselmoor/internal/decide/outcome"
+	"teaselmoor/internal/direct/trail"
 	"teaselmoor/internal/serve/explain"
 	"teaselmoor/internal/serve/operators"
 )
@@ -21,9 +22,10 @@
 		ArgsUsage: "[FILE]",
 		Description: "The record comes from FILE or standard input: the error body that the caller got, a line of the audit " +
 			"trail, or the record alone. With -daemon and -request it comes from the daemon that refused the request, " +
-			"while it still holds it.",
+			"while it still holds it. With -log and -request the text is the log of one or more gateways.",
 		Flags: []cli.Flag{
 			daemonFlag(),
+			&cli.BoolFlag{Name: "log", Usage: "the text is a log of gateways"},
 			&cli.StringFlag{Name: "request", Usage: "explain the request with this `ID`"},
 			&cli.StringFlag{Name: "audience", Usage: "write for a member, employer or regulator", Value: string(explain.Member)},
 			jsonFlag(),
@@ -57,16 +59,19 @@
 }
 
 func readRecord(invocation *cli.Context) (outcome.Record, error) {
-	if request := invocation.String("request"); request != "" {
+	request := invocation.String("request")
+	if request != "" && !invocation.Bool("log") {
 		return fetchRecord(invocation, request)
 	}
-	var text []byte
-	var err error
-	if path := invocation.Args().First(); path != "" && path != "-" {
-		text, err = os.ReadFile(path)
-	} else {
-		text, err = io.ReadAll(invocation.App.Reader)
+	given, err := openText(invocation)
+	if err != nil {
+		return outcome.Record{}, err
 	}
+	defer func() { _ = given.Close() }()
+	if invocation.Bool("log") {
+		return recordFromLog(invocation, given)
+	}
+	text, err := io.ReadAll(given)
 	if err != nil {
 		return outcome.Record{}, errors.Wrap(err, "read decision record")
 	}
@@ -74,6 +79,29 @@
 	return record, withCode(ExitMistakes, err)
 }
 
+// openText opens the file that is named, or standard input where none is.
+func openText(invocation *cli.Context) (io.ReadCloser, error) {
+	path := invocation.Args().First()
+	if path == "" || path == "-" {
+		return io.NopCloser(invocation.App.Reader), nil
+	}
+	file, err := os.Open(path)
+	return file, errors.Wrap(err, "read")
+}
+
+// recordFromLog puts the record of a request together from a log.
+func recordFromLog(invocation *cli.Context, log io.Reader) (outcome.Record, error) {
+	request, err := need(invocation, "request")
+	if err != nil {
+		return outcome.Record{}, err
+	}
+	record, err := trail.Read(log, request)
+	if errors.Is(err, trail.ErrNotFound) {
+		return record, withCode(ExitNotFound, err)
+	}
+	return record, withCode(ExitMistakes, err)
+}
+
 func fetchRecord(invocation *cli.Context, request string) (outcome.Record, error) {
 	address, err := operatorAddress(invocation)
 	if err != nil {
--- /dev/null
+++ b/internal/serve/command/gatewaystatus.go
@@ -0,0 +1,118 @@
+package command
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"slices"
+
+	"github.com/pkg/errors"
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+	"github.com/urfave/cli/v2"
+
+	"teaselmoor/internal/base/clock"
+)
+
+// metricsPath is where a gateway serves its metrics.
+const metricsPath = "/metrics"
+
+func gatewayFlag() cli.Flag {
+	return &cli.StringFlag{Name: "gateway", Usage: "ask the gateway with the metrics address `IP:PORT`"}
+}
+
+// figures are a gateway's metrics by name.
+type figures map[string]*dto.MetricFamily
+
+// showGateway prints what a gateway believes and how its requests end.
+func showGateway(invocation *cli.Context, address string) error {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return withCode(ExitUsage, errors.Errorf("-gateway %q: want an IP number and port", address))
+	}
+	read, err := fetchFigures(invocation.Context, address)
+	if err != nil {
+		return err
+	}
+	if invocation.Bool("json") {
+		return writeJSON(invocation, read)
+	}
+	read.print(invocation)
+	return nil
+}
+
+func fetchFigures(ctx context.Context, address string) (figures, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+metricsPath, nil)
+	if err != nil {
+		return nil, withCode(ExitUsage, errors.Wrap(err, "ask the gateway"))
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, withCode(ExitUnreachable, errors.Wrap(err, "ask the gateway"))
+	}
+	defer func() { _ = response.Body.Close() }()
+	parser := expfmt.NewTextParser(model.UTF8Validation)
+	read, err := parser.TextToMetricFamilies(io.LimitReader(response.Body, maxAnswer))
+	return read, errors.Wrap(err, "read the gateway's metrics")
+}
+
+// value returns a figure without labels, 0 where the gateway does not serve it.
+func (figures figures) value(name string) float64 {
+	family, ok := figures[name]
+	if !ok || len(family.GetMetric()) == 0 {
+		return 0
+	}
+	return family.GetMetric()[0].GetUntyped().GetValue()
+}
+
+func (figures figures) print(invocation *cli.Context) {
+	count := func(name string) int64 { return int64(figures.value(name)) }
+	store := "the store answers"
+	if away := count("teaselmoor_store_away_millis"); away > 0 {
+		store = fmt.Sprintf("the store has not answered for %s", age(clock.Millis(away)))
+	}
+	writeLine(invocation, "configuration version %d, store read up to revision %d; %s",
+		count("teaselmoor_config_version"), count("teaselmoor_store_revision"), store)
+	writeLine(invocation, "%d peers; %d servers, of which this gateway gives orders to %d",
+		count("teaselmoor_peers"), count("teaselmoor_servers"), count("teaselmoor_servers_ordered"))
+	writeLine(invocation, "%d adapters being loaded and %d waiting, at all servers; %d requests in progress here",
+		count("teaselmoor_adapters_loading"), count("teaselmoor_adapters_queued"), count("teaselmoor_requests_in_progress"))
+	writeLine(invocation, "%d orders given, %d connections to servers opened, %d log lines dropped",
+		count("teaselmoor_orders_total"), count("teaselmoor_server_connections_opened_total"), count("teaselmoor_log_lines_dropped_total"))
+	figures.printLabelled(invocation, "requests ended:", "teaselmoor_requests_total", "service", "status", "reason")
+	figures.printLabelled(invocation, "latency to the first byte, in milliseconds:", "teaselmoor_latency_millis", "service", "quantile")
+	figures.printLabelled(invocation, "repeats left of the retry budget:", "teaselmoor_retry_budget_left", "service")
+}
+
+// printLabelled prints the figures of one name as a table, a column a label.
+func (figures figures) printLabelled(invocation *cli.Context, title, name string, labels ...string) {
+	writeLine(invocation, "\n%s", title)
+	var rows [][]any
+	for _, metric := range figures[name].GetMetric() {
+		var row []any
+		for _, label := range labels {
+			row = append(row, labelOf(metric, label))
+		}
+		rows = append(rows, append(row, metric.GetUntyped().GetValue()))
+	}
+	slices.SortFunc(rows, func(a, b []any) int { return cmp.Compare(fmt.Sprint(a...), fmt.Sprint(b...)) })
+	table := newTable(invocation)
+	for _, row := range rows {
+		table.row(row...)
+	}
+	table.flush()
+}
+
+func labelOf(metric *dto.Metric, name string) string {
+	for _, pair := range metric.GetLabel() {
+		if pair.GetName() == name {
+			return pair.GetValue()
+		}
+	}
+	return ""
+}
--- a/internal/serve/command/status.go
+++ b/internal/serve/command/status.go
@@ -15,9 +15,12 @@
 func statusCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "status",
-		Usage: "show what a daemon knows, how old that is, and the engines that it owns",
-		Flags: []cli.Flag{daemonFlag(), jsonFlag()},
+		Usage: "show what a daemon knows, how old that is, and the engines that it owns; or what a gateway believes",
+		Flags: []cli.Flag{daemonFlag(), gatewayFlag(), jsonFlag()},
 		Action: func(invocation *cli.Context) error {
+			if gateway := invocation.String("gateway"); gateway != "" {
+				return showGateway(invocation, gateway)
+			}
 			address, err := operatorAddress(invocation)
 			if err != nil {
 				return err
--- a/internal/serve/explain/explain.go
+++ b/internal/serve/explain/explain.go
@@ -65,10 +65,13 @@
 	if record.Target != "" {
 		text += " to " + record.Target
 	}
-	if record.Outcome.Kind == outcome.Answered {
+	if record.Outcome.Kind == outcome.Answered && record.Outcome.Reason == outcome.Complete {
 		return text + " was answered in full."
 	}
-	text += " was not answered. " + record.Outcome.Reason.Sentence()
+	if record.Outcome.Kind != outcome.Answered {
+		text += " was not answered."
+	}
+	text += " " + record.Outcome.Reason.Sentence()
 	if record.Detail != "" {
 		text += " (" + record.Detail + ")"
 	}
@@ -160,6 +163,7 @@
 	outcome.Quarantined:  "was quarantined",
 	outcome.TriedBefore:  "had failed in an earlier attempt",
 	outcome.LoadsFail:    "had failed to load the adapter",
+	outcome.LoadsAdapter: "was asked to load the adapter",
 }
 
 // home tells who kept the record of the idempotency key.
@@ -206,6 +210,9 @@
 func attemptLine(attempt outcome.Attempt) string {
 	where := "at a service"
 	if attempt.Engine != "" {
+		where = fmt.Sprintf("at server %s", attempt.Engine)
+	}
+	if attempt.Owner != "" {
 		where = fmt.Sprintf("at engine %s, in the charge of daemon %s", attempt.Engine, attempt.Owner)
 	}
 	sent := "the request is not known to have been sent"
@@ -216,7 +223,10 @@
 	if attempt.Outcome.Kind != "" {
 		ended = fmt.Sprintf("it ended as %s: %s", attempt.Outcome.Kind, attempt.Outcome.Reason.Sentence())
 	}
-	return fmt.Sprintf("%s, %s (run %s): %s; %s", at(attempt.At), where, attempt.Stream, sent, ended)
+	if attempt.Stream != "" {
+		where += fmt.Sprintf(" (run %s)", attempt.Stream)
+	}
+	return fmt.Sprintf("%s, %s: %s; %s", at(attempt.At), where, sent, ended)
 }
 
 func code(record outcome.Record) string {
