--- a/internal/direct/gateway/settings.go
+++ b/internal/direct/gateway/settings.go
@@ -113,6 +113,9 @@
 	// CoverLimit is how long after the store last answered the peer that reads it
 	// for this daemon the daemon reads it itself.
 	CoverLimit clock.Millis
+	// Advertise is the address that peers connect to, where it is not the one that is
+	// listened on, as behind a port mapping; empty: the same.
+	Advertise string
 	// PeerTimeout is how long a silent peer's requests count on.
 	PeerTimeout clock.Millis
 	// VersionGrace is how long after a new version of an adapter was named an
--- a/internal/direct/gateway/spread.go
+++ b/internal/direct/gateway/spread.go
@@ -50,8 +50,12 @@
 
 // self is this daemon as its peers know it.
 func (core *core) self() peers.Member {
+	address := core.settings.PeerAddress
+	if core.options.Advertise != "" {
+		address = core.options.Advertise
+	}
 	return peers.Member{
-		Name: core.settings.Name, Address: core.settings.PeerAddress,
+		Name: core.settings.Name, Address: address,
 		DataCentre: core.settings.DataCentre, Capacity: core.settings.Capacity,
 	}
 }
--- a/internal/integration/harness/process.go
+++ b/internal/integration/harness/process.go
@@ -34,6 +34,7 @@
 var (
 	teaselmoor = &program{path: "teaselmoor/cmd/teaselmoor"}
 	standIns   = &program{path: "teaselmoor/cmd/standins"}
+	gateways   = &program{path: "teaselmoor/cmd/teaselmoor-gateway"}
 )
 
 // binary builds the program at its first use, with the race detector when the
@@ -60,7 +61,7 @@
 
 // RemoveBinaries removes the built programs; TestMain calls it at its end.
 func RemoveBinaries() {
-	for _, each := range []*program{teaselmoor, standIns} {
+	for _, each := range []*program{teaselmoor, standIns, gateways} {
 		if each.built != "" {
 			_ = os.RemoveAll(filepath.Dir(each.built))
 		}
@@ -70,16 +71,23 @@
 // StandIns starts cmd/standins with arguments.
 func StandIns(t testing.TB, arguments ...string) *Process {
 	t.Helper()
-	return start(t, standIns, arguments...)
+	return start(t, standIns, nil, arguments...)
 }
 
-func start(t testing.TB, program *program, arguments ...string) *Process {
+// Gateway starts cmd/teaselmoor-gateway with additions to its environment.
+func Gateway(t testing.TB, environment []string, arguments ...string) *Process {
+	t.Helper()
+	return start(t, gateways, environment, arguments...)
+}
+
+func start(t testing.TB, program *program, environment []string, arguments ...string) *Process {
 	t.Helper()
 	log, err := os.CreateTemp(t.TempDir(), "log")
 	require.NoError(t, err)
 	defer func() { _ = log.Close() }()
 	command := exec.Command(program.binary(t), arguments...)
 	command.Stdout, command.Stderr = log, log
+	command.Env = append(os.Environ(), environment...)
 	require.NoError(t, command.Start())
 	process := &Process{t: t, command: command, logPath: log.Name(), exited: make(chan struct{})}
 	go func() {
@@ -128,6 +136,9 @@
 // Wake lets a frozen process go on.
 func (process *Process) Wake() { process.signal(syscall.SIGCONT) }
 
+// HangUp asks for its settings to be read again.
+func (process *Process) HangUp() { process.signal(syscall.SIGHUP) }
+
 // Terminate asks for a graceful shutdown.
 func (process *Process) Terminate() { process.signal(syscall.SIGTERM) }
 
--- a/internal/integration/harness/site.go
+++ b/internal/integration/harness/site.go
@@ -202,7 +202,7 @@
 // Start starts the daemon's process, also after an earlier one has ended.
 func (daemon *Daemon) Start() {
 	daemon.site.T.Helper()
-	daemon.Process = start(daemon.site.T, teaselmoor, "serve", "-settings", daemon.path)
+	daemon.Process = start(daemon.site.T, teaselmoor, nil, "serve", "-settings", daemon.path)
 }
 
 // WaitReady waits until the daemon serves callers and knows every engine.
