choose: on sites with hubs each request draws two of the holders

Cause: all daemons chose the server that the same sums showed best: 0.75 s to the first event where 0.12 s were expected, on a copy that had just been loaded. Sites that are a mesh choose as before.

--- a/internal/direct/choose/choose.go
+++ b/internal/direct/choose/choose.go
@@ -54,6 +54,7 @@
 	Tried      []string                 // servers that had the request before
 	Ordered    func(server string) bool // whether a daemon gives orders to a server; nil: all have one
 	Frequent   bool                     // the adapter was asked for before of late: a copy pays
+	Many       bool                     // many daemons place requests by what was told some time ago
 	Waiting    string                   // the server that is loading the adapter for the request; empty if none
 }
 
@@ -110,6 +111,7 @@
 		copies, first = survey(usable, query, adapterHash)
 	}
 	best, waiting, spare := Choice{}, Choice{}, Choice{}
+	var drawn draw
 	for _, member := range usable {
 		if slices.Contains(query.Tried, member.ID) {
 			continue
@@ -131,6 +133,12 @@
 		if best.Member == nil || choice.Cost < best.Cost {
 			best = choice
 		}
+		if choice.Held {
+			drawn.add(choice, rank(query.Attempt, member))
+		}
+	}
+	if query.Many && best.Held {
+		best = drawn.cheaper(best, weights.Load)
 	}
 	// A request that waits stays where it waits, unless another server can run it
 	// at once: moving on would have the adapter loaded at two servers.
@@ -143,6 +151,39 @@
 	return best, best.Member != nil
 }
 
+// draw holds two of the servers that can run a request at once, as its id draws them.
+// Where many daemons place requests by sums that are some hundred milliseconds old,
+// all of them would choose the server that was best then, a new copy above all.
+type draw struct {
+	choices [2]Choice
+	ranks   [2]uint64
+}
+
+func (draw *draw) add(choice Choice, rank uint64) {
+	for i := range draw.choices {
+		if draw.choices[i].Member == nil || rank > draw.ranks[i] {
+			choice, draw.choices[i] = draw.choices[i], choice
+			rank, draw.ranks[i] = draw.ranks[i], rank
+		}
+		if choice.Member == nil {
+			return
+		}
+	}
+}
+
+// cheaper returns the cheaper of the drawn servers, or the best of all where both
+// cost far more: they may be failing.
+func (draw *draw) cheaper(best Choice, most float64) Choice {
+	chosen := draw.choices[0]
+	if second := draw.choices[1]; second.Member != nil && second.Cost < chosen.Cost {
+		chosen = second
+	}
+	if chosen.Cost > best.Cost+most {
+		return best
+	}
+	return chosen
+}
+
 // copyTo returns the server for a further copy, unless one is on its way already.
 func (weights Weights) copyTo(query Query, usable []*fleet.Member, spare *fleet.Member) *fleet.Member {
 	if query.Ordered != nil && !query.Ordered(spare.ID) {
--- a/internal/direct/choose/choose_test.go
+++ b/internal/direct/choose/choose_test.go
@@ -198,3 +198,48 @@
 		})
 	}
 }
+
+// TestNoHerdOnANewCopy replays 300 requests that as many daemons place by the same
+// sums: a copy that has just been loaded at an idle server must not get all of them.
+func TestNoHerdOnANewCopy(t *testing.T) {
+	servers, work := site(9)
+	for i := range 6 {
+		server := fmt.Sprint("s", i)
+		hold(servers, server, 1, fleet.Slot{Adapter: adapter, Version: 1})
+		if i > 0 {
+			work.Begin(tally.Use{Server: server, Adapter: adapter}, 2000)
+		}
+	}
+	most := func(many bool) int {
+		counts := make(map[string]int)
+		highest := 0
+		for i := range 300 {
+			asked := query(fmt.Sprint("request", i))
+			asked.Many = many
+			chosen := pick(t, servers, work, asked)
+			require.True(t, chosen.Held)
+			counts[chosen.Member.ID]++
+			highest = max(highest, counts[chosen.Member.ID])
+		}
+		return highest
+	}
+	require.Equal(t, 300, most(false))
+	require.LessOrEqual(t, most(true), 125)
+}
+
+// TestDrawnServersThatFail are not kept to.
+func TestDrawnServersThatFail(t *testing.T) {
+	servers, work := site(9)
+	for i := range 9 {
+		server := fmt.Sprint("s", i)
+		hold(servers, server, 1, fleet.Slot{Adapter: adapter, Version: 1})
+		for range 4 {
+			servers.Answered(100_000, server, i > 0)
+		}
+	}
+	for i := range 30 {
+		asked := query(fmt.Sprint("request", i))
+		asked.Many = true
+		require.Equal(t, "s0", pick(t, servers, work, asked).Member.ID)
+	}
+}
