--- a/internal/direct/gateway/place.go
+++ b/internal/direct/gateway/place.go
@@ -79,11 +79,11 @@
 			}
 			return core.settled(now, started, job, choice, use), nil
 		}
-		hopeless := waitingAt == use && asked == 0 && !coming(choice.Member, job.adapter) && core.loadWait() > patience
+		hopeless := asked == 0 && !coming(choice.Member, job.adapter) && core.loadWait(choice.Member) > patience
 		if hopeless || now-started >= patience || ctx.Err() != nil {
 			core.unplace(use, job)
 			job.waited += now - started
-			core.logNotPlaced(now, job, use, hopeless, patience)
+			core.logNotPlaced(now, job, choice.Member, hopeless, patience)
 			return placed{}, notPlaced(ctx, job)
 		}
 		if asked == 0 || now-asked >= core.options.WantInterval {
@@ -101,11 +101,13 @@
 
 // logNotPlaced writes what decided that a request does not wait any longer. The
 // mutex is held.
-func (core *core) logNotPlaced(now clock.Millis, job *job, use tally.Use, hopeless bool, patience clock.Millis) {
+func (core *core) logNotPlaced(now clock.Millis, job *job, server *fleet.Member, hopeless bool, patience clock.Millis) {
 	loading, queued := core.coming()
-	owner, _ := core.tenure.Owner(now, use.Server)
-	core.log.Info(ending.MessageNotReady, "Request", job.call.Attempt, "Server", use.Server, "Adapter", use.Adapter.Name, "Owner", owner,
-		"AtOnce", hopeless, "PatienceMillis", patience, "LoadMillis", core.loadWait(), "Loading", loading, "Queued", queued)
+	loadingHere, queuedHere := server.Coming()
+	owner, _ := core.tenure.Owner(now, server.ID)
+	core.log.Info(ending.MessageNotReady, "Request", job.call.Attempt, "Server", server.ID, "Adapter", job.adapter.Name, "Owner", owner,
+		"AtOnce", hopeless, "PatienceMillis", patience, "LoadMillis", core.loadWait(server), "Loading", loading, "Queued", queued,
+		"LoadingHere", loadingHere, "QueuedHere", queuedHere)
 }
 
 // notPlaced says why a request got no server in time.
@@ -160,13 +162,25 @@
 	gapSilence   = 8
 )
 
-// loadWait is how long an adapter that nobody has asked for yet will take: the
-// weight store sends a number at a time, and those that wait go first.
-func (core *core) loadWait() clock.Millis {
+// loadWait is how long an adapter that nobody has asked for yet will take at a
+// server: the weight store sends a number at a time to all servers, and the server
+// takes a number at a time; those that wait go first.
+func (core *core) loadWait(server *fleet.Member) clock.Millis {
+	options := core.options.Loading
 	loading, queued := core.coming()
-	atOnce := core.fullSpeedLoads()
-	ahead := max(0, loading+queued-atOnce)
-	return core.options.Loading.LoadTime + core.options.Loading.LoadTime*clock.Millis(ahead)/clock.Millis(atOnce)
+	everywhere := turnsAhead(loading+queued, core.fullSpeedLoads())
+	incoming := options.MostIncoming
+	if loading+queued >= core.fullSpeedLoads() {
+		incoming = options.CrowdedIncoming
+	}
+	loadingHere, queuedHere := server.Coming()
+	here := turnsAhead(loadingHere+queuedHere, incoming)
+	return options.LoadTime + clock.Millis(float64(options.LoadTime)*max(everywhere, here))
+}
+
+// turnsAhead is how many loads one after another come before the next one.
+func turnsAhead(waiting, atOnce int) float64 {
+	return float64(max(0, waiting-atOnce)) / float64(atOnce)
 }
 
 func (core *core) unplace(use tally.Use, job *job) {
--- a/internal/direct/trail/trail_test.go
+++ b/internal/direct/trail/trail_test.go
@@ -8,6 +8,7 @@
 
 	"teaselmoor/internal/decide/outcome"
 	"teaselmoor/internal/direct/trail"
+	"teaselmoor/internal/serve/explain"
 )
 
 // The lines are of a played day; two have what a collector puts before them.
@@ -64,3 +65,17 @@
 		}
 	})
 }
+
+// TestFailureOfTheServer reads as an answer, not as a refusal.
+func TestFailureOfTheServer(t *testing.T) {
+	const lines = `{"time":"2026-06-10T17:35:11.139Z","msg":"request sent","Request":"8bc7","Server":"i-62"}
+{"time":"2026-06-10T17:35:11.141Z","msg":"server failed","Request":"8bc7","Server":"i-62","Status":500}
+{"time":"2026-06-10T17:35:11.141Z","msg":"request ended","Request":"8bc7","Status":500,"Reason":"ServerFailure","Offers":1,"Config":9,"Daemon":"d","Route":"r1","Service":"s","Kind":"streaming"}`
+	record, err := trail.Read(strings.NewReader(lines), "8bc7")
+	require.NoError(t, err)
+	require.Equal(t, outcome.Answered, record.Outcome.Kind)
+	text := explain.Render(record, explain.Regulator)
+	require.Contains(t, text, "to s was answered with a failure. The server ran the request")
+	require.Contains(t, text, `The caller is not named by the record; rule "r1" was applied. The request was treated as streaming.`)
+	require.Contains(t, text, "at server i-62: the request was sent; it ended as Answered")
+}
--- a/internal/serve/explain/explain.go
+++ b/internal/serve/explain/explain.go
@@ -68,10 +68,11 @@
 	if record.Outcome.Kind == outcome.Answered && record.Outcome.Reason == outcome.Complete {
 		return text + " was answered in full."
 	}
-	if record.Outcome.Kind != outcome.Answered {
-		text += " was not answered."
+	end := " was not answered. "
+	if record.Outcome.Kind == outcome.Answered {
+		end = " was answered with a failure. "
 	}
-	text += " " + record.Outcome.Reason.Sentence()
+	text += end + record.Outcome.Reason.Sentence()
 	if record.Detail != "" {
 		text += " (" + record.Detail + ")"
 	}
@@ -128,6 +129,9 @@
 	if record.Rule == "" {
 		return caller + "; no rule was applied."
 	}
+	if record.Caller == "" {
+		caller = "The caller is not named by the record" // gateways do not identify callers
+	}
 	text := fmt.Sprintf("%s; rule %q was applied. The request was treated as %s.", caller, record.Rule, strings.ToLower(record.Class))
 	if record.Deadline != 0 {
 		text += fmt.Sprintf(" Its answer had to begin by %s.", at(record.Deadline))
