--- a/internal/direct/choose/choose.go
+++ b/internal/direct/choose/choose.go
@@ -16,8 +16,7 @@
 type Weights struct {
 	ReadTokensPerMS float64 // prompt tokens that an engine reads in a millisecond
 	Run             float64 // for each request in progress at the server
-	Queued          float64 // for each request beyond the slots of a plain service's server
-	Running         float64 // that a request keeps a slot of an engine
+	Queued          float64 // for each request beyond the server's slots
 	Load            float64 // of an adapter that the server does not hold
 	AtHand          float64 // of an adapter that the server held of late
 	Coming          float64 // what is left, on average, of a load on its way
@@ -33,11 +32,10 @@
 }
 
 // DefaultWeights returns weights for the engines of the platform: 19 to 26
-// prompt tokens a millisecond, 250 ms for an adapter, 170 steps of 9 to 12 ms for a
-// long answer.
+// prompt tokens a millisecond, 250 ms for an adapter.
 func DefaultWeights() Weights {
 	return Weights{
-		ReadTokensPerMS: 20, Run: 4, Queued: 40, Running: 1800,
+		ReadTokensPerMS: 20, Run: 4, Queued: 40,
 		Load: 300, AtHand: 60, Coming: 160, Copy: 150, Crowded: 300, Orderless: 1500, Step: 40,
 		Trouble: 1500, Suspect: 3000, Away: 1, Relief: 100, Homes: 3,
 	}
@@ -222,7 +220,7 @@
 	load := work.Load(member.ID)
 	cost := float64(load.Reading+query.Prompt)/weights.ReadTokensPerMS + weights.Run*float64(load.Runs)
 	if beyond := load.Runs + 1 - member.Slots; beyond > 0 {
-		cost += weights.slot(query, member) * float64(beyond)
+		cost += weights.Queued * float64(beyond)
 	}
 	cost += weights.Trouble * servers.Trouble(query.Now, member)
 	if member.Suspect(query.Now) {
@@ -234,15 +232,6 @@
 	return cost
 }
 
-// slot is how long a request waits for a slot for each one before it: as many come free
-// in the time of an answer as the server has.
-func (weights Weights) slot(query Query, member *fleet.Member) float64 {
-	if query.Adapter.Model == "" {
-		return weights.Queued
-	}
-	return weights.Running / float64(max(1, member.Slots))
-}
-
 // load is the cost of an adapter that the server does not hold.
 func (weights Weights) load(query Query, member *fleet.Member, steps, copies int) float64 {
 	if slot, ok := member.Slot(query.Adapter); ok && slot.Coming {
--- a/internal/direct/choose/choose_test.go
+++ b/internal/direct/choose/choose_test.go
@@ -243,21 +243,3 @@
 		require.Equal(t, "s0", pick(t, servers, work, asked).Member.ID)
 	}
 }
-
-// TestWaitForASlot: at a server of 12 slots each request that waits before this one
-// costs an answer's time over 12, which is more than having the adapter loaded at an
-// idle server.
-func TestWaitForASlot(t *testing.T) {
-	servers := fleet.New(fleet.DefaultOptions())
-	for i, id := range []string{"full", "idle"} {
-		servers.Put(port.Server{ID: id, Service: service, Slots: 12, Models: []port.Holding{{Model: "m"}}}, int64(i+1))
-	}
-	work := tally.New()
-	hold(servers, "full", 1, fleet.Slot{Adapter: adapter, Version: 1})
-	for i := range 16 {
-		use := tally.Use{Server: "full", Adapter: port.Adapter{Model: "m", Name: fmt.Sprint("x", i%3)}}
-		work.Begin(use, 100)
-		work.First(use, 100)
-	}
-	require.Equal(t, "idle", pick(t, servers, work, query("r")).Member.ID)
-}
