--- a/internal/direct/gateway/gossip.go
+++ b/internal/direct/gateway/gossip.go
@@ -7,6 +7,7 @@
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/peers"
 	"teaselmoor/internal/direct/port"
+	"teaselmoor/internal/direct/tenure"
 )
 
 // Received implements peers.Handler.
@@ -76,7 +77,9 @@
 	for _, member := range update.Members {
 		names = append(names, member.Name)
 	}
-	core.tenure.Heard(now, update.Interval, update.From.Name, update.Claims, names...)
+	core.tenure.Heard(now, tenure.Word{
+		Peer: update.From.Name, Interval: update.Interval, Age: update.Age, Claims: update.Claims, Named: names,
+	})
 	if update.Leaving {
 		core.tenure.Left(now, update.From.Name)
 	}
@@ -210,7 +213,7 @@
 	update := &peers.Update{
 		From:        core.self(),
 		Incarnation: core.born, Leaving: core.leaving, StoreRevision: core.store.revision,
-		Interval: core.updateInterval(now), Claims: core.tenure.Claims(now),
+		Interval: core.updateInterval(now), Age: now - core.startedAt, Claims: core.tenure.Claims(now),
 	}
 	if core.catalog != nil {
 		update.Version = core.catalog.Version
--- a/internal/direct/peers/message.go
+++ b/internal/direct/peers/message.go
@@ -34,6 +34,7 @@
 	StoreRevision int64        // all changes of the store up to it are known
 	Version       int64        // of the configuration in force
 	Interval      clock.Millis // until the next update at the latest
+	Age           clock.Millis // since the start of the process
 	Claims        []tenure.Claim
 }
 
@@ -131,6 +132,7 @@
 		Version       int64
 		Claims        []wireClaim
 		Interval      int64
+		Age           int64
 	}
 	wireMember struct {
 		_                         struct{} `cbor:",toarray"`
@@ -233,7 +235,7 @@
 		Name: update.From.Name, Address: update.From.Address, Incarnation: update.Incarnation,
 		DataCentre: update.From.DataCentre, Capacity: update.From.Capacity,
 		Leaving: update.Leaving, StoreRevision: update.StoreRevision, Version: update.Version,
-		Interval: int64(update.Interval),
+		Interval: int64(update.Interval), Age: int64(update.Age),
 	}
 	for _, member := range update.Members {
 		wire.Members = append(wire.Members, wireMember{
@@ -400,7 +402,7 @@
 	update := &Update{
 		From:        Member{Name: wire.Name, Address: wire.Address, DataCentre: wire.DataCentre, Capacity: wire.Capacity},
 		Incarnation: wire.Incarnation, Leaving: wire.Leaving, StoreRevision: wire.StoreRevision, Version: wire.Version,
-		Interval: clock.Millis(wire.Interval),
+		Interval: clock.Millis(wire.Interval), Age: clock.Millis(wire.Age),
 	}
 	for _, member := range wire.Members {
 		update.Members = append(update.Members, Member{
--- a/internal/direct/tenure/tenure_test.go
+++ b/internal/direct/tenure/tenure_test.go
@@ -14,6 +14,9 @@
 
 const lease = 3 * clock.Second
 
+// old is the age of a daemon that has run for long.
+const old = clock.Minute
+
 func wallAt(now *clock.Millis) clock.Source { return func() clock.Millis { return *now } }
 
 func TestClaimWaitsAfterStart(t *testing.T) {
@@ -45,7 +48,7 @@
 	daemon := tenure.New(options, "a", now, wallAt(&now))
 	now += options.StartWait
 	daemon.Tick(now)
-	daemon.Heard(now, 500, "b", []tenure.Claim{{Server: "s", Fence: 7}})
+	daemon.Heard(now, tenure.Word{Peer: "b", Interval: 500, Age: old, Claims: []tenure.Claim{{Server: "s", Fence: 7}}})
 	heard := now
 	for now < heard+options.Quiet {
 		daemon.Tick(now)
@@ -71,11 +74,11 @@
 	daemon.Tick(now)
 	_, ok = daemon.MayOrder(now, "s")
 	require.False(t, ok, "before peers could tell")
-	daemon.Heard(now, 500, "b", []tenure.Claim{{Server: "s", Fence: 1 << 60}})
+	daemon.Heard(now, tenure.Word{Peer: "b", Interval: 500, Age: old, Claims: []tenure.Claim{{Server: "s", Fence: 1 << 60}}})
 	for range 20 {
 		now += 100
 		daemon.Tick(now)
-		daemon.Heard(now, 500, "b", []tenure.Claim{{Server: "s", Fence: 1 << 60}})
+		daemon.Heard(now, tenure.Word{Peer: "b", Interval: 500, Age: old, Claims: []tenure.Claim{{Server: "s", Fence: 1 << 60}}})
 	}
 	_, ok = daemon.MayOrder(now, "s")
 	require.False(t, ok, "b has taken over")
@@ -109,11 +112,11 @@
 	options := tenure.DefaultOptions(lease, true)
 	daemon := tenure.New(options, "a", now, wallAt(&now))
 	servers := []string{"s1", "s2", "s3", "s4", "s5", "s6", "s7", "s8"}
-	daemon.Heard(now, 500, "b", nil)
+	daemon.Heard(now, tenure.Word{Peer: "b", Interval: 500, Age: old})
 	for range options.StartWait / 100 {
 		now += 100
 		daemon.Tick(now)
-		daemon.Heard(now, 500, "b", nil)
+		daemon.Heard(now, tenure.Word{Peer: "b", Interval: 500, Age: old})
 	}
 	taken := len(daemon.Claim(now, servers))
 	require.Positive(t, taken)
@@ -130,7 +133,7 @@
 func TestGoneServersAreForgotten(t *testing.T) {
 	now := clock.Millis(1_000_000)
 	daemon := tenure.New(tenure.DefaultOptions(lease, true), "a", now, wallAt(&now))
-	daemon.Heard(now, 500, "b", []tenure.Claim{{Server: "s", Fence: 7}})
+	daemon.Heard(now, tenure.Word{Peer: "b", Interval: 500, Age: old, Claims: []tenure.Claim{{Server: "s", Fence: 7}}})
 	none := func(string) bool { return false }
 	daemon.Prune(now+clock.Second, none)
 	owner, _ := daemon.Owner(now, "s")
@@ -144,6 +147,7 @@
 type member struct {
 	*tenure.Tenure
 	name    string
+	started clock.Millis
 	asleep  clock.Millis // until
 	stopped bool
 }
@@ -160,7 +164,7 @@
 		daemons := make([]*member, rapid.IntRange(2, 5).Draw(t, "daemons"))
 		began := make([]clock.Millis, len(daemons)) // undisturbed since
 		for i := range daemons {
-			daemons[i] = &member{Tenure: tenure.New(options, fmt.Sprint(i), now, wallAt(&now)), name: fmt.Sprint(i)}
+			daemons[i] = &member{Tenure: tenure.New(options, fmt.Sprint(i), now, wallAt(&now)), name: fmt.Sprint(i), started: now}
 			began[i] = now
 		}
 		type order struct {
@@ -189,7 +193,7 @@
 				for at, daemon := range daemons {
 					if daemon.stopped {
 						note("%d starts", at)
-						daemons[at] = &member{Tenure: tenure.New(options, daemon.name, now, wallAt(&now)), name: daemon.name}
+						daemons[at] = &member{Tenure: tenure.New(options, daemon.name, now, wallAt(&now)), name: daemon.name, started: now}
 					}
 				}
 			}
@@ -235,7 +239,25 @@
 	}
 	for _, to := range all {
 		if to != from && !to.stopped && now >= to.asleep {
-			to.Heard(now, 500, from.name, from.Claims(now), names...)
+			to.Heard(now, tenure.Word{Peer: from.name, Interval: 500, Age: now - from.started, Claims: from.Claims(now), Named: names})
 		}
 	}
 }
+
+// TestAllStartTogether: after a loss of power at all VMs nobody waits for daemons
+// that may have given orders, as none can have. One that has run for long changes that.
+func TestAllStartTogether(t *testing.T) {
+	for _, age := range []clock.Millis{200, old} {
+		now := clock.Millis(1_000_000)
+		options := tenure.DefaultOptions(lease, true)
+		daemon := tenure.New(options, "a", now, wallAt(&now))
+		now += 200
+		daemon.Heard(now, tenure.Word{Peer: "b", Interval: 500, Age: age, Named: []string{"a", "b", "c"}})
+		now += 200
+		daemon.Tick(now)
+		require.Empty(t, daemon.Claim(now, []string{"s1", "s2", "s3", "s4", "s5", "s6"}), "c was not heard yet")
+		daemon.Heard(now, tenure.Word{Peer: "c", Interval: 500, Age: 100, Named: []string{"a", "b", "c"}})
+		claimed := daemon.Claim(now, []string{"s1", "s2", "s3", "s4", "s5", "s6"})
+		require.Equal(t, age == 200, len(claimed) > 0, "age %d", age)
+	}
+}
