peers: a daemon that cannot be reached for a minute is not called any more, unless it is a seed

Cause: addresses that a peer had named and that were never heard were dialled each 300 ms for ever; on a site whose VMs are replaced their number only grows. The mesh forgets by itself now, and the gateway's own list of what to forget is gone.

--- a/internal/direct/gateway/gossip.go
+++ b/internal/direct/gateway/gossip.go
@@ -231,7 +231,6 @@
 // tick does what passing time calls for.
 func (gateway *Gateway) tick(now clock.Millis) {
 	core := gateway.core
-	var gone []string // addresses of peers that are forgotten
 	core.mutex.Lock()
 	core.tenure.Tick(now)
 	core.follow(now)
@@ -250,7 +249,6 @@
 			delete(core.shares, name)
 			delete(core.sums, name)
 			delete(core.told, known.member.Address)
-			gone = append(gone, known.member.Address)
 			core.memberNumber++
 		}
 	}
@@ -259,11 +257,6 @@
 	maps.DeleteFunc(core.askedAt, func(_ port.Adapter, at clock.Millis) bool { return now-at >= frequentSpan })
 	pull, address := core.pullFrom(now)
 	core.mutex.Unlock()
-	for _, address := range gone {
-		if !slices.Contains(gateway.settings.Seeds, address) {
-			gateway.mesh.Forget(address)
-		}
-	}
 	gateway.claim(now)
 	if address != "" {
 		gateway.send(address, peers.Message{Pull: &pull})
--- a/internal/direct/peers/mesh.go
+++ b/internal/direct/peers/mesh.go
@@ -24,6 +24,7 @@
 	WriteTimeout clock.Millis
 	Ping         clock.Millis // between two pings at first; SetPing changes it
 	Redial       clock.Millis // between two tries to connect
+	GiveUp       clock.Millis // after which a daemon that cannot be reached is forgotten, unless it is a seed
 	QueueLength  int          // messages waiting for one peer; beyond it the connection is given up
 	BufferBytes  int          // of a connection, for reading and writing each
 	MessageBytes int64        // most bytes of one message
@@ -32,7 +33,7 @@
 // DefaultOptions returns limits for daemons a few milliseconds apart.
 func DefaultOptions() Options {
 	return Options{
-		DialTimeout: 500, WriteTimeout: 500, Ping: 500, Redial: 300,
+		DialTimeout: 500, WriteTimeout: 500, Ping: 500, Redial: 300, GiveUp: clock.Minute,
 		QueueLength: 64, BufferBytes: 1024, MessageBytes: 16 << 20,
 	}
 }
@@ -77,7 +78,6 @@
 	member Member
 	queue  chan []byte        // nil while not connected
 	broken context.CancelFunc // ends the connection
-	gone   context.CancelFunc // ends all tries to connect
 }
 
 // New returns a mesh whose goroutines belong to group.
@@ -87,28 +87,31 @@
 	return mesh
 }
 
-// Learn starts to keep a connection to a daemon, unless there is one. A daemon
-// that is known by its address only is named by it.
+// Learn starts to keep a connection to a daemon, unless there is one. A daemon that is
+// known by its address only is a seed, which is never forgotten; others are known
+// again as soon as a peer names them.
 func (mesh *Mesh) Learn(member Member) {
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
 	if _, known := mesh.peers[member.Address]; known || member.Name == mesh.self {
 		return
 	}
-	ctx, cancel := context.WithCancel(mesh.group.Context())
-	added := &peer{member: member, gone: cancel}
+	added := &peer{member: member}
 	mesh.peers[member.Address] = added
-	mesh.group.Go("peer "+member.Address, func(context.Context) error { return mesh.keep(ctx, added) })
+	mesh.group.Go("peer "+member.Address, func(ctx context.Context) error { return mesh.keep(ctx, added) })
 }
 
-// Forget gives up the connection to a daemon that has been away for long.
-func (mesh *Mesh) Forget(address string) {
+// Known returns how many daemons connections are kept or tried to.
+func (mesh *Mesh) Known() int {
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
-	if known, ok := mesh.peers[address]; ok {
-		known.gone()
-		delete(mesh.peers, address)
-	}
+	return len(mesh.peers)
+}
+
+func (mesh *Mesh) forget(address string) {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	delete(mesh.peers, address)
 }
 
 // Addresses returns the addresses that there is a connection to.
@@ -151,10 +154,17 @@
 	}
 }
 
-// keep connects again and again until the peer is forgotten.
+// keep connects again and again, until the peer could not be reached for long.
 func (mesh *Mesh) keep(ctx context.Context, to *peer) error {
+	reachedAt := time.Now()
 	for ctx.Err() == nil {
-		mesh.connect(ctx, to)
+		if mesh.connect(ctx, to) {
+			reachedAt = time.Now()
+		}
+		if to.member.Name != "" && time.Since(reachedAt) >= mesh.options.GiveUp.Duration() {
+			mesh.forget(to.member.Address)
+			return nil
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(mesh.options.Redial.Duration()):
@@ -163,9 +173,9 @@
 	return nil
 }
 
-// connect runs one connection until it breaks. Errors need no line: the peer's
-// silence is logged where it changes a belief.
-func (mesh *Mesh) connect(ctx context.Context, to *peer) {
+// connect runs one connection until it breaks, and reports whether there was one.
+// Errors need no line: the peer's silence is logged where it changes a belief.
+func (mesh *Mesh) connect(ctx context.Context, to *peer) bool {
 	dialer := websocket.Dialer{
 		HandshakeTimeout: mesh.options.DialTimeout.Duration(),
 		ReadBufferSize:   mesh.options.BufferBytes, WriteBufferSize: mesh.options.BufferBytes,
@@ -173,7 +183,7 @@
 	}
 	conn, response, err := dialer.DialContext(ctx, "ws://"+to.member.Address+Path, nil)
 	if err != nil {
-		return
+		return false
 	}
 	_ = response.Body.Close()
 	ctx, cancel := context.WithCancel(ctx)
@@ -187,6 +197,7 @@
 	mesh.handler.Connected(to.member.Address)
 	mesh.write(ctx, conn, queue)
 	_ = conn.Close()
+	return true
 }
 
 func (mesh *Mesh) attach(to *peer, queue chan []byte, broken context.CancelFunc) {
