--- a/internal/replay/command/command.go
+++ b/internal/replay/command/command.go
@@ -20,6 +20,10 @@
 		Name:   "replay",
 		Usage:  "replay request traces through the decisions and print what was measured",
 		Action: run,
+		Commands: []*cli.Command{{
+			Name: "rounds", Usage: "draw a table of measured rounds", ArgsUsage: "TABLE.csv DRAWING.svg", Action: drawRounds,
+			Flags: []cli.Flag{&cli.StringFlag{Name: "title", Usage: "`TEXT` over the drawing"}},
+		}},
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "site", Value: "cantabrica", Usage: "cantabrica or ramcharan"},
 			&cli.StringFlag{Name: "policies", Value: "residency first,product", Usage: "comma-separated `NAMES`; all for every one"},
@@ -55,6 +59,22 @@
 	return write(invocation, columns, summaries)
 }
 
+func drawRounds(invocation *cli.Context) error {
+	if invocation.NArg() != 2 {
+		return errors.New("rounds: give the table and the drawing")
+	}
+	text, err := os.Open(invocation.Args().Get(0))
+	if err != nil {
+		return errors.Wrap(err, "rounds")
+	}
+	defer func() { _ = text.Close() }()
+	rounds, err := report.ReadRounds(text)
+	if err != nil {
+		return err
+	}
+	return rounds.Plot(invocation.Args().Get(1), invocation.String("title"))
+}
+
 func siteOf(name string) (experiment.Site, error) {
 	switch strings.ToLower(name) {
 	case "cantabrica":
