choose: holders are looked at first; choose, fleet, loading: files split

A request whose adapter is held at a server that no other one can beat is placed by looking at the holders alone: the choice is the same (drawn cases; one found a copy that was not asked for, now a test of its own). Moves of functions between files change nothing.

--- a/internal/direct/choose/choose.go
+++ b/internal/direct/choose/choose.go
@@ -28,6 +28,7 @@
 	Suspect         float64 // for a server that could not be reached
 	Away            float64 // for a server in another data centre
 	Relief          float64 // by which a server that could hold a copy is better when one is made
+	Shortcut        bool    // where a holder of the adapter cannot be beaten, other servers are not looked at
 	Homes           int     // servers, first in an adapter's order, that steps are counted among; 4 at most
 }
 
@@ -37,7 +38,7 @@
 	return Weights{
 		ReadTokensPerMS: 20, Run: 4, Queued: 40,
 		Load: 300, AtHand: 60, Coming: 160, Copy: 150, Crowded: 300, Orderless: 1500, Step: 40,
-		Trouble: 1500, Suspect: 3000, Away: 1, Relief: 100, Homes: 3,
+		Trouble: 1500, Suspect: 3000, Away: 1, Relief: 100, Shortcut: true, Homes: 3,
 	}
 }
 
@@ -68,42 +69,44 @@
 	Copy *fleet.Member
 }
 
-// mixer spreads the hash of a pair over all bits (the golden ratio times 2^64).
-const mixer = 0x9E3779B97F4A7C15
-
-func rank(adapter uint64, member *fleet.Member) uint64 {
-	mixed := (adapter ^ member.Hash) * mixer
-	mixed ^= mixed >> 32
-	return mixed * mixer
-}
-
-// homes are the highest ranks of an adapter among the servers, highest first.
-type homes [mostHomes]uint64
-
-// mostHomes bounds Weights.Homes.
-const mostHomes = 4
-
-// add takes a rank in, if it is among the highest.
-func (homes *homes) add(rank uint64) {
-	for i, other := range homes {
-		if rank > other {
-			homes[i], rank = rank, other
-		}
+// Choose returns the best server, or false when none may take the request.
+func (weights Weights) Choose(query Query, adapterHash uint64, servers *fleet.Fleet, work *tally.Tally) (Choice, bool) {
+	if choice, ok := weights.chooseHolder(query, servers, work); ok {
+		return choice, true
 	}
+	return weights.chooseAny(query, adapterHash, servers, work)
 }
 
-// steps counts the homes before a rank, up to most.
-func (homes *homes) steps(rank uint64, most int) int {
-	for i := range min(most, len(homes)) {
-		if homes[i] <= rank {
-			return i
+// chooseHolder looks at the holders of an adapter only. It returns a server where no
+// other one can cost less: as most requests find one, few look at all servers.
+func (weights Weights) chooseHolder(query Query, servers *fleet.Fleet, work *tally.Tally) (Choice, bool) {
+	if query.Adapter.Name == "" || !weights.Shortcut {
+		return Choice{}, false
+	}
+	best := Choice{}
+	var drawn draw
+	for _, member := range servers.Holders(query.Adapter) {
+		if member.Service != query.Service || member.Draining || !ready(member, query) || slices.Contains(query.Tried, member.ID) {
+			continue
 		}
+		choice := Choice{Member: member, Held: true, Cost: weights.base(query, servers, work, member) + spread(query, member)}
+		if best.Member == nil || choice.Cost < best.Cost {
+			best = choice
+		}
+		drawn.add(choice, rank(query.Attempt, member))
+	}
+	if best.Member == nil {
+		return Choice{}, false
+	}
+	if query.Many {
+		best = drawn.cheaper(best, weights.Load)
 	}
-	return min(most, len(homes))
+	least := float64(query.Prompt)/weights.ReadTokensPerMS + min(weights.AtHand, weights.Coming, weights.Load, weights.Relief)
+	return best, best.Cost <= least
 }
 
-// Choose returns the best server, or false when none may take the request.
-func (weights Weights) Choose(query Query, adapterHash uint64, servers *fleet.Fleet, work *tally.Tally) (Choice, bool) {
+// chooseAny looks at all servers of the service.
+func (weights Weights) chooseAny(query Query, adapterHash uint64, servers *fleet.Fleet, work *tally.Tally) (Choice, bool) {
 	usable := servers.Usable(query.Service)
 	copies := 0
 	var first homes
@@ -151,39 +154,6 @@
 	return best, best.Member != nil
 }
 
-// draw holds two of the servers that can run a request at once, as its id draws them.
-// Where many daemons place requests by sums that are some hundred milliseconds old,
-// all of them would choose the server that was best then, a new copy above all.
-type draw struct {
-	choices [2]Choice
-	ranks   [2]uint64
-}
-
-func (draw *draw) add(choice Choice, rank uint64) {
-	for i := range draw.choices {
-		if draw.choices[i].Member == nil || rank > draw.ranks[i] {
-			choice, draw.choices[i] = draw.choices[i], choice
-			rank, draw.ranks[i] = draw.ranks[i], rank
-		}
-		if choice.Member == nil {
-			return
-		}
-	}
-}
-
-// cheaper returns the cheaper of the drawn servers, or the best of all where both
-// cost far more: they may be failing.
-func (draw *draw) cheaper(best Choice, most float64) Choice {
-	chosen := draw.choices[0]
-	if second := draw.choices[1]; second.Member != nil && second.Cost < chosen.Cost {
-		chosen = second
-	}
-	if chosen.Cost > best.Cost+most {
-		return best
-	}
-	return chosen
-}
-
 // copyTo returns the server for a further copy, unless one is on its way already.
 func (weights Weights) copyTo(query Query, usable []*fleet.Member, spare *fleet.Member) *fleet.Member {
 	if query.Ordered != nil && !query.Ordered(spare.ID) {
@@ -208,65 +178,3 @@
 	}
 	return copies, first
 }
-
-// spread decides between servers that cost the same: without it the first one
-// would get all requests that come one after another.
-func spread(query Query, member *fleet.Member) float64 {
-	return float64(rank(query.Attempt, member)>>32) / (1 << 32)
-}
-
-// base is the cost of a server apart from its adapters.
-func (weights Weights) base(query Query, servers *fleet.Fleet, work *tally.Tally, member *fleet.Member) float64 {
-	load := work.Load(member.ID)
-	cost := float64(load.Reading+query.Prompt)/weights.ReadTokensPerMS + weights.Run*float64(load.Runs)
-	if beyond := load.Runs + 1 - member.Slots; beyond > 0 {
-		cost += weights.Queued * float64(beyond)
-	}
-	cost += weights.Trouble * servers.Trouble(query.Now, member)
-	if member.Suspect(query.Now) {
-		cost += weights.Suspect
-	}
-	if member.DataCentre != query.DataCentre {
-		cost += weights.Away
-	}
-	return cost
-}
-
-// load is the cost of an adapter that the server does not hold.
-func (weights Weights) load(query Query, member *fleet.Member, steps, copies int) float64 {
-	if slot, ok := member.Slot(query.Adapter); ok && slot.Coming {
-		return weights.Coming
-	}
-	if member.AtHand(query.Adapter) {
-		return weights.AtHand
-	}
-	cost := weights.Load + weights.Step*float64(steps)
-	if query.Ordered != nil && !query.Ordered(member.ID) {
-		cost += weights.Orderless
-	}
-	if copies > 0 {
-		cost += weights.Copy
-	}
-	return cost
-}
-
-// crowding is the cost of a server whose places are taken by adapters in use:
-// one of them has to end before another adapter can be loaded.
-func (weights Weights) crowding(query Query, member *fleet.Member, work *tally.Tally) float64 {
-	beyond := work.Distinct(member.ID) + 1 - query.Places
-	if beyond <= 0 || query.Adapter.Name == "" {
-		return 0
-	}
-	return weights.Crowded * float64(beyond)
-}
-
-func ready(member *fleet.Member, query Query) bool {
-	if query.Adapter.Model == "" {
-		return true
-	}
-	if query.Adapter.Name == "" {
-		return member.HoldsModel(query.Adapter.Model)
-	}
-	slot, ok := member.Slot(query.Adapter)
-	return ok && !slot.Coming && slot.Version >= query.Version
-}
--- a/internal/direct/choose/choose_test.go
+++ b/internal/direct/choose/choose_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"teaselmoor/internal/direct/choose"
 	"teaselmoor/internal/direct/fleet"
@@ -191,14 +192,62 @@
 			servers, work := site(count)
 			weights := choose.DefaultWeights()
 			asked := query("r")
-			b.ReportAllocs()
-			for b.Loop() {
-				weights.Choose(asked, hash, servers, work)
+			b.Run("miss", func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					weights.Choose(asked, hash, servers, work)
+				}
+			})
+			for i := range min(count, 20) {
+				hold(servers, fmt.Sprint("s", i), 1, fleet.Slot{Adapter: adapter, Version: 1})
 			}
+			b.Run("hit", func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					weights.Choose(asked, hash, servers, work)
+				}
+			})
 		})
 	}
 }
 
+// TestHoldersAreEnough: looking at holders first never changes the choice. With a
+// weight that rules it out, all servers are looked at.
+func TestHoldersAreEnough(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 12).Draw(t, "servers")
+		servers, work := site(count)
+		for i := range count {
+			server := fmt.Sprint("s", i)
+			if rapid.Bool().Draw(t, "held") {
+				hold(servers, server, 1, fleet.Slot{Adapter: adapter, Version: 1, Coming: rapid.Bool().Draw(t, "coming")})
+			}
+			if rapid.Bool().Draw(t, "dropped") {
+				servers.Lacks(server, adapter)
+			}
+			if rapid.IntRange(0, 4).Draw(t, "gone") == 0 {
+				servers.Remove(100_000, server, 1000)
+			}
+			for range rapid.IntRange(0, 3).Draw(t, "runs") {
+				work.Begin(tally.Use{Server: server, Adapter: adapter}, rapid.IntRange(0, 2000).Draw(t, "prompt"))
+			}
+			if rapid.IntRange(0, 4).Draw(t, "failing") == 0 {
+				servers.Answered(100_000, server, true)
+			}
+		}
+		asked := query(rapid.String().Draw(t, "attempt"))
+		asked.Many = rapid.Bool().Draw(t, "many")
+		asked.Frequent = rapid.Bool().Draw(t, "frequent")
+		asked.Version = rapid.IntRange(0, 2).Draw(t, "version")
+		weights := choose.DefaultWeights()
+		quick, found := weights.Choose(asked, hash, servers, work)
+		weights.Shortcut = false
+		whole, foundWhole := weights.Choose(asked, hash, servers, work)
+		require.Equal(t, foundWhole, found)
+		require.Equal(t, whole, quick)
+	})
+}
+
 // TestNoHerdOnANewCopy replays 300 requests that as many daemons place by the same
 // sums: a copy that has just been loaded at an idle server must not get all of them.
 func TestNoHerdOnANewCopy(t *testing.T) {
@@ -243,3 +292,26 @@
 		require.Equal(t, "s0", pick(t, servers, work, asked).Member.ID)
 	}
 }
+
+// TestCopyForADrawnHolder: where the drawn holder is busy, a copy is asked for though
+// another holder is idle, as without the look at holders alone.
+func TestCopyForADrawnHolder(t *testing.T) {
+	servers, work := site(9)
+	for _, server := range []string{"s0", "s1", "s2"} {
+		hold(servers, server, 1, fleet.Slot{Adapter: adapter, Version: 1})
+	}
+	for _, server := range []string{"s1", "s2"} {
+		work.Begin(tally.Use{Server: server, Adapter: adapter}, 4000) // 200 ms to read
+	}
+	copies := 0
+	for i := range 60 {
+		asked := query(fmt.Sprint("request", i))
+		asked.Many, asked.Frequent = true, true
+		choice := pick(t, servers, work, asked)
+		if choice.Copy != nil {
+			copies++
+			require.NotEqual(t, "s0", choice.Member.ID)
+		}
+	}
+	require.Positive(t, copies)
+}
--- a/internal/direct/fleet/fleet.go
+++ b/internal/direct/fleet/fleet.go
@@ -45,117 +45,14 @@
 	}
 }
 
-// Slot is an adapter at a server, or with an adapter without a name a base model that
-// is being loaded.
-type Slot struct {
-	Adapter port.Adapter
-	Version int
-	Coming  bool // being loaded, or to be loaded; not usable yet
-	Queued  bool // coming, but the load has not begun
-}
-
-// ofModel reports whether the slot is that of a base model.
-func (slot Slot) ofModel() bool {
-	return slot.Adapter.Name == ""
-}
-
-// Table is what the daemon that gives orders to a server says of its adapters.
-type Table struct {
-	Server string
-	Born   int64
-	Fence  int64
-	Number int64 // rises with each change under one fencing number
-	Models []string
-	Slots  []Slot
-}
-
-// Member is a backend server.
-type Member struct {
-	port.Server
-	Hash     uint64 // of its id, for rendezvous hashing
-	Revision int64  // of its entry in the store
-	slots    map[port.Adapter]Slot
-	models   map[string]bool
-	table    Table                // zero while no daemon gives orders to it
-	recent   map[port.Adapter]int // adapters that it held of late, and when: numbers that rise
-	turn     int                  // the last of those numbers
-
-	modelComing bool            // a base model is being loaded
-	onDisk      map[string]bool // base models that it has held, also before a restart
-
-	lapsesAt     clock.Millis // when a missing entry is taken as gone; 0: its entry is there
-	suspectUntil clock.Millis
-	backoff      clock.Millis
-	trouble      float64
-	troubleAt    clock.Millis
-}
-
-// Slot returns what the server holds or loads of an adapter.
-func (member *Member) Slot(adapter port.Adapter) (Slot, bool) {
-	slot, ok := member.slots[adapter]
-	return slot, ok
-}
-
-// AtHand reports whether the server held the adapter of late, so that it need not
-// come from the weight store.
-func (member *Member) AtHand(adapter port.Adapter) bool {
-	_, ok := member.recent[adapter]
-	return ok
-}
-
-// HoldsModel reports whether the server holds a base model.
-func (member *Member) HoldsModel(name string) bool {
-	return member.models[name]
-}
-
-// ModelComing reports whether a base model is on its way to the server.
-func (member *Member) ModelComing() bool {
-	return member.modelComing
-}
-
-// Bare reports whether the server holds no base model.
-func (member *Member) Bare() bool {
-	return len(member.models) == 0
-}
-
-// OnDisk reports whether the server has held a base model, so that it does not come
-// from the weight store.
-func (member *Member) OnDisk(model string) bool {
-	return member.onDisk[model]
-}
-
-// Occupied returns how many adapters the server holds or loads.
-func (member *Member) Occupied() int {
-	return len(member.slots)
-}
-
-// Coming returns how many adapters are on their way to the server, and how many
-// wait for their load to begin.
-func (member *Member) Coming() (loading, queued int) {
-	for _, slot := range member.slots {
-		switch {
-		case slot.ofModel() && !slot.Queued: // it takes no place among adapters
-		case slot.Queued:
-			queued++
-		case slot.Coming:
-			loading++
-		}
-	}
-	return loading, queued
-}
-
-// Suspect reports whether the server could not be reached of late.
-func (member *Member) Suspect(now clock.Millis) bool {
-	return now < member.suspectUntil
-}
-
 // Fleet is the set of backend servers.
 type Fleet struct {
 	options   Options
 	members   map[string]*Member
 	gone      map[string]tombstone
-	tables    map[string]Table     // by server, also of servers whose entry was not read yet
-	byService map[string][]*Member // usable for new work, in order of id
+	tables    map[string]Table           // by server, also of servers whose entry was not read yet
+	byService map[string][]*Member       // usable for new work, in order of id
+	holders   map[port.Adapter][]*Member // with a slot for the adapter
 
 	lostAt clock.Millis // since when the store is away; 0: it is not
 	backAt clock.Millis // when it came back from its last outage
@@ -171,16 +68,10 @@
 	return &Fleet{
 		options: options, members: make(map[string]*Member),
 		gone: make(map[string]tombstone), tables: make(map[string]Table),
-		byService: make(map[string][]*Member),
+		byService: make(map[string][]*Member), holders: make(map[port.Adapter][]*Member),
 	}
 }
 
-// Member returns a server by its id, also one that is draining.
-func (fleet *Fleet) Member(id string) (*Member, bool) {
-	member, ok := fleet.members[id]
-	return member, ok
-}
-
 // Members returns all servers in order of id.
 func (fleet *Fleet) Members() []*Member {
 	return slices.SortedFunc(maps.Values(fleet.members), byID)
@@ -194,6 +85,44 @@
 	return fleet.byService[service]
 }
 
+// Holders returns the servers that hold, load or are to load an adapter, of whatever
+// service or state. The slice must not be changed.
+func (fleet *Fleet) Holders(adapter port.Adapter) []*Member {
+	return fleet.holders[adapter]
+}
+
+// settle takes over what is known of a server's holdings.
+func (fleet *Fleet) settle(member *Member) {
+	before := member.slots
+	member.settle()
+	for adapter := range before {
+		if _, held := member.slots[adapter]; !held {
+			fleet.lost(member, adapter)
+		}
+	}
+	for adapter := range member.slots {
+		if _, held := before[adapter]; !held {
+			fleet.holders[adapter] = append(fleet.holders[adapter], member)
+		}
+	}
+}
+
+// lost notes that a server has no slot for an adapter any more. The slice is made
+// anew: it may be in use.
+func (fleet *Fleet) lost(member *Member, adapter port.Adapter) {
+	left := make([]*Member, 0, len(fleet.holders[adapter]))
+	for _, holder := range fleet.holders[adapter] {
+		if holder != member {
+			left = append(left, holder)
+		}
+	}
+	if len(left) == 0 {
+		delete(fleet.holders, adapter)
+		return
+	}
+	fleet.holders[adapter] = left
+}
+
 // Put applies an entry of the store. It reports whether the entry is news.
 func (fleet *Fleet) Put(server port.Server, revision int64) bool {
 	if revision <= fleet.gone[server.ID].revision {
@@ -217,7 +146,7 @@
 	member.Revision = revision
 	member.lapsesAt = 0
 	if void || !known {
-		member.settle() // else the table says more than the entry
+		fleet.settle(member) // else the table says more than the entry
 	}
 	delete(fleet.gone, server.ID)
 	if moved {
@@ -244,34 +173,6 @@
 	member.adopt(models, slots)
 }
 
-func (member *Member) adopt(models []string, slots []Slot) {
-	member.models = make(map[string]bool, len(models))
-	for _, model := range models {
-		member.models[model] = true
-		member.onDisk[model] = true
-	}
-	member.slots = make(map[port.Adapter]Slot, len(slots))
-	member.modelComing = false
-	for _, slot := range slots {
-		member.slots[slot.Adapter] = slot
-		member.modelComing = member.modelComing || slot.ofModel() && !slot.Queued
-		if !slot.Queued && !slot.ofModel() {
-			member.turn++
-			member.recent[slot.Adapter] = member.turn
-		}
-	}
-}
-
-// trim forgets the adapters that were held longest ago.
-func (member *Member) trim(most int) {
-	if len(member.recent) <= 2*most {
-		return
-	}
-	turns := slices.Sorted(maps.Values(member.recent))
-	oldest := turns[len(turns)-most]
-	maps.DeleteFunc(member.recent, func(_ port.Adapter, turn int) bool { return turn < oldest })
-}
-
 // SetTable takes over what the daemon that gives orders to a server says.
 func (fleet *Fleet) SetTable(table Table) bool {
 	known := fleet.tables[table.Server]
@@ -282,7 +183,7 @@
 	fleet.tables[table.Server] = table
 	if member, ok := fleet.members[table.Server]; ok {
 		member.table = table
-		member.settle()
+		fleet.settle(member)
 		member.trim(fleet.options.Recent)
 	}
 	return true
@@ -315,7 +216,10 @@
 		delete(member.models, adapter.Model)
 		return
 	}
-	delete(member.slots, adapter)
+	if _, held := member.slots[adapter]; held {
+		delete(member.slots, adapter)
+		fleet.lost(member, adapter)
+	}
 }
 
 // Remove applies the removal of an entry. A server whose entry lapsed while the
@@ -335,6 +239,9 @@
 func (fleet *Fleet) drop(now clock.Millis, member *Member, revision int64) {
 	fleet.gone[member.ID] = tombstone{revision: revision, at: now}
 	delete(fleet.members, member.ID)
+	for adapter := range member.slots {
+		fleet.lost(member, adapter)
+	}
 	fleet.index()
 }
 
@@ -389,43 +296,3 @@
 		}
 	}
 }
-
-// Unreachable notes that a server could not be reached.
-func (fleet *Fleet) Unreachable(now clock.Millis, id string) {
-	member, ok := fleet.members[id]
-	if !ok || member.Suspect(now) {
-		return
-	}
-	member.backoff = min(max(2*member.backoff, fleet.options.FirstBackoff), fleet.options.MostBackoff)
-	member.suspectUntil = now + member.backoff
-}
-
-// troubleStep is the weight of one answer in the memory of failures: after
-// three failures in a row half of the full weight is reached.
-const troubleStep = 0.2
-
-// Answered notes an answer of a server: a proper one, or a failure that is the
-// server's own.
-func (fleet *Fleet) Answered(now clock.Millis, id string, failed bool) {
-	member, ok := fleet.members[id]
-	if !ok {
-		return
-	}
-	trouble := fleet.Trouble(now, member)
-	target := 0.0
-	if failed {
-		target = 1
-	} else {
-		member.backoff = 0
-		member.suspectUntil = 0
-	}
-	member.trouble = trouble + troubleStep*(target-trouble)
-	member.troubleAt = now
-}
-
-// Trouble returns how much a server has failed of late, from 0 to 1.
-func (fleet *Fleet) Trouble(now clock.Millis, member *Member) float64 {
-	age := float64(now - member.troubleAt)
-	halfLife := float64(fleet.options.TroubleHalfLife)
-	return member.trouble * halfLife / (halfLife + age)
-}
--- /dev/null
+++ b/internal/direct/loading/next.go
@@ -0,0 +1,238 @@
+package loading
+
+import (
+	"maps"
+	"slices"
+
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/direct/port"
+)
+
+// stuckAfter is how many times its usual time a base model may take.
+const stuckAfter = 4
+
+// Uses tells how many requests of all daemons use an adapter at the server.
+type Uses func(port.Adapter) int
+
+// Next returns the order to give now. Without one it returns the time at which
+// to ask again, which is 0 when only a change calls for it.
+// Crowd is how many adapters are on their way to all servers, over the number
+// that the weight store serves at full speed. Turn says that a base model may be
+// loaded where the server holds none.
+func (planner *Planner) Next(now clock.Millis, uses Uses, newest func(port.Adapter) int, crowd float64, turn bool) (port.Order, bool, clock.Millis) {
+	if now < planner.waitTo {
+		return port.Order{}, false, planner.waitTo
+	}
+	planner.expire(now)
+	if !turn && (!planner.shown || len(planner.models) == 0 && len(planner.coming) == 0) {
+		return port.Order{}, false, now + turnInterval
+	}
+	if !planner.shown {
+		order, ok := planner.firstModel()
+		return order, ok, 0
+	}
+	if order, ok := planner.nextModel(now); ok {
+		return order, true, 0
+	}
+	if order, ok := planner.nextCheck(now); ok {
+		return order, true, 0
+	}
+	if order, ok := planner.nextVersion(uses, newest); ok {
+		return order, true, 0
+	}
+	if order, ok := planner.nextWant(now, uses, crowd); ok {
+		return order, true, 0
+	}
+	return port.Order{}, false, planner.wakeAt(now)
+}
+
+// expire drops wants whose requests have given up.
+func (planner *Planner) expire(now clock.Millis) {
+	for adapter, wanted := range planner.wants {
+		if now >= wanted.until {
+			delete(planner.wants, adapter)
+			planner.number++
+		}
+	}
+}
+
+// nextModel loads a base model where the server holds none: servers restart empty.
+func (planner *Planner) nextModel(now clock.Millis) (port.Order, bool) {
+	for name, load := range planner.coming {
+		if !load.stuck && now-load.since > stuckAfter*planner.limits.ModelTime[name] {
+			load.stuck = true
+			planner.coming[name] = load
+			planner.number++
+		}
+		if now < load.checkAt {
+			return port.Order{}, false
+		}
+		return port.Order{Load: true, Adapter: port.Adapter{Model: name}}, true
+	}
+	if len(planner.models) > 0 {
+		return port.Order{}, false
+	}
+	return planner.firstModel()
+}
+
+// firstModel is the order for the model that every server should hold. It shows
+// a fencing number without changing a server that holds the model already.
+func (planner *Planner) firstModel() (port.Order, bool) {
+	for _, name := range slices.Sorted(maps.Keys(planner.limits.ModelMB)) {
+		if planner.limits.ModelMB[name] <= planner.limits.MemoryMB {
+			return port.Order{Load: true, Adapter: port.Adapter{Model: name}}, true
+		}
+	}
+	return port.Order{}, false
+}
+
+// nextCheck repeats the order of a load that should have ended: the server
+// answers that it holds, at once and cheaper than a report, which lags.
+func (planner *Planner) nextCheck(now clock.Millis) (port.Order, bool) {
+	for adapter, held := range planner.slots {
+		if now < held.checkAt || !held.loading && !held.leaving {
+			continue
+		}
+		if held.leaving {
+			return port.Order{Adapter: adapter}, true
+		}
+		return port.Order{Load: true, Adapter: adapter, Version: held.version}, true
+	}
+	return port.Order{}, false
+}
+
+// nextVersion replaces or drops an adapter of which a newer version was named.
+func (planner *Planner) nextVersion(uses Uses, newest func(port.Adapter) int) (port.Order, bool) {
+	for adapter, held := range planner.slots {
+		version := newest(adapter)
+		if held.loading || held.leaving || held.version >= version {
+			continue
+		}
+		if uses(adapter) > 0 || planner.wants[adapter] != nil {
+			return port.Order{Load: true, Adapter: adapter, Version: version}, true
+		}
+		return port.Order{Adapter: adapter}, true
+	}
+	return port.Order{}, false
+}
+
+// nextWant loads the adapter that is wanted most urgently, or makes room for it.
+func (planner *Planner) nextWant(now clock.Millis, uses Uses, crowd float64) (port.Order, bool) {
+	most := planner.options.MostIncoming
+	if crowd >= 1 {
+		most = planner.options.CrowdedIncoming
+	}
+	if planner.incoming() >= most {
+		return port.Order{}, false
+	}
+	adapter, wanted, ok := planner.firstWant()
+	if !ok {
+		return port.Order{}, false
+	}
+	if planner.hasRoom(adapter) {
+		return port.Order{Load: true, Adapter: adapter, Version: wanted.version}, true
+	}
+	if planner.leaving() >= len(planner.wants) {
+		return port.Order{}, false // there will be room
+	}
+	victim, ok := planner.victim(now, uses)
+	return port.Order{Adapter: victim}, ok
+}
+
+func (planner *Planner) firstWant() (port.Adapter, *want, bool) {
+	var first port.Adapter
+	var best *want
+	for adapter, wanted := range planner.wants {
+		if held, ok := planner.slots[adapter]; ok && (held.loading || held.leaving || held.version >= wanted.version) || !planner.models[adapter.Model] {
+			continue
+		}
+		if best == nil || wanted.rank < best.rank || wanted.rank == best.rank && wanted.since < best.since {
+			first, best = adapter, wanted
+		}
+	}
+	return first, best, best != nil
+}
+
+func (planner *Planner) incoming() int {
+	count := 0
+	for _, held := range planner.slots {
+		if held.loading {
+			count++
+		}
+	}
+	return count
+}
+
+func (planner *Planner) leaving() int {
+	count := 0
+	for _, held := range planner.slots {
+		if held.leaving {
+			count++
+		}
+	}
+	return count
+}
+
+// hasRoom reports whether one more adapter fits: a server that is ordered to
+// load more than it can hold crashes.
+func (planner *Planner) hasRoom(adapter port.Adapter) bool {
+	if _, held := planner.slots[adapter]; held {
+		return true // a newer version takes the place of the one held
+	}
+	if len(planner.slots) >= planner.limits.AdapterSlots {
+		return false
+	}
+	used := planner.limits.AdapterMB[adapter.Model]
+	for model := range planner.models {
+		used += planner.limits.ModelMB[model]
+	}
+	for held := range planner.slots {
+		used += planner.limits.AdapterMB[held.Model]
+	}
+	return used <= planner.limits.MemoryMB
+}
+
+// victim is the adapter asked for least of those that nobody uses or waits for.
+func (planner *Planner) victim(now clock.Millis, uses Uses) (port.Adapter, bool) {
+	var victim port.Adapter
+	least := -1.0
+	for adapter, held := range planner.slots {
+		if held.loading || held.leaving || now-held.usedAt < planner.options.Settle || planner.wants[adapter] != nil || uses(adapter) > 0 {
+			continue
+		}
+		score := planner.score(now, held)
+		if least < 0 || score < least || score == least && byName(adapter, victim) < 0 {
+			victim, least = adapter, score
+		}
+	}
+	return victim, least >= 0
+}
+
+// turnInterval is how often a server without a base model looks whether it is its
+// turn: little against the seconds that a model takes.
+const turnInterval clock.Millis = 100
+
+// retryInterval is how soon a want that found no place looks for one again: half
+// of what the decision adds to a load stall at most.
+const retryInterval clock.Millis = 25
+
+func (planner *Planner) wakeAt(now clock.Millis) clock.Millis {
+	var at clock.Millis
+	earlier := func(other clock.Millis) {
+		if at == 0 || other < at {
+			at = other
+		}
+	}
+	for _, load := range planner.coming {
+		earlier(load.checkAt)
+	}
+	for _, held := range planner.slots {
+		if held.loading || held.leaving {
+			earlier(held.checkAt)
+		}
+	}
+	if _, _, ok := planner.firstWant(); ok {
+		earlier(now + retryInterval)
+	}
+	return at
+}
