loading: an adapter that a server refuses keeps its place until its load is answered anew

Test first: TestRefusedAdapterKeepsItsPlace. Ruled out: late orders of the former daemon (fencing numbers). The report that may come at once is the first one only now; before, every later one of the same planner could be older than its last order (TestOnlyTheFirstReportComesAtOnce, not seen to happen).

--- a/internal/direct/gateway/gossip.go
+++ b/internal/direct/gateway/gossip.go
@@ -110,7 +110,7 @@
 	}
 	now := core.now()
 	if want.Absent {
-		held.planner.Absent(want.Adapter)
+		held.planner.Absent(now, want.Adapter)
 		gateway.publish(want.Server, held)
 	}
 	held.planner.Want(now, want.Adapter, want.Version, want.Rank, now+want.Left)
--- a/internal/direct/gateway/orders.go
+++ b/internal/direct/gateway/orders.go
@@ -83,14 +83,14 @@
 	if now-core.startedAt < core.options.Tenure.StartWait {
 		// All daemons have just started: the last order was given before their loss,
 		// longer ago than a report is old.
-		options.ReportLag = 0
+		options.FirstReportLag = 0
 	}
 	held := &ordering{
 		planner: loading.New(options, loading.Limits{}, atHand), fence: fence,
 		wake: make(chan struct{}, 1), stop: cancel, askers: make(map[string]clock.Millis),
 	}
 	core.orders[server] = held
-	core.log.Info("orders taken over", "Server", server, "Fence", fence, "Live", core.tenure.Live(now), "ReportLagMillis", options.ReportLag)
+	core.log.Info("orders taken over", "Server", server, "Fence", fence, "Live", core.tenure.Live(now), "ReportLagMillis", options.FirstReportLag)
 	gateway.group.Go("orders "+server, func(context.Context) error { return gateway.order(ctx, server, held) })
 }
 
--- a/internal/direct/loading/planner.go
+++ b/internal/direct/loading/planner.go
@@ -31,6 +31,9 @@
 	// ReportLag is how old a server's report may be. A report counts only if it was
 	// read that long after the last order that the server may have accepted.
 	ReportLag clock.Millis
+	// FirstReportLag takes the place of ReportLag for the first report, where no order
+	// of another daemon can be on its way.
+	FirstReportLag clock.Millis
 	// AtHandTime is the same for one that the server held of late.
 	AtHandTime clock.Millis
 	// CheckInterval is the time between two questions whether a load has ended.
@@ -56,7 +59,7 @@
 // DefaultOptions returns the options for the platform's engines.
 func DefaultOptions() Options {
 	return Options{
-		LoadTime: 250, ReportLag: 500, AtHandTime: 26, CheckInterval: 30, ModelCheckInterval: 250, Backoff: 100,
+		LoadTime: 250, ReportLag: 500, FirstReportLag: 500, AtHandTime: 26, CheckInterval: 30, ModelCheckInterval: 250, Backoff: 100,
 		Settle: 300, MostIncoming: 4, CrowdedIncoming: 1, HalfLife: 10 * clock.Second, MostChecks: 60,
 	}
 }
@@ -80,18 +83,20 @@
 
 // Planner plans the adapters of one server.
 type Planner struct {
-	options Options
-	limits  Limits
-	atHand  func(port.Adapter) bool // whether the server held an adapter of late
-	shown   bool                    // the server has seen this daemon's fencing number
-	known   bool                    // a report was read since
-	ordered clock.Millis            // when the server may last have accepted an order
-	models  map[string]bool
-	coming  map[string]modelLoad // base models being loaded
-	slots   map[port.Adapter]*slot
-	wants   map[port.Adapter]*want
-	waitTo  clock.Millis
-	number  int64 // rises with each change of the slots
+	options  Options
+	limits   Limits
+	atHand   func(port.Adapter) bool // whether the server held an adapter of late
+	shown    bool                    // the server has seen this daemon's fencing number
+	known    bool                    // a report was read since
+	reported bool                    // a report was read at some time
+	asked    bool                    // a report was read at some time
+	ordered  clock.Millis            // when the server may last have accepted an order
+	models   map[string]bool
+	coming   map[string]modelLoad // base models being loaded
+	slots    map[port.Adapter]*slot
+	wants    map[port.Adapter]*want
+	waitTo   clock.Millis
+	number   int64 // rises with each change of the slots
 }
 
 // modelLoad is a base model on its way.
@@ -116,7 +121,11 @@
 // this daemon's fencing number: until then another daemon's orders may be accepted
 // that the report does not show.
 func (planner *Planner) NeedsReport() (bool, clock.Millis) {
-	return planner.shown && !planner.known, planner.ordered + planner.options.ReportLag
+	lag := planner.options.ReportLag
+	if !planner.reported {
+		lag = planner.options.FirstReportLag
+	}
+	return planner.shown && !planner.known, planner.ordered + lag
 }
 
 // Forget makes the planner read the report again: the server may have restarted.
@@ -133,6 +142,7 @@
 func (planner *Planner) SetReport(now clock.Millis, report port.Report) {
 	former := planner.slots
 	planner.known = true
+	planner.reported = true
 	planner.number++
 	planner.models = make(map[string]bool)
 	planner.slots = make(map[port.Adapter]*slot)
@@ -185,10 +195,15 @@
 	return held.score * math.Exp2(-float64(now-held.usedAt)/float64(planner.options.HalfLife))
 }
 
-// Absent notes that the server refused a request because it lacks the adapter.
-func (planner *Planner) Absent(adapter port.Adapter) {
-	if held, ok := planner.slots[adapter]; ok && !held.loading {
-		delete(planner.slots, adapter)
+// Absent notes that the server refused a request because it lacks the adapter, or
+// holds another version of it. The adapter keeps its place, as one being loaded, until
+// its load was ordered again and answered: a place given away too early has the server
+// ordered to load one adapter too many, and crash.
+func (planner *Planner) Absent(now clock.Millis, adapter port.Adapter) {
+	if held, ok := planner.slots[adapter]; ok && !held.loading && !held.leaving {
+		held.loading = true
+		held.checks = 0
+		held.checkAt = now
 		planner.number++
 	}
 }
--- a/internal/direct/loading/planner_test.go
+++ b/internal/direct/loading/planner_test.go
@@ -246,3 +246,35 @@
 		}
 	})
 }
+
+// TestRefusedAdapterKeepsItsPlace: a server refuses a request also where it holds
+// another version than was expected. The place counts until an order has been answered;
+// a load beyond the places would crash the server.
+func TestRefusedAdapterKeepsItsPlace(t *testing.T) {
+	held := []string{"a", "b", "c", "e"}
+	require.Len(t, held, limits.AdapterSlots)
+	planner := newPlanner(1000, held...)
+	planner.Absent(10_000, adapter("a"))
+	planner.Want(10_000, adapter("d"), 0, 0, 20_000)
+	order, ok, _ := planner.Next(10_000, nobody, noVersion, 0, true)
+	require.True(t, ok)
+	require.Equal(t, port.Order{Load: true, Adapter: adapter("a"), Version: 1}, order, "what the server holds is asked first")
+	planner.Done(10_000, order, port.Holds, 0)
+	order, ok, _ = planner.Next(20_000-1, nobody, noVersion, 0, true)
+	require.True(t, ok)
+	require.False(t, order.Load, "one of the four has to go")
+}
+
+// TestOnlyTheFirstReportComesAtOnce: a later one must not be older than the last order.
+func TestOnlyTheFirstReportComesAtOnce(t *testing.T) {
+	options := loading.DefaultOptions()
+	options.FirstReportLag = 0
+	planner := loading.New(options, limits, never)
+	show(planner, 1000)
+	_, from := planner.NeedsReport()
+	require.EqualValues(t, 1000, from)
+	planner.SetReport(1000, port.Report{Models: []port.Holding{{Model: "m"}}})
+	planner.Forget()
+	_, from = planner.NeedsReport()
+	require.Equal(t, 1000+options.ReportLag, from)
+}
