--- a/internal/direct/tenure/tenure_test.go
+++ b/internal/direct/tenure/tenure_test.go
@@ -19,6 +19,15 @@
 
 func wallAt(now *clock.Millis) clock.Source { return func() clock.Millis { return *now } }
 
+// begun returns a daemon whose wait after its start is over at now.
+func begun(now *clock.Millis) (*tenure.Tenure, tenure.Options) {
+	options := tenure.DefaultOptions(lease, true)
+	daemon := tenure.New(options, "a", *now, wallAt(now))
+	*now += options.StartWait
+	daemon.Tick(*now)
+	return daemon, options
+}
+
 func TestClaimWaitsAfterStart(t *testing.T) {
 	for _, fenced := range []bool{true, false} {
 		now := clock.Millis(1_000_000)
@@ -44,10 +53,7 @@
 
 func TestSilentOwnerIsReplacedAfterTheQuietSpan(t *testing.T) {
 	now := clock.Millis(1_000_000)
-	options := tenure.DefaultOptions(lease, true)
-	daemon := tenure.New(options, "a", now, wallAt(&now))
-	now += options.StartWait
-	daemon.Tick(now)
+	daemon, options := begun(&now)
 	daemon.Heard(now, tenure.Word{Peer: "b", Interval: 500, Age: old, Claims: []tenure.Claim{{Server: "s", Fence: 7}}})
 	heard := now
 	for now < heard+options.Quiet {
@@ -63,10 +69,7 @@
 
 func TestPausedDaemonDoesNotOrder(t *testing.T) {
 	now := clock.Millis(1_000_000)
-	options := tenure.DefaultOptions(lease, true)
-	daemon := tenure.New(options, "a", now, wallAt(&now))
-	now += options.StartWait
-	daemon.Tick(now)
+	daemon, _ := begun(&now)
 	daemon.Claim(now, []string{"s"})
 	now += 5 * clock.Second
 	_, ok := daemon.MayOrder(now, "s")
@@ -86,10 +89,7 @@
 
 func TestFencedDaemonGivesUp(t *testing.T) {
 	now := clock.Millis(1_000_000)
-	options := tenure.DefaultOptions(lease, true)
-	daemon := tenure.New(options, "a", now, wallAt(&now))
-	now += options.StartWait
-	daemon.Tick(now)
+	daemon, options := begun(&now)
 	daemon.Claim(now, []string{"s"})
 	before, _ := daemon.Holds("s")
 	daemon.Fenced(now, "s")
