--- a/internal/base/logpipe/logpipe_test.go
+++ b/internal/base/logpipe/logpipe_test.go
@@ -73,5 +73,5 @@
 			"Offer", 1, "CostMillis", 141, "LeftMillis", 14571, "Version", 0, "WaitedMillis", 263)
 	}
 	cancel()
-	<-ended
+	require.NoError(b, <-ended)
 }
--- a/internal/direct/loading/planner.go
+++ b/internal/direct/loading/planner.go
@@ -89,7 +89,6 @@
 	shown    bool                    // the server has seen this daemon's fencing number
 	known    bool                    // a report was read since
 	reported bool                    // a report was read at some time
-	asked    bool                    // a report was read at some time
 	ordered  clock.Millis            // when the server may last have accepted an order
 	models   map[string]bool
 	coming   map[string]modelLoad // base models being loaded
