gateway: the longest gap of a stream is logged and counted

'request ended' has GapMillis, the metrics teaselmoor_stream_gap_millis by service; status prints it.

--- a/internal/direct/gateway/counters.go
+++ b/internal/direct/gateway/counters.go
@@ -19,11 +19,15 @@
 
 // counters count how requests end.
 type counters struct {
-	mutex   sync.Mutex // guards both maps
+	mutex   sync.Mutex // guards the maps
 	ends    map[endLabels]int64
-	latency map[string]*hdrhistogram.Histogram // by service, milliseconds
+	latency histograms // until an answer's first event, or its end where it is not a stream
+	gaps    histograms // longest between two events of a stream
 }
 
+// histograms are of milliseconds, by service.
+type histograms map[string]*hdrhistogram.Histogram
+
 type endLabels struct {
 	Service string
 	Status  int
@@ -31,7 +35,7 @@
 }
 
 func newCounters() *counters {
-	return &counters{ends: make(map[endLabels]int64), latency: make(map[string]*hdrhistogram.Histogram)}
+	return &counters{ends: make(map[endLabels]int64), latency: make(histograms), gaps: make(histograms)}
 }
 
 func (counters *counters) ended(job *job, status int, why ending.Reason, now clock.Millis) {
@@ -48,24 +52,36 @@
 	at := now
 	if job.firstAt > 0 {
 		at = job.firstAt
+		counters.gaps.observe(job.service, job.longestGap)
 	}
-	counters.observe(job.service, int64(at-job.arrived))
+	counters.latency.observe(job.service, at-job.arrived)
 }
 
 // latencyRange is the highest latency that is told apart, in milliseconds, at
 // two significant figures.
 const latencyRange = 60_000
 
-func (counters *counters) observe(service string, millis int64) {
-	histogram, ok := counters.latency[service]
+func (histograms histograms) observe(service string, span clock.Millis) {
+	histogram, ok := histograms[service]
 	if !ok {
-		if len(counters.latency) >= maxSeries {
+		if len(histograms) >= maxSeries {
 			return
 		}
 		histogram = hdrhistogram.New(1, latencyRange, 2)
-		counters.latency[service] = histogram
+		histograms[service] = histogram
+	}
+	_ = histogram.RecordValue(min(max(int64(span), 1), latencyRange)) // always in range
+}
+
+// write writes quantiles and counts under a name.
+func (histograms histograms) write(out io.Writer, name string) {
+	for _, service := range slices.Sorted(maps.Keys(histograms)) {
+		histogram := histograms[service]
+		for _, quantile := range []float64{50, 95, 99} {
+			_, _ = fmt.Fprintf(out, "%s{service=%q,quantile=\"%g\"} %d\n", name, service, quantile/100, histogram.ValueAtQuantile(quantile))
+		}
+		_, _ = fmt.Fprintf(out, "%s_count{service=%q} %d\n", name, service, histogram.TotalCount())
 	}
-	_ = histogram.RecordValue(min(max(millis, 1), latencyRange)) // always in range
 }
 
 // write writes the counters as text that common collectors read.
@@ -75,11 +91,6 @@
 	for labels, count := range counters.ends {
 		_, _ = fmt.Fprintf(out, "teaselmoor_requests_total{service=%q,status=\"%d\",reason=%q} %d\n", labels.Service, labels.Status, labels.Reason, count)
 	}
-	for _, service := range slices.Sorted(maps.Keys(counters.latency)) {
-		histogram := counters.latency[service]
-		for _, quantile := range []float64{50, 95, 99} {
-			_, _ = fmt.Fprintf(out, "teaselmoor_latency_millis{service=%q,quantile=\"%g\"} %d\n", service, quantile/100, histogram.ValueAtQuantile(quantile))
-		}
-		_, _ = fmt.Fprintf(out, "teaselmoor_latency_millis_count{service=%q} %d\n", service, histogram.TotalCount())
-	}
+	counters.latency.write(out, "teaselmoor_latency_millis")
+	counters.gaps.write(out, "teaselmoor_stream_gap_millis")
 }
--- a/internal/direct/gateway/handler.go
+++ b/internal/direct/gateway/handler.go
@@ -36,7 +36,9 @@
 	heardAt  clock.Millis // when the caller last got something; its arrival until then
 	lastSent string       // the last event that went to the caller whole
 	firstAt  clock.Millis
-	comeBack clock.Millis // after which a refused caller was told to come back
+	// longestGap is the longest time between two events of the answer as they came.
+	longestGap clock.Millis
+	comeBack   clock.Millis // after which a refused caller was told to come back
 }
 
 // ServeHTTP serves a caller's request.
@@ -154,7 +156,7 @@
 			"Kind", job.route.Kind.String(), "Repeatable", job.route.Repeatable())
 	}
 	if job.firstAt > 0 {
-		line = append(line, "FirstMillis", job.firstAt-job.arrived)
+		line = append(line, "FirstMillis", job.firstAt-job.arrived, "GapMillis", job.longestGap)
 	}
 	gateway.log.Info(ending.MessageEnded, line...)
 	gateway.counters.ended(job, status, why, now)
--- a/internal/direct/gateway/relay.go
+++ b/internal/direct/gateway/relay.go
@@ -77,9 +77,12 @@
 	for {
 		event, err := relayed.next()
 		if len(event) > 0 {
+			now := gateway.core.now()
 			if !job.started {
 				gateway.begin(writer, job, answer)
 				held.first()
+			} else {
+				job.longestGap = max(job.longestGap, now-job.heardAt)
 			}
 			if _, failed := writer.Write(event); failed != nil {
 				answer.Close(false)
@@ -88,7 +91,7 @@
 			}
 			_ = control.Flush() // a failure shows at the next write
 			job.lastSent = relayed.lastID
-			job.heardAt = gateway.core.now()
+			job.heardAt = now
 			continue
 		}
 		if errors.Is(err, io.EOF) {
--- a/internal/serve/command/gateway_test.go
+++ b/internal/serve/command/gateway_test.go
@@ -12,6 +12,7 @@
 
 const gatewayMetrics = `teaselmoor_requests_total{service="records",status="200",reason="Complete"} 12
 teaselmoor_latency_millis{service="records",quantile="0.99"} 80
+teaselmoor_stream_gap_millis{service="engines",quantile="0.99"} 310
 teaselmoor_config_version 21
 teaselmoor_store_away_millis 1500
 teaselmoor_peers 6
@@ -30,7 +31,7 @@
 	require.Equal(t, command.ExitDone, got.code, got.err)
 	for _, want := range []string{
 		"configuration version 21", "has not answered for 1.5s", "6 peers; 13 servers, of which this gateway gives orders to 2",
-		"records  200  Complete  12", "records  0.99  80", "records  6.5",
+		"records  200  Complete  12", "records  0.99  80", "engines  0.99  310", "records  6.5",
 	} {
 		require.Contains(t, got.out, want)
 	}
--- a/internal/serve/command/gatewaystatus.go
+++ b/internal/serve/command/gatewaystatus.go
@@ -86,6 +86,7 @@
 		count("teaselmoor_orders_total"), count("teaselmoor_server_connections_opened_total"), count("teaselmoor_log_lines_dropped_total"))
 	figures.printLabelled(invocation, "requests ended:", "teaselmoor_requests_total", "service", "status", "reason")
 	figures.printLabelled(invocation, "latency to the first byte, in milliseconds:", "teaselmoor_latency_millis", "service", "quantile")
+	figures.printLabelled(invocation, "longest gap between events of a stream, in milliseconds:", "teaselmoor_stream_gap_millis", "service", "quantile")
 	figures.printLabelled(invocation, "repeats left of the retry budget:", "teaselmoor_retry_budget_left", "service")
 }
 
