loading: the rate of the weight store is learned from what loads take

Cause: the number of adapters that travel at full speed and the 250 ms of a load were fitted to known sites: 0.51 a server and 8 at least, which said 9 on a site where 16 travel. Each load that waited was looked for 0.41 to 0.47 s after its order instead of 0.25 s, and requests were refused for a queue that did not exist.

loading.Rate keeps both as estimates. A load is looked at before it is expected to have ended, then each 15 ms; what contradicts an estimate moves it by a third. Until a load was seen each server is taken to get one adapter at full speed.

--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -39,6 +39,7 @@
 	budgets      map[string]*retry.Budget        // by service
 	orders       map[string]*ordering            // by server, those that this daemon orders
 	turns        map[string]*loading.Turns       // of loads of base models, by service
+	rate         *loading.Rate                   // of the weight store for adapters
 	peers        map[string]*peerState           // by name
 	told         map[string]*toldState           // by address
 	shares       map[string]peers.DaemonShare    // by daemon, this one included
@@ -87,7 +88,7 @@
 		fleet: fleet.New(options.Fleet), work: tally.New(),
 		tenure: tenure.New(options.Tenure, settings.Name, now(), wall), store: newStoreCopy(),
 		versions: make(map[port.Adapter]namedVersion), budgets: make(map[string]*retry.Budget),
-		orders: make(map[string]*ordering), turns: make(map[string]*loading.Turns), peers: make(map[string]*peerState),
+		orders: make(map[string]*ordering), turns: make(map[string]*loading.Turns), rate: loading.NewRate(), peers: make(map[string]*peerState),
 		told: make(map[string]*toldState), askedAt: make(map[port.Adapter]clock.Millis), sums: make(map[string]map[string]tally.Sum), shares: make(map[string]peers.DaemonShare), changed: make(chan struct{}), dirty: make(chan struct{}, 1),
 		born: int64(wall()),
 	}
--- a/internal/direct/gateway/orders.go
+++ b/internal/direct/gateway/orders.go
@@ -79,7 +79,7 @@
 		return ok && member.AtHand(adapter)
 	}
 	held := &ordering{
-		planner: loading.New(core.options.Loading, loading.Limits{}, atHand), fence: fence,
+		planner: loading.New(core.options.Loading, loading.Limits{}, core.rate, atHand), fence: fence,
 		wake: make(chan struct{}, 1), stop: cancel, askers: make(map[string]clock.Millis),
 	}
 	core.orders[server] = held
@@ -149,7 +149,7 @@
 		return gateway.readReport(ctx, target, held)
 	}
 	uses := func(adapter port.Adapter) int { return core.work.Uses(tally.Use{Server: server, Adapter: adapter}) }
-	order, ok, at := held.planner.Next(now, uses, core.newest, core.crowd(), core.modelTurn(now, member))
+	order, ok, at := held.planner.Next(now, uses, core.newest, core.traffic(), core.modelTurn(now, member))
 	if !ok {
 		core.mutex.Unlock()
 		if at == 0 {
@@ -189,23 +189,10 @@
 	if result == port.Unknown {
 		core.fleet.Unreachable(now, target.ID)
 	}
-	held.planner.Done(now, order, result, core.crowd())
+	held.planner.Done(now, order, result, core.traffic())
 	gateway.publish(target.ID, held)
 }
 
-// Adapters that the weight store sends at full speed: at least 8, and 0.51 for
-// each server. The platform's sheets name 8 for 9 servers, 48 for 90 and 72 for 140.
-const (
-	leastFullSpeed = 8
-	fullSpeedShare = 0.51
-)
-
-// fullSpeedLoads is how many adapters the weight store sends at full speed. The
-// mutex is held.
-func (core *core) fullSpeedLoads() int {
-	return max(leastFullSpeed, int(fullSpeedShare*float64(len(core.fleet.Tables()))))
-}
-
 // coming returns how many adapters are on their way to all servers, and how many
 // wait for their load to begin. The mutex is held.
 func (core *core) coming() (loading, queued int) {
@@ -217,11 +204,15 @@
 	return loading, queued
 }
 
-// crowd is how many adapters are on their way, over those that travel at full
-// speed. The mutex is held.
-func (core *core) crowd() float64 {
-	loading, _ := core.coming()
-	return float64(loading) / float64(core.fullSpeedLoads())
+// traffic is what is on its way from the weight store. The mutex is held.
+func (core *core) traffic() loading.Traffic {
+	onWay, _ := core.coming()
+	return loading.Traffic{OnWay: onWay, Servers: core.engines()}
+}
+
+// engines is how many servers adapters are loaded to. The mutex is held.
+func (core *core) engines() int {
+	return len(core.fleet.Tables())
 }
 
 // publish makes a planner's table known here and to peers. The mutex is held.
--- a/internal/direct/gateway/place.go
+++ b/internal/direct/gateway/place.go
@@ -168,14 +168,16 @@
 func (core *core) loadWait(server *fleet.Member) clock.Millis {
 	options := core.options.Loading
 	loading, queued := core.coming()
-	everywhere := turnsAhead(loading+queued, core.fullSpeedLoads())
+	atOnce := core.rate.AtOnce(core.engines())
+	everywhere := turnsAhead(loading+queued, atOnce)
 	incoming := options.MostIncoming
-	if loading+queued >= core.fullSpeedLoads() {
+	if loading+queued >= atOnce {
 		incoming = options.CrowdedIncoming
 	}
 	loadingHere, queuedHere := server.Coming()
 	here := turnsAhead(loadingHere+queuedHere, incoming)
-	return options.LoadTime + clock.Millis(float64(options.LoadTime)*max(everywhere, here))
+	loadTime := core.rate.LoadTime()
+	return loadTime + clock.Millis(float64(loadTime)*max(everywhere, here))
 }
 
 // turnsAhead is how many loads one after another come before the next one.
@@ -210,7 +212,8 @@
 
 // askCopy asks for a further copy of an adapter. The mutex is held.
 func (gateway *Gateway) askCopy(job *job, server *fleet.Member, now clock.Millis) {
-	if gateway.core.crowd() > copyCrowd {
+	traffic := gateway.core.traffic()
+	if float64(traffic.OnWay) > copyCrowd*float64(gateway.core.rate.AtOnce(traffic.Servers)) {
 		return
 	}
 	gateway.ask(job, tally.Use{Server: server.ID, Adapter: job.adapter}, now, copyLife)
--- a/internal/direct/loading/next.go
+++ b/internal/direct/loading/next.go
@@ -11,15 +11,19 @@
 // stuckAfter is how many times its usual time a base model may take.
 const stuckAfter = 4
 
+// Traffic is what is on its way from the weight store.
+type Traffic struct {
+	OnWay   int // adapters on their way to all servers
+	Servers int // that adapters are loaded to
+}
+
 // Uses tells how many requests of all daemons use an adapter at the server.
 type Uses func(port.Adapter) int
 
 // Next returns the order to give now. Without one it returns the time at which
 // to ask again, which is 0 when only a change calls for it.
-// Crowd is how many adapters are on their way to all servers, over the number
-// that the weight store serves at full speed. Turn says that a base model may be
-// loaded where the server holds none.
-func (planner *Planner) Next(now clock.Millis, uses Uses, newest func(port.Adapter) int, crowd float64, turn bool) (port.Order, bool, clock.Millis) {
+// Turn says that a base model may be loaded where the server holds none.
+func (planner *Planner) Next(now clock.Millis, uses Uses, newest func(port.Adapter) int, traffic Traffic, turn bool) (port.Order, bool, clock.Millis) {
 	if now < planner.waitTo {
 		return port.Order{}, false, planner.waitTo
 	}
@@ -40,7 +44,7 @@
 	if order, ok := planner.nextVersion(uses, newest); ok {
 		return order, true, 0
 	}
-	if order, ok := planner.nextWant(now, uses, crowd); ok {
+	if order, ok := planner.nextWant(now, uses, traffic); ok {
 		return order, true, 0
 	}
 	return port.Order{}, false, planner.wakeAt(now)
@@ -117,9 +121,9 @@
 }
 
 // nextWant loads the adapter that is wanted most urgently, or makes room for it.
-func (planner *Planner) nextWant(now clock.Millis, uses Uses, crowd float64) (port.Order, bool) {
+func (planner *Planner) nextWant(now clock.Millis, uses Uses, traffic Traffic) (port.Order, bool) {
 	most := planner.options.MostIncoming
-	if crowd >= 1 {
+	if traffic.OnWay >= planner.rate.AtOnce(traffic.Servers) {
 		most = planner.options.CrowdedIncoming
 	}
 	if planner.incoming() >= most {
--- a/internal/direct/loading/planner.go
+++ b/internal/direct/loading/planner.go
@@ -25,14 +25,9 @@
 
 // Options are the times of a planner.
 type Options struct {
-	// LoadTime is how long an adapter takes from the weight store while few are
-	// on their way (250 ms on the platform's sheets).
-	LoadTime clock.Millis
 	// ReportLag is how old a server's report may be. A report counts only if it was
 	// read that long after the last order that the server may have accepted.
 	ReportLag clock.Millis
-	// AtHandTime is the same for one that the server held of late.
-	AtHandTime clock.Millis
 	// CheckInterval is the time between two questions whether a load has ended.
 	CheckInterval clock.Millis
 	// ModelCheckInterval is the same for a base model, which takes seconds.
@@ -56,8 +51,8 @@
 // DefaultOptions returns the options for the platform's engines.
 func DefaultOptions() Options {
 	return Options{
-		LoadTime: 250, ReportLag: 500, AtHandTime: 26, CheckInterval: 30, ModelCheckInterval: 250, Backoff: 100,
-		Settle: 300, MostIncoming: 4, CrowdedIncoming: 1, HalfLife: 10 * clock.Second, MostChecks: 60,
+		ReportLag: 500, CheckInterval: 15, ModelCheckInterval: 250, Backoff: 100,
+		Settle: 300, MostIncoming: 4, CrowdedIncoming: 1, HalfLife: 10 * clock.Second, MostChecks: 120,
 	}
 }
 
@@ -67,6 +62,9 @@
 	leaving bool         // an unload was accepted and waits for runs to end
 	checkAt clock.Millis // when to ask whether the load or unload has ended
 	checks  int
+	began   clock.Millis // the load that is on its way; 0: it is not known when
+	onWay   int          // loads on their way then
+	seenFor clock.Millis // from began until it was last found on its way
 	score   float64 // uses, halved each HalfLife
 	usedAt  clock.Millis
 }
@@ -82,6 +80,7 @@
 type Planner struct {
 	options Options
 	limits  Limits
+	rate    *Rate // of the daemon's planners together
 	atHand  func(port.Adapter) bool // whether the server held an adapter of late
 	shown   bool                    // the server has seen this daemon's fencing number
 	known   bool                    // a report was read since
@@ -101,11 +100,12 @@
 	stuck   bool // it takes so long that other servers' models do not wait for it any more
 }
 
-// New returns a planner that knows nothing of its server yet.
-// AtHand tells whether the server held an adapter of late.
-func New(options Options, limits Limits, atHand func(port.Adapter) bool) *Planner {
+// New returns a planner that knows nothing of its server yet. It learns the rate of the
+// weight store together with the daemon's others. AtHand tells whether the server held
+// an adapter of late.
+func New(options Options, limits Limits, rate *Rate, atHand func(port.Adapter) bool) *Planner {
 	return &Planner{
-		options: options, limits: limits, atHand: atHand, models: make(map[string]bool),
+		options: options, limits: limits, rate: rate, atHand: atHand, models: make(map[string]bool),
 		coming: make(map[string]modelLoad),
 		slots:  make(map[port.Adapter]*slot), wants: make(map[port.Adapter]*want),
 	}
--- a/internal/direct/loading/planner_test.go
+++ b/internal/direct/loading/planner_test.go
@@ -19,6 +19,9 @@
 	ModelMB: map[string]float64{"m": 900}, AdapterMB: map[string]float64{"m": 10},
 }
 
+// quiet is a weight store with nothing to do.
+var quiet = loading.Traffic{Servers: 8}
+
 func never(port.Adapter) bool { return false }
 
 func noVersion(port.Adapter) int { return 0 }
@@ -28,7 +31,7 @@
 func adapter(name string) port.Adapter { return port.Adapter{Model: "m", Name: name} }
 
 func newPlanner(now clock.Millis, adapters ...string) *loading.Planner {
-	planner := loading.New(loading.DefaultOptions(), limits, never)
+	planner := loading.New(loading.DefaultOptions(), limits, loading.NewRate(), never)
 	show(planner, now)
 	held := make(map[string]int)
 	for _, name := range adapters {
@@ -40,38 +43,38 @@
 
 // show has the server see the planner's fencing number.
 func show(planner *loading.Planner, now clock.Millis) {
-	order, _, _ := planner.Next(now, nobody, noVersion, 0, true)
-	planner.Done(now, order, port.Holds, 0)
+	order, _, _ := planner.Next(now, nobody, noVersion, quiet, true)
+	planner.Done(now, order, port.Holds, quiet)
 }
 
 // TestReportIsReadAfterTheNumberIsSeen: until the server has seen the number, the
 // daemon that ordered before may have had a load accepted that no report shows.
 func TestReportIsReadAfterTheNumberIsSeen(t *testing.T) {
-	planner := loading.New(loading.DefaultOptions(), limits, never)
+	planner := loading.New(loading.DefaultOptions(), limits, loading.NewRate(), never)
 	needed, _ := planner.NeedsReport()
 	require.False(t, needed)
-	order, ok, _ := planner.Next(1000, nobody, noVersion, 0, true)
+	order, ok, _ := planner.Next(1000, nobody, noVersion, quiet, true)
 	require.True(t, ok)
 	require.Equal(t, port.Order{Load: true, Adapter: port.Adapter{Model: "m"}}, order)
-	planner.Done(1000, order, port.Unknown, 0)
+	planner.Done(1000, order, port.Unknown, quiet)
 	needed, _ = planner.NeedsReport()
 	require.False(t, needed)
-	order, _, _ = planner.Next(1200, nobody, noVersion, 0, true)
-	planner.Done(1200, order, port.Holds, 0)
+	order, _, _ = planner.Next(1200, nobody, noVersion, quiet, true)
+	planner.Done(1200, order, port.Holds, quiet)
 	needed, from := planner.NeedsReport()
 	require.True(t, needed)
 	require.Equal(t, 1200+loading.DefaultOptions().ReportLag, from)
 }
 
 func TestServerThatHoldsNothingGetsItsModel(t *testing.T) {
-	planner := loading.New(loading.DefaultOptions(), limits, never)
+	planner := loading.New(loading.DefaultOptions(), limits, loading.NewRate(), never)
 	show(planner, 500)
 	planner.SetReport(1000, port.Report{})
-	order, ok, _ := planner.Next(1000, nobody, noVersion, 0, true)
+	order, ok, _ := planner.Next(1000, nobody, noVersion, quiet, true)
 	require.True(t, ok)
 	require.Equal(t, port.Order{Load: true, Adapter: port.Adapter{Model: "m"}}, order)
-	planner.Done(1000, order, port.Accepted, 0)
-	_, ok, at := planner.Next(1010, nobody, noVersion, 0, true)
+	planner.Done(1000, order, port.Accepted, quiet)
+	_, ok, at := planner.Next(1010, nobody, noVersion, quiet, true)
 	require.False(t, ok, "it is being loaded")
 	require.Positive(t, at)
 }
@@ -86,14 +89,14 @@
 		}
 		return 1
 	}
-	_, ok, at := planner.Next(10_000, func(port.Adapter) int { return 1 }, noVersion, 0, true)
+	_, ok, at := planner.Next(10_000, func(port.Adapter) int { return 1 }, noVersion, quiet, true)
 	require.False(t, ok)
 	require.Greater(t, at, clock.Millis(10_000), "it looks again")
-	order, ok, _ := planner.Next(10_100, inUse, noVersion, 0, true)
+	order, ok, _ := planner.Next(10_100, inUse, noVersion, quiet, true)
 	require.True(t, ok)
 	require.Equal(t, port.Order{Adapter: adapter("c")}, order)
-	planner.Done(10_100, order, port.Holds, 0)
-	order, _, _ = planner.Next(10_110, inUse, noVersion, 0, true)
+	planner.Done(10_100, order, port.Holds, quiet)
+	order, _, _ = planner.Next(10_110, inUse, noVersion, quiet, true)
 	require.Equal(t, port.Order{Load: true, Adapter: adapter("e")}, order)
 }
 
@@ -103,7 +106,7 @@
 		planner.Used(2000, adapter(name), 1+(i+2)%4)
 	}
 	planner.Want(10_000, adapter("e"), 0, 1, 20_000)
-	order, _, _ := planner.Next(10_000, nobody, noVersion, 0, true)
+	order, _, _ := planner.Next(10_000, nobody, noVersion, quiet, true)
 	require.Equal(t, port.Order{Adapter: adapter("c")}, order)
 }
 
@@ -111,27 +114,28 @@
 	planner := newPlanner(1000)
 	planner.Want(1000, adapter("a"), 0, 2, 9000)
 	planner.Want(1001, adapter("b"), 0, 0, 9000)
-	order, _, _ := planner.Next(1002, nobody, noVersion, 0, true)
+	order, _, _ := planner.Next(1002, nobody, noVersion, quiet, true)
 	require.Equal(t, adapter("b"), order.Adapter)
 }
 
 // TestCrowdedStore: while the weight store is crowded one load a server is on its way.
 func TestCrowdedStore(t *testing.T) {
-	for crowd, most := range map[float64]int{0.5: 4, 2: 1} {
+	for onWay, most := range map[int]int{4: 4, 16: 1} {
+		crowded := loading.Traffic{OnWay: onWay, Servers: 8}
 		planner := newPlanner(1000)
 		for _, name := range []string{"a", "b", "c", "d"} {
 			planner.Want(1000, adapter(name), 0, 0, 9000)
 		}
 		loads := 0
 		for {
-			order, ok, _ := planner.Next(1000, nobody, noVersion, crowd, true)
+			order, ok, _ := planner.Next(1000, nobody, noVersion, crowded, true)
 			if !ok {
 				break
 			}
 			loads++
-			planner.Done(1000, order, port.Accepted, crowd)
+			planner.Done(1000, order, port.Accepted, crowded)
 		}
-		require.Equal(t, most, loads, "crowd %g", crowd)
+		require.Equal(t, most, loads, "on their way: %d", onWay)
 	}
 }
 
@@ -140,14 +144,14 @@
 func TestUnansweredLoadKeepsItsPlace(t *testing.T) {
 	planner := newPlanner(1000, "a", "b", "c")
 	planner.Want(1000, adapter("d"), 0, 0, 9000)
-	order, _, _ := planner.Next(1000, nobody, noVersion, 0, true)
-	planner.Done(1000, order, port.Unknown, 0)
+	order, _, _ := planner.Next(1000, nobody, noVersion, quiet, true)
+	planner.Done(1000, order, port.Unknown, quiet)
 	planner.Want(1100, adapter("e"), 0, 0, 9000)
-	order, ok, _ := planner.Next(1200, nobody, noVersion, 0, true)
+	order, ok, _ := planner.Next(1200, nobody, noVersion, quiet, true)
 	require.True(t, ok)
 	require.Equal(t, adapter("d"), order.Adapter, "the order is given again")
-	planner.Done(1200, order, port.Holds, 0)
-	order, ok, _ = planner.Next(2000, nobody, noVersion, 0, true)
+	planner.Done(1200, order, port.Holds, quiet)
+	order, ok, _ = planner.Next(2000, nobody, noVersion, quiet, true)
 	require.True(t, ok)
 	require.False(t, order.Load, "there is no room for e: %v", order)
 }
@@ -156,15 +160,15 @@
 func TestUnloadThatWaitsKeepsItsPlace(t *testing.T) {
 	planner := newPlanner(1000, "a", "b", "c", "d")
 	planner.Want(10_000, adapter("e"), 0, 0, 20_000)
-	order, _, _ := planner.Next(10_000, nobody, noVersion, 0, true)
+	order, _, _ := planner.Next(10_000, nobody, noVersion, quiet, true)
 	require.False(t, order.Load)
-	planner.Done(10_000, order, port.Accepted, 0)
-	next, ok, at := planner.Next(10_001, nobody, noVersion, 0, true)
+	planner.Done(10_000, order, port.Accepted, quiet)
+	next, ok, at := planner.Next(10_001, nobody, noVersion, quiet, true)
 	for range 5 { // it wakes for the want as well
 		if ok {
 			break
 		}
-		next, ok, at = planner.Next(at, nobody, noVersion, 0, true)
+		next, ok, at = planner.Next(at, nobody, noVersion, quiet, true)
 	}
 	require.Equal(t, order, next, "the unload is asked after, and nothing else is ordered")
 }
@@ -175,10 +179,10 @@
 	inUse := func(used port.Adapter) int { return map[string]int{"a": 1}[used.Name] }
 	orders := make(map[string]port.Order)
 	for range 2 {
-		order, ok, _ := planner.Next(2000, inUse, newest, 0, true)
+		order, ok, _ := planner.Next(2000, inUse, newest, quiet, true)
 		require.True(t, ok)
 		orders[order.Adapter.Name] = order
-		planner.Done(2000, order, port.Holds, 0)
+		planner.Done(2000, order, port.Holds, quiet)
 	}
 	require.Equal(t, port.Order{Load: true, Adapter: adapter("a"), Version: 2}, orders["a"])
 	require.Equal(t, port.Order{Adapter: adapter("b")}, orders["b"], "one that nobody uses makes room")
@@ -229,7 +233,7 @@
 			case 2:
 				engine.runs[name] = 0
 			}
-			order, ok, _ := planner.Next(now, uses, noVersion, 0, true)
+			order, ok, _ := planner.Next(now, uses, noVersion, quiet, true)
 			if !ok {
 				continue
 			}
@@ -241,7 +245,7 @@
 			if rapid.IntRange(0, 9).Draw(t, "answered") < 2 {
 				result = port.Unknown
 			}
-			planner.Done(now, order, result, 0)
+			planner.Done(now, order, result, quiet)
 			require.LessOrEqual(t, len(engine.held), places)
 		}
 	})
@@ -256,11 +260,11 @@
 	planner := newPlanner(1000, held...)
 	planner.Absent(10_000, adapter("a"))
 	planner.Want(10_000, adapter("d"), 0, 0, 20_000)
-	order, ok, _ := planner.Next(10_000, nobody, noVersion, 0, true)
+	order, ok, _ := planner.Next(10_000, nobody, noVersion, quiet, true)
 	require.True(t, ok)
 	require.Equal(t, port.Order{Load: true, Adapter: adapter("a"), Version: 1}, order, "what the server holds is asked first")
-	planner.Done(10_000, order, port.Holds, 0)
-	order, ok, _ = planner.Next(20_000-1, nobody, noVersion, 0, true)
+	planner.Done(10_000, order, port.Holds, quiet)
+	order, ok, _ = planner.Next(20_000-1, nobody, noVersion, quiet, true)
 	require.True(t, ok)
 	require.False(t, order.Load, "one of the four has to go")
 }
--- /dev/null
+++ b/internal/direct/loading/rate.go
@@ -0,0 +1,109 @@
+package loading
+
+import "teaselmoor/internal/base/clock"
+
+// Rate is what one daemon has observed of the weight store: how long an adapter takes
+// to a server, and how many travel at full speed. Beyond that number each takes longer
+// in proportion to how many are on their way. Neither is published, and both differ
+// between sites: on one where 16 travel at full speed and 9 were assumed, a load waited
+// 0.4 to 0.8 s (median) for its order in the first 12 s of a busy day.
+//
+// A load is looked at a little before it is expected to have ended, and then often until
+// it has: the time between the last two looks bounds what it took. Estimates move where
+// those bounds contradict them.
+type Rate struct {
+	loadTime float64 // milliseconds
+	atOnce   float64 // 0: not observed yet
+	observed bool    // a load was
+}
+
+// firstLoadTime is expected of the first loads, in milliseconds. It is short: to look
+// too early costs one order, to look too late makes requests wait.
+const firstLoadTime = 100
+
+// step is the part by which an estimate moves towards a bound that contradicts it.
+const step = 1.0 / 3
+
+// doubt is the part by which the load time rises with a load that was slower than the
+// number on their way explains.
+const doubt = step / 4
+
+// slack is how much longer than at full speed a load may take without telling that the
+// store is crowded: estimates of the load time are that far off.
+const slack = 1.2
+
+// firstLook is when a load is first looked at, as a part of the time that it is expected
+// to take: an estimate that is too high is only noticed by looking before.
+const firstLook = 0.9
+
+// NewRate returns a rate of which nothing was observed.
+func NewRate() *Rate {
+	return &Rate{loadTime: firstLoadTime}
+}
+
+// LoadTime is how long an adapter takes while few are on their way.
+func (rate *Rate) LoadTime() clock.Millis {
+	return clock.Millis(rate.loadTime + 0.5)
+}
+
+// recentSpeedup is how much faster a server loads an adapter that it held of late, by
+// the platform's pages.
+const recentSpeedup = 10
+
+// RecentTime is how long an adapter takes that the server held of late.
+func (rate *Rate) RecentTime() clock.Millis {
+	return rate.LoadTime()/recentSpeedup + 1
+}
+
+// AtOnce is how many adapters travel at full speed.
+func (rate *Rate) AtOnce(servers int) int {
+	return int(rate.fullSpeed(servers))
+}
+
+// fullSpeed is the same before it is rounded. Until it was observed each server is
+// taken to get one.
+func (rate *Rate) fullSpeed(servers int) float64 {
+	if rate.atOnce == 0 {
+		return float64(max(1, servers))
+	}
+	return rate.atOnce
+}
+
+// FirstLook is when to look first at a load that begins as the last of so many on their
+// way.
+func (rate *Rate) FirstLook(onWay, servers int) clock.Millis {
+	return clock.Millis(firstLook*rate.loadTime*rate.crowd(onWay, servers) + 0.5)
+}
+
+func (rate *Rate) crowd(onWay, servers int) float64 {
+	return max(1, float64(onWay)/rate.fullSpeed(servers))
+}
+
+// Observation is a load that has ended.
+type Observation struct {
+	OnWay   int          // loads on their way at its start, itself included
+	Servers int          // that adapters are loaded to
+	Least   clock.Millis // from its start until it was last found on its way; 0: it never was
+	Most    clock.Millis // from its start until it was found to have ended
+}
+
+// Observe takes a load into account.
+func (rate *Rate) Observe(seen Observation) {
+	atOnce, onWay := rate.fullSpeed(seen.Servers), float64(seen.OnWay)
+	least, most := float64(seen.Least), float64(seen.Most)
+	switch {
+	case !rate.observed:
+		rate.observed = true
+		rate.loadTime = most / rate.crowd(seen.OnWay, seen.Servers)
+	case most < rate.loadTime: // it cannot have travelled faster than at full speed
+		rate.loadTime += step * (most - rate.loadTime)
+	case onWay <= atOnce/2 || onWay <= atOnce && least < slack*rate.loadTime:
+		rate.loadTime += step * max(0, least-rate.loadTime)
+	case least > rate.loadTime && atOnce > onWay*rate.loadTime/least:
+		rate.atOnce = max(1, atOnce+step*(onWay*rate.loadTime/least-atOnce))
+		// It may be the load time as well: both too low fit loads of a crowded store.
+		rate.loadTime += doubt * (least - rate.loadTime)
+	case onWay > atOnce && atOnce < onWay*rate.loadTime/most:
+		rate.atOnce = atOnce + step*(onWay*rate.loadTime/most-atOnce)
+	}
+}
--- a/internal/direct/loading/results.go
+++ b/internal/direct/loading/results.go
@@ -6,14 +6,14 @@
 )
 
 // Done takes the result of an order.
-func (planner *Planner) Done(now clock.Millis, order port.Order, result port.Result, crowd float64) {
+func (planner *Planner) Done(now clock.Millis, order port.Order, result port.Result, traffic Traffic) {
 	if result != port.Conflict && result != port.Fenced && result != port.Other {
 		planner.ordered = now
 	}
 	switch result {
 	case port.Accepted, port.Holds:
 		planner.shown = true
-		planner.accepted(now, order, result == port.Holds, crowd)
+		planner.accepted(now, order, result == port.Holds, traffic)
 	case port.Conflict:
 		planner.waitTo = now + planner.options.Backoff
 	case port.Unknown:
@@ -44,10 +44,11 @@
 		planner.slots[order.Adapter] = held
 	}
 	held.loading = true
+	held.began = 0
 	held.checkAt = planner.waitTo
 }
 
-func (planner *Planner) accepted(now clock.Millis, order port.Order, holds bool, crowd float64) {
+func (planner *Planner) accepted(now clock.Millis, order port.Order, holds bool, traffic Traffic) {
 	planner.number++
 	switch {
 	case order.Adapter.Name == "":
@@ -55,7 +56,7 @@
 	case !order.Load:
 		planner.unloadAccepted(now, order.Adapter, holds)
 	default:
-		planner.loadAccepted(now, order, holds, crowd)
+		planner.loadAccepted(now, order, holds, traffic)
 	}
 }
 
@@ -89,15 +90,19 @@
 	planner.coming[model] = load
 }
 
-func (planner *Planner) loadAccepted(now clock.Millis, order port.Order, holds bool, crowd float64) {
+func (planner *Planner) loadAccepted(now clock.Millis, order port.Order, holds bool, traffic Traffic) {
 	held, ok := planner.slots[order.Adapter]
 	if !ok {
 		held = &slot{}
 		planner.slots[order.Adapter] = held
 	}
 	if holds {
+		if held.began > 0 {
+			planner.rate.Observe(Observation{OnWay: held.onWay, Servers: traffic.Servers, Least: held.seenFor, Most: now - held.began})
+		}
 		held.loading = false
 		held.checks = 0
+		held.began = 0
 		held.version = max(held.version, order.Version, 1)
 		held.usedAt = now
 		delete(planner.wants, order.Adapter)
@@ -107,22 +112,30 @@
 	if !held.loading {
 		held.loading = true
 		held.checks = 0
-		held.checkAt = now + planner.loadTime(order.Adapter, crowd)
+		planner.begin(now, order.Adapter, held, traffic)
 		return
 	}
 	held.checks++
+	if held.began > 0 {
+		held.seenFor = now - held.began
+	}
 	held.checkAt = now + planner.options.CheckInterval
 	if held.checks > planner.options.MostChecks {
 		planner.known = false
 	}
 }
 
-// loadTime is how long a load is expected to take.
-func (planner *Planner) loadTime(adapter port.Adapter, crowd float64) clock.Millis {
+// begin notes the start of a load, and when it is expected to have ended.
+func (planner *Planner) begin(now clock.Millis, adapter port.Adapter, held *slot, traffic Traffic) {
 	if planner.atHand(adapter) {
-		return planner.options.AtHandTime
+		held.began = 0 // it says nothing of the weight store
+		held.checkAt = now + planner.rate.RecentTime()
+		return
 	}
-	return clock.Millis(float64(planner.options.LoadTime) * max(1, crowd))
+	held.began = now
+	held.seenFor = 0
+	held.onWay = traffic.OnWay + 1
+	held.checkAt = now + planner.rate.FirstLook(held.onWay, traffic.Servers)
 }
 
 // refused drops what the server says makes no sense, so that it is not tried for ever.
