fleet: what servers hold is read from them until a daemon tells it

Cause: only the daemon that orders a server said what it holds. After a loss of all daemons claims came after 0.9 s and the first report 0.7 s later, and meanwhile the new daemon's empty table hid what was known: 85 of 100 requests asked for an adapter that a server held, and more than half of them were refused or late.

A wrong belief costs one refused send.

--- a/internal/direct/fleet/fleet.go
+++ b/internal/direct/fleet/fleet.go
@@ -155,13 +155,17 @@
 	return news
 }
 
-// settle takes the holdings from the table of the daemon that gives orders, or
-// from the entry while there is none or the server has restarted since.
+// settle takes the holdings from the table of the daemon that gives orders; while there
+// is none, or the server has restarted since, from its own report, or else its entry.
 func (member *Member) settle() {
-	if member.table.Fence > 0 && member.table.Born >= member.Born {
+	if member.told() {
 		member.adopt(member.table.Models, member.table.Slots)
 		return
 	}
+	if member.reported.Server != "" && member.reported.Born >= member.Born {
+		member.adopt(member.reported.Models, member.reported.Slots)
+		return
+	}
 	var models []string
 	var slots []Slot
 	for _, holding := range member.Models {
@@ -189,6 +193,26 @@
 	return true
 }
 
+// told reports whether a daemon that gives orders has said what the server holds since
+// it started.
+func (member *Member) told() bool {
+	return member.table.Fence > 0 && member.table.Born >= member.Born
+}
+
+// Unread reports whether neither a daemon nor the server itself has said what it holds.
+func (member *Member) Unread() bool {
+	return !member.told() && (member.reported.Server == "" || member.reported.Born < member.Born)
+}
+
+// SetReported takes a server's own word for what it holds. It counts until the daemon
+// that gives orders tells.
+func (fleet *Fleet) SetReported(reported Table) {
+	if member, ok := fleet.members[reported.Server]; ok {
+		member.reported = reported
+		fleet.settle(member)
+	}
+}
+
 // Tables returns what the daemons that give orders say, by server. It must not be
 // changed.
 func (fleet *Fleet) Tables() map[string]Table {
--- a/internal/direct/fleet/member.go
+++ b/internal/direct/fleet/member.go
@@ -40,6 +40,7 @@
 	slots    map[port.Adapter]Slot
 	models   map[string]bool
 	table    Table                // zero while no daemon gives orders to it
+	reported Table                // what the server itself says; zero until it was read
 	recent   map[port.Adapter]int // adapters that it held of late, and when: numbers that rise
 	turn     int                  // the last of those numbers
 
--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -45,6 +45,7 @@
 	shares       map[string]peers.DaemonShare    // by daemon, this one included
 	sums         map[string]map[string]tally.Sum // of others' work, by hub and server
 	askedAt      map[port.Adapter]clock.Millis   // when callers last asked for an adapter here
+	sighted      map[string]clock.Millis         // when a server's report was last read for want of its table
 	hub          string                          // whose sums count; empty: each daemon tells itself
 	digestAt     clock.Millis                    // when digests were last due
 	updatedAt    clock.Millis                    // when an update was last told
@@ -89,7 +90,7 @@
 		tenure: tenure.New(options.Tenure, settings.Name, now(), wall), store: newStoreCopy(),
 		versions: make(map[port.Adapter]namedVersion), budgets: make(map[string]*retry.Budget),
 		orders: make(map[string]*ordering), turns: make(map[string]*loading.Turns), rate: loading.NewRate(), peers: make(map[string]*peerState),
-		told: make(map[string]*toldState), askedAt: make(map[port.Adapter]clock.Millis), sums: make(map[string]map[string]tally.Sum), shares: make(map[string]peers.DaemonShare), changed: make(chan struct{}), dirty: make(chan struct{}, 1),
+		told: make(map[string]*toldState), askedAt: make(map[port.Adapter]clock.Millis), sighted: make(map[string]clock.Millis), sums: make(map[string]map[string]tally.Sum), shares: make(map[string]peers.DaemonShare), changed: make(chan struct{}), dirty: make(chan struct{}, 1),
 		born: int64(wall()),
 	}
 }
--- a/internal/direct/gateway/orders.go
+++ b/internal/direct/gateway/orders.go
@@ -215,8 +215,13 @@
 	return len(core.fleet.Tables())
 }
 
-// publish makes a planner's table known here and to peers. The mutex is held.
+// publish makes a planner's table known here and to peers. Until the server's report
+// was read there is none: an empty table under a new claim would hide what the server
+// holds, as the former daemon's table has it. The mutex is held.
 func (gateway *Gateway) publish(server string, held *ordering) {
+	if !held.planner.Knows() {
+		return
+	}
 	core := gateway.core
 	number, models, slots := held.planner.Table()
 	table := fleet.Table{Server: server, Born: held.born, Fence: held.fence, Number: number, Models: models, Slots: slots}
--- a/internal/direct/loading/planner.go
+++ b/internal/direct/loading/planner.go
@@ -119,6 +119,12 @@
 	return planner.shown && !planner.known, planner.ordered + planner.options.ReportLag
 }
 
+// Knows reports whether the planner knows what its server holds: it has read its report,
+// or the server has just accepted to load its base model, and so holds nothing.
+func (planner *Planner) Knows() bool {
+	return planner.known || len(planner.coming) > 0
+}
+
 // Forget makes the planner read the report again: the server may have restarted.
 func (planner *Planner) Forget() {
 	planner.known = false
