--- a/internal/direct/fleet/fleet.go
+++ b/internal/direct/fleet/fleet.go
@@ -26,9 +26,6 @@
 	// gets no work. The first is short, because connections are also refused to
 	// single callers; the last bounds the delay until a restarted server is used.
 	FirstBackoff, MostBackoff clock.Millis
-	// Trust is how long a server that has answered is not doubted on a peer's word. At
-	// load it answers each daemon more often.
-	Trust clock.Millis
 	// TroubleHalfLife is the time in which the memory of failures halves.
 	TroubleHalfLife clock.Millis
 	// Recent is how many adapters a server keeps at hand after it has dropped
@@ -43,7 +40,7 @@
 func DefaultOptions() Options {
 	return Options{
 		OutageSpan: clock.Second, ReturnGrace: 2*clock.Second + 300,
-		FirstBackoff: 150, MostBackoff: 1600, Trust: 250,
+		FirstBackoff: 150, MostBackoff: 1600,
 		TroubleHalfLife: 2 * clock.Second, Recent: 80, Tombstone: clock.Minute,
 	}
 }
--- a/internal/direct/fleet/fleet_test.go
+++ b/internal/direct/fleet/fleet_test.go
@@ -176,21 +176,3 @@
 	require.True(t, member.Bare(), "it has restarted")
 	require.True(t, member.OnDisk("m"))
 }
-
-// TestPeersWordOnAServer: a peer's word keeps work from a server that crashed, unless it
-// has just answered here, and not for longer than an own failure would.
-func TestPeersWordOnAServer(t *testing.T) {
-	options := fleet.DefaultOptions()
-	servers := fleet.New(options)
-	servers.Put(server("a"), 1)
-	member, _ := servers.Member("a")
-	require.True(t, servers.Doubt(1000, "a", clock.Minute))
-	require.True(t, member.Suspect(1000+options.MostBackoff-1))
-	require.False(t, member.Unreached(1000), "orders go on")
-	require.False(t, member.Suspect(1000+options.MostBackoff))
-	servers.Answered(5000, "a", false)
-	require.False(t, servers.Doubt(5000+options.Trust-1, "a", 100))
-	require.True(t, servers.Doubt(5000+options.Trust, "a", 100))
-	servers.Answered(5000+options.Trust+1, "a", false)
-	require.False(t, member.Suspect(5000+options.Trust+1))
-}
--- a/internal/direct/fleet/member.go
+++ b/internal/direct/fleet/member.go
@@ -49,8 +49,6 @@
 
 	lapsesAt     clock.Millis // when a missing entry is taken as gone; 0: its entry is there
 	suspectUntil clock.Millis
-	doubtedUntil clock.Millis // by what peers say
-	answeredAt   clock.Millis // when it last answered this daemon properly
 	backoff      clock.Millis
 	trouble      float64
 	troubleAt    clock.Millis
@@ -110,14 +108,8 @@
 	return loading, queued
 }
 
-// Suspect reports whether the server could not be reached of late, by this daemon or,
-// unless it has answered this one meanwhile, by a peer.
+// Suspect reports whether the server could not be reached of late.
 func (member *Member) Suspect(now clock.Millis) bool {
-	return member.Unreached(now) || now < member.doubtedUntil
-}
-
-// Unreached reports whether this daemon could not reach the server of late.
-func (member *Member) Unreached(now clock.Millis) bool {
 	return now < member.suspectUntil
 }
 
--- a/internal/direct/gateway/dispatch.go
+++ b/internal/direct/gateway/dispatch.go
@@ -151,7 +151,7 @@
 	core.mutex.Lock()
 	now := core.now()
 	if failed != nil && failed.Dial {
-		gateway.unreachable(now, to.server.ID)
+		core.fleet.Unreachable(now, to.server.ID)
 	} else {
 		core.fleet.Answered(now, to.server.ID, true)
 	}
--- a/internal/direct/gateway/gossip.go
+++ b/internal/direct/gateway/gossip.go
@@ -16,7 +16,7 @@
 	case message.Update != nil:
 		gateway.updated(message.Update)
 	case message.Digest != nil:
-		gateway.takeDigest(from, message.Digest)
+		gateway.core.takeDigest(from, message.Digest)
 	case message.Want != nil:
 		gateway.wanted(from, *message.Want)
 	case message.Pull != nil:
--- a/internal/direct/gateway/orders.go
+++ b/internal/direct/gateway/orders.go
@@ -134,7 +134,7 @@
 	now := core.now()
 	member, known := core.fleet.Member(server)
 	fence, may := core.tenure.MayOrder(now, server)
-	if !known || !may || member.Unreached(now) || member.Draining {
+	if !known || !may || member.Suspect(now) || member.Draining {
 		core.mutex.Unlock()
 		return idleLook
 	}
@@ -186,8 +186,8 @@
 	if result == port.Fenced {
 		core.tenure.Fenced(now, target.ID)
 	}
-	if result == port.Unknown && ctx.Err() == nil {
-		gateway.unreachable(now, target.ID)
+	if result == port.Unknown {
+		core.fleet.Unreachable(now, target.ID)
 	}
 	held.planner.Done(now, order, result, core.traffic())
 	gateway.publish(target.ID, held)
@@ -259,7 +259,7 @@
 	now := core.now()
 	if err != nil {
 		core.log.Warn("report not read", "Server", target.ID, "Error", err.Error())
-		gateway.unreachable(now, target.ID)
+		core.fleet.Unreachable(now, target.ID)
 		return idleLook
 	}
 	held.born = max(report.Born, target.Born)
--- a/internal/direct/gateway/sight.go
+++ b/internal/direct/gateway/sight.go
@@ -57,7 +57,7 @@
 	defer core.mutex.Unlock()
 	if err != nil {
 		core.log.Warn("report not read", "Server", target.ID, "Error", err.Error())
-		gateway.unreachable(core.now(), target.ID)
+		core.fleet.Unreachable(core.now(), target.ID)
 		return
 	}
 	reported := fleet.Table{Server: target.ID, Born: max(report.Born, target.Born)}
--- a/internal/direct/gateway/spread.go
+++ b/internal/direct/gateway/spread.go
@@ -275,8 +275,7 @@
 }
 
 // takeDigest takes over a peer's news.
-func (gateway *Gateway) takeDigest(from string, digest *peers.Digest) {
-	core := gateway.core
+func (core *core) takeDigest(from string, digest *peers.Digest) {
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
 	now := core.now()
@@ -305,7 +304,6 @@
 	if digest.Store != nil {
 		core.takeStoreNews(now, digest.Store)
 	}
-	gateway.takeDown(now, from, digest.Down)
 }
 
 // takeShare takes over what a daemon has in progress. The mutex is held.
--- a/internal/direct/peers/message.go
+++ b/internal/direct/peers/message.go
@@ -44,13 +44,6 @@
 	Store  *StoreNews      // nil when the sender does not read the store for the receiver
 	Sums   *Sums           // nil when the sender is not the receiver's hub
 	Loads  map[string]Work // the sender's own work at servers where it has changed since it told last
-	Down   []Down
-}
-
-// Down is a server that the sender could not reach.
-type Down struct {
-	Server string
-	For    clock.Millis // the sender gives it no work
 }
 
 // Work is what a daemon has in progress at a server, and what it has sent there since it
@@ -159,12 +152,6 @@
 		Store  *StoreNews
 		Sums   *wireSums
 		Loads  []wireWork
-		Down   []wireDown
-	}
-	wireDown struct {
-		_      struct{} `cbor:",toarray"`
-		Server string
-		For    int64
 	}
 	wireWork struct {
 		_                   struct{} `cbor:",toarray"`
@@ -286,9 +273,6 @@
 	if digest.Sums != nil {
 		wire.Sums = encodeSums(digest.Sums)
 	}
-	for _, down := range digest.Down {
-		wire.Down = append(wire.Down, wireDown{Server: down.Server, For: int64(down.For)})
-	}
 	for server, load := range digest.Loads {
 		wire.Loads = append(wire.Loads, wireWork{Server: server, Runs: load.Runs, Reading: load.Reading, Sent: load.Sent})
 	}
@@ -340,9 +324,6 @@
 	if wire.Sums != nil {
 		digest.Sums = decodeSums(wire.Sums)
 	}
-	for _, down := range wire.Down {
-		digest.Down = append(digest.Down, Down{Server: down.Server, For: clock.Millis(down.For)})
-	}
 	if len(wire.Loads) > 0 {
 		digest.Loads = make(map[string]Work, len(wire.Loads))
 	}
--- a/internal/direct/peers/message_test.go
+++ b/internal/direct/peers/message_test.go
@@ -30,7 +30,6 @@
 			}},
 			Store: &peers.StoreNews{Items: []port.Item{{Key: "k", Value: []byte("v"), Revision: 4}}, AsOf: 5, Age: 6, Back: 7},
 			Loads: map[string]peers.Work{"s": {Load: tally.Load{Runs: 2, Reading: 30}, Sent: 40}, "r": {}},
-			Down:  []peers.Down{{Server: "s", For: 150}},
 		}},
 		{Digest: &peers.Digest{Sums: &peers.Sums{
 			Whole: true, Servers: map[string]tally.Sum{"s": {Load: tally.Load{Runs: 3, Reading: 40}, Adapters: 2}},
