loading: how many base models travel at once is learned

Cause: 0.23 of LoadsPerS was read off the sheets of known sites.

loading.ModelRate learns it from the loads that tables show: as long as none was slower than alone, twice as many may be tried where they begin together. What the configuration allows to begin in a second bounds it.

Conclusion: kept, as nothing may rest on a sheet; what a trial costs where servers are replaced twice is open.

--- a/internal/direct/loading/turn.go
+++ b/internal/direct/loading/turn.go
@@ -13,16 +13,6 @@
 // Servers take turns without a word between the daemons that order them, by what
 // tables say.
 
-// modelsShare is how many base models travel at full speed, over the loads that the
-// weight store allows in a second: the platform's sheets name 1 for 2.1, 6 for 26
-// and 9 for 40.
-const modelsShare = 0.23
-
-// ModelsAtOnce returns how many base models travel at full speed.
-func ModelsAtOnce(loadsPerSecond float64) int {
-	return max(1, int(modelsShare*loadsPerSecond+0.5))
-}
-
 // turnPatience is how long a turn is left to the server that is next before the one
 // behind it takes it: the daemon that orders the next one may be gone, or unable to
 // reach it.
@@ -35,8 +25,16 @@
 // Turns is one daemon's view of the base models on their way to the servers of a
 // service.
 type Turns struct {
-	ends map[string]clock.Millis // by server, when its load is expected to end
-	free clock.Millis            // since when it has been some server's turn; 0: it is none's
+	rate  *ModelRate
+	began map[string]modelStart   // by server, while its load is on its way
+	ends  map[string]clock.Millis // by server, when its load is expected to end
+	free  clock.Millis            // since when it has been some server's turn; 0: it is none's
+}
+
+// modelStart is how a load began.
+type modelStart struct {
+	at    clock.Millis
+	onWay int // itself included
 }
 
 // leastGain is how much earlier a load beside others must end to be worth it: a server
@@ -45,7 +43,17 @@
 
 // NewTurns returns turns without a load.
 func NewTurns() *Turns {
-	return &Turns{ends: make(map[string]clock.Millis)}
+	return &Turns{rate: NewModelRate(), began: make(map[string]modelStart), ends: make(map[string]clock.Millis)}
+}
+
+// AtOnce is how many base models travel at full speed, as far as was seen.
+func (turns *Turns) AtOnce() int {
+	return turns.rate.AtOnce()
+}
+
+// Trial is how many may begin together, to see whether they do.
+func (turns *Turns) Trial() int {
+	return turns.rate.Trial()
 }
 
 // Models is what is known of the base models of a service's servers.
@@ -54,6 +62,7 @@
 	Holding  []string     // servers that hold theirs
 	Waiting  []string     // servers that are to load theirs, the next one first
 	AtOnce   int          // loads that the weight store sends at full speed
+	Trial    int          // loads that may begin together, to see whether it sends more
 	LoadTime clock.Millis // of one of them
 }
 
@@ -85,6 +94,7 @@
 // time of a load counts from its start. The load of a server that has left goes on
 // until its expected end.
 func (turns *Turns) Note(now clock.Millis, models Models) {
+	turns.observe(now, models)
 	for server, endAt := range turns.ends {
 		loading := slices.Contains(models.Loading, server)
 		if slices.Contains(models.Holding, server) || !loading && now >= endAt {
@@ -94,6 +104,20 @@
 	for _, server := range models.Loading {
 		if _, known := turns.ends[server]; !known {
 			turns.ends[server] = now + models.span(len(turns.ends)) + endMargin
+			turns.began[server] = modelStart{at: now, onWay: len(turns.ends)}
+		}
+	}
+}
+
+// observe learns from loads that have ended.
+func (turns *Turns) observe(now clock.Millis, models Models) {
+	for server, start := range turns.began {
+		turns.rate.Lasts(start.onWay, now-start.at, models.LoadTime)
+		if slices.Contains(models.Holding, server) {
+			turns.rate.Observe(start.onWay, now-start.at, models.LoadTime)
+			delete(turns.began, server)
+		} else if !slices.Contains(models.Loading, server) {
+			delete(turns.began, server) // the server has left
 		}
 	}
 }
@@ -103,10 +127,24 @@
 	return models.LoadTime * clock.Millis(max(models.AtOnce, others+1)) / clock.Millis(models.AtOnce)
 }
 
+// trialShare is the part of a load's time within which loads begin together.
+const trialShare = 0.15
+
+// together reports whether all loads on their way have just begun.
+func (turns *Turns) together(now clock.Millis, models Models) bool {
+	for server := range turns.ends {
+		start, ok := turns.began[server]
+		if !ok || now-start.at > clock.Millis(trialShare*float64(models.LoadTime)) {
+			return false
+		}
+	}
+	return true
+}
+
 // pays reports whether a load that begins now ends well before one that waits for the
 // end of the next load on its way.
 func (turns *Turns) pays(now clock.Millis, models Models) bool {
-	if len(turns.ends) < models.AtOnce {
+	if len(turns.ends) < models.AtOnce || len(turns.ends) < models.Trial && turns.together(now, models) {
 		return true
 	}
 	next := clock.Millis(0)
