choose: costs of loads follow what was observed of the weight store

The 300, 60 and 160 ms of a load came from sheets where an adapter takes 250 ms; they are made of the observed time now, with the same values there.

--- a/internal/direct/choose/choose.go
+++ b/internal/direct/choose/choose.go
@@ -14,7 +14,7 @@
 // Weights are the parts of the expected time, in milliseconds unless they say
 // otherwise.
 type Weights struct {
-	ReadTokensPerMS float64 // prompt tokens that an engine reads in a millisecond
+	ReadTokensPerMS float64 // prompt tokens that an engine reads in a millisecond, as observed
 	Run             float64 // for each request in progress at the server
 	Queued          float64 // for each request beyond the server's slots
 	Load            float64 // of an adapter that the server does not hold
@@ -32,16 +32,34 @@
 	Homes           int     // servers, first in an adapter's order, that steps are counted among; 4 at most
 }
 
-// DefaultWeights returns weights for the engines of the platform: 19 to 26
-// prompt tokens a millisecond, 250 ms for an adapter.
+// DefaultWeights returns the weights that were measured, for adapters that take 250 ms
+// until others are observed.
 func DefaultWeights() Weights {
 	return Weights{
-		ReadTokensPerMS: 20, Run: 4, Queued: 40,
+		ReadTokensPerMS: firstReadRate, Run: 4, Queued: 40,
 		Load: 300, AtHand: 60, Coming: 160, Copy: 150, Crowded: 300, Orderless: 1500, Step: 40,
 		Trouble: 1500, Suspect: 3000, Away: 1, Relief: 100, Shortcut: true, Homes: 3,
 	}
 }
 
+// Costs of loads beside the time that they take: what an order and the news of its end
+// need, in milliseconds. A load on its way has 0.6 of its time left, on average, as seen by
+// those who hear of it late.
+const (
+	loadNews    = 50
+	recentNews  = 35
+	comingShare = 0.6
+)
+
+// Observed returns the weights with what was observed of engines and the weight store.
+func (weights Weights) Observed(tokensPerMS float64, load, recent clock.Millis) Weights {
+	weights.ReadTokensPerMS = tokensPerMS
+	weights.Load = float64(load) + loadNews
+	weights.AtHand = float64(recent) + recentNews
+	weights.Coming = comingShare*float64(load) + loadNews/5
+	return weights
+}
+
 // Query is what is known of a request.
 type Query struct {
 	Now        clock.Millis
--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -159,7 +159,6 @@
 
 // choose picks a server. The mutex is held.
 func (core *core) choose(query choose.Query, hash uint64) (choose.Choice, bool) {
-	weights := core.options.Weights
-	weights.ReadTokensPerMS = core.reading.TokensPerMS()
+	weights := core.options.Weights.Observed(core.reading.TokensPerMS(), core.rate.LoadTime(), core.rate.RecentTime())
 	return weights.Choose(query, hash, core.fleet, core.work)
 }
