--- a/internal/direct/fleet/fleet_test.go
+++ b/internal/direct/fleet/fleet_test.go
@@ -176,3 +176,28 @@
 	require.True(t, member.Bare(), "it has restarted")
 	require.True(t, member.OnDisk("m"))
 }
+
+// TestReportCountsUntilADaemonTells: what a server says of itself holds while nobody who
+// orders it has told, and not after it has restarted.
+func TestReportCountsUntilADaemonTells(t *testing.T) {
+	servers := fleet.New(fleet.DefaultOptions())
+	running := server("a")
+	running.Born = 100
+	servers.Put(running, 1)
+	member, _ := servers.Member("a")
+	require.True(t, member.Unread())
+	held := port.Adapter{Model: "m", Name: "held"}
+	servers.SetReported(fleet.Table{Server: "a", Born: 100, Models: []string{"m"}, Slots: []fleet.Slot{{Adapter: held, Version: 1}}})
+	require.False(t, member.Unread())
+	require.True(t, member.HoldsModel("m"))
+	require.Len(t, servers.Holders(held), 1)
+	told := port.Adapter{Model: "m", Name: "told"}
+	servers.SetTable(fleet.Table{Server: "a", Born: 100, Fence: 1, Number: 1, Models: []string{"m"}, Slots: []fleet.Slot{{Adapter: told, Version: 1}}})
+	servers.SetReported(fleet.Table{Server: "a", Born: 100, Slots: []fleet.Slot{{Adapter: held, Version: 1}}})
+	require.Empty(t, servers.Holders(held), "the daemon that orders it knows better")
+	require.Len(t, servers.Holders(told), 1)
+	running.Born = 200
+	servers.Put(running, 2)
+	require.Empty(t, servers.Holders(told))
+	require.True(t, member.Unread(), "it has restarted")
+}
--- /dev/null
+++ b/internal/direct/gateway/reading.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/direct/peers"
+	"teaselmoor/internal/direct/tally"
+)
+
+// tellReading tells the daemons of a mesh which prompts have begun or ceased to be read
+// since it told last. An engine reads one in some ten milliseconds: what the digests say
+// of it is over when they come.
+func (gateway *Gateway) tellReading() {
+	core := gateway.core
+	core.mutex.Lock()
+	plan := core.plan(core.now())
+	loads := core.changedReading()
+	core.mutex.Unlock()
+	if len(loads) == 0 || plan.Pace > 1 {
+		return
+	}
+	encoded, err := peers.Encode(peers.Message{Digest: &peers.Digest{Loads: loads}})
+	if err != nil {
+		gateway.log.Error("news not encoded", "Error", err.Error())
+		return
+	}
+	for _, target := range plan.Targets {
+		gateway.mesh.SendEncoded(target.Address, encoded)
+	}
+}
+
+// changedReading returns this daemon's work at the servers where the prompts being read
+// have changed since it was called last. The mutex is held.
+func (core *core) changedReading() map[string]peers.Work {
+	own := core.work.Own().Loads
+	changed := make(map[string]peers.Work)
+	for server, load := range own {
+		if load.Reading != core.toldReading[server] {
+			changed[server] = peers.Work{Load: load}
+		}
+	}
+	for server := range core.toldReading {
+		if _, ok := own[server]; !ok {
+			changed[server] = peers.Work{}
+		}
+	}
+	for server, sent := range core.sentTokens {
+		changed[server] = peers.Work{Load: own[server], Sent: sent}
+	}
+	clear(core.sentTokens)
+	core.noteTold(changed)
+	return changed
+}
+
+// noteTold remembers what peers are told. The mutex is held.
+func (core *core) noteTold(changed map[string]peers.Work) {
+	for server, work := range changed {
+		if work.Reading == 0 {
+			delete(core.toldReading, server)
+			continue
+		}
+		core.toldReading[server] = work.Reading
+	}
+}
+
+// takeWork takes over what a peer has in progress and has sent. The mutex is held.
+func (core *core) takeWork(now clock.Millis, from string, news map[string]peers.Work) {
+	loads := make(map[string]tally.Load, len(news))
+	for server, work := range news {
+		loads[server] = work.Load
+		if work.Sent > 0 {
+			core.intake.Add(now, server, work.Sent, core.reading.TokensPerMS())
+		}
+	}
+	core.work.PeerLoads(from, loads)
+}
--- a/internal/direct/gateway/spread.go
+++ b/internal/direct/gateway/spread.go
@@ -92,61 +92,6 @@
 	}
 }
 
-// tellReading tells the daemons of a mesh which prompts have begun or ceased to be read
-// since it told last. An engine reads one in some ten milliseconds: what the digests say
-// of it is over when they come.
-func (gateway *Gateway) tellReading() {
-	core := gateway.core
-	core.mutex.Lock()
-	plan := core.plan(core.now())
-	loads := core.changedReading()
-	core.mutex.Unlock()
-	if len(loads) == 0 || plan.Pace > 1 {
-		return
-	}
-	encoded, err := peers.Encode(peers.Message{Digest: &peers.Digest{Loads: loads}})
-	if err != nil {
-		gateway.log.Error("news not encoded", "Error", err.Error())
-		return
-	}
-	for _, target := range plan.Targets {
-		gateway.mesh.SendEncoded(target.Address, encoded)
-	}
-}
-
-// changedReading returns this daemon's work at the servers where the prompts being read
-// have changed since it was called last. The mutex is held.
-func (core *core) changedReading() map[string]peers.Work {
-	changed := make(map[string]peers.Work)
-	own := core.work.Own().Loads
-	for server, load := range own {
-		if load.Reading != core.toldReading[server] || core.sentTokens[server] > 0 {
-			changed[server] = peers.Work{Load: load, Sent: core.sentTokens[server]}
-			core.toldReading[server] = load.Reading
-		}
-	}
-	for server := range core.toldReading {
-		if _, ok := own[server]; !ok {
-			changed[server] = peers.Work{Sent: core.sentTokens[server]}
-			delete(core.toldReading, server)
-		}
-	}
-	clear(core.sentTokens)
-	return changed
-}
-
-// takeWork takes over what a peer has in progress and has sent. The mutex is held.
-func (core *core) takeWork(now clock.Millis, from string, news map[string]peers.Work) {
-	loads := make(map[string]tally.Load, len(news))
-	for server, work := range news {
-		loads[server] = work.Load
-		if work.Sent > 0 {
-			core.intake.Add(now, server, work.Sent, core.reading.TokensPerMS())
-		}
-	}
-	core.work.PeerLoads(from, loads)
-}
-
 // due reports whether it is time for a digest: in a site with hubs each tells all
 // it knows to many, and less often.
 func (core *core) due() bool {
--- a/internal/direct/loading/rate.go
+++ b/internal/direct/loading/rate.go
@@ -21,16 +21,16 @@
 // too early costs one order, to look too late makes requests wait.
 const firstLoadTime = 100
 
-// step is the part by which an estimate moves towards a bound that contradicts it.
-const step = 1.0 / 3
+// rateStep is the part by which an estimate moves towards a bound that contradicts it.
+const rateStep = 1.0 / 3
 
-// doubt is the part by which the load time rises with a load that was slower than the
+// rateDoubt is the part by which the load time rises with a load that was slower than the
 // number on their way explains.
-const doubt = step / 4
+const rateDoubt = rateStep / 4
 
-// slack is how much longer than at full speed a load may take without telling that the
+// rateSlack is how much longer than at full speed a load may take without telling that the
 // store is crowded: estimates of the load time are that far off.
-const slack = 1.2
+const rateSlack = 1.2
 
 // firstLook is when a load is first looked at, as a part of the time that it is expected
 // to take: an estimate that is too high is only noticed by looking before.
@@ -96,13 +96,13 @@
 		rate.observed = true
 		rate.loadTime = most / rate.crowd(seen.OnWay, seen.Servers)
 	case most < rate.loadTime: // it cannot have travelled faster than at full speed
-		rate.loadTime += step * (most - rate.loadTime)
-	case onWay <= atOnce/2 || onWay <= atOnce && least < slack*rate.loadTime:
-		rate.loadTime += step * max(0, least-rate.loadTime)
+		rate.loadTime += rateStep * (most - rate.loadTime)
+	case onWay <= atOnce/2 || onWay <= atOnce && least < rateSlack*rate.loadTime:
+		rate.loadTime += rateStep * max(0, least-rate.loadTime)
 	case least > rate.loadTime && atOnce > onWay*rate.loadTime/least:
-		rate.atOnce = max(1, atOnce+step*(onWay*rate.loadTime/least-atOnce))
+		rate.atOnce = max(1, atOnce+rateStep*(onWay*rate.loadTime/least-atOnce))
 		// It may be the load time as well: both too low fit loads of a crowded store.
-		rate.loadTime += doubt * (least - rate.loadTime)
+		rate.loadTime += rateDoubt * (least - rate.loadTime)
 	case onWay > atOnce && atOnce < onWay*rate.loadTime/most:
 		rate.atOnce = atOnce + step*(onWay*rate.loadTime/most-atOnce)
 	}
--- a/internal/direct/tally/tally_test.go
+++ b/internal/direct/tally/tally_test.go
@@ -104,3 +104,23 @@
 		}
 	})
 }
+
+// TestPeerLoads: news of some servers replaces what a peer has in progress there, and
+// the whole share that comes later counts once.
+func TestPeerLoads(t *testing.T) {
+	counted := tally.New()
+	counted.PeerLoads("peer", map[string]tally.Load{"a": {Runs: 1, Reading: 10}})
+	require.Zero(t, counted.Load("a"), "its whole share was not heard yet")
+	share := tally.Share{Loads: map[string]tally.Load{"a": {Runs: 1, Reading: 10}, "b": {Runs: 2}}}
+	counted.Peer("peer", share)
+	counted.PeerLoads("peer", map[string]tally.Load{"a": {Runs: 3, Reading: 40}, "c": {Runs: 1, Reading: 5}, "b": {}})
+	require.Equal(t, tally.Load{Runs: 3, Reading: 40}, counted.Load("a"))
+	require.Zero(t, counted.Load("b"))
+	require.Equal(t, tally.Load{Runs: 1, Reading: 5}, counted.Load("c"))
+	require.Equal(t, tally.Load{Runs: 1, Reading: 10}, share.Loads["a"], "the share is the caller's")
+	counted.Peer("peer", tally.Share{Loads: map[string]tally.Load{"a": {Runs: 1}}})
+	require.Equal(t, tally.Load{Runs: 1}, counted.Load("a"))
+	require.Zero(t, counted.Load("c"))
+	counted.Forget("peer")
+	require.Zero(t, counted.Load("a"))
+}
