--- a/internal/direct/loading/rate.go
+++ b/internal/direct/loading/rate.go
@@ -104,6 +104,6 @@
 		// It may be the load time as well: both too low fit loads of a crowded store.
 		rate.loadTime += rateDoubt * (least - rate.loadTime)
 	case onWay > atOnce && atOnce < onWay*rate.loadTime/most:
-		rate.atOnce = atOnce + step*(onWay*rate.loadTime/most-atOnce)
+		rate.atOnce = atOnce + rateStep*(onWay*rate.loadTime/most-atOnce)
 	}
 }
