--- a/internal/direct/fleet/fleet.go
+++ b/internal/direct/fleet/fleet.go
@@ -199,8 +199,8 @@
 	return member.table.Fence > 0 && member.table.Born >= member.Born
 }
 
-// Unread reports whether neither a daemon nor the server itself has said what it holds.
-func (member *Member) Unread() bool {
+// HoldingsUnknown reports whether neither a daemon nor the server itself has said what it holds.
+func (member *Member) HoldingsUnknown() bool {
 	return !member.told() && (member.reported.Server == "" || member.reported.Born < member.Born)
 }
 
--- a/internal/direct/fleet/fleet_test.go
+++ b/internal/direct/fleet/fleet_test.go
@@ -185,10 +185,10 @@
 	running.Born = 100
 	servers.Put(running, 1)
 	member, _ := servers.Member("a")
-	require.True(t, member.Unread())
+	require.True(t, member.HoldingsUnknown())
 	held := port.Adapter{Model: "m", Name: "held"}
 	servers.SetReported(fleet.Table{Server: "a", Born: 100, Models: []string{"m"}, Slots: []fleet.Slot{{Adapter: held, Version: 1}}})
-	require.False(t, member.Unread())
+	require.False(t, member.HoldingsUnknown())
 	require.True(t, member.HoldsModel("m"))
 	require.Len(t, servers.Holders(held), 1)
 	told := port.Adapter{Model: "m", Name: "told"}
@@ -199,5 +199,5 @@
 	running.Born = 200
 	servers.Put(running, 2)
 	require.Empty(t, servers.Holders(told))
-	require.True(t, member.Unread(), "it has restarted")
+	require.True(t, member.HoldingsUnknown(), "it has restarted")
 }
--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -29,36 +29,36 @@
 	wall     clock.Source
 	log      *slog.Logger
 
-	mutex        sync.Mutex
-	catalog      *catalog.Catalog
-	fleet        *fleet.Fleet
-	work         *tally.Tally
-	tenure       *tenure.Tenure
-	store        *storeCopy
-	versions     map[port.Adapter]namedVersion
-	budgets      map[string]*retry.Budget        // by service
-	orders       map[string]*ordering            // by server, those that this daemon orders
-	turns        map[string]*loading.Turns       // of loads of base models, by service
-	rate         *loading.Rate                   // of the weight store for adapters
-	peers        map[string]*peerState           // by name
-	told         map[string]*toldState           // by address
-	shares       map[string]peers.DaemonShare    // by daemon, this one included
-	sums         map[string]map[string]tally.Sum // of others' work, by hub and server
-	askedAt      map[port.Adapter]clock.Millis   // when callers last asked for an adapter here
-	toldReading  map[string]int                  // prompt tokens being read by server, as peers were last told
-	intake       *choose.Intake                  // prompts sent of late to each server, by all daemons
-	sentTokens   map[string]int                  // prompt tokens sent by server, since peers were last told
-	reading      *choose.ReadRate                // of engines
-	sighted      map[string]clock.Millis         // when a server's report was last read for want of its table
-	hub          string                          // whose sums count; empty: each daemon tells itself
-	digestAt     clock.Millis                    // when digests were last due
-	updatedAt    clock.Millis                    // when an update was last told
-	memberNumber int64                           // rises when a peer is found or forgotten
-	changed      chan struct{}                   // closed when holdings change
-	dirty        chan struct{}                   // holds a token when peers should be told soon
-	leaving      bool
-	ordersGiven  int64
-	born         int64 // wall clock at the start, in milliseconds
+	mutex         sync.Mutex
+	catalog       *catalog.Catalog
+	fleet         *fleet.Fleet
+	work          *tally.Tally
+	tenure        *tenure.Tenure
+	store         *storeCopy
+	versions      map[port.Adapter]namedVersion
+	budgets       map[string]*retry.Budget        // by service
+	orders        map[string]*ordering            // by server, those that this daemon orders
+	turns         map[string]*loading.Turns       // of loads of base models, by service
+	loadRate      *loading.Rate                   // of the weight store for adapters
+	peers         map[string]*peerState           // by name
+	told          map[string]*toldState           // by address
+	shares        map[string]peers.DaemonShare    // by daemon, this one included
+	sums          map[string]map[string]tally.Sum // of others' work, by hub and server
+	askedAt       map[port.Adapter]clock.Millis   // when callers last asked for an adapter here
+	toldReading   map[string]int                  // prompt tokens being read by server, as peers were last told
+	intake        *choose.Intake                  // prompts sent of late to each server, by all daemons
+	sentTokens    map[string]int                  // prompt tokens sent by server, since peers were last told
+	readRate      *choose.ReadRate                // of engines
+	reportAskedAt map[string]clock.Millis         // when a server's report was last read for want of its table
+	hub           string                          // whose sums count; empty: each daemon tells itself
+	digestAt      clock.Millis                    // when digests were last due
+	updatedAt     clock.Millis                    // when an update was last told
+	memberNumber  int64                           // rises when a peer is found or forgotten
+	changed       chan struct{}                   // closed when holdings change
+	dirty         chan struct{}                   // holds a token when peers should be told soon
+	leaving       bool
+	ordersGiven   int64
+	born          int64 // wall clock at the start, in milliseconds
 }
 
 // namedVersion is the newest version of an adapter and when it became known.
@@ -93,8 +93,8 @@
 		fleet: fleet.New(options.Fleet), work: tally.New(),
 		tenure: tenure.New(options.Tenure, settings.Name, now(), wall), store: newStoreCopy(),
 		versions: make(map[port.Adapter]namedVersion), budgets: make(map[string]*retry.Budget),
-		orders: make(map[string]*ordering), turns: make(map[string]*loading.Turns), rate: loading.NewRate(), peers: make(map[string]*peerState),
-		told: make(map[string]*toldState), askedAt: make(map[port.Adapter]clock.Millis), toldReading: make(map[string]int), reading: choose.NewReadRate(), intake: choose.NewIntake(), sentTokens: make(map[string]int), sighted: make(map[string]clock.Millis), sums: make(map[string]map[string]tally.Sum), shares: make(map[string]peers.DaemonShare), changed: make(chan struct{}), dirty: make(chan struct{}, 1),
+		orders: make(map[string]*ordering), turns: make(map[string]*loading.Turns), loadRate: loading.NewRate(), peers: make(map[string]*peerState),
+		told: make(map[string]*toldState), askedAt: make(map[port.Adapter]clock.Millis), toldReading: make(map[string]int), readRate: choose.NewReadRate(), intake: choose.NewIntake(), sentTokens: make(map[string]int), reportAskedAt: make(map[string]clock.Millis), sums: make(map[string]map[string]tally.Sum), shares: make(map[string]peers.DaemonShare), changed: make(chan struct{}), dirty: make(chan struct{}, 1),
 		born: int64(wall()),
 	}
 }
@@ -159,6 +159,6 @@
 
 // choose picks a server. The mutex is held.
 func (core *core) choose(query choose.Query, hash uint64) (choose.Choice, bool) {
-	weights := core.options.Weights.Observed(core.reading.TokensPerMS(), core.rate.LoadTime(), core.rate.RecentTime())
+	weights := core.options.Weights.Observed(core.readRate.TokensPerMS(), core.loadRate.LoadTime(), core.loadRate.RecentTime())
 	return weights.Choose(query, hash, core.fleet, core.work)
 }
--- a/internal/direct/gateway/dispatch.go
+++ b/internal/direct/gateway/dispatch.go
@@ -87,7 +87,7 @@
 	}
 	job.offers++
 	gateway.log.Info(ending.MessageSent, "Request", job.call.Attempt, "Server", to.server.ID, "Adapter", job.adapter.Name, "Prompt", job.call.Prompt, "Alone", to.alone,
-		"Offer", job.offers, "CostMillis", int(to.cost), "LeftMillis", left, "Version", to.version, "WaitedMillis", job.waited)
+		"Offer", job.offers, "CostMillis", int(to.cost), "LeftMillis", left, "Version", to.version, "WaitedMillis", job.waited, "HeldMillis", job.held)
 	tryCtx, cancel := context.WithTimeout(ctx, job.tryTime(left).Duration())
 	defer cancel()
 	answer, err := gateway.pool.Send(tryCtx, to.server.Address, gateway.outgoing(tryCtx, job, to, left), gateway.matches(job))
--- a/internal/direct/gateway/handler.go
+++ b/internal/direct/gateway/handler.go
@@ -28,10 +28,11 @@
 	arrived  clock.Millis
 	deadline clock.Millis // the caller's or the route's, whichever is first
 
-	tried    []string // servers not to try again
-	sends    int      // servers that may have run it
-	offers   int      // times that it was sent
-	waited   clock.Millis
+	tried    []string     // servers not to try again
+	sends    int          // servers that may have run it
+	offers   int          // times that it was sent
+	waited   clock.Millis // for its adapter, or held
+	held     clock.Millis // of it, while its engine read other prompts
 	started  bool         // the head of an answer went to the caller
 	heardAt  clock.Millis // when the caller last got something; its arrival until then
 	lastSent string       // the last event that went to the caller whole
--- a/internal/direct/gateway/sight.go
+++ b/internal/direct/gateway/holdings.go
@@ -8,33 +8,34 @@
 	"teaselmoor/internal/direct/port"
 )
 
-// sightsAtOnce bounds the reports that are read at a time: a daemon of a large site
+// reportsAtOnce bounds the reports that are read at a time: a daemon of a large site
 // that starts alone hears most tables from its peers before it has read them.
-const sightsAtOnce = 16
+const reportsAtOnce = 16
 
-// sightAgain is how long after a report could not be read it is read again.
-const sightAgain = clock.Second
+// reportAgain is how long after a report could not be read it is read again.
+const reportAgain = clock.Second
 
-// sight reads the reports of servers of which nobody has told yet what they hold. Only
-// orders need a claim; what a server holds can be read by anyone. Without it the
-// adapters that servers hold were unknown for 1.7 s after a loss of all daemons: 85 of
-// 100 requests asked for one of those, and more than half were refused or late.
-func (gateway *Gateway) sight(now clock.Millis) {
+// learnHoldings reads the reports of servers of which nobody has told yet what they
+// hold. Only orders need a claim; what a server holds can be read by anyone. Without it
+// the adapters that servers hold were unknown for 1.7 s after a loss of all daemons: 85
+// of 100 requests asked for one of those, and more than half were refused or late.
+func (gateway *Gateway) learnHoldings(now clock.Millis) {
 	core := gateway.core
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
-	for _, member := range core.unread(now) {
-		core.sighted[member.ID] = now
+	for _, member := range core.unknownHoldings(now) {
+		core.reportAskedAt[member.ID] = now
 		target := member.Server
-		gateway.group.Go("sight "+target.ID, func(ctx context.Context) error {
-			gateway.sightServer(ctx, target)
+		gateway.group.Go("holdings "+target.ID, func(ctx context.Context) error {
+			gateway.readHoldings(ctx, target)
 			return nil
 		})
 	}
 }
 
-// unread returns the servers whose reports are to be read now. The mutex is held.
-func (core *core) unread(now clock.Millis) []*fleet.Member {
+// unknownHoldings returns the servers whose reports are to be read now. The mutex is
+// held.
+func (core *core) unknownHoldings(now clock.Millis) []*fleet.Member {
 	if core.catalog == nil {
 		return nil
 	}
@@ -42,15 +43,15 @@
 	for _, member := range core.fleet.Members() {
 		service := core.catalog.Services[member.Service]
 		engine := service != nil && service.Engine != nil
-		asked, ok := core.sighted[member.ID]
-		if engine && member.Unread() && !member.Suspect(now) && (!ok || now-asked >= sightAgain) && len(unread) < sightsAtOnce {
+		asked, ok := core.reportAskedAt[member.ID]
+		if engine && member.HoldingsUnknown() && !member.Suspect(now) && (!ok || now-asked >= reportAgain) && len(unread) < reportsAtOnce {
 			unread = append(unread, member)
 		}
 	}
 	return unread
 }
 
-func (gateway *Gateway) sightServer(ctx context.Context, target port.Server) {
+func (gateway *Gateway) readHoldings(ctx context.Context, target port.Server) {
 	report, err := gateway.servers.Report(ctx, target)
 	core := gateway.core
 	core.mutex.Lock()
--- a/internal/direct/gateway/orders.go
+++ b/internal/direct/gateway/orders.go
@@ -79,7 +79,7 @@
 		return ok && member.AtHand(adapter)
 	}
 	held := &ordering{
-		planner: loading.New(core.options.Loading, loading.Limits{}, core.rate, atHand), fence: fence,
+		planner: loading.New(core.options.Loading, loading.Limits{}, core.loadRate, atHand), fence: fence,
 		wake: make(chan struct{}, 1), stop: cancel, askers: make(map[string]clock.Millis),
 	}
 	core.orders[server] = held
--- a/internal/direct/gateway/place.go
+++ b/internal/direct/gateway/place.go
@@ -40,7 +40,7 @@
 	defer core.mutex.Unlock()
 	core.work.First(placement.to.use, placement.prompt)
 	if placement.to.alone {
-		core.reading.Observe(placement.prompt, core.now()-placement.to.at)
+		core.readRate.Observe(placement.prompt, core.now()-placement.to.at)
 	}
 	placement.prompt = 0
 }
@@ -98,6 +98,7 @@
 		if choice.Held && ctx.Err() == nil && core.holds(now, now-started, job, use.Server) {
 			core.move(at, use, 0)
 			gateway.await(ctx, core.options.Hold.Look)
+			job.held += core.now() - now
 			continue
 		}
 		if choice.Held {
@@ -128,7 +129,7 @@
 	if !job.engine {
 		return false
 	}
-	rate := core.reading.TokensPerMS()
+	rate := core.readRate.TokensPerMS()
 	prompt := choose.Prompt{Tokens: job.call.Prompt, Goal: job.route.Goal, GapGoal: job.route.GapGoal, Waited: job.waited + waited}
 	return core.options.Hold.Holds(prompt, core.intake.Tokens(now, server, rate), rate)
 }
@@ -207,7 +208,7 @@
 func (core *core) loadWait(server *fleet.Member) clock.Millis {
 	options := core.options.Loading
 	loading, queued := core.coming()
-	atOnce := core.rate.AtOnce(core.engines())
+	atOnce := core.loadRate.AtOnce(core.engines())
 	everywhere := turnsAhead(loading+queued, atOnce)
 	incoming := options.MostIncoming
 	if loading+queued >= atOnce {
@@ -215,7 +216,7 @@
 	}
 	loadingHere, queuedHere := server.Coming()
 	here := turnsAhead(loadingHere+queuedHere, incoming)
-	loadTime := core.rate.LoadTime()
+	loadTime := core.loadRate.LoadTime()
 	return loadTime + clock.Millis(float64(loadTime)*max(everywhere, here))
 }
 
@@ -227,7 +228,7 @@
 func (core *core) settled(now, started clock.Millis, job *job, choice choose.Choice, use tally.Use) placed {
 	job.waited += now - started
 	if job.engine {
-		core.intake.Add(now, use.Server, job.call.Prompt, core.reading.TokensPerMS())
+		core.intake.Add(now, use.Server, job.call.Prompt, core.readRate.TokensPerMS())
 		core.sentTokens[use.Server] += job.call.Prompt
 	}
 	if held, ok := core.orders[use.Server]; ok {
@@ -250,7 +251,7 @@
 // askCopy asks for a further copy of an adapter. The mutex is held.
 func (gateway *Gateway) askCopy(job *job, server *fleet.Member, now clock.Millis) {
 	traffic := gateway.core.traffic()
-	if float64(traffic.OnWay) > copyCrowd*float64(gateway.core.rate.AtOnce(traffic.Servers)) {
+	if float64(traffic.OnWay) > copyCrowd*float64(gateway.core.loadRate.AtOnce(traffic.Servers)) {
 		return
 	}
 	gateway.ask(job, tally.Use{Server: server.ID, Adapter: job.adapter}, now, copyLife)
--- a/internal/direct/gateway/reading.go
+++ b/internal/direct/gateway/reading.go
@@ -68,7 +68,7 @@
 	for server, work := range news {
 		loads[server] = work.Load
 		if work.Sent > 0 {
-			core.intake.Add(now, server, work.Sent, core.reading.TokensPerMS())
+			core.intake.Add(now, server, work.Sent, core.readRate.TokensPerMS())
 		}
 	}
 	core.work.PeerLoads(from, loads)
