--- /dev/null
+++ b/internal/direct/tally/group_test.go
@@ -0,0 +1,52 @@
+package tally_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"teaselmoor/internal/direct/port"
+	"teaselmoor/internal/direct/tally"
+)
+
+// share draws what a daemon has in progress.
+func share(t *rapid.T, name string) tally.Share {
+	drawn := tally.Share{Loads: make(map[string]tally.Load), Uses: make(map[tally.Use]int)}
+	for range rapid.IntRange(0, 6).Draw(t, name) {
+		server := rapid.SampledFrom([]string{"s1", "s2", "s3"}).Draw(t, "server")
+		adapter := port.Adapter{Model: "m", Name: rapid.SampledFrom([]string{"a", "b", ""}).Draw(t, "adapter")}
+		load := drawn.Loads[server]
+		load.Runs++
+		load.Reading += 10 * rapid.IntRange(0, 3).Draw(t, "reading")
+		drawn.Loads[server] = load
+		drawn.Uses[tally.Use{Server: server, Adapter: adapter}]++
+	}
+	return drawn
+}
+
+// TestChanges: a share with the changes to another one is that other one.
+func TestChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		before, after := share(t, "before"), share(t, "after")
+		changes := after.Changes(before)
+		require.Equal(t, after, before.With(changes))
+		require.True(t, after.Changes(after).Empty())
+		for use := range changes.Uses {
+			require.Contains(t, changes.Loads, use.Server, "uses travel with the load of their server")
+		}
+	})
+}
+
+// TestGroup: a hub tells the work of its group, not that of other hubs' groups.
+func TestGroup(t *testing.T) {
+	counted := tally.New()
+	adapter := port.Adapter{Model: "m", Name: "a"}
+	counted.Begin(tally.Use{Server: "s1", Adapter: adapter}, 20)
+	counted.Peer("near", tally.Share{Loads: map[string]tally.Load{"s1": {Runs: 2, Reading: 5}}, Uses: map[tally.Use]int{{Server: "s1", Adapter: adapter}: 2}})
+	counted.Peer("hub", tally.Share{Loads: map[string]tally.Load{"s1": {Runs: 9}, "s2": {Runs: 1}}, Uses: map[tally.Use]int{}})
+	group := counted.Group([]string{"near"})
+	require.Equal(t, map[string]tally.Load{"s1": {Runs: 3, Reading: 25}}, group.Loads)
+	require.Equal(t, map[tally.Use]int{{Server: "s1", Adapter: adapter}: 3}, group.Uses)
+	require.Equal(t, tally.Load{Runs: 12, Reading: 25}, counted.Load("s1"))
+}
--- /dev/null
+++ b/internal/direct/tenure/promote_test.go
@@ -0,0 +1,64 @@
+package tenure_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/direct/tenure"
+)
+
+// TestPromotedDaemonWaitsForTheQuietSpan: it has not heard every claim until now, and a
+// daemon that it never heard may have given orders up to then.
+func TestPromotedDaemonWaitsForTheQuietSpan(t *testing.T) {
+	now := clock.Millis(1_000_000)
+	daemon, options := begun(&now)
+	now += 20 * clock.Second
+	daemon.Tick(now)
+	daemon.Promoted(now)
+	for promoted := now; now < promoted+options.Quiet; now += 100 {
+		daemon.Tick(now)
+		daemon.Heard(now, tenure.Word{Peer: "b", Interval: 500, Named: []string{}})
+		require.Empty(t, daemon.Claim(now, []string{"s1", "s2", "s3", "s4"}))
+	}
+	daemon.Tick(now)
+	require.NotEmpty(t, daemon.Claim(now, []string{"s1", "s2", "s3", "s4"}))
+}
+
+// TestIdleDaemonIsPassedOver: a free server does not wait for a daemon that keeps what
+// it has and claims no more; what that one has stays its own.
+func TestIdleDaemonIsPassedOver(t *testing.T) {
+	now := clock.Millis(1_000_000)
+	daemon, options := begun(&now)
+	servers := []string{"s1", "s2", "s3", "s4", "s5", "s6", "s7", "s8"}
+	idle := tenure.Word{Peer: "b", Interval: 500, Claims: []tenure.Claim{{Server: "s1", Fence: 7}}, Idle: true}
+	for range options.Quiet/100 + 10 {
+		now += 100
+		daemon.Tick(now)
+		daemon.Heard(now, idle)
+		daemon.Claim(now, servers)
+	}
+	for _, server := range servers[1:] {
+		_, held := daemon.Holds(server)
+		require.True(t, held, server)
+	}
+	_, held := daemon.Holds("s1")
+	require.False(t, held)
+}
+
+// TestNamedNoMore: a daemon that starts does not wait for one that nobody names any more.
+func TestNamedNoMore(t *testing.T) {
+	servers := []string{"s1", "s2", "s3", "s4", "s5", "s6", "s7", "s8"}
+	now := clock.Millis(1_000_000)
+	options := tenure.DefaultOptions(lease, true)
+	daemon := tenure.New(options, "a", now, wallAt(&now))
+	daemon.Heard(now, tenure.Word{Peer: "b", Interval: 500, Named: []string{"a", "c"}})
+	for range options.StartWait / 100 {
+		now += 100
+		daemon.Tick(now)
+	}
+	require.Empty(t, daemon.Claim(now, servers), "c was not heard")
+	daemon.Heard(now, tenure.Word{Peer: "b", Interval: 500, Named: []string{"a"}})
+	require.NotEmpty(t, daemon.Claim(now, servers))
+}
