--- a/internal/direct/gateway/gossip.go
+++ b/internal/direct/gateway/gossip.go
@@ -125,6 +125,7 @@
 	changed := core.reconsider(now)
 	core.renewOwners(now)
 	gateway.addCopies(now)
+	maps.DeleteFunc(core.askers, func(server string, _ askers) bool { _, ok := core.fleet.Member(server); return !ok })
 	maps.DeleteFunc(core.copiesAsked, func(_ port.Adapter, asked askedCopies) bool { return now-asked.at >= copyNews })
 	core.noteModels(now)
 	for _, id := range core.fleet.Tick(now) {
