--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -30,46 +30,58 @@
 	wall     clock.Source
 	log      *slog.Logger
 
-	mutex         sync.Mutex
-	catalog       *catalog.Catalog
+	startedAt clock.Millis
+	born      int64      // wall clock at the start, in milliseconds
+	mutex     sync.Mutex // guards the fields below
+
+	// What the store says.
+	catalog  *catalog.Catalog
+	store    *storeCopy
+	versions map[port.Adapter]namedVersion
+
+	// Backend servers, and the work at them.
 	fleet         *fleet.Fleet
 	work          *tally.Tally
-	tenure        *tenure.Tenure
-	store         *storeCopy
-	versions      map[port.Adapter]namedVersion
-	budgets       map[string]*retry.Budget  // by service
-	orders        map[string]*ordering      // by server, those that this daemon orders
-	turns         map[string]*loading.Turns // of loads of base models, by service
-	loadRate      *loading.Rate             // of the weight store for adapters
-	members       *membership.Membership
-	owners        map[string]string // who gives orders to a server, as this daemon's hub says or as a hub tells
-	ownersNumber  int64             // rises with each change of owners that this daemon makes
-	learned       loading.Learned   // of the weight store, as this daemon tells it as a hub
-	copiesAsked   map[port.Adapter]askedCopies
-	askers        map[string]askers               // by server, the daemons that this one has passed wants on for
-	nameAt        map[string]string               // the daemon at an address that a connection is kept to
-	seedAt        map[string]bool                 // addresses of seeds that a connection is kept to
-	told          map[string]*toldState           // by address
-	shares        map[string]peers.DaemonShare    // by daemon, this one included
-	group         groupShare                      // of this daemon as a hub
-	groupChanges  tally.Share                     // what differs in it from the number before
-	groups        map[string]groupShare           // of other hubs
-	sums          map[string]map[string]tally.Sum // of others' work, by hub and server
-	askedAt       map[port.Adapter]clock.Millis   // when callers last asked for an adapter here
-	toldReading   map[string]int                  // prompt tokens being read by server, as peers were last told
-	intake        *choose.Intake                  // prompts sent of late to each server, by all daemons
-	sentTokens    map[string]int                  // prompt tokens sent by server, since peers were last told
-	readRate      *choose.ReadRate                // of engines
-	reportAskedAt map[string]clock.Millis         // when a server's report was last read for want of its table
-	startedAt     clock.Millis
-	hubAt         clock.Millis  // when this daemon last had a hub; its start if it had none
-	hub           string        // whose sums count; empty: each daemon tells itself
-	changed       chan struct{} // closed when holdings change
-	workChanged   chan struct{} // holds a token when this daemon's work has changed
-	dirty         chan struct{} // holds a token when peers should be told soon
-	leaving       bool
-	ordersGiven   int64
-	born          int64 // wall clock at the start, in milliseconds
+	budgets       map[string]*retry.Budget      // by service
+	readRate      *choose.ReadRate              // of engines
+	loadRate      *loading.Rate                 // of the weight store for adapters
+	intake        *choose.Intake                // prompts sent of late to each server, by all daemons of a mesh
+	askedAt       map[port.Adapter]clock.Millis // when callers last asked for an adapter here
+	reportAskedAt map[string]clock.Millis       // when a server's report was last read for want of its table
+	changed       chan struct{}                 // closed when holdings change
+
+	// Who gives orders, and what this daemon orders.
+	tenure      *tenure.Tenure
+	orders      map[string]*ordering      // by server, those that this daemon orders
+	turns       map[string]*loading.Turns // of loads of base models, by service
+	owners      map[string]string         // by server: as this daemon's hub says, or as it tells as a hub
+	askers      map[string]askers         // by server, the daemons that this one has passed wants on for
+	copiesAsked map[port.Adapter]askedCopies
+	ordersGiven int64
+
+	// Other daemons.
+	members *membership.Membership
+	hub     string            // whose sums count; empty: each daemon tells itself
+	hubAt   clock.Millis      // when this daemon last had a hub; its start if it had none
+	nameAt  map[string]string // the daemon at an address that a connection is kept to
+	seedAt  map[string]bool   // addresses of seeds that a connection is kept to
+	leaving bool
+
+	// What others have in progress, as they tell.
+	shares map[string]peers.DaemonShare    // by daemon, this one included
+	groups map[string]groupShare           // of other hubs
+	sums   map[string]map[string]tally.Sum // of others' work, by hub and server
+
+	// What peers are told.
+	told         map[string]*toldState // by address
+	group        groupShare            // of this daemon as a hub
+	groupChanges tally.Share           // what differs in it from the number before
+	ownersNumber int64                 // rises with each change of owners or learned that this daemon makes
+	learned      loading.Learned       // of the weight store, as this daemon tells it as a hub
+	toldReading  map[string]int        // prompt tokens being read by server, as peers were last told
+	sentTokens   map[string]int        // prompt tokens sent by server, since peers were last told
+	workChanged  chan struct{}         // holds a token when this daemon's work has changed
+	dirty        chan struct{}         // holds a token when peers should be told soon
 }
 
 // namedVersion is the newest version of an adapter and when it became known.
--- a/internal/direct/gateway/reading.go
+++ b/internal/direct/gateway/reading.go
@@ -1,9 +1,6 @@
 package gateway
 
 import (
-	"context"
-	"time"
-
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/peers"
 	"teaselmoor/internal/direct/tally"
@@ -13,23 +10,14 @@
 // has: a daemon of a large site wakes 50 times a second less.
 const idleReading = 500 * clock.Millisecond
 
-// tellReadings tells the daemons of a mesh about prompts until the context ends.
-func (gateway *Gateway) tellReadings(ctx context.Context) error {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-timer.C:
-		}
-		wait := idleReading
-		if gateway.core.inMesh() {
-			wait = gateway.options.ReadingInterval
-			gateway.tellReading()
-		}
-		timer.Reset(wait.Duration())
+// tellReadings tells the daemons of a mesh about prompts, and returns the time until it is
+// to do so again.
+func (gateway *Gateway) tellReadings() clock.Millis {
+	if !gateway.core.inMesh() {
+		return idleReading
 	}
+	gateway.tellReading()
+	return gateway.options.ReadingInterval
 }
 
 // inMesh reports whether this daemon tells each other one. What it does not tell is
--- a/internal/direct/gateway/run.go
+++ b/internal/direct/gateway/run.go
@@ -120,7 +120,7 @@
 	gateway.relink()
 	gateway.group.Go("news", gateway.tellNews)
 	gateway.group.Go("work", gateway.tellWork)
-	gateway.group.Go("reading", gateway.tellReadings)
+	gateway.repeat("reading", gateway.tellReadings)
 	gateway.every("updates", gateway.options.UpdateInterval, gateway.tellUpdates)
 	gateway.every("ticks", tickInterval, func() { gateway.tick(gateway.core.now()) })
 	gateway.every("sweep", sweepInterval, gateway.pool.Sweep)
@@ -161,6 +161,19 @@
 	})
 }
 
+// repeat does something until the daemon ends, each time after as long as it returned.
+func (gateway *Gateway) repeat(name string, do func() clock.Millis) {
+	gateway.group.Go(name, func(ctx context.Context) error {
+		for ctx.Err() == nil {
+			select {
+			case <-ctx.Done():
+			case <-time.After(do().Duration()):
+			}
+		}
+		return nil
+	})
+}
+
 func (gateway *Gateway) serveReady(writer http.ResponseWriter, _ *http.Request) {
 	if !gateway.core.ready() {
 		writer.WriteHeader(http.StatusServiceUnavailable)
