--- a/internal/direct/membership/membership_test.go
+++ b/internal/direct/membership/membership_test.go
@@ -31,6 +31,7 @@
 // first of them may claim servers, and what that costs does not grow with the square of
 // their number.
 func TestStartOfManyDaemons(t *testing.T) {
+	t.Parallel()
 	for _, seeds := range [][]string{{"d0", "d77", "d150"}, {"d0"}} {
 		site := started(seeds...)
 		site.run(site.options.StartWait - step)
@@ -55,6 +56,7 @@
 
 // TestStaleSeeds: daemons start with seeds of which only one runs, some seconds later.
 func TestStaleSeeds(t *testing.T) {
+	t.Parallel()
 	site := newSite(many, dataCentres, 10)
 	for _, name := range site.order[1:] {
 		site.start(name, "d0", "nobody", "nobody either")
@@ -71,6 +73,7 @@
 // TestLossOfCandidates: with the candidates of a data centre gone the next ones take
 // their place, and the servers that they ordered are ordered again.
 func TestLossOfCandidates(t *testing.T) {
+	t.Parallel()
 	site := started("d0")
 	site.run(5 * clock.Second)
 	var lost []string
@@ -96,6 +99,7 @@
 
 // TestLossOfHalf: any number may be lost at once, also the largest of each data centre.
 func TestLossOfHalf(t *testing.T) {
+	t.Parallel()
 	site := started("d0", "d99")
 	site.run(5 * clock.Second)
 	for i, name := range site.order {
@@ -119,6 +123,7 @@
 
 // TestFrozenHub: the others go on without it, and it finds its place when it wakes.
 func TestFrozenHub(t *testing.T) {
+	t.Parallel()
 	site := started("d0")
 	site.run(5 * clock.Second)
 	member := ""
@@ -143,6 +148,7 @@
 // TestAllStartAgain: after a loss of all daemons servers have orders again as soon as
 // claims are allowed.
 func TestAllStartAgain(t *testing.T) {
+	t.Parallel()
 	site := started("d0", "d77", "d150")
 	site.run(6 * clock.Second)
 	for _, name := range site.order {
@@ -158,6 +164,7 @@
 
 // TestSmallSiteIsAMesh: each daemon claims servers and hears each other one.
 func TestSmallSiteIsAMesh(t *testing.T) {
+	t.Parallel()
 	site := newSite(8, 3, 9)
 	for _, name := range site.order {
 		site.start(name, "d0")
@@ -172,6 +179,7 @@
 
 // TestGoneDaemonIsForgotten by all, and known again when it starts.
 func TestGoneDaemonIsForgotten(t *testing.T) {
+	t.Parallel()
 	site := newSite(40, 3, 4)
 	for _, name := range site.order {
 		site.start(name, "d0")
@@ -187,6 +195,7 @@
 
 // TestWrongWordOfItself: a daemon that is said to be gone says that it is not.
 func TestWrongWordOfItself(t *testing.T) {
+	t.Parallel()
 	self := topology.Daemon{Name: "d", Address: "a", DataCentre: "z", Capacity: 1}
 	members := membership.New(membership.DefaultOptions(), self, 1000, 7)
 	members.Merge([]membership.Record{{Daemon: self, Incarnation: 7, Number: 4, State: membership.Gone}})
@@ -200,6 +209,7 @@
 // candidates change with them. Two daemons that have both run undisturbed for a lease
 // never order one server within a lease of each other.
 func TestDrawnFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		site := newSite(rapid.IntRange(8, 60).Draw(t, "daemons"), rapid.IntRange(1, 4).Draw(t, "data centres"), 6)
 		for _, name := range site.order {
--- a/internal/direct/membership/site_test.go
+++ b/internal/direct/membership/site_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 
 	"teaselmoor/internal/base/clock"
@@ -39,7 +40,7 @@
 	daemons     map[string]*daemon
 	order       []string
 	servers     []string
-	open        map[[2]string]bool // connections, by who opened them and to whom
+	open        map[string]map[string]bool // connections, by who opened them and to whom
 	connections int
 	words       int
 	records     int
@@ -58,7 +59,7 @@
 // newSite returns a site of daemons in some data centres that have not started.
 func newSite(count, dataCentres, servers int) *site {
 	site := &site{
-		now: 1_000_000, daemons: make(map[string]*daemon), open: make(map[[2]string]bool),
+		now: 1_000_000, daemons: make(map[string]*daemon), open: make(map[string]map[string]bool),
 		options: tenure.DefaultOptions(lease, true), last: make(map[string]given),
 	}
 	for i := range count {
@@ -67,6 +68,7 @@
 			self.Capacity = 800
 		}
 		site.daemons[self.Name] = &daemon{self: self, down: true}
+		site.open[self.Name] = make(map[string]bool)
 		site.order = append(site.order, self.Name)
 	}
 	for i := range servers {
@@ -95,10 +97,9 @@
 
 // drop breaks the connections of a daemon.
 func (site *site) drop(name string) {
-	for pair := range site.open {
-		if pair[0] == name || pair[1] == name {
-			delete(site.open, pair)
-		}
+	site.open[name] = make(map[string]bool)
+	for _, others := range site.open {
+		delete(others, name)
 	}
 }
 
@@ -129,8 +130,8 @@
 		at.claims.Promoted(site.now)
 	}
 	site.connect(at)
-	for _, to := range site.order {
-		if site.open[[2]string{at.self.Name, to}] && site.now-at.toldAt[to] >= interval {
+	for _, to := range site.connected(at) {
+		if site.now-at.toldAt[to] >= interval {
 			site.tell(at, site.daemons[to])
 		}
 	}
@@ -148,22 +149,28 @@
 			wanted[seed] = seed != at.self.Name
 		}
 	}
-	for _, to := range site.order {
-		pair := [2]string{at.self.Name, to}
-		switch {
-		case !wanted[to]:
-			delete(site.open, pair)
-		case site.open[pair] && !site.reaches(at, site.daemons[to]) && site.daemons[to].cut != at.cut:
-			delete(site.open, pair)
-		case !site.open[pair] && site.reaches(at, site.daemons[to]):
-			site.open[pair] = true
-			site.connections++
-			delete(at.told, to)
-			site.tell(at, site.daemons[to])
+	for _, to := range site.connected(at) {
+		cutOff := !site.reaches(at, site.daemons[to]) && site.daemons[to].cut != at.cut
+		if !wanted[to] || cutOff {
+			delete(site.open[at.self.Name], to)
+		}
+	}
+	for _, to := range slices.Sorted(maps.Keys(wanted)) {
+		if !wanted[to] || site.open[at.self.Name][to] || !site.reaches(at, site.daemons[to]) {
+			continue
 		}
+		site.open[at.self.Name][to] = true
+		site.connections++
+		delete(at.told, to)
+		site.tell(at, site.daemons[to])
 	}
 }
 
+// connected returns the daemons that one has opened a connection to.
+func (site *site) connected(at *daemon) []string {
+	return slices.Sorted(maps.Keys(site.open[at.self.Name]))
+}
+
 // tell says a daemon's word to another one.
 func (site *site) tell(from, to *daemon) {
 	from.toldAt[to.self.Name] = site.now
@@ -193,10 +200,8 @@
 // claim has a daemon claim servers and order those that it may.
 func (site *site) claim(at *daemon) {
 	if at.Role() == topology.Candidate && len(at.claims.Claim(site.now, site.servers)) > 0 {
-		for _, to := range site.order {
-			if site.open[[2]string{at.self.Name, to}] {
-				site.tell(at, site.daemons[to])
-			}
+		for _, to := range site.connected(at) {
+			site.tell(at, site.daemons[to])
 		}
 	}
 	steady := site.now-at.began >= lease
