gateway: claims are told to daemons that may soon claim servers themselves

Cause: a daemon that had said that it may claim servers told its claims only to those that had said so too. TestStartsInTurn fails without it.

--- a/internal/direct/gateway/updates.go
+++ b/internal/direct/gateway/updates.go
@@ -31,7 +31,7 @@
 // audience is what decides which update a peer is told: each is encoded once.
 type audience struct {
 	wants  bool // the connection is wanted, and not only answered
-	claims bool // the peer claims servers, or has not said whether it does
+	claims bool // the peer claims servers, may soon do so, or has not said whether it does
 }
 
 // interval is the time between two updates. The mutex is held.
@@ -52,7 +52,10 @@
 		return audience{wants: true, claims: true}
 	}
 	peer, heard := core.members.Peer(name)
-	return audience{wants: core.members.Wants(name) || core.seedAt[address], claims: !heard || peer.Role.GivesOrders()}
+	return audience{
+		wants:  core.members.Wants(name) || core.seedAt[address],
+		claims: !heard || peer.Role.GivesOrders() || core.members.Linked(name),
+	}
 }
 
 // tellUpdates tells an update to each peer that one is due for.
--- a/internal/direct/membership/membership.go
+++ b/internal/direct/membership/membership.go
@@ -480,6 +480,14 @@
 	return membership.linked[name] || ok && membership.serves(known)
 }
 
+// Linked reports whether a daemon is one of those that this one's plan links: for one
+// that gives orders all that may claim servers, also before they say so themselves. One
+// that hears of claims only when it has said that it is a candidate waits for the quiet
+// span after its start.
+func (membership *Membership) Linked(name string) bool {
+	return membership.linked[name]
+}
+
 // serves reports whether a daemon belongs to those that this one looks after as a
 // candidate: all of its data centre, also while they are silent. One that starts again
 // while its seeds are down is met only this way.
--- a/internal/direct/membership/membership_test.go
+++ b/internal/direct/membership/membership_test.go
@@ -264,3 +264,19 @@
 	require.Zero(t, site.unowned(2*step))
 	require.Empty(t, site.wrong)
 }
+
+// TestStartsInTurn: daemons of a small site that start within 0.3 s of each other hear each
+// other's claims in time, and claim servers when their own wait is over.
+func TestStartsInTurn(t *testing.T) {
+	t.Parallel()
+	site := newSite(7, 4, 9)
+	for i, name := range site.order {
+		if i > 0 && i%2 == 0 {
+			site.run(step)
+		}
+		site.start(name, "d0", "d3")
+	}
+	site.run(site.options.StartWait + site.options.Announce + 2*step)
+	require.Zero(t, site.unowned(2*step))
+	require.Empty(t, site.wrong)
+}
--- a/internal/direct/membership/site_test.go
+++ b/internal/direct/membership/site_test.go
@@ -190,7 +190,7 @@
 	}
 	finding := to.Heard(site.now, word)
 	to.Merge(news)
-	if word.Role.GivesOrders() {
+	if peer, heard := from.Peer(to.self.Name); word.Role.GivesOrders() && (!heard || peer.Role.GivesOrders() || from.Linked(to.self.Name)) {
 		to.claims.Heard(site.now, tenure.Word{
 			Peer: from.self.Name, Interval: interval, Claims: from.claims.Claims(site.now), Named: from.Orderers(), Idle: word.Role != topology.Candidate,
 		})
