gateway: work of a daemon that is a hub no more counts once; digests in one order

Found by reading: when the better candidate of a data centre came back, the other one ceased to be a hub, and hubs elsewhere counted the last share of its group on, beside the work told by its new hub, for as long as it was heard. And a digest made by the loop that tells a daemon's own work could overtake one of the other loop while the daemon became a hub: shares of groups build on each other, so that the receiver would have kept an old one until the connection broke. TestFindings.

--- a/internal/direct/gateway/gossip.go
+++ b/internal/direct/gateway/gossip.go
@@ -66,9 +66,11 @@
 	if finding.Found {
 		core.log.Info("peer found", "Peer", update.Name, "Address", update.Address, "Incarnation", update.Incarnation)
 	}
-	if finding.Moved {
+	if finding.Moved || finding.Ended {
+		// Its work counts in the group of its new hub.
 		core.work.Forget(update.Name)
 		delete(core.shares, update.Name)
+		delete(core.groups, update.Name)
 	}
 	if update.Claimed && update.Role.GivesOrders() {
 		core.tenure.Heard(now, tenure.Word{
--- a/internal/direct/gateway/group.go
+++ b/internal/direct/gateway/group.go
@@ -4,7 +4,6 @@
 	"maps"
 
 	"teaselmoor/internal/base/clock"
-	"teaselmoor/internal/direct/catalog"
 	"teaselmoor/internal/direct/peers"
 	"teaselmoor/internal/direct/tally"
 )
@@ -126,13 +125,3 @@
 		core.notify()
 	}
 }
-
-// isEngine reports whether a server runs models. The mutex is held.
-func (core *core) isEngine(name string) bool {
-	service, ok := core.catalog.Services[name]
-	return ok && isEngine(service)
-}
-
-func isEngine(service *catalog.Service) bool {
-	return service != nil && service.Engine != nil
-}
--- a/internal/direct/gateway/models.go
+++ b/internal/direct/gateway/models.go
@@ -82,3 +82,9 @@
 	}
 	return core.turnsOf(server.Service).May(now, server.ID, core.models(server.Service, service.Engine))
 }
+
+// isEngine reports whether the servers of a service run models. The mutex is held.
+func (core *core) isEngine(name string) bool {
+	service, ok := core.catalog.Services[name]
+	return ok && service.Engine != nil
+}
--- a/internal/direct/gateway/run.go
+++ b/internal/direct/gateway/run.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -35,6 +36,7 @@
 	core     *core
 	pool     *upstream.Pool
 	mesh     *peers.Mesh
+	telling  sync.Mutex // held while digests are made and sent; taken before the core's
 	group    *task.Group
 	counters *counters
 	log      *slog.Logger
--- a/internal/direct/gateway/spread.go
+++ b/internal/direct/gateway/spread.go
@@ -141,7 +141,11 @@
 }
 
 // tellDigests tells each target its news, the requests in progress only if work is set.
+// Digests are made and sent in one order: what a peer is told builds on what it was told
+// before.
 func (gateway *Gateway) tellDigests(work bool) {
+	gateway.telling.Lock()
+	defer gateway.telling.Unlock()
 	core := gateway.core
 	core.mutex.Lock()
 	targets := core.members.Plan().Targets
--- a/internal/direct/gateway/sums.go
+++ b/internal/direct/gateway/sums.go
@@ -78,6 +78,10 @@
 	core.log.Info("hub changed", "Hub", hub, "Before", core.hub)
 	core.hub = hub
 	core.work.ClearOthers()
+	if peer, ok := core.members.Peer(hub); ok {
+		// A hub that had lost sight of this daemon has forgotten its work.
+		delete(core.toldTo(peer.Address).shares, core.settings.Name)
+	}
 	if hub != "" {
 		core.work.SetOthers(core.sums[hub])
 		return true
--- a/internal/direct/membership/membership.go
+++ b/internal/direct/membership/membership.go
@@ -92,6 +92,11 @@
 	HeardAt clock.Millis // when it was heard last, or had leave to be silent
 }
 
+// addsUp reports whether a daemon says that it adds up the work of others.
+func (peer *Peer) addsUp() bool {
+	return peer.Hub == "" && peer.Role.GivesOrders()
+}
+
 type entry struct {
 	Record
 	change     int64        // when it was changed last, in changes of the membership
@@ -188,6 +193,7 @@
 	Found bool // the daemon was not heard before, or has started again
 	Left  bool // the daemon has just said that it stops, or gives orders no more
 	Moved bool // it has just chosen another hub than this daemon, which was its hub
+	Ended bool // it has just ceased to add up the work of others
 }
 
 // Heard takes over a word that was heard directly.
@@ -208,6 +214,7 @@
 	if !finding.Found {
 		stopped := word.State == Leaving && before.State != Leaving
 		finding.Left = stopped || before.Role.GivesOrders() && !word.Role.GivesOrders()
+		finding.Ended = before.addsUp() && !peer.addsUp()
 		finding.Moved = before.Hub == membership.self.Name && word.Hub != membership.self.Name
 	}
 	membership.peers[word.Name] = peer
--- a/internal/direct/membership/membership_test.go
+++ b/internal/direct/membership/membership_test.go
@@ -280,3 +280,20 @@
 	require.Zero(t, site.unowned(2*step))
 	require.Empty(t, site.wrong)
 }
+
+// TestFindings: what a daemon's word changes for those who hear it.
+func TestFindings(t *testing.T) {
+	t.Parallel()
+	members := membership.New(membership.DefaultOptions(), topology.Daemon{Name: "d", DataCentre: "z"}, 1000, 7, false)
+	word := membership.Word{Record: membership.Record{Daemon: topology.Daemon{Name: "e", DataCentre: "z"}, Incarnation: 3}, Role: topology.Candidate}
+	require.Equal(t, membership.Finding{Known: true, Found: true}, members.Heard(1000, word))
+	require.Equal(t, membership.Finding{Known: true}, members.Heard(1100, word))
+	word.Hub = "d"
+	require.Equal(t, membership.Finding{Known: true, Ended: true}, members.Heard(1200, word), "its group's work must not count on")
+	word.Hub = "f"
+	require.Equal(t, membership.Finding{Known: true, Moved: true}, members.Heard(1300, word))
+	word.Role = topology.Member
+	require.Equal(t, membership.Finding{Known: true, Left: true}, members.Heard(1400, word))
+	word.Incarnation = 2
+	require.Equal(t, membership.Finding{}, members.Heard(1500, word), "of an earlier process")
+}
