membership: a peer heard after a pause is not given more time; work of an earlier process is forgotten

Found by reading: a daemon that woke and heard a peer before it noticed the pause gave that peer the length of the pause on top, up to seconds in which it would not have been found silent; and the work of a hub's group stood until the hub told again, also where it started again as a member. TestPeerHeardAfterAPause fails without the first change.

--- a/internal/direct/gateway/gossip.go
+++ b/internal/direct/gateway/gossip.go
@@ -66,8 +66,8 @@
 	if finding.Found {
 		core.log.Info("peer found", "Peer", update.Name, "Address", update.Address, "Incarnation", update.Incarnation)
 	}
-	if finding.Moved || finding.Ended {
-		// Its work counts in the group of its new hub.
+	if finding.Found || finding.Moved || finding.Ended {
+		// Its work counts in the group of its new hub, or it has started again.
 		core.work.Forget(update.Name)
 		delete(core.shares, update.Name)
 		delete(core.groups, update.Name)
--- a/internal/direct/membership/membership.go
+++ b/internal/direct/membership/membership.go
@@ -83,7 +83,10 @@
 // DefaultOptions returns times for daemons that tell each other twice a second, or
 // half as often, over connections that are made anew each 300 ms.
 func DefaultOptions() Options {
-	return Options{Usual: 500, Silence: 1500, Unmet: 1500, Retry: 8 * clock.Second, Memory: clock.Minute, Settle: 500, Meet: 300, Alone: 2 * clock.Second, Pause: 400, Tombstone: 10 * clock.Minute}
+	return Options{
+		Usual: 500, Silence: 1500, Unmet: 1500, Retry: 8 * clock.Second, Memory: clock.Minute,
+		Settle: 500, Meet: 300, Alone: 2 * clock.Second, Pause: 400, Tombstone: 10 * clock.Minute,
+	}
 }
 
 // Peer is a daemon that has been heard directly.
@@ -274,11 +277,6 @@
 	return records, membership.changes
 }
 
-// Changes rises with each change of what is known of any daemon.
-func (membership *Membership) Changes() int64 {
-	return membership.changes
-}
-
 // Orderers returns the daemons that give orders by their last word, which is no older
 // than Options.Memory. A daemon that starts waits for the word of each of them.
 func (membership *Membership) Orderers() []string {
@@ -322,11 +320,11 @@
 		return
 	}
 	for _, peer := range membership.peers {
-		peer.HeardAt += gap
+		peer.HeardAt = max(peer.HeardAt, min(peer.HeardAt+gap, now)) // some were heard since it woke
 	}
 	for _, known := range membership.entries {
 		if known.wantedAt > 0 {
-			known.wantedAt += gap
+			known.wantedAt = min(known.wantedAt+gap, now)
 		}
 	}
 }
--- a/internal/direct/membership/membership_test.go
+++ b/internal/direct/membership/membership_test.go
@@ -281,6 +281,26 @@
 	require.Empty(t, site.wrong)
 }
 
+// TestPeerHeardAfterAPause: a daemon that stood still gives its peers as much time as they
+// had, and no more to one that was heard when it woke.
+func TestPeerHeardAfterAPause(t *testing.T) {
+	t.Parallel()
+	options := membership.DefaultOptions()
+	members := membership.New(options, topology.Daemon{Name: "d", DataCentre: "z"}, 1000, 7, false)
+	for _, name := range []string{"before", "after"} {
+		members.Heard(1000, membership.Word{Record: membership.Record{Daemon: topology.Daemon{Name: name}, Incarnation: 3}})
+	}
+	members.Tick(1300)
+	members.Tick(1500)
+	woke := 9000 * clock.Millisecond
+	members.Heard(woke, membership.Word{Record: membership.Record{Daemon: topology.Daemon{Name: "after"}, Incarnation: 3}})
+	members.Tick(woke)
+	require.True(t, members.Live(woke+options.Silence-501, "before"))
+	require.False(t, members.Live(woke+options.Silence-500, "before"))
+	require.True(t, members.Live(woke+options.Silence-1, "after"))
+	require.False(t, members.Live(woke+options.Silence, "after"))
+}
+
 // TestFindings: what a daemon's word changes for those who hear it.
 func TestFindings(t *testing.T) {
 	t.Parallel()
