--- a/internal/direct/gateway/updates.go
+++ b/internal/direct/gateway/updates.go
@@ -91,24 +91,24 @@
 // that it has not been told of yet.
 func (gateway *Gateway) tellUpdate(now clock.Millis, addresses []string) {
 	core := gateway.core
-	plain := make(map[audience][]byte)
+	plain := make(map[audience][]byte) // updates without news are the same for an audience
 	for _, address := range addresses {
 		core.mutex.Lock()
 		told := core.toldTo(address)
 		audience := core.audienceOf(address)
 		update := core.update(now, audience)
-		full := core.addNews(update, told)
+		news := core.addNews(update, told)
 		told.updateAt = now
 		core.mutex.Unlock()
 		encoded, ok := plain[audience]
-		if !ok || full {
+		if news || !ok {
 			var err error
 			if encoded, err = peers.Encode(peers.Message{Update: update}); err != nil {
 				gateway.log.Error("update not encoded", "Error", err.Error())
 				return
 			}
 		}
-		if !full {
+		if !news {
 			plain[audience] = encoded
 		}
 		gateway.mesh.SendEncoded(address, encoded)
