--- a/internal/direct/gateway/settings.go
+++ b/internal/direct/gateway/settings.go
@@ -113,9 +113,6 @@
 	// UpdateInterval is the time between two updates, by which daemons hear of each
 	// other and of claims.
 	UpdateInterval clock.Millis
-	// CoverLimit is how long after the store last answered the peer that reads it
-	// for this daemon the daemon reads it itself.
-	CoverLimit clock.Millis
 	// Advertise is the address that peers connect to, where it is not the one that is
 	// listened on, as behind a port mapping; empty: the same.
 	Advertise string
@@ -158,7 +155,7 @@
 		Mirror: mirror.DefaultOptions(), Peers: peers.DefaultOptions(), Membership: membership.DefaultOptions(), Tenure: tenure.DefaultOptions(settings.Lease, settings.Fenced),
 		Upstream: upstream.DefaultOptions(),
 
-		TellInterval: 100, ReadingInterval: 20, HubInterval: 50, WorkPause: 30, UpdateInterval: 500, CoverLimit: 2500, VersionGrace: 2500,
+		TellInterval: 100, ReadingInterval: 20, HubInterval: 50, WorkPause: 30, UpdateInterval: 500, VersionGrace: 2500,
 		LoadPatience: 0.8, WantInterval: 400,
 		RetryAfter: 500, MostSends: 4, LeaveSpan: 2500, ExitMargin: 400,
 		IdleTimeout: 60 * clock.Second, BodyBytes: 4 << 20, SparePeers: 8, LogLines: 1024,
--- a/internal/direct/gateway/spread.go
+++ b/internal/direct/gateway/spread.go
@@ -7,6 +7,7 @@
 
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/fleet"
+	"teaselmoor/internal/direct/mirror"
 	"teaselmoor/internal/direct/peers"
 	"teaselmoor/internal/direct/port"
 	"teaselmoor/internal/direct/tally"
@@ -347,6 +348,12 @@
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
 	now := core.now()
-	reads := core.store.revision == 0 || core.members.Plan().Reads || now-core.store.coveredAt > core.options.CoverLimit
+	reads := core.options.Mirror.ReadsNow(mirror.Turn{
+		Reader: core.members.Plan().Reads, Knows: core.store.revision > 0, Hub: core.hub != "",
+		Covered: now - core.store.coveredAt, Lost: core.store.lostAt > 0, Tried: now - core.store.triedAt,
+	})
+	if reads {
+		core.store.triedAt = now
+	}
 	return reads, core.store.revision
 }
--- a/internal/direct/gateway/store.go
+++ b/internal/direct/gateway/store.go
@@ -12,6 +12,7 @@
 	revision  int64                // all changes up to it are known
 	lostAt    clock.Millis         // since when no call was answered; 0: the last one was
 	readAt    clock.Millis         // when the store answered last
+	triedAt   clock.Millis         // when this daemon last called it
 	coveredAt clock.Millis         // when it answered the peer last that reads it for this daemon
 }
 
--- a/internal/direct/mirror/mirror.go
+++ b/internal/direct/mirror/mirror.go
@@ -27,6 +27,12 @@
 	Idle clock.Millis
 	// CallTimeout is how long an answer may take beyond what was asked for.
 	CallTimeout clock.Millis
+	// CoverLimit is how long after the store last answered the daemon that reads it for
+	// this one this one reads it itself.
+	CoverLimit clock.Millis
+	// CoveredRetry is the time between two calls of a daemon that another one reads for,
+	// while the store answers neither. A change has to be in force within 4 s.
+	CoveredRetry clock.Millis
 	// FirstBackoff and MostBackoff bound the wait after a failed call.
 	FirstBackoff, MostBackoff clock.Millis
 }
@@ -35,6 +41,7 @@
 func DefaultOptions() Options {
 	return Options{
 		Wait: 1200, Pause: 900, Idle: 200, CallTimeout: 1000,
+		CoverLimit: 2500, CoveredRetry: 2000,
 		FirstBackoff: 100, MostBackoff: 800,
 	}
 }
