fleet, gateway: what is done for each of thousands of servers

A hub looked at every table and report for each of its daemons in each round; it looks at those that have changed, and rests for nine times as long as it took to tell, 500 ms at most.

--- a/internal/direct/fleet/fleet.go
+++ b/internal/direct/fleet/fleet.go
@@ -52,7 +52,10 @@
 	sorted    []*Member // the members in order of id; nil: to be sorted
 	gone      map[string]tombstone
 	tables    map[string]Table           // by server, also of servers whose entry was not read yet
-	byService map[string][]*Member       // usable for new work, in order of id
+	tableLog  []string                   // servers in the order in which their tables changed
+	logged    int64                      // changes of tables before those in the log
+	reports   int64                      // how many reports were taken over
+	byService map[string][]*Member       // usable for new work, in order of id; nil: to be sorted
 	holders   map[port.Adapter][]*Member // with a slot for the adapter
 
 	lostAt clock.Millis // since when the store is away; 0: it is not
@@ -69,7 +72,7 @@
 	return &Fleet{
 		options: options, members: make(map[string]*Member),
 		gone: make(map[string]tombstone), tables: make(map[string]Table),
-		byService: make(map[string][]*Member), holders: make(map[port.Adapter][]*Member),
+		holders: make(map[port.Adapter][]*Member),
 	}
 }
 
@@ -87,6 +90,9 @@
 // Usable returns the servers of a service that may take new work, suspects
 // included, in order of id. The slice must not be changed.
 func (fleet *Fleet) Usable(service string) []*Member {
+	if fleet.byService == nil {
+		fleet.index()
+	}
 	return fleet.byService[service]
 }
 
@@ -156,7 +162,7 @@
 	}
 	delete(fleet.gone, server.ID)
 	if moved {
-		fleet.index()
+		fleet.byService = nil
 	}
 	return news
 }
@@ -194,6 +200,7 @@
 		return false
 	}
 	fleet.tables[table.Server] = table
+	fleet.noteTable(table.Server)
 	if member, ok := fleet.members[table.Server]; ok {
 		member.table = table
 		fleet.settle(member)
@@ -223,6 +230,7 @@
 // holds. It counts until the daemon that gives orders tells.
 func (fleet *Fleet) SetReported(id string, born int64, holdings []port.Holding) {
 	if member, ok := fleet.members[id]; ok {
+		fleet.reports++
 		member.reportRead, member.reportBorn, member.reported = true, born, holdings
 		fleet.settle(member)
 	}
@@ -288,7 +296,7 @@
 	for adapter := range member.slots {
 		fleet.lost(member, adapter)
 	}
-	fleet.index()
+	fleet.byService = nil
 }
 
 // Retain applies a whole reading of the store: servers that it does not list are
@@ -334,8 +342,11 @@
 	return dropped
 }
 
+// index sorts the servers that may take new work by service. It is done when they are
+// next asked for, and not with each server that comes: a daemon that starts before 3,000
+// servers hears of them one after another.
 func (fleet *Fleet) index() {
-	clear(fleet.byService)
+	fleet.byService = make(map[string][]*Member)
 	for _, member := range fleet.Members() {
 		if !member.Draining {
 			fleet.byService[member.Service] = append(fleet.byService[member.Service], member)
--- a/internal/direct/gateway/group.go
+++ b/internal/direct/gateway/group.go
@@ -105,6 +105,10 @@
 // reportNews returns what servers say themselves that no daemon has told of, where a
 // target does not know it. The mutex is held.
 func (core *core) reportNews(told *toldState) []peers.Reported {
+	if told.reports == core.fleet.Reports() {
+		return nil
+	}
+	told.reports = core.fleet.Reports()
 	var news []peers.Reported
 	for _, member := range core.fleet.Members() {
 		born, holdings, ok := member.Reported()
--- a/internal/direct/gateway/spread.go
+++ b/internal/direct/gateway/spread.go
@@ -34,6 +34,8 @@
 	owners   int64                           // number of the last owners
 	reported map[string]int64                // start of the servers' processes whose word was told, by server
 	tables   map[string]stamp                // by server
+	tablesAt int64                           // changes of tables when they were last looked at
+	reports  int64                           // reports of servers when they were last looked at
 	sums     map[string]tally.Sum            // by server; nil: none yet
 	uses     map[string]map[port.Adapter]int // by server
 	revision int64                           // of the store
@@ -77,25 +79,34 @@
 		case <-ctx.Done():
 			return nil
 		case <-timer.C:
+			began := time.Now()
 			gateway.core.renewShare()
 			gateway.core.renewGroup()
 			gateway.tellDigests(true)
-			timer.Reset(gateway.core.tellInterval().Duration())
+			timer.Reset(gateway.core.tellInterval(clock.FromDuration(time.Since(began))).Duration())
 		case <-gateway.core.dirty:
 			gateway.tellDigests(false)
 		}
 	}
 }
 
-// tellInterval is the time between two digests. What a hub tells differs from round to
-// round; what a daemon of a mesh tells is told to all others.
-func (core *core) tellInterval() clock.Millis {
+// A hub that takes long to tell its digests, as one of many daemons before thousands of
+// servers does, rests for a multiple of that time, so that requests do not wait for it.
+const (
+	tellRest     = 9
+	mostTellRest = 500 * clock.Millisecond
+)
+
+// tellInterval is the time until the next digests, after some that took so long. What a
+// hub tells differs from round to round; what a daemon of a mesh tells is told to all
+// others.
+func (core *core) tellInterval(took clock.Millis) clock.Millis {
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
-	if !core.members.Plan().Mesh && core.hub == "" {
-		return core.options.HubInterval
+	if core.members.Plan().Mesh || core.hub != "" {
+		return core.options.TellInterval
 	}
-	return core.options.TellInterval
+	return max(core.options.HubInterval, min(tellRest*took, mostTellRest))
 }
 
 // tellWork tells this daemon's hub its work soon after it has changed, until the context
@@ -207,11 +218,17 @@
 
 // tableNews returns the tables that a target has not been told. The mutex is held.
 func (core *core) tableNews(now clock.Millis, target topology.Target, told *toldState) []fleet.Table {
+	since := int64(0)
+	if target.Scope == topology.Sums {
+		since = told.tablesAt // it is told every table
+	}
+	changed, changes := core.fleet.TablesSince(since)
+	told.tablesAt = changes
 	var news []fleet.Table
-	for server, table := range core.fleet.Tables() {
+	for _, table := range changed {
 		version := stampOf(table)
-		if version.after(told.tables[server]) && core.tellsTable(now, target.Scope, server) {
-			told.tables[server] = version
+		if version.after(told.tables[table.Server]) && core.tellsTable(now, target.Scope, table.Server) {
+			told.tables[table.Server] = version
 			news = append(news, table)
 		}
 	}
