--- a/internal/direct/gateway/holdings.go
+++ b/internal/direct/gateway/holdings.go
@@ -75,7 +75,7 @@
 
 // meetingTime is how long a daemon that starts waits for others before it takes its site to
 // be a small one: daemons of a large site that all start again would each read all reports
-// (16,655 instead of some hundreds at 195 daemons and 84 servers).
+// (15,210 reads in the log of a day with 195 daemons and 84 servers; 912 with it).
 const meetingTime = 300 * clock.Millisecond
 
 func (gateway *Gateway) readHoldings(ctx context.Context, target port.Server) {
