gateway: the log tells contents of requests, and servers that ended under them

Before: two requests with the same content could not be told by the log (each attempt has its own id), nor a server that ended from one connection that broke.

No decision reads it.

--- a/internal/direct/ending/ending.go
+++ b/internal/direct/ending/ending.go
@@ -18,6 +18,11 @@
 	MessageEnded     = "request ended"
 )
 
+// Messages of log lines that speak of a server and the requests there.
+const (
+	MessageServerEnded = "server ended"
+)
+
 // Reason says why a request ended as it did.
 type Reason string
 
--- a/internal/direct/gateway/dispatch.go
+++ b/internal/direct/gateway/dispatch.go
@@ -87,7 +87,7 @@
 	}
 	job.offers++
 	gateway.log.Info(ending.MessageSent, "Request", job.call.Attempt, "Server", to.server.ID, "Adapter", job.adapter.Name, "Prompt", job.call.Prompt, "Alone", to.alone,
-		"Offer", job.offers, "CostMillis", int(to.cost), "LeftMillis", left, "Version", to.version, "WaitedMillis", job.waited, "HeldMillis", job.held)
+		"Offer", job.offers, "CostMillis", int(to.cost), "LeftMillis", left, "Version", to.version, "WaitedMillis", job.waited, "HeldMillis", job.held, "Content", job.content.String())
 	tryCtx, cancel := job.tryContext(ctx, left)
 	defer cancel()
 	answer, err := gateway.pool.Send(tryCtx, to.server.Address, gateway.outgoing(tryCtx, job, to, left), gateway.matches(job))
@@ -178,6 +178,7 @@
 	if ctx.Err() != nil {
 		return verdict{status: http.StatusGatewayTimeout, reason: ending.Timeout}
 	}
+	gateway.lostAt(job, to.server, err)
 	return gateway.lost(job, http.StatusBadGateway, ending.Lost)
 }
 
--- a/internal/direct/gateway/handler.go
+++ b/internal/direct/gateway/handler.go
@@ -10,6 +10,7 @@
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/account"
 	"teaselmoor/internal/direct/catalog"
+	"teaselmoor/internal/direct/content"
 	"teaselmoor/internal/direct/ending"
 	"teaselmoor/internal/direct/port"
 )
@@ -19,6 +20,7 @@
 	call     port.Call
 	incoming *http.Request
 	body     []byte
+	content  content.ID
 	config   int64 // version of the configuration that it is served by
 	route    *catalog.Route
 	service  string
@@ -111,6 +113,7 @@
 	case err != nil:
 		return job, http.StatusBadRequest, ending.BadRequest
 	}
+	job.content = content.Of(content.Request{Host: request.Host, Target: request.RequestURI, Account: job.account.Name, Body: job.body})
 	core.mutex.Lock()
 	core.budget(job.service).Request(job.arrived)
 	core.mutex.Unlock()
--- a/internal/direct/gateway/relay.go
+++ b/internal/direct/gateway/relay.go
@@ -44,7 +44,7 @@
 	gateway.note(to, err != nil)
 	if err != nil {
 		job.tried = append(job.tried, to.server.ID)
-		return gateway.broken(ctx, job, err)
+		return gateway.broken(ctx, job, to, err)
 	}
 	copyHeader(writer.Header(), answer.Header)
 	gateway.ended(job, answer.StatusCode, ending.Complete)
@@ -55,7 +55,7 @@
 }
 
 // broken judges an answer that broke off before the caller saw any of it.
-func (gateway *Gateway) broken(ctx context.Context, job *job, err error) verdict {
+func (gateway *Gateway) broken(ctx context.Context, job *job, to placed, err error) verdict {
 	gateway.log.Info(ending.MessageBroken, "Request", job.call.Attempt, "Error", err.Error())
 	if job.incoming.Context().Err() != nil {
 		gateway.ended(job, 0, ending.CallerLeft)
@@ -64,6 +64,7 @@
 	if ctx.Err() != nil {
 		return verdict{status: http.StatusGatewayTimeout, reason: ending.Timeout}
 	}
+	gateway.lostAt(job, to.server, err)
 	return gateway.lost(job, http.StatusBadGateway, ending.Lost)
 }
 
@@ -100,7 +101,7 @@
 		answer.Close(false)
 		gateway.note(to, ctx.Err() == nil)
 		job.tried = append(job.tried, to.server.ID)
-		return gateway.streamBroken(ctx, job, err)
+		return gateway.streamBroken(ctx, job, to, err)
 	}
 }
 
@@ -125,9 +126,10 @@
 
 // streamBroken judges a stream that broke off. Only one that may be resumed goes
 // on at another server.
-func (gateway *Gateway) streamBroken(ctx context.Context, job *job, err error) verdict {
+func (gateway *Gateway) streamBroken(ctx context.Context, job *job, to placed, err error) verdict {
 	if job.started && job.incoming.Context().Err() == nil && ctx.Err() == nil {
 		gateway.log.Info(ending.MessageStreamCut, "Request", job.call.Attempt, "After", job.lastSent, "Error", err.Error())
+		gateway.lostAt(job, to.server, err)
 		result := gateway.lost(job, http.StatusBadGateway, ending.StreamBroke)
 		result.again = result.again && job.lastSent != ""
 		return result
@@ -139,7 +141,7 @@
 		}
 		return verdict{status: http.StatusGatewayTimeout, reason: why}
 	}
-	return gateway.broken(ctx, job, err)
+	return gateway.broken(ctx, job, to, err)
 }
 
 // eventBuffer holds some events of usual size; it grows for larger ones.
