gateway, quarantine: a request under which servers end is not sent on and on

Cause: the daemons kept no memory of what a request had done. Each repeat has another attempt id and comes at another daemon, so that each was placed like a new request, on the cheapest engine.

Now: daemons note the contents (path, account, body) that were in progress at a server when it ended, tell each other, and refuse a content with 503 once two servers ended under it, for 20 s, ten times longer after each further one. A request that waits for its adapter is refused as well. An answer clears a content. A connection that breaks while its server lives on does not count (the server is connected to once more), nor the end of a server that is to leave.

Records travel in a part of the message of their own, which older daemons pass over.

--- a/internal/decide/outcome/reason.go
+++ b/internal/decide/outcome/reason.go
@@ -49,6 +49,7 @@
 	AdapterLate         Reason = "AdapterLate"
 	AnswerLate          Reason = "AnswerLate"
 	InvalidAnswer       Reason = "InvalidAnswer"
+	CrashesEngines      Reason = "CrashesEngines"
 )
 
 var sentences = map[Reason]string{
@@ -95,6 +96,7 @@
 	ServerFailed:        "The server ran the request and reported a failure of its own, which was passed on.",
 	AdapterLate:         "The adapter could not be made ready in time at any server.",
 	AnswerLate:          "The time allowed ran out after the request was sent and before its answer was complete.",
+	CrashesEngines:      "Engines have ended while they ran requests with the same content, so this one was not run.",
 	InvalidAnswer:       "What came back was not an answer of the server to this request, and it was discarded.",
 }
 
--- a/internal/direct/ending/ending.go
+++ b/internal/direct/ending/ending.go
@@ -21,6 +21,7 @@
 // Messages of log lines that speak of a server and the requests there.
 const (
 	MessageServerEnded = "server ended"
+	MessageQuarantined = "content refused"
 )
 
 // Reason says why a request ended as it did.
@@ -39,6 +40,7 @@
 	TooLarge      Reason = "TooLarge"        // the body is over the limit
 	NoServer      Reason = "NoServer"        // no server of the service can take it
 	LoadWait      Reason = "AdapterNotReady" // its adapter did not arrive in time
+	Quarantined   Reason = "CrashesServers"  // servers have ended under requests with its content
 	NoBudget      Reason = "RetryBudget"     // the budget for repeats is used up
 	Tries         Reason = "TriesUsed"       // all tries were refused by servers
 	Deadline      Reason = "Deadline"        // the time ran out before it was sent
@@ -57,7 +59,7 @@
 	Tries: outcome.EngineRefused, Deadline: outcome.DeadlinePassed, Timeout: outcome.AnswerLate,
 	Lost: outcome.ServiceLost, Invalid: outcome.InvalidAnswer, CallerLeft: outcome.CallerGone,
 	StreamBroke: outcome.Truncated, UnknownKey: outcome.Unauthorized, OldAccounts: outcome.OldConfiguration,
-	OverLimit: outcome.CallerLimit,
+	OverLimit: outcome.CallerLimit, Quarantined: outcome.CrashesEngines,
 }
 
 // Reasons lists every reason, in no particular order.
--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -16,6 +16,7 @@
 	"teaselmoor/internal/direct/membership"
 	"teaselmoor/internal/direct/peers"
 	"teaselmoor/internal/direct/port"
+	"teaselmoor/internal/direct/quarantine"
 	"teaselmoor/internal/direct/quota"
 	"teaselmoor/internal/direct/retry"
 	"teaselmoor/internal/direct/tally"
@@ -57,8 +58,9 @@
 	intake        *choose.Intake                // prompts sent of late to each server, by all daemons of a mesh
 	askedAt       map[port.Adapter]clock.Millis // when callers last asked for an adapter here
 	reportAskedAt map[string]clock.Millis       // when a server's report was last read for want of its table
-	losses        map[string][]content.ID       // requests lost at each server that is being looked at
-	changed       chan struct{}                 // closed when holdings change
+	quarantine    *quarantine.List
+	losses        map[string][]content.ID // requests lost at each server that is being looked at
+	changed       chan struct{}           // closed when holdings change
 
 	// Who gives orders, and what this daemon orders.
 	tenure      *tenure.Tenure
@@ -123,7 +125,7 @@
 		readRate: choose.NewReadRate(), intake: choose.NewIntake(), sentTokens: make(map[string]int),
 		reportAskedAt: make(map[string]clock.Millis), sums: make(map[string]map[string]tally.Sum),
 		shares: make(map[string]peers.DaemonShare), groups: make(map[string]groupShare),
-		losses:  make(map[string][]content.ID),
+		losses: make(map[string][]content.ID), quarantine: quarantine.New(options.Quarantine, settings.Name),
 		changed: make(chan struct{}), workChanged: make(chan struct{}, 1), usageChanged: make(chan struct{}, 1), dirty: make(chan struct{}, 1),
 		born: int64(wall()), ledger: quota.New(now(), settings.Quota), usedBy: make(map[string]usageHeard),
 	}
--- a/internal/direct/gateway/losses.go
+++ b/internal/direct/gateway/losses.go
@@ -45,12 +45,14 @@
 	ended := gateway.pool.Refused(ctx, server.Address)
 	core := gateway.core
 	core.mutex.Lock()
-	defer core.mutex.Unlock()
 	lost := core.losses[server.ID]
 	delete(core.losses, server.ID)
 	if ended {
 		core.log.Info(ending.MessageServerEnded, "Server", server.ID, "Lost", contents(lost))
+		core.ended(core.now(), server, lost)
 	}
+	core.mutex.Unlock()
+	gateway.tellQuarantine()
 }
 
 // contents spells names of contents for a log line.
--- a/internal/direct/gateway/place.go
+++ b/internal/direct/gateway/place.go
@@ -93,6 +93,11 @@
 	at := &spot{}
 	for {
 		now := core.now()
+		if refused := core.quarantined(now, job); refused != nil {
+			core.move(at, tally.Use{}, 0)
+			job.waited += now - started
+			return placed{}, refused
+		}
 		choice, ok := core.choose(core.query(now, job, at.use.Server, frequent), job.hash)
 		if !ok {
 			core.move(at, tally.Use{}, 0)
--- a/internal/direct/gateway/relay.go
+++ b/internal/direct/gateway/relay.go
@@ -41,11 +41,12 @@
 func (gateway *Gateway) whole(ctx context.Context, writer http.ResponseWriter, job *job, to placed, answer *upstream.Answer) verdict {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxWholeBytes))
 	answer.Close(err == nil)
-	gateway.note(to, err != nil)
 	if err != nil {
+		gateway.note(to, true)
 		job.tried = append(job.tried, to.server.ID)
 		return gateway.broken(ctx, job, to, err)
 	}
+	gateway.answeredWhole(job, to)
 	copyHeader(writer.Header(), answer.Header)
 	gateway.ended(job, answer.StatusCode, ending.Complete)
 	job.started = true
@@ -116,7 +117,7 @@
 
 func (gateway *Gateway) streamEnded(writer http.ResponseWriter, job *job, to placed, answer *upstream.Answer) verdict {
 	answer.Close(true)
-	gateway.note(to, false)
+	gateway.answeredWhole(job, to)
 	if !job.started {
 		gateway.begin(writer, job, answer)
 	}
--- a/internal/direct/gateway/settings.go
+++ b/internal/direct/gateway/settings.go
@@ -17,6 +17,7 @@
 	"teaselmoor/internal/direct/membership"
 	"teaselmoor/internal/direct/mirror"
 	"teaselmoor/internal/direct/peers"
+	"teaselmoor/internal/direct/quarantine"
 	"teaselmoor/internal/direct/quota"
 	"teaselmoor/internal/direct/retry"
 	"teaselmoor/internal/direct/tenure"
@@ -105,6 +106,7 @@
 	Membership membership.Options
 	Tenure     tenure.Options
 	Upstream   upstream.Options
+	Quarantine quarantine.Options
 
 	// TellInterval is the time between two digests of the requests in progress, by
 	// which peers place theirs.
@@ -166,7 +168,7 @@
 	return Options{
 		Fleet: fleet.DefaultOptions(), Weights: choose.DefaultWeights(), Hold: choose.DefaultHold(), Loading: loading.DefaultOptions(),
 		Mirror: mirror.DefaultOptions(), Peers: peers.DefaultOptions(), Membership: membership.DefaultOptions(), Tenure: tenure.DefaultOptions(settings.Lease, settings.Fenced),
-		Upstream: upstream.DefaultOptions(),
+		Upstream: upstream.DefaultOptions(), Quarantine: quarantine.DefaultOptions(),
 
 		TellInterval: 100, ReadingInterval: 20, HubInterval: 50, WorkPause: 30, UpdateInterval: 500, VersionGrace: 2500,
 		LoadPatience: 0.8, WantInterval: 400,
--- a/internal/direct/peers/message.go
+++ b/internal/direct/peers/message.go
@@ -10,6 +10,7 @@
 	"teaselmoor/internal/direct/loading"
 	"teaselmoor/internal/direct/membership"
 	"teaselmoor/internal/direct/port"
+	"teaselmoor/internal/direct/quarantine"
 	"teaselmoor/internal/direct/quota"
 	"teaselmoor/internal/direct/tally"
 	"teaselmoor/internal/direct/tenure"
@@ -118,11 +119,13 @@
 	AsOf  int64
 }
 
-// Message is one of its parts; the others are nil.
+// Message is one of its parts; the others are nil or empty.
 type Message struct {
 	Update *Update
 	Digest *Digest
 	Want   *Want
 	Pull   *Pull
 	Items  *Items
+	// Quarantine is what the sender knows of contents under which servers ended.
+	Quarantine []quarantine.Record
 }
--- a/internal/direct/peers/message_test.go
+++ b/internal/direct/peers/message_test.go
@@ -5,11 +5,13 @@
 
 	"github.com/stretchr/testify/require"
 
+	"teaselmoor/internal/direct/content"
 	"teaselmoor/internal/direct/fleet"
 	"teaselmoor/internal/direct/loading"
 	"teaselmoor/internal/direct/membership"
 	"teaselmoor/internal/direct/peers"
 	"teaselmoor/internal/direct/port"
+	"teaselmoor/internal/direct/quarantine"
 	"teaselmoor/internal/direct/quota"
 	"teaselmoor/internal/direct/tally"
 	"teaselmoor/internal/direct/tenure"
@@ -55,6 +57,10 @@
 			Owners:   &peers.Owners{By: map[string]string{"s": "d", "r": "e", "t": "d"}, Learned: loading.Learned{LoadTime: 250, AtOnce: 40}},
 			Reported: []peers.Reported{{Server: "s", Born: 5, Holdings: []port.Holding{{Model: "m", Adapters: map[string]int{"a": 2}}}}},
 		}},
+		{Quarantine: []quarantine.Record{
+			{Content: content.ID{1, 2, 3}, Number: 2, Servers: []string{"s@1", "t@0"}, Age: 5},
+			{Content: content.ID{4}, Number: 3, Age: 7},
+		}},
 		{Digest: &peers.Digest{Usage: &quota.Word{
 			Scope: quota.Others, Incarnation: 7, Daemons: 59,
 			Readings: []quota.Reading{{Account: "payroll", Number: 2, Total: 1630, Recent: 800}},
--- /dev/null
+++ b/internal/direct/quarantine/quarantine_test.go
@@ -0,0 +1,147 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/direct/content"
+	"teaselmoor/internal/direct/quarantine"
+)
+
+var (
+	options = quarantine.DefaultOptions()
+	crasher = content.Of(content.Request{Body: []byte("crash")})
+	other   = content.Of(content.Request{Body: []byte("other")})
+)
+
+const start = clock.Millis(1_000_000)
+
+func TestRefusedOnceServersHaveEnded(t *testing.T) {
+	list := quarantine.New(options, "d")
+	list.Ended(start, crasher, "a@1")
+	list.Ended(start, crasher, "a@1")
+	require.Zero(t, list.Refuses(start, crasher), "one server ended")
+	list.Ended(start+10, crasher, "a@2")
+	require.GreaterOrEqual(t, list.Refuses(start+10, crasher), options.FirstSpan)
+	require.Zero(t, list.Refuses(start+10, other))
+	require.Equal(t, 1, list.Refused(start+10))
+	list.Prune(start + 20)
+	require.Equal(t, 2, list.Servers(crasher))
+}
+
+// TestEachFurtherEndIsRarer lets a content through whenever it is due, and has it end a
+// server each time.
+func TestEachFurtherEndIsRarer(t *testing.T) {
+	list := quarantine.New(options, "d")
+	now := start
+	ends := 0
+	for now < start+clock.Hour {
+		list.Prune(now)
+		if list.Refuses(now, crasher) == 0 {
+			ends++
+			list.Ended(now, crasher, fmt.Sprintf("s%d", ends))
+		}
+		now += clock.Second
+	}
+	require.LessOrEqual(t, ends, 5)
+	require.GreaterOrEqual(t, ends, 4, "it is tried again")
+}
+
+func TestAnAnswerClears(t *testing.T) {
+	list, peer := quarantine.New(options, "d"), quarantine.New(options, "e")
+	for _, server := range []string{"a", "b", "c"} {
+		list.Ended(start, crasher, server)
+	}
+	require.True(t, peer.Merge(start, list.Since(start, 0)))
+	require.False(t, list.Answered(start, other))
+	require.True(t, list.Answered(start, crasher))
+	require.Zero(t, list.Refuses(start, crasher))
+	require.False(t, list.Answered(start, crasher), "no news")
+	require.True(t, peer.Merge(start, list.Since(start, 0)))
+	require.Zero(t, peer.Refuses(start, crasher))
+	peer.Ended(start, crasher, "d")
+	require.Zero(t, peer.Refuses(start, crasher), "it counts from the start again")
+}
+
+// TestDaemonsDoNotAllTryAgainAtOnce: a content that comes to all daemons all the time is
+// let through by few at first, and their word has the others wait on.
+func TestDaemonsDoNotAllTryAgainAtOnce(t *testing.T) {
+	const daemons, news = 59, 100 * clock.Millisecond
+	lists := make([]*quarantine.List, daemons)
+	for i := range lists {
+		lists[i] = quarantine.New(options, fmt.Sprintf("d%d", i))
+		lists[i].Ended(start, crasher, "a")
+		lists[i].Ended(start, crasher, "b")
+	}
+	first := clock.Millis(0)
+	sent := 0
+	for now := start; first == 0 || now < first+news; now++ {
+		for _, list := range lists {
+			if list.Refuses(now, crasher) > 0 {
+				continue
+			}
+			if first == 0 {
+				first = now
+			}
+			sent++
+			list.Ended(now, crasher, fmt.Sprintf("c%d", sent))
+		}
+	}
+	require.LessOrEqual(t, sent, 3)
+}
+
+// TestRecordsMergeInAnyOrder draws ends, answers and messages between daemons; once all
+// have told each other all, they agree, and have nothing more to tell.
+func TestRecordsMergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const daemons = 4
+		lists := make([]*quarantine.List, daemons)
+		for i := range lists {
+			lists[i] = quarantine.New(options, fmt.Sprintf("d%d", i))
+		}
+		now := start
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += clock.Millis(rapid.IntRange(0, 50).Draw(t, "gap"))
+			list := lists[rapid.IntRange(0, daemons-1).Draw(t, "daemon")]
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0, 1:
+				list.Ended(now, crasher, fmt.Sprintf("s%d", rapid.IntRange(0, 9).Draw(t, "server")))
+			case 2:
+				list.Answered(now, crasher)
+			default:
+				peer := lists[rapid.IntRange(0, daemons-1).Draw(t, "peer")]
+				list.Merge(now, peer.Since(now, int64(rapid.IntRange(0, 3).Draw(t, "since"))))
+			}
+		}
+		for range 2 {
+			for _, list := range lists {
+				for _, peer := range lists {
+					list.Merge(now, peer.Since(now, 0))
+				}
+			}
+		}
+		for _, list := range lists {
+			require.Equal(t, lists[0].Servers(crasher), list.Servers(crasher))
+			require.False(t, list.Merge(now, lists[0].Since(now, 0)))
+		}
+	})
+}
+
+// TestListIsBounded: what has ended most servers stays.
+func TestListIsBounded(t *testing.T) {
+	list := quarantine.New(options, "d")
+	for _, server := range []string{"a", "b"} {
+		list.Ended(start, crasher, server)
+	}
+	for i := range 3 * options.Records {
+		list.Ended(start+clock.Millis(i), content.Of(content.Request{Target: fmt.Sprint(i)}), "c")
+	}
+	require.LessOrEqual(t, len(list.Since(start, 0)), options.Records)
+	require.Positive(t, list.Refuses(start, crasher))
+	list.Prune(start + options.Keep + clock.Hour)
+	require.Empty(t, list.Since(start, 0))
+}
