gateway, throttle: the log tells limits that servers name

Now 'server limit named' and 'server limit lifted' say what each daemon knows, with a gauge. No decision reads it.

--- a/internal/direct/ending/ending.go
+++ b/internal/direct/ending/ending.go
@@ -21,6 +21,8 @@
 // Messages of log lines that speak of a server and the requests there.
 const (
 	MessageServerEnded = "server ended"
+	MessageLimitNamed  = "server limit named"
+	MessageLimitLifted = "server limit lifted"
 	MessageQuarantined = "content refused"
 )
 
--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -21,6 +21,7 @@
 	"teaselmoor/internal/direct/retry"
 	"teaselmoor/internal/direct/tally"
 	"teaselmoor/internal/direct/tenure"
+	"teaselmoor/internal/direct/throttle"
 )
 
 // core holds the tables that all workers share. One mutex guards them: every
@@ -60,6 +61,7 @@
 	reportAskedAt map[string]clock.Millis       // when a server's report was last read for want of its table
 	quarantine    *quarantine.List
 	losses        map[string][]content.ID // requests lost at each server that is being looked at
+	limits        *throttle.Limits        // that servers have named
 	changed       chan struct{}           // closed when holdings change
 
 	// Who gives orders, and what this daemon orders.
@@ -125,7 +127,7 @@
 		readRate: choose.NewReadRate(), intake: choose.NewIntake(), sentTokens: make(map[string]int),
 		reportAskedAt: make(map[string]clock.Millis), sums: make(map[string]map[string]tally.Sum),
 		shares: make(map[string]peers.DaemonShare), groups: make(map[string]groupShare),
-		losses: make(map[string][]content.ID), quarantine: quarantine.New(options.Quarantine, settings.Name),
+		losses: make(map[string][]content.ID), quarantine: quarantine.New(options.Quarantine, settings.Name), limits: throttle.New(),
 		changed: make(chan struct{}), workChanged: make(chan struct{}, 1), usageChanged: make(chan struct{}, 1), dirty: make(chan struct{}, 1),
 		born: int64(wall()), ledger: quota.New(now(), settings.Quota), usedBy: make(map[string]usageHeard),
 	}
--- a/internal/direct/gateway/gossip.go
+++ b/internal/direct/gateway/gossip.go
@@ -139,6 +139,7 @@
 	maps.DeleteFunc(core.askedAt, func(_ port.Adapter, at clock.Millis) bool { return now-at >= frequentSpan })
 	pull, address := core.pullFrom(now)
 	core.quarantine.Prune(now)
+	core.limits.Retain(func(server string) bool { _, ok := core.fleet.Member(server); return ok })
 	core.intake.Retain(func(server string) bool { _, ok := core.fleet.Member(server); return ok })
 	maps.DeleteFunc(core.reportAskedAt, func(server string, _ clock.Millis) bool { _, ok := core.fleet.Member(server); return !ok })
 	core.mutex.Unlock()
--- a/internal/direct/gateway/metrics.go
+++ b/internal/direct/gateway/metrics.go
@@ -77,6 +77,7 @@
 		own += load.Runs
 	}
 	return []gauge{
+		{"teaselmoor_servers_limited", float64(core.limits.Limited())},
 		{"teaselmoor_contents_refused", float64(core.quarantine.Refused(now))},
 		{"teaselmoor_config_version", float64(version)},
 		{"teaselmoor_store_revision", float64(core.store.revision)},
--- a/internal/direct/port/port.go
+++ b/internal/direct/port/port.go
@@ -56,6 +56,10 @@
 	NotRun  bool   // the server states that it did not run the request
 	Absent  bool   // the server is another one, or does not hold model, adapter or version
 	Signed  bool   // the server's signature is there
+	// Limited tells that the server takes no more than Limit requests a second from all
+	// daemons together.
+	Limited bool
+	Limit   float64
 }
 
 // Protocol translates requests and answers.
