gateway, throttle: a limit that a server names holds over all daemons

Class: a bound over all daemons that each daemon decides without.

Now: each daemon reads limits from answers, and they tell each other. Some daemons, chosen by the hash of server and daemon as many as the tolerance bears, have an equal part of a limit each, in a bucket that holds one request; the others send that server nothing. A request takes its part where it is placed or waits, and gives it back where it goes elsewhere. Placement passes over a server whose part is used up; where that leaves none the caller is refused with ServersLimited. An answer without a limit to a request sent after it was known lifts it.

Weighed: each daemon an equal part whatever their number (59 daemons would send 59 at once where 23 are allowed); one daemon that grants each request (exact, but a further hop and a takeover to get right).

--- a/internal/decide/outcome/reason.go
+++ b/internal/decide/outcome/reason.go
@@ -50,6 +50,7 @@
 	AnswerLate          Reason = "AnswerLate"
 	InvalidAnswer       Reason = "InvalidAnswer"
 	CrashesEngines      Reason = "CrashesEngines"
+	EnginesLimited      Reason = "EnginesLimited"
 )
 
 var sentences = map[Reason]string{
@@ -96,6 +97,7 @@
 	ServerFailed:        "The server ran the request and reported a failure of its own, which was passed on.",
 	AdapterLate:         "The adapter could not be made ready in time at any server.",
 	AnswerLate:          "The time allowed ran out after the request was sent and before its answer was complete.",
+	EnginesLimited:      "Each server that could take the request had named how many it takes in a second, and had got as many.",
 	CrashesEngines:      "Engines have ended while they ran requests with the same content, so this one was not run.",
 	InvalidAnswer:       "What came back was not an answer of the server to this request, and it was discarded.",
 }
--- a/internal/direct/choose/choose.go
+++ b/internal/direct/choose/choose.go
@@ -71,12 +71,18 @@
 	Prompt     int                      // tokens
 	Places     int                      // for adapters at each server
 	Tried      []string                 // servers that had the request before
+	Barred     func(server string) bool // servers that must not get a request now; nil: none
 	Ordered    func(server string) bool // whether a daemon gives orders to a server; nil: all have one
 	Frequent   bool                     // the adapter was asked for before of late: a copy pays
 	Many       bool                     // many daemons place requests by what was told some time ago
 	Waiting    string                   // the server that is loading the adapter for the request; empty if none
 }
 
+// excludes reports whether a server must not get the request, whatever its cost.
+func (query Query) excludes(member *fleet.Member) bool {
+	return slices.Contains(query.Tried, member.ID) || query.Barred != nil && query.Barred(member.ID)
+}
+
 // Choice is a server and why it was chosen.
 type Choice struct {
 	Member *fleet.Member
@@ -104,7 +110,7 @@
 	best := Choice{}
 	var drawn draw
 	for _, member := range servers.Holders(query.Adapter) {
-		if member.Service != query.Service || member.Draining || !ready(member, query) || slices.Contains(query.Tried, member.ID) {
+		if member.Service != query.Service || member.Draining || !ready(member, query) || query.excludes(member) {
 			continue
 		}
 		choice := Choice{Member: member, Held: true, Cost: weights.base(query, servers, work, member) + spread(query, member)}
@@ -134,7 +140,7 @@
 	best, waiting, spare := Choice{}, Choice{}, Choice{}
 	var drawn draw
 	for _, member := range usable {
-		if slices.Contains(query.Tried, member.ID) {
+		if query.excludes(member) {
 			continue
 		}
 		choice := Choice{Member: member, Held: ready(member, query)}
--- a/internal/direct/ending/ending.go
+++ b/internal/direct/ending/ending.go
@@ -41,6 +41,7 @@
 	OverLimit     Reason = "AccountLimit"    // the account has used up its limit
 	TooLarge      Reason = "TooLarge"        // the body is over the limit
 	NoServer      Reason = "NoServer"        // no server of the service can take it
+	Limited       Reason = "ServersLimited"  // the limits of those that could take it are used up
 	LoadWait      Reason = "AdapterNotReady" // its adapter did not arrive in time
 	Quarantined   Reason = "CrashesServers"  // servers have ended under requests with its content
 	NoBudget      Reason = "RetryBudget"     // the budget for repeats is used up
@@ -62,6 +63,7 @@
 	Lost: outcome.ServiceLost, Invalid: outcome.InvalidAnswer, CallerLeft: outcome.CallerGone,
 	StreamBroke: outcome.Truncated, UnknownKey: outcome.Unauthorized, OldAccounts: outcome.OldConfiguration,
 	OverLimit: outcome.CallerLimit, Quarantined: outcome.CrashesEngines,
+	Limited: outcome.EnginesLimited,
 }
 
 // Reasons lists every reason, in no particular order.
--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -127,7 +127,7 @@
 		readRate: choose.NewReadRate(), intake: choose.NewIntake(), sentTokens: make(map[string]int),
 		reportAskedAt: make(map[string]clock.Millis), sums: make(map[string]map[string]tally.Sum),
 		shares: make(map[string]peers.DaemonShare), groups: make(map[string]groupShare),
-		losses: make(map[string][]content.ID), quarantine: quarantine.New(options.Quarantine, settings.Name), limits: throttle.New(),
+		losses: make(map[string][]content.ID), quarantine: quarantine.New(options.Quarantine, settings.Name), limits: throttle.New(settings.Name),
 		changed: make(chan struct{}), workChanged: make(chan struct{}, 1), usageChanged: make(chan struct{}, 1), dirty: make(chan struct{}, 1),
 		born: int64(wall()), ledger: quota.New(now(), settings.Quota), usedBy: make(map[string]usageHeard),
 	}
--- a/internal/direct/gateway/dispatch.go
+++ b/internal/direct/gateway/dispatch.go
@@ -191,7 +191,7 @@
 // answered judges an answer by its head and passes it on.
 func (gateway *Gateway) answered(ctx context.Context, writer http.ResponseWriter, job *job, to placed, held *placement, answer *upstream.Answer) verdict {
 	reply := gateway.protocol.Reply(answer.Response)
-	gateway.core.noteLimit(to, answer.StatusCode, reply)
+	gateway.noteLimit(to, answer.StatusCode, reply)
 	if reply.NotRun {
 		gateway.finish(answer)
 		return gateway.declined(job, to, answer.StatusCode, reply)
--- a/internal/direct/gateway/gossip.go
+++ b/internal/direct/gateway/gossip.go
@@ -22,8 +22,8 @@
 		gateway.wanted(from, *message.Want)
 	case message.Pull != nil:
 		gateway.pulled(from, *message.Pull)
-	case len(message.Quarantine) > 0:
-		gateway.takeQuarantine(message.Quarantine)
+	case message.Warnings != nil:
+		gateway.takeWarnings(message.Warnings)
 	case message.Items != nil:
 		gateway.core.received(*message.Items)
 	}
@@ -139,6 +139,9 @@
 	maps.DeleteFunc(core.askedAt, func(_ port.Adapter, at clock.Millis) bool { return now-at >= frequentSpan })
 	pull, address := core.pullFrom(now)
 	core.quarantine.Prune(now)
+	if core.limits.Limited() > 0 {
+		core.limits.SetDaemons(now, core.members.Alive())
+	}
 	core.limits.Retain(func(server string) bool { _, ok := core.fleet.Member(server); return ok })
 	core.intake.Retain(func(server string) bool { _, ok := core.fleet.Member(server); return ok })
 	maps.DeleteFunc(core.reportAskedAt, func(server string, _ clock.Millis) bool { _, ok := core.fleet.Member(server); return !ok })
@@ -147,7 +150,7 @@
 	if changed {
 		gateway.tellUpdate(now, gateway.mesh.Addresses())
 	}
-	gateway.tellQuarantine() // also to peers that were connected anew
+	gateway.tellWarnings() // also to peers that were connected anew
 	gateway.learnHoldings(now)
 	gateway.claim(now)
 	if address != "" {
--- a/internal/direct/gateway/limits.go
+++ b/internal/direct/gateway/limits.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http"
+	"slices"
 
+	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/ending"
 	"teaselmoor/internal/direct/port"
 	"teaselmoor/internal/direct/throttle"
@@ -10,19 +12,52 @@
 
 // noteLimit notes what an answer says of its server's limit. One without a limit lifts it,
 // if it is the answer of a server that takes requests.
-func (core *core) noteLimit(to placed, status int, reply port.Reply) {
-	core.mutex.Lock()
-	defer core.mutex.Unlock()
+func (gateway *Gateway) noteLimit(to placed, status int, reply port.Reply) {
 	if !reply.Limited && (reply.NotRun || status != http.StatusOK) {
 		return
 	}
+	if gateway.core.limitNews(to, reply) {
+		gateway.tellWarnings()
+	}
+}
+
+// limitNews reports whether an answer says something else of its server's limit than is
+// known, and takes it over.
+func (core *core) limitNews(to placed, reply port.Reply) bool {
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
 	word := throttle.Word{Server: to.server.ID, Born: to.server.Born, Limited: reply.Limited, Rate: reply.Limit}
-	if !core.limits.Heard(core.now(), to.at, word) {
-		return
+	now := core.now()
+	if reply.Limited {
+		core.limits.SetDaemons(now, core.members.Alive())
+	}
+	if !core.limits.Heard(now, to.at, word) {
+		return false
 	}
 	message := ending.MessageLimitLifted
 	if reply.Limited {
 		message = ending.MessageLimitNamed
 	}
 	core.log.Info(message, "Server", to.server.ID, "RatePerSecond", reply.Limit)
+	return true
+}
+
+// barred returns which servers must not get a request now because of their limits; at is the
+// one at which the request counts already. Nil where no server has a limit. The mutex is held.
+func (core *core) barred(now clock.Millis, at string) func(server string) bool {
+	if core.limits.Limited() == 0 {
+		return nil
+	}
+	return func(server string) bool { return server != at && !core.limits.Allows(now, server) }
+}
+
+// unplaced says why there is no server for a request. The mutex is held.
+func (core *core) unplaced(now clock.Millis, job *job) *verdict {
+	result := &verdict{status: http.StatusServiceUnavailable, reason: ending.NoServer}
+	for _, member := range core.fleet.Usable(job.service) {
+		if !slices.Contains(job.tried, member.ID) && !core.limits.Allows(now, member.ID) {
+			result.reason = ending.Limited
+		}
+	}
+	return result
 }
--- a/internal/direct/gateway/losses.go
+++ b/internal/direct/gateway/losses.go
@@ -52,7 +52,7 @@
 		core.ended(core.now(), server, lost)
 	}
 	core.mutex.Unlock()
-	gateway.tellQuarantine()
+	gateway.tellWarnings()
 }
 
 // contents spells names of contents for a log line.
--- a/internal/direct/gateway/place.go
+++ b/internal/direct/gateway/place.go
@@ -71,6 +71,11 @@
 // move counts a request at another server, or with an empty use at none. The mutex is
 // held.
 func (core *core) move(from *spot, use tally.Use, prompt int) {
+	if from.use.Server != use.Server {
+		now := core.now()
+		core.limits.Return(now, from.use.Server)
+		core.limits.Take(now, use.Server)
+	}
 	if from.use.Server != "" {
 		core.work.End(from.use, from.prompt)
 	}
@@ -101,7 +106,7 @@
 		choice, ok := core.choose(core.query(now, job, at.use.Server, frequent), job.hash)
 		if !ok {
 			core.move(at, tally.Use{}, 0)
-			return placed{}, &verdict{status: http.StatusServiceUnavailable, reason: ending.NoServer}
+			return placed{}, core.unplaced(now, job)
 		}
 		use := tally.Use{Server: choice.Member.ID, Adapter: job.adapter}
 		if use != at.use {
@@ -192,7 +197,7 @@
 func (core *core) query(now clock.Millis, job *job, waiting string, frequent bool) choose.Query {
 	return choose.Query{
 		Now: now, Service: job.service, DataCentre: core.settings.DataCentre, Adapter: job.adapter,
-		Attempt: xxhash.Sum64String(job.call.Attempt), Version: core.required(now, job.adapter), Prompt: job.call.Prompt, Tried: job.tried, Waiting: waiting, Frequent: frequent, Many: !core.members.Plan().Mesh,
+		Attempt: xxhash.Sum64String(job.call.Attempt), Version: core.required(now, job.adapter), Prompt: job.call.Prompt, Tried: job.tried, Barred: core.barred(now, waiting), Waiting: waiting, Frequent: frequent, Many: !core.members.Plan().Mesh,
 		Ordered: func(server string) bool { _, ok := core.ownerOf(now, server); return ok }, Places: job.places,
 	}
 }
--- a/internal/direct/gateway/quarantine.go
+++ b/internal/direct/gateway/quarantine.go
@@ -7,9 +7,7 @@
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/content"
 	"teaselmoor/internal/direct/ending"
-	"teaselmoor/internal/direct/peers"
 	"teaselmoor/internal/direct/port"
-	"teaselmoor/internal/direct/quarantine"
 )
 
 // quarantined refuses a request whose content is refused now. The mutex is held.
@@ -53,41 +51,6 @@
 	cleared := core.quarantine.Answered(now, job.content)
 	core.mutex.Unlock()
 	if cleared {
-		gateway.tellQuarantine()
-	}
-}
-
-// tellQuarantine tells peers what they have not been told of contents under which servers
-// ended.
-func (gateway *Gateway) tellQuarantine() {
-	core := gateway.core
-	core.mutex.Lock()
-	now := core.now()
-	targets := core.members.Plan().Targets
-	news := make([][]quarantine.Record, len(targets))
-	for i, target := range targets {
-		told := core.toldTo(target.Address)
-		news[i] = core.quarantine.Since(now, told.quarantine)
-		told.quarantine = core.quarantine.Changes()
-	}
-	core.mutex.Unlock()
-	for i, records := range news {
-		if len(records) > 0 {
-			gateway.send(targets[i].Address, peers.Message{Quarantine: records})
-		}
-	}
-}
-
-// takeQuarantine takes over what a peer knows of such contents, and passes it on.
-func (gateway *Gateway) takeQuarantine(records []quarantine.Record) {
-	core := gateway.core
-	core.mutex.Lock()
-	news := core.quarantine.Merge(core.now(), records)
-	if news {
-		core.notify()
-	}
-	core.mutex.Unlock()
-	if news {
-		gateway.tellQuarantine()
+		gateway.tellWarnings()
 	}
 }
--- a/internal/direct/gateway/spread.go
+++ b/internal/direct/gateway/spread.go
@@ -42,8 +42,8 @@
 	revision int64                           // of the store
 	usage    quota.Told
 	usageAt  clock.Millis // when usage was told last
-	// quarantine is the change of the list up to which records were told.
-	quarantine int64
+	// quarantine and limits are the changes up to which these were told.
+	quarantine, limits int64
 }
 
 // toldTo returns what an address has been told. The mutex is held.
--- a/internal/direct/membership/membership.go
+++ b/internal/direct/membership/membership.go
@@ -247,6 +247,21 @@
 	return peer.State == Alive && now-peer.HeardAt < membership.options.Silence
 }
 
+// Alive returns the names of the daemons that are neither leaving nor gone, in order.
+func (membership *Membership) Alive() []string {
+	var names []string
+	if membership.self.State == Alive {
+		names = append(names, membership.self.Name)
+	}
+	for name, known := range membership.entries {
+		if known.State == Alive {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // Daemons returns how many daemons the site has, this one included.
 func (membership *Membership) Daemons() int {
 	count := 1
--- a/internal/direct/peers/message.go
+++ b/internal/direct/peers/message.go
@@ -14,6 +14,7 @@
 	"teaselmoor/internal/direct/quota"
 	"teaselmoor/internal/direct/tally"
 	"teaselmoor/internal/direct/tenure"
+	"teaselmoor/internal/direct/throttle"
 )
 
 // Update is what a daemon tells those that it is connected with every so often.
@@ -119,13 +120,24 @@
 	AsOf  int64
 }
 
-// Message is one of its parts; the others are nil or empty.
+// Message is one of its parts; the others are nil.
 type Message struct {
-	Update *Update
-	Digest *Digest
-	Want   *Want
-	Pull   *Pull
-	Items  *Items
-	// Quarantine is what the sender knows of contents under which servers ended.
+	Update   *Update
+	Digest   *Digest
+	Want     *Want
+	Pull     *Pull
+	Items    *Items
+	Warnings *Warnings
+}
+
+// Warnings are what the receiver has not been told on the same connection of contents under
+// which servers ended, and of limits that servers named.
+type Warnings struct {
 	Quarantine []quarantine.Record
+	Limits     []throttle.Word
+}
+
+// Empty reports whether there is nothing to tell.
+func (warnings Warnings) Empty() bool {
+	return len(warnings.Quarantine) == 0 && len(warnings.Limits) == 0
 }
--- a/internal/direct/peers/message_test.go
+++ b/internal/direct/peers/message_test.go
@@ -15,6 +15,7 @@
 	"teaselmoor/internal/direct/quota"
 	"teaselmoor/internal/direct/tally"
 	"teaselmoor/internal/direct/tenure"
+	"teaselmoor/internal/direct/throttle"
 	"teaselmoor/internal/direct/topology"
 )
 
@@ -57,9 +58,12 @@
 			Owners:   &peers.Owners{By: map[string]string{"s": "d", "r": "e", "t": "d"}, Learned: loading.Learned{LoadTime: 250, AtOnce: 40}},
 			Reported: []peers.Reported{{Server: "s", Born: 5, Holdings: []port.Holding{{Model: "m", Adapters: map[string]int{"a": 2}}}}},
 		}},
-		{Quarantine: []quarantine.Record{
-			{Content: content.ID{1, 2, 3}, Number: 2, Servers: []string{"s@1", "t@0"}, Age: 5},
-			{Content: content.ID{4}, Number: 3, Age: 7},
+		{Warnings: &peers.Warnings{
+			Quarantine: []quarantine.Record{
+				{Content: content.ID{1, 2, 3}, Number: 2, Servers: []string{"s@1", "t@0"}, Age: 5},
+				{Content: content.ID{4}, Number: 3, Age: 7},
+			},
+			Limits: []throttle.Word{{Server: "s", Born: 1, Number: 2, Limited: true, Rate: 1.6}, {Server: "t", Number: 3}},
 		}},
 		{Digest: &peers.Digest{Usage: &quota.Word{
 			Scope: quota.Others, Incarnation: 7, Daemons: 59,
--- /dev/null
+++ b/internal/direct/peers/warnings.go
@@ -0,0 +1,64 @@
+package peers
+
+import (
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/direct/content"
+	"teaselmoor/internal/direct/quarantine"
+	"teaselmoor/internal/direct/throttle"
+)
+
+// The wire types of warnings are arrays but for the first, to which parts can be added.
+type (
+	wireWarnings struct {
+		Quarantine []wireRefused `cbor:",omitempty"`
+		Limits     []wireLimit   `cbor:",omitempty"`
+	}
+	wireRefused struct {
+		_       struct{} `cbor:",toarray"`
+		Content []byte
+		Number  int64
+		Servers []string
+		Age     int64
+	}
+	wireLimit struct {
+		_            struct{} `cbor:",toarray"`
+		Server       string
+		Born, Number int64
+		Limited      bool
+		Rate         float64
+	}
+)
+
+func encodeWarnings(warnings *Warnings) *wireWarnings {
+	if warnings == nil {
+		return nil
+	}
+	wire := &wireWarnings{}
+	for _, record := range warnings.Quarantine {
+		wire.Quarantine = append(wire.Quarantine, wireRefused{Content: record.Content[:], Number: record.Number, Servers: record.Servers, Age: int64(record.Age)})
+	}
+	for _, word := range warnings.Limits {
+		wire.Limits = append(wire.Limits, wireLimit{Server: word.Server, Born: word.Born, Number: word.Number, Limited: word.Limited, Rate: word.Rate})
+	}
+	return wire
+}
+
+// decodeWarnings leaves out a record whose content has another length.
+func decodeWarnings(wire *wireWarnings) *Warnings {
+	if wire == nil {
+		return nil
+	}
+	warnings := &Warnings{}
+	for _, each := range wire.Quarantine {
+		if len(each.Content) != len(content.ID{}) {
+			continue
+		}
+		warnings.Quarantine = append(warnings.Quarantine, quarantine.Record{
+			Content: content.ID(each.Content), Number: each.Number, Servers: each.Servers, Age: clock.Millis(each.Age),
+		})
+	}
+	for _, each := range wire.Limits {
+		warnings.Limits = append(warnings.Limits, throttle.Word{Server: each.Server, Born: each.Born, Number: each.Number, Limited: each.Limited, Rate: each.Rate})
+	}
+	return warnings
+}
--- a/internal/direct/peers/wire.go
+++ b/internal/direct/peers/wire.go
@@ -28,15 +28,8 @@
 		Want   *wireWant   `cbor:",omitempty"`
 		Pull   *Pull       `cbor:",omitempty"`
 		Items  *Items      `cbor:",omitempty"`
-		// Quarantine is left out by daemons that do not know of it, and passed over by them.
-		Quarantine []wireQuarantine `cbor:",omitempty"`
-	}
-	wireQuarantine struct {
-		_       struct{} `cbor:",toarray"`
-		Content []byte
-		Number  int64
-		Servers []string
-		Age     int64
+		// Warnings are passed over by daemons that do not know of them.
+		Warnings *wireWarnings `cbor:",omitempty"`
 	}
 	wireUpdate struct {
 		_                 struct{} `cbor:",toarray"`
@@ -177,7 +170,7 @@
 
 // Encode returns the bytes of a message.
 func Encode(message Message) ([]byte, error) {
-	wire := wireMessage{Pull: message.Pull, Items: message.Items, Quarantine: encodeQuarantine(message.Quarantine)}
+	wire := wireMessage{Pull: message.Pull, Items: message.Items, Warnings: encodeWarnings(message.Warnings)}
 	if message.Update != nil {
 		wire.Update = encodeUpdate(message.Update)
 	}
@@ -433,7 +426,7 @@
 	if err := cbor.Unmarshal(encoded, &wire); err != nil {
 		return Message{}, errors.Wrap(err, "decode message")
 	}
-	message := Message{Pull: wire.Pull, Items: wire.Items, Quarantine: decodeQuarantine(wire.Quarantine)}
+	message := Message{Pull: wire.Pull, Items: wire.Items, Warnings: decodeWarnings(wire.Warnings)}
 	if wire.Update != nil {
 		message.Update = decodeUpdate(wire.Update)
 	}
--- a/internal/direct/throttle/throttle.go
+++ b/internal/direct/throttle/throttle.go
@@ -1,6 +1,12 @@
-// Package throttle is what a daemon knows of the limits that servers have named: the
-// requests a second that a server takes from all daemons together. It does no I/O and reads
-// no clock.
+// Package throttle keeps what a server gets within the limit that it has named: the requests
+// a second that it takes from all daemons together. It answers this load: a server in need
+// asks for less, while requests go on to come at all daemons. It does no I/O and reads no
+// clock.
+//
+// Daemons part a limit without asking each other. They tell each other of limits, and agree
+// by the hash of server and daemon on a few of them, so that a request at once from each of
+// these is within what the site tolerates. Each takes an equal part of the rate, in a bucket
+// that holds one request; the others send that server nothing.
 package throttle
 
 import (
@@ -20,20 +26,38 @@
 	Rate    float64 // requests a second
 }
 
-// entry is the last word on a server, and when this daemon came to know it.
+// after reports whether a word replaces another one on the same server.
+func (word Word) after(other Word) bool {
+	switch {
+	case word.Born != other.Born:
+		return word.Born > other.Born
+	case word.Number != other.Number:
+		return word.Number > other.Number
+	default:
+		return word.Limited && (!other.Limited || word.Rate < other.Rate)
+	}
+}
+
+// entry is the last word on a server, and this daemon's part of its limit.
 type entry struct {
-	word Word
-	at   clock.Millis
+	word   Word
+	at     clock.Millis // when this daemon came to know the word
+	change int64        // of the limits, by which it did
+	part   part
 }
 
-// Limits are the limits of servers.
+// Limits are the limits of servers, as one daemon keeps them.
 type Limits struct {
+	self    string
+	daemons []string          // of the site, self included
 	entries map[string]*entry // by server
+	limited int               // servers that have a limit
+	changes int64
 }
 
-// New returns limits of which none is named.
-func New() *Limits {
-	return &Limits{entries: make(map[string]*entry)}
+// New returns the limits of a daemon that knows no other and no limit yet.
+func New(self string) *Limits {
+	return &Limits{self: self, daemons: []string{self}, entries: make(map[string]*entry)}
 }
 
 // Heard notes what an answer of a server said of its limit; its number is left open. An
@@ -54,10 +78,56 @@
 		return false
 	}
 	word.Number = known.word.Number + 1
-	limits.entries[word.Server] = &entry{word: word, at: now}
+	limits.take(now, word)
 	return true
 }
 
+// Merge takes over what another daemon knows. It reports whether that is news.
+func (limits *Limits) Merge(now clock.Millis, words []Word) bool {
+	news := false
+	for _, word := range words {
+		if known, ok := limits.entries[word.Server]; !ok || word.after(known.word) {
+			limits.take(now, word)
+			news = true
+		}
+	}
+	return news
+}
+
+// take replaces what is known of a server. A part that this daemon has of its limit is kept.
+func (limits *Limits) take(now clock.Millis, word Word) {
+	limits.changes++
+	known, ok := limits.entries[word.Server]
+	if !ok || !known.word.Limited || !word.Limited || known.word.Born != word.Born {
+		known = &entry{}
+	}
+	known.word, known.at, known.change = word, now, limits.changes
+	limits.entries[word.Server] = known
+	limits.count()
+	if word.Limited {
+		limits.divide(now, known)
+	}
+}
+
+// Changes rises with each change of the limits.
+func (limits *Limits) Changes() int64 {
+	return limits.changes
+}
+
+// Since returns the words that have changed after a change of the limits.
+func (limits *Limits) Since(change int64) []Word {
+	if change >= limits.changes {
+		return nil
+	}
+	var words []Word
+	for _, known := range limits.entries {
+		if known.change > change {
+			words = append(words, known.word)
+		}
+	}
+	return words
+}
+
 // of returns what is known of a server; an empty entry where that is nothing.
 func (limits *Limits) of(server string) *entry {
 	if known, ok := limits.entries[server]; ok {
@@ -68,16 +138,20 @@
 
 // Limited returns how many servers have a limit.
 func (limits *Limits) Limited() int {
-	count := 0
+	return limits.limited
+}
+
+func (limits *Limits) count() {
+	limits.limited = 0
 	for _, known := range limits.entries {
 		if known.word.Limited {
-			count++
+			limits.limited++
 		}
 	}
-	return count
 }
 
 // Retain forgets the servers that are not kept.
 func (limits *Limits) Retain(kept func(server string) bool) {
 	maps.DeleteFunc(limits.entries, func(server string, _ *entry) bool { return !kept(server) })
+	limits.count()
 }
--- /dev/null
+++ b/internal/direct/throttle/throttle_test.go
@@ -0,0 +1,151 @@
+package throttle_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/direct/throttle"
+)
+
+const (
+	start = clock.Millis(1_000_000)
+	span  = 4 * clock.Second
+)
+
+// site is some daemons that know the same limit of one server.
+func site(daemons int, rate float64) []*throttle.Limits {
+	var names []string
+	for i := range daemons {
+		names = append(names, fmt.Sprintf("d%03d", i))
+	}
+	var site []*throttle.Limits
+	for _, name := range names {
+		limits := throttle.New(name)
+		limits.SetDaemons(start, names)
+		limits.Merge(start, []throttle.Word{{Server: "s", Number: 1, Limited: true, Rate: rate}})
+		site = append(site, limits)
+	}
+	return site
+}
+
+// TestSumOverDaemonsIsWithinTheLimit draws how many daemons there are, the limit, and when
+// callers ask at which daemon: in no span is more sent than the site tolerates.
+func TestSumOverDaemonsIsWithinTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := float64(rapid.IntRange(0, 300).Draw(t, "tenths")) / 10
+		site := site(rapid.IntRange(1, 195).Draw(t, "daemons"), rate)
+		now := start
+		var sent []clock.Millis
+		for range 60 {
+			now += clock.Millis(rapid.SampledFrom([]int{0, 10, 300, 2000}).Draw(t, "pause"))
+			for _, limits := range site {
+				for limits.Allows(now, "s") {
+					limits.Take(now, "s")
+					sent = append(sent, now)
+				}
+			}
+		}
+		for i, at := range sent {
+			count := 0
+			for _, other := range sent[i:] {
+				if other < at+span {
+					count++
+				}
+			}
+			require.LessOrEqual(t, float64(count), 1.5*rate*span.Seconds()+5)
+		}
+	})
+}
+
+// TestLimitIsUsed: while callers ask all the time nearly all of a limit is sent.
+func TestLimitIsUsed(t *testing.T) {
+	for _, daemons := range []int{1, 3, 7, 59, 195} {
+		for _, rate := range []float64{0.5, 1.6, 10, 200} {
+			site := site(daemons, rate)
+			sent := 0.0
+			for now := start; now < start+40*clock.Second; now += 5 {
+				for _, limits := range site {
+					if limits.Allows(now, "s") {
+						limits.Take(now, "s")
+						sent++
+					}
+				}
+			}
+			require.InDelta(t, rate*40, sent, 0.15*rate*40+2, "%d daemons, %g a second", daemons, rate)
+		}
+	}
+}
+
+// TestWhatIsNotSentIsReturned: a request that went elsewhere takes nothing of the limit.
+func TestWhatIsNotSentIsReturned(t *testing.T) {
+	limits := site(1, 1)[0]
+	now := start + 10*clock.Second
+	require.True(t, limits.Allows(now, "s"))
+	limits.Take(now, "s")
+	require.False(t, limits.Allows(now, "s"))
+	limits.Return(now, "s")
+	require.True(t, limits.Allows(now, "s"))
+	require.True(t, limits.Allows(now, "other"), "it has no limit")
+}
+
+func TestLimitIsLiftedByALaterAnswer(t *testing.T) {
+	limits := throttle.New("d")
+	limited, lifted := throttle.Word{Server: "s", Born: 5, Limited: true, Rate: 2}, throttle.Word{Server: "s", Born: 5}
+	require.False(t, limits.Heard(start, start, lifted), "none was named")
+	require.True(t, limits.Heard(start, start, limited))
+	require.False(t, limits.Heard(start, start, limited), "no news")
+	require.False(t, limits.Allows(start, "s"))
+	require.False(t, limits.Heard(start+10, start-1, lifted), "the answer to a request from before")
+	require.True(t, limits.Heard(start+10, start+5, lifted))
+	require.True(t, limits.Allows(start+10, "s"))
+	require.Zero(t, limits.Limited())
+	require.True(t, limits.Heard(start+20, start, limited))
+	require.True(t, limits.Heard(start+30, start, throttle.Word{Server: "s", Born: 6}), "another process names none")
+	require.True(t, limits.Allows(start+30, "s"))
+	require.False(t, limits.Heard(start+40, start, limited), "the process of before")
+	limits.Retain(func(string) bool { return false })
+	require.True(t, limits.Heard(start+50, start, limited))
+	require.Equal(t, 1, limits.Limited())
+}
+
+// TestWordsMergeInAnyOrder draws answers at daemons and messages between them; once all have
+// told each other all, they agree.
+func TestWordsMergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const daemons = 4
+		var site []*throttle.Limits
+		for i := range daemons {
+			site = append(site, throttle.New(fmt.Sprint("d", i)))
+		}
+		now := start
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += clock.Millis(rapid.IntRange(0, 50).Draw(t, "gap"))
+			limits := site[rapid.IntRange(0, daemons-1).Draw(t, "daemon")]
+			if rapid.Bool().Draw(t, "answer") {
+				word := throttle.Word{Server: "s", Born: int64(rapid.IntRange(1, 2).Draw(t, "born"))}
+				if rate := rapid.IntRange(0, 2).Draw(t, "rate"); rate > 0 {
+					word.Limited, word.Rate = true, float64(rate)
+				}
+				limits.Heard(now, now-20, word)
+				continue
+			}
+			limits.Merge(now, site[rapid.IntRange(0, daemons-1).Draw(t, "peer")].Since(0))
+		}
+		for range 2 {
+			for _, limits := range site {
+				for _, peer := range site {
+					limits.Merge(now, peer.Since(0))
+				}
+			}
+		}
+		for _, limits := range site {
+			require.Equal(t, site[0].Limited(), limits.Limited())
+			require.False(t, limits.Merge(now, site[0].Since(0)))
+			require.Empty(t, limits.Since(limits.Changes()))
+		}
+	})
+}
