gateway, upstream: an end of a server is also seen by its restart, and through lost packets

The look at a server that lost requests took a connection that came about for life, and one that timed out as well.

Now: a look that shows nothing is repeated for some seconds, and losses are remembered for 5 s: when the server's entry says within them that it has started again, what it lost counts.

Besides: warnings are not told back to the peer that told them.

--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -10,7 +10,6 @@
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/catalog"
 	"teaselmoor/internal/direct/choose"
-	"teaselmoor/internal/direct/content"
 	"teaselmoor/internal/direct/fleet"
 	"teaselmoor/internal/direct/loading"
 	"teaselmoor/internal/direct/membership"
@@ -60,9 +59,9 @@
 	askedAt       map[port.Adapter]clock.Millis // when callers last asked for an adapter here
 	reportAskedAt map[string]clock.Millis       // when a server's report was last read for want of its table
 	quarantine    *quarantine.List
-	losses        map[string][]content.ID // requests lost at each server that is being looked at
-	limits        *throttle.Limits        // that servers have named
-	changed       chan struct{}           // closed when holdings change
+	losses        map[string]*losses // requests lost at each server that is being looked at
+	limits        *throttle.Limits   // that servers have named
+	changed       chan struct{}      // closed when holdings change
 
 	// Who gives orders, and what this daemon orders.
 	tenure      *tenure.Tenure
@@ -127,7 +126,7 @@
 		readRate: choose.NewReadRate(), intake: choose.NewIntake(), sentTokens: make(map[string]int),
 		reportAskedAt: make(map[string]clock.Millis), sums: make(map[string]map[string]tally.Sum),
 		shares: make(map[string]peers.DaemonShare), groups: make(map[string]groupShare),
-		losses: make(map[string][]content.ID), quarantine: quarantine.New(options.Quarantine, settings.Name), limits: throttle.New(settings.Name),
+		losses: make(map[string]*losses), quarantine: quarantine.New(options.Quarantine, settings.Name), limits: throttle.New(settings.Name),
 		changed: make(chan struct{}), workChanged: make(chan struct{}, 1), usageChanged: make(chan struct{}, 1), dirty: make(chan struct{}, 1),
 		born: int64(wall()), ledger: quota.New(now(), settings.Quota), usedBy: make(map[string]usageHeard),
 	}
--- a/internal/direct/gateway/gossip.go
+++ b/internal/direct/gateway/gossip.go
@@ -23,7 +23,7 @@
 	case message.Pull != nil:
 		gateway.pulled(from, *message.Pull)
 	case message.Warnings != nil:
-		gateway.takeWarnings(message.Warnings)
+		gateway.takeWarnings(from, message.Warnings)
 	case message.Items != nil:
 		gateway.core.received(*message.Items)
 	}
@@ -139,6 +139,7 @@
 	maps.DeleteFunc(core.askedAt, func(_ port.Adapter, at clock.Millis) bool { return now-at >= frequentSpan })
 	pull, address := core.pullFrom(now)
 	core.quarantine.Prune(now)
+	core.pruneLosses(now)
 	if core.limits.Limited() > 0 {
 		core.limits.SetDaemons(now, core.members.Alive())
 	}
--- a/internal/direct/gateway/losses.go
+++ b/internal/direct/gateway/losses.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"time"
 
 	"teaselmoor/internal/base/clock"
@@ -15,6 +17,33 @@
 // are lost with it are then known too.
 const examinePause = 20 * clock.Millisecond
 
+// A look may show nothing, where packets get lost or a link is cut. It is repeated for some
+// seconds: by then a server that ended may be back.
+const (
+	examineTries = 4
+	examineAgain = 400 * clock.Millisecond
+)
+
+// lossKept is how long a loss at a server is remembered that was found to listen: it may have
+// started again meanwhile, which its entry in the store says later.
+const lossKept = 5 * clock.Second
+
+// mostLosses bounds what is remembered of a server.
+const mostLosses = 256
+
+// losses are requests that were lost at a server of late.
+type losses struct {
+	contents []content.ID
+	at       clock.Millis // of the last one
+	looking  bool         // the server is being looked at
+}
+
+// add notes one more.
+func (losses *losses) add(now clock.Millis, id content.ID) {
+	losses.at = now
+	losses.contents = append(losses.contents[max(0, len(losses.contents)+1-mostLosses):], id)
+}
+
 // lostAt notes that a server closed the connection of a request before its answer was
 // whole, and has it looked at whether the server has ended.
 func (gateway *Gateway) lostAt(job *job, server port.Server, err error) {
@@ -24,11 +53,16 @@
 	core := gateway.core
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
-	_, looking := core.losses[server.ID]
-	core.losses[server.ID] = append(core.losses[server.ID], job.content)
-	if looking {
+	lost, ok := core.losses[server.ID]
+	if !ok {
+		lost = &losses{}
+		core.losses[server.ID] = lost
+	}
+	lost.add(core.now(), job.content)
+	if lost.looking {
 		return
 	}
+	lost.looking = true
 	gateway.group.Go("examine "+server.ID, func(ctx context.Context) error {
 		gateway.examine(ctx, server)
 		return nil
@@ -37,26 +71,64 @@
 
 // examine looks whether a server at which requests were lost has ended.
 func (gateway *Gateway) examine(ctx context.Context, server port.Server) {
-	select {
-	case <-ctx.Done():
-		return
-	case <-time.After(examinePause.Duration()):
-	}
-	ended := gateway.pool.Refused(ctx, server.Address)
+	ended := gateway.hasEnded(ctx, server)
 	core := gateway.core
 	core.mutex.Lock()
-	lost := core.losses[server.ID]
-	delete(core.losses, server.ID)
-	if ended {
-		core.log.Info(ending.MessageServerEnded, "Server", server.ID, "Lost", contents(lost))
-		core.ended(core.now(), server, lost)
+	if lost, ok := core.losses[server.ID]; ok {
+		lost.looking = false
+	}
+	member, known := core.fleet.Member(server.ID)
+	if ended && !(known && member.Draining) {
+		core.ended(core.now(), server)
 	}
 	core.mutex.Unlock()
 	gateway.tellWarnings()
 }
 
-// contents spells names of contents for a log line.
-func contents(lost []content.ID) []string {
+// ended notes what was in progress at a server when it ended, which it was not about to do.
+// The mutex is held.
+func (core *core) ended(now clock.Millis, server port.Server) {
+	lost, ok := core.losses[server.ID]
+	if !ok {
+		return
+	}
+	delete(core.losses, server.ID)
+	core.log.Info(ending.MessageServerEnded, "Server", server.ID, "Lost", spell(lost.contents))
+	for _, id := range lost.contents {
+		core.quarantine.Ended(now, id, processOf(server))
+	}
+	core.notify()
+}
+
+// processOf names a server's process: it may start again under its id.
+func processOf(server port.Server) string {
+	return fmt.Sprintf("%s@%d", server.ID, server.Born)
+}
+
+// pruneLosses forgets the losses of servers that have not ended. The mutex is held.
+func (core *core) pruneLosses(now clock.Millis) {
+	maps.DeleteFunc(core.losses, func(_ string, lost *losses) bool { return !lost.looking && now-lost.at >= lossKept })
+}
+
+// hasEnded reports whether nobody listens at a server's address.
+func (gateway *Gateway) hasEnded(ctx context.Context, server port.Server) bool {
+	pause := examinePause
+	for range examineTries {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(pause.Duration()):
+		}
+		if shown := gateway.pool.Check(ctx, server.Address); shown != upstream.Unknown {
+			return shown == upstream.Refuses
+		}
+		pause = examineAgain
+	}
+	return false
+}
+
+// spell spells names of contents for a log line.
+func spell(lost []content.ID) []string {
 	spelled := make([]string, len(lost))
 	for i, id := range lost {
 		spelled[i] = id.String()
--- a/internal/direct/gateway/quarantine.go
+++ b/internal/direct/gateway/quarantine.go
@@ -1,13 +1,10 @@
 package gateway
 
 import (
-	"fmt"
 	"net/http"
 
 	"teaselmoor/internal/base/clock"
-	"teaselmoor/internal/direct/content"
 	"teaselmoor/internal/direct/ending"
-	"teaselmoor/internal/direct/port"
 )
 
 // quarantined refuses a request whose content is refused now. The mutex is held.
@@ -24,24 +21,6 @@
 	return &verdict{status: http.StatusServiceUnavailable, reason: ending.Quarantined}
 }
 
-// ended notes the requests that were in progress at a server when it ended. One that was
-// to leave has not ended under them. The mutex is held.
-func (core *core) ended(now clock.Millis, server port.Server, lost []content.ID) {
-	member, ok := core.fleet.Member(server.ID)
-	if ok && member.Draining {
-		return
-	}
-	for _, id := range lost {
-		core.quarantine.Ended(now, id, processOf(server))
-	}
-	core.notify()
-}
-
-// processOf names a server's process: it may start again under its id.
-func processOf(server port.Server) string {
-	return fmt.Sprintf("%s@%d", server.ID, server.Born)
-}
-
 // answeredWhole notes that a server has answered a request whole and with success.
 func (gateway *Gateway) answeredWhole(job *job, to placed) {
 	core := gateway.core
--- a/internal/direct/gateway/store.go
+++ b/internal/direct/gateway/store.go
@@ -171,6 +171,10 @@
 
 func (core *core) believeServer(server port.Server, revision int64) {
 	before, known := core.fleet.Member(server.ID)
+	former, draining := server, false
+	if known {
+		former, draining = before.Server, before.Draining
+	}
 	restarted := known && before.Born != server.Born
 	newlyDraining := server.Draining && (!known || !before.Draining)
 	if !core.fleet.Put(server, revision) {
@@ -180,6 +184,9 @@
 	case !known:
 		core.log.Info("server found", "Server", server.ID, "Service", server.Service, "Address", server.Address, "Draining", server.Draining, "Revision", revision)
 	case restarted:
+		if !draining {
+			core.ended(core.now(), former)
+		}
 		core.log.Info("server restarted", "Server", server.ID, "Born", server.Born, "Revision", revision)
 		if held, ok := core.orders[server.ID]; ok {
 			held.planner.Forget()
--- a/internal/direct/gateway/warnings.go
+++ b/internal/direct/gateway/warnings.go
@@ -27,15 +27,26 @@
 }
 
 // takeWarnings takes over what a peer knows, and passes on what of it is news.
-func (gateway *Gateway) takeWarnings(warnings *peers.Warnings) {
+func (gateway *Gateway) takeWarnings(from string, warnings *peers.Warnings) {
 	core := gateway.core
 	core.mutex.Lock()
 	now := core.now()
+	told := newTold()
+	if peer, ok := core.members.Peer(from); ok {
+		told = core.toldTo(peer.Address)
+	}
+	allRefused, allLimits := told.quarantine == core.quarantine.Changes(), told.limits == core.limits.Changes()
 	refused := core.quarantine.Merge(now, warnings.Quarantine)
 	if len(warnings.Limits) > 0 {
 		core.limits.SetDaemons(now, core.members.Alive())
 	}
 	limited := core.limits.Merge(now, warnings.Limits)
+	if allRefused { // it knows what it has told
+		told.quarantine = core.quarantine.Changes()
+	}
+	if allLimits {
+		told.limits = core.limits.Changes()
+	}
 	if refused {
 		core.notify()
 	}
--- a/internal/direct/upstream/check.go
+++ b/internal/direct/upstream/check.go
@@ -8,16 +8,29 @@
 	"github.com/pkg/errors"
 )
 
-// Refused reports whether nothing listens at an address: a server of which a connection
-// broke has ended. A connection that comes about is kept for requests. Where none comes
-// about for another reason, it is not known whether the server has ended.
-func (pool *Pool) Refused(ctx context.Context, address string) bool {
+// Presence is what trying to connect to an address shows.
+type Presence int
+
+// Presences.
+const (
+	Unknown Presence = iota // no connection came about, for whatever reason
+	Listens
+	Refuses // nothing listens there: the server has ended
+)
+
+// Check tries to connect to a server of which a connection broke. A connection that comes
+// about is kept for requests.
+func (pool *Pool) Check(ctx context.Context, address string) Presence {
 	opened, err := pool.dial(ctx, address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+	switch {
+	case err == nil:
+		pool.keep(opened, 0)
+		return Listens
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return Refuses
+	default:
+		return Unknown
 	}
-	pool.keep(opened, 0)
-	return false
 }
 
 // closings are what reading from or writing to a connection ends with that the other
--- /dev/null
+++ b/internal/direct/upstream/check_test.go
@@ -0,0 +1,47 @@
+package upstream_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"teaselmoor/internal/direct/upstream"
+)
+
+func TestCheckTellsServersThatHaveEnded(t *testing.T) {
+	pool := upstream.New(upstream.DefaultOptions())
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.Equal(t, upstream.Listens, pool.Check(t.Context(), address))
+	require.EqualValues(t, 1, pool.Opened())
+	require.NoError(t, listener.Close())
+	require.Equal(t, upstream.Refuses, pool.Check(t.Context(), address))
+	ended, end := context.WithCancel(t.Context())
+	end()
+	require.Equal(t, upstream.Unknown, pool.Check(ended, address))
+}
+
+// TestClosedByServer: what this side has ended is not the server's doing.
+func TestClosedByServer(t *testing.T) {
+	address := answering(t, func(_ int, conn net.Conn) {
+		readRequest(conn)
+		_ = conn.Close()
+	})
+	pool := upstream.New(upstream.DefaultOptions())
+	_, err := pool.Send(t.Context(), address, request(t), accept)
+	require.True(t, upstream.ClosedByServer(err))
+	require.False(t, upstream.ClosedByServer(errors.Wrap(net.ErrClosed, "read answer")))
+	require.True(t, upstream.ClosedByServer(errors.Wrap(io.ErrUnexpectedEOF, "read answer")))
+
+	silent := answering(t, func(_ int, conn net.Conn) { readRequest(conn) })
+	ctx, cancel := context.WithCancel(t.Context())
+	go cancel()
+	_, err = pool.Send(ctx, silent, request(t), accept)
+	require.Error(t, err)
+	require.False(t, upstream.ClosedByServer(err))
+}
