quarantine: what was answered of late is not refused

Callers would have seen 503 for a page that all of them ask for.

Now: a daemon remembers for 30 to 60 s which contents it has answered, does not count these, and vouches for them to its peers: a request that crashes each server has never been answered. The first span is 5 s instead of 20 for what nobody has answered yet. TestWhatManyCallersAskForIsNotRefused fails without it.

TestRecordsMergeInAnyOrder lets daemons tell each other all once more, as one may vouch meanwhile.

--- a/internal/direct/quarantine/quarantine.go
+++ b/internal/direct/quarantine/quarantine.go
@@ -3,6 +3,9 @@
 // that runs it comes again and again under other ids, at any daemon, and each time takes
 // the work of a server's other callers with it. It does no I/O and reads no clock.
 //
+// What many callers ask for may be in progress at servers that fail together for another
+// reason: a daemon that has answered a content of late does not count it, and vouches for it.
+//
 // Each daemon keeps a List. A content collects the servers that ended while they had a
 // request with it. With Options.Servers of them it is refused for a span that grows with
 // each further one; then single requests are let through again. An answer clears it: what
@@ -38,14 +41,20 @@
 	Keep clock.Millis
 	// Records bounds the list.
 	Records int
+	// Trust is for how long at least a content that was answered does not count as one that
+	// ends servers, and Answers how many such contents are remembered at least.
+	Trust   clock.Millis
+	Answers int
 }
 
-// DefaultOptions returns limits under which a request that never stops coming ends a
-// server twice, again after 20 s and 200 s, and once a day in the end.
+// DefaultOptions returns limits under which a request that never stops coming ends two
+// servers, further ones after 5 s, 50 s and so on, and one a day in the end. The first span
+// is short: what many callers ask for may be in progress at two servers that fail together.
 func DefaultOptions() Options {
 	return Options{
-		Servers: 2, FirstSpan: 20 * clock.Second, MostSpan: 24 * clock.Hour, Growth: 10,
-		Spread: 0.5, Keep: 10 * clock.Minute, Records: 2048,
+		Servers: 2, FirstSpan: 5 * clock.Second, MostSpan: 24 * clock.Hour, Growth: 10,
+		Spread: 1, Keep: 10 * clock.Minute, Records: 2048,
+		Trust: 30 * clock.Second, Answers: 512,
 	}
 }
 
@@ -71,16 +80,21 @@
 	options Options
 	daemon  uint64 // hash of the daemon's name
 	entries map[content.ID]*entry
+	answers *recent[content.ID]
 	changes int64
 }
 
 // New returns the empty list of a daemon.
 func New(options Options, daemon string) *List {
-	return &List{options: options, daemon: xxhash.Sum64String(daemon), entries: make(map[content.ID]*entry)}
+	return &List{options: options, daemon: xxhash.Sum64String(daemon), entries: make(map[content.ID]*entry), answers: newRecent[content.ID](options.Trust, options.Answers)}
 }
 
-// Ended notes that a server ended which had a request with a content.
+// Ended notes that a server ended which had a request with a content, unless the content was
+// answered here of late.
 func (list *List) Ended(now clock.Millis, id content.ID, server string) {
+	if list.answers.has(now, id) {
+		return
+	}
 	record := Record{Content: id, Servers: []string{server}}
 	if known, ok := list.entries[id]; ok {
 		record.Number = known.number
@@ -91,11 +105,17 @@
 // Answered notes that a server answered a request with a content. It reports whether that
 // is news.
 func (list *List) Answered(now clock.Millis, id content.ID) bool {
+	list.answers.add(now, id)
+	return list.clear(now, id)
+}
+
+// clear drops what counts against a content. It reports whether there was anything.
+func (list *List) clear(now clock.Millis, id content.ID) bool {
 	known, ok := list.entries[id]
 	if !ok || len(known.servers) == 0 {
 		return false
 	}
-	return list.Merge(now, []Record{{Content: id, Number: known.number + 1}})
+	return list.merge(now, Record{Content: id, Number: known.number + 1})
 }
 
 // Refuses returns for how much longer requests with a content are refused; 0: they are not.
@@ -153,6 +173,9 @@
 		if list.merge(now, record) {
 			news = true
 		}
+		if list.answers.has(now, record.Content) {
+			list.clear(now, record.Content)
+		}
 	}
 	if len(list.entries) > list.options.Records {
 		list.drop()
--- a/internal/direct/quarantine/quarantine_test.go
+++ b/internal/direct/quarantine/quarantine_test.go
@@ -117,7 +117,7 @@
 				list.Merge(now, peer.Since(now, int64(rapid.IntRange(0, 3).Draw(t, "since"))))
 			}
 		}
-		for range 2 {
+		for range daemons {
 			for _, list := range lists {
 				for _, peer := range lists {
 					list.Merge(now, peer.Since(now, 0))
@@ -145,3 +145,40 @@
 	list.Prune(start + options.Keep + clock.Hour)
 	require.Empty(t, list.Since(start, 0))
 }
+
+// TestWhatManyCallersAskForIsNotRefused: a content that was answered of late is in progress
+// at two servers that fail at once, before any other answer. A daemon that has answered it
+// vouches for it when another one has noted both.
+func TestWhatManyCallersAskForIsNotRefused(t *testing.T) {
+	list, peer := quarantine.New(options, "d"), quarantine.New(options, "e")
+	require.False(t, list.Answered(start, crasher), "there is nothing to clear")
+	list.Ended(start+10, crasher, "a")
+	list.Ended(start+10, crasher, "b")
+	require.Zero(t, list.Refuses(start+10, crasher))
+	peer.Ended(start+10, crasher, "a")
+	peer.Ended(start+10, crasher, "b")
+	require.Positive(t, peer.Refuses(start+10, crasher))
+	require.True(t, list.Merge(start+20, peer.Since(start+20, 0)))
+	require.Zero(t, list.Refuses(start+20, crasher))
+	require.True(t, peer.Merge(start+30, list.Since(start+30, 0)))
+	require.Zero(t, peer.Refuses(start+30, crasher))
+	later := start + 30 + 2*options.Trust
+	list.Ended(later, crasher, "c")
+	list.Ended(later, crasher, "d")
+	require.Positive(t, list.Refuses(later, crasher), "it may have changed since it was answered")
+}
+
+// TestAnswersAreRememberedInBoundedSpace: what is asked for most is remembered.
+func TestAnswersAreRememberedInBoundedSpace(t *testing.T) {
+	list := quarantine.New(options, "d")
+	for i := range 5 * options.Answers {
+		list.Answered(start, content.Of(content.Request{Target: fmt.Sprint(i)}))
+		list.Answered(start, other)
+	}
+	for _, server := range []string{"a", "b"} {
+		list.Ended(start, other, server)
+		list.Ended(start, content.Of(content.Request{Target: "0"}), server)
+	}
+	require.Zero(t, list.Refuses(start, other))
+	require.Positive(t, list.Refuses(start, content.Of(content.Request{Target: "0"})), "it was forgotten")
+}
