--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -58,10 +58,10 @@
 	intake        *choose.Intake                // prompts sent of late to each server, by all daemons of a mesh
 	askedAt       map[port.Adapter]clock.Millis // when callers last asked for an adapter here
 	reportAskedAt map[string]clock.Millis       // when a server's report was last read for want of its table
-	quarantine    *quarantine.List
-	losses        map[string]*losses // requests lost at each server that is being looked at
-	limits        *throttle.Limits   // that servers have named
-	changed       chan struct{}      // closed when holdings change
+	quarantine    *quarantine.List              // contents under which servers ended
+	losses        map[string]*losses            // by server, of late
+	limits        *throttle.Limits              // that servers have named
+	changed       chan struct{}                 // closed when holdings change
 
 	// Who gives orders, and what this daemon orders.
 	tenure      *tenure.Tenure
@@ -116,19 +116,53 @@
 
 func newCore(settings Settings, options Options, decoder port.Decoder, now, wall clock.Source, log *slog.Logger) *core {
 	core := &core{
-		settings: settings, options: options, decoder: decoder, now: now, wall: wall, log: log,
-		fleet: fleet.New(options.Fleet), work: tally.New(),
-		tenure: tenure.New(options.Tenure, settings.Name, now(), wall), store: newStoreCopy(),
-		versions: make(map[port.Adapter]namedVersion), budgets: make(map[string]*retry.Budget),
-		orders: make(map[string]*ordering), turns: make(map[string]*loading.Turns), loadRate: loading.NewRate(),
-		owners: make(map[string]string), askers: make(map[string]askers), copiesAsked: make(map[port.Adapter]askedCopies), nameAt: make(map[string]string), seedAt: make(map[string]bool),
-		told: make(map[string]*toldState), askedAt: make(map[port.Adapter]clock.Millis), toldReading: make(map[string]int),
-		readRate: choose.NewReadRate(), intake: choose.NewIntake(), sentTokens: make(map[string]int),
-		reportAskedAt: make(map[string]clock.Millis), sums: make(map[string]map[string]tally.Sum),
-		shares: make(map[string]peers.DaemonShare), groups: make(map[string]groupShare),
-		losses: make(map[string]*losses), quarantine: quarantine.New(options.Quarantine, settings.Name), limits: throttle.New(settings.Name),
-		changed: make(chan struct{}), workChanged: make(chan struct{}, 1), usageChanged: make(chan struct{}, 1), dirty: make(chan struct{}, 1),
-		born: int64(wall()), ledger: quota.New(now(), settings.Quota), usedBy: make(map[string]usageHeard),
+		settings: settings,
+		options:  options,
+		decoder:  decoder,
+		now:      now,
+		wall:     wall,
+		log:      log,
+		born:     int64(wall()),
+
+		store:    newStoreCopy(),
+		versions: make(map[port.Adapter]namedVersion),
+
+		ledger: quota.New(now(), settings.Quota),
+		usedBy: make(map[string]usageHeard),
+
+		fleet:         fleet.New(options.Fleet),
+		work:          tally.New(),
+		budgets:       make(map[string]*retry.Budget),
+		readRate:      choose.NewReadRate(),
+		loadRate:      loading.NewRate(),
+		intake:        choose.NewIntake(),
+		askedAt:       make(map[port.Adapter]clock.Millis),
+		reportAskedAt: make(map[string]clock.Millis),
+		losses:        make(map[string]*losses),
+		quarantine:    quarantine.New(options.Quarantine, settings.Name),
+		limits:        throttle.New(settings.Name),
+		changed:       make(chan struct{}),
+
+		tenure:      tenure.New(options.Tenure, settings.Name, now(), wall),
+		orders:      make(map[string]*ordering),
+		turns:       make(map[string]*loading.Turns),
+		owners:      make(map[string]string),
+		askers:      make(map[string]askers),
+		copiesAsked: make(map[port.Adapter]askedCopies),
+
+		nameAt: make(map[string]string),
+		seedAt: make(map[string]bool),
+
+		shares: make(map[string]peers.DaemonShare),
+		groups: make(map[string]groupShare),
+		sums:   make(map[string]map[string]tally.Sum),
+
+		told:         make(map[string]*toldState),
+		toldReading:  make(map[string]int),
+		sentTokens:   make(map[string]int),
+		workChanged:  make(chan struct{}, 1),
+		usageChanged: make(chan struct{}, 1),
+		dirty:        make(chan struct{}, 1),
 	}
 	core.hubAt = now()
 	core.members = membership.New(options.Membership, core.self(), core.hubAt, core.born, core.seeded())
--- a/internal/direct/gateway/place.go
+++ b/internal/direct/gateway/place.go
@@ -68,8 +68,8 @@
 	prompt int // tokens that count as being read there
 }
 
-// move counts a request at another server, or with an empty use at none. The mutex is
-// held.
+// move counts a request at another server and in its limit, or with an empty use at none.
+// The mutex is held.
 func (core *core) move(from *spot, use tally.Use, prompt int) {
 	if from.use.Server != use.Server {
 		now := core.now()
@@ -152,11 +152,6 @@
 	return core.options.Hold.Holds(prompt, core.intake.Tokens(now, server, rate), rate)
 }
 
-func coming(member *fleet.Member, adapter port.Adapter) bool {
-	slot, ok := member.Slot(adapter)
-	return ok && slot.Coming
-}
-
 // logNotPlaced writes what decided that a request does not wait any longer. The
 // mutex is held.
 func (core *core) logNotPlaced(now clock.Millis, job *job, server *fleet.Member, hopeless bool, patience clock.Millis) {
@@ -196,50 +191,21 @@
 
 func (core *core) query(now clock.Millis, job *job, waiting string, frequent bool) choose.Query {
 	return choose.Query{
-		Now: now, Service: job.service, DataCentre: core.settings.DataCentre, Adapter: job.adapter,
-		Attempt: xxhash.Sum64String(job.call.Attempt), Version: core.required(now, job.adapter), Prompt: job.call.Prompt, Tried: job.tried, Barred: core.barred(now, waiting), Waiting: waiting, Frequent: frequent, Many: !core.members.Plan().Mesh,
-		Ordered: func(server string) bool { _, ok := core.ownerOf(now, server); return ok }, Places: job.places,
-	}
-}
-
-// patience is how long a request may wait for its adapter: callers abandon a
-// stream that is silent for longer than its goals suggest.
-func (core *core) patience(now clock.Millis, job *job) clock.Millis {
-	silence := max(leastSilence, goalSilence*job.route.Goal, gapSilence*job.route.GapGoal)
-	byCaller := clock.Millis(core.options.LoadPatience * float64(job.heardAt+silence-now))
-	byDeadline := clock.Millis(core.options.LoadPatience * float64(job.deadline-now))
-	return min(byCaller, byDeadline)
-}
-
-// Callers abandon a stream after the longest of these silences: a fixed one, and
-// multiples of the route's goals for the first event and for gaps.
-const (
-	leastSilence = 2 * clock.Second
-	goalSilence  = 4
-	gapSilence   = 8
-)
-
-// loadWait is how long an adapter that nobody has asked for yet will take at a
-// server: the weight store sends a number at a time to all servers, and the server
-// takes a number at a time; those that wait go first.
-func (core *core) loadWait(server *fleet.Member) clock.Millis {
-	options := core.options.Loading
-	loading, queued := core.coming()
-	atOnce := core.loadRate.AtOnce(core.engines())
-	everywhere := turnsAhead(loading+queued, atOnce)
-	incoming := options.MostIncoming
-	if loading+queued >= atOnce {
-		incoming = options.CrowdedIncoming
+		Now:        now,
+		Service:    job.service,
+		DataCentre: core.settings.DataCentre,
+		Attempt:    xxhash.Sum64String(job.call.Attempt),
+		Adapter:    job.adapter,
+		Version:    core.required(now, job.adapter),
+		Prompt:     job.call.Prompt,
+		Places:     job.places,
+		Tried:      job.tried,
+		Barred:     core.barred(now, waiting),
+		Ordered:    func(server string) bool { _, ok := core.ownerOf(now, server); return ok },
+		Frequent:   frequent,
+		Many:       !core.members.Plan().Mesh,
+		Waiting:    waiting,
 	}
-	loadingHere, queuedHere := server.Coming()
-	here := turnsAhead(loadingHere+queuedHere, incoming)
-	loadTime := core.loadRate.LoadTime()
-	return loadTime + clock.Millis(float64(loadTime)*max(everywhere, here))
-}
-
-// turnsAhead is how many loads one after another come before the next one.
-func turnsAhead(waiting, atOnce int) float64 {
-	return float64(max(0, waiting-atOnce)) / float64(atOnce)
 }
 
 func (core *core) settled(now, started clock.Millis, job *job, choice choose.Choice, use tally.Use) placed {
