gateway: what a server has survived does not count at its end

Only what was lost since the last look counts when nobody listens any more; all of it counts when the server's entry says that it has started again.

--- a/internal/direct/gateway/losses.go
+++ b/internal/direct/gateway/losses.go
@@ -33,15 +33,24 @@
 
 // losses are requests that were lost at a server of late.
 type losses struct {
-	contents []content.ID
-	at       clock.Millis // of the last one
-	looking  bool         // the server is being looked at
+	fresh   []content.ID // the server has not been looked at since
+	earlier []content.ID // it was found to listen, or could not be looked at
+	at      clock.Millis // of the last one
+	looking bool         // the server is being looked at
 }
 
 // add notes one more.
 func (losses *losses) add(now clock.Millis, id content.ID) {
 	losses.at = now
-	losses.contents = append(losses.contents[max(0, len(losses.contents)+1-mostLosses):], id)
+	losses.fresh = append(losses.fresh, id)
+}
+
+// survived notes that the server has not been found to have ended.
+func (losses *losses) survived() {
+	losses.earlier = append(losses.earlier, losses.fresh...)
+	losses.earlier = losses.earlier[max(0, len(losses.earlier)-mostLosses):]
+	losses.fresh = nil
+	losses.looking = false
 }
 
 // lostAt notes that a server closed the connection of a request before its answer was
@@ -74,27 +83,40 @@
 	ended := gateway.hasEnded(ctx, server)
 	core := gateway.core
 	core.mutex.Lock()
-	if lost, ok := core.losses[server.ID]; ok {
-		lost.looking = false
-	}
-	member, known := core.fleet.Member(server.ID)
-	if ended && !(known && member.Draining) {
-		core.ended(core.now(), server)
-	}
+	core.examined(server, ended)
 	core.mutex.Unlock()
 	gateway.tellWarnings()
 }
 
-// ended notes what was in progress at a server when it ended, which it was not about to do.
-// The mutex is held.
-func (core *core) ended(now clock.Millis, server port.Server) {
+// examined notes whether a server was found to have ended. One that was to leave has not
+// ended under its requests. The mutex is held.
+func (core *core) examined(server port.Server, ended bool) {
 	lost, ok := core.losses[server.ID]
 	if !ok {
+		return // its restart was seen meanwhile
+	}
+	member, known := core.fleet.Member(server.ID)
+	if !ended || known && member.Draining {
+		lost.survived()
 		return
 	}
+	core.ended(server, lost.fresh)
+}
+
+// restarted notes that a server has started again without a word that it would leave. The
+// mutex is held.
+func (core *core) restarted(server port.Server) {
+	if lost, ok := core.losses[server.ID]; ok {
+		core.ended(server, append(lost.earlier, lost.fresh...))
+	}
+}
+
+// ended notes what was in progress at a server when it ended. The mutex is held.
+func (core *core) ended(server port.Server, lost []content.ID) {
+	now := core.now()
 	delete(core.losses, server.ID)
-	core.log.Info(ending.MessageServerEnded, "Server", server.ID, "Lost", spell(lost.contents))
-	for _, id := range lost.contents {
+	core.log.Info(ending.MessageServerEnded, "Server", server.ID, "Lost", spell(lost))
+	for _, id := range lost {
 		core.quarantine.Ended(now, id, processOf(server))
 	}
 	core.notify()
--- a/internal/direct/gateway/store.go
+++ b/internal/direct/gateway/store.go
@@ -185,7 +185,7 @@
 		core.log.Info("server found", "Server", server.ID, "Service", server.Service, "Address", server.Address, "Draining", server.Draining, "Revision", revision)
 	case restarted:
 		if !draining {
-			core.ended(core.now(), former)
+			core.restarted(former)
 		}
 		core.log.Info("server restarted", "Server", server.ID, "Born", server.Born, "Revision", revision)
 		if held, ok := core.orders[server.ID]; ok {
