loading: one slow load does not refuse all later ones

The daemon had once seen a load take 2.3 s (a link stood still), took that for the time of a load, and refused each request for an adapter that no server held, as it can wait 1.9 s. It ordered no load itself then, so that nothing could show it that the store is faster: a belief that kept itself from being corrected.

Now a request is refused at once only where other loads go before its own.

--- a/internal/direct/gateway/patience.go
+++ b/internal/direct/gateway/patience.go
@@ -3,6 +3,7 @@
 import (
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/fleet"
+	"teaselmoor/internal/direct/loading"
 	"teaselmoor/internal/direct/port"
 )
 
@@ -23,6 +24,13 @@
 	gapSilence   = 8
 )
 
+// hopeless reports whether an adapter that nobody has asked for yet comes too late at a
+// server.
+func (core *core) hopeless(server *fleet.Member, patience clock.Millis) bool {
+	onWay, queued := core.coming()
+	return loading.Hopeless(onWay+queued, core.loadWait(server), patience)
+}
+
 // loadWait is how long an adapter that nobody has asked for yet will take at a
 // server: the weight store sends a number at a time to all servers, and the server
 // takes a number at a time; those that wait go first.
--- a/internal/direct/gateway/place.go
+++ b/internal/direct/gateway/place.go
@@ -126,7 +126,7 @@
 			}
 			return core.settled(now, started, job, choice, use), nil
 		}
-		hopeless := asked == 0 && !coming(choice.Member, job.adapter) && core.loadWait(choice.Member) > patience
+		hopeless := asked == 0 && !coming(choice.Member, job.adapter) && core.hopeless(choice.Member, patience)
 		if hopeless || now-started >= patience || ctx.Err() != nil {
 			core.move(at, tally.Use{}, 0)
 			job.waited += now - started
