gateway: the log tells answers that say that their server leaves

The log could not tell whether nobody reads that word or whether it is read and overwritten. Answers that bear it are now logged with what the store has said of the server by then. Decisions are unchanged.

--- a/internal/direct/ending/ending.go
+++ b/internal/direct/ending/ending.go
@@ -20,10 +20,11 @@
 
 // Messages of log lines that speak of a server and the requests there.
 const (
-	MessageServerEnded = "server ended"
-	MessageLimitNamed  = "server limit named"
-	MessageLimitLifted = "server limit lifted"
-	MessageQuarantined = "content refused"
+	MessageServerEnded   = "server ended"
+	MessageServerLeaving = "server leaving"
+	MessageLimitNamed    = "server limit named"
+	MessageLimitLifted   = "server limit lifted"
+	MessageQuarantined   = "content refused"
 )
 
 // Reason says why a request ended as it did.
--- a/internal/direct/port/port.go
+++ b/internal/direct/port/port.go
@@ -56,6 +56,7 @@
 	NotRun  bool   // the server states that it did not run the request
 	Absent  bool   // the server is another one, or does not hold model, adapter or version
 	Signed  bool   // the server's signature is there
+	Leaving bool   // the server says that it will end soon
 	// Limited tells that the server takes no more than Limit requests a second from all
 	// daemons together.
 	Limited bool
