fleet: a process that has said that it leaves is not taken back to work by an entry

What a daemon has heard of a server's leaving was overwritten by the next entry with a higher revision that says that the server is ready: one from before its word that the store takes late, or one of a restored copy.

So the word is kept by the process: until another one starts under the id, or 60 s after its entry is gone. TestEntryTakesLeavingServerBackToWork failed before (the server is used again after the second entry).

--- a/internal/direct/fleet/fleet.go
+++ b/internal/direct/fleet/fleet.go
@@ -31,8 +31,8 @@
 	// Recent is how many adapters a server keeps at hand after it has dropped
 	// them: it loads those ten times as fast and not from the weight store.
 	Recent int
-	// Tombstone is how long the removal of a server is remembered, so that an
-	// older entry that a peer passes on does not bring it back.
+	// Tombstone is how long the removal of a server is remembered, and that it has said
+	// that it leaves, so that an older entry that a peer passes on does not bring it back.
 	Tombstone clock.Millis
 }
 
@@ -47,16 +47,17 @@
 
 // Fleet is the set of backend servers.
 type Fleet struct {
-	options   Options
-	members   map[string]*Member
-	sorted    []*Member // the members in order of id; nil: to be sorted
-	gone      map[string]tombstone
-	tables    map[string]Table           // by server, also of servers whose entry was not read yet
-	tableLog  []string                   // servers in the order in which their tables changed
-	logged    int64                      // changes of tables before those in the log
-	reports   int64                      // how many reports were taken over
-	byService map[string][]*Member       // usable for new work, in order of id; nil: to be sorted
-	holders   map[port.Adapter][]*Member // with a slot for the adapter
+	options    Options
+	members    map[string]*Member
+	sorted     []*Member // the members in order of id; nil: to be sorted
+	gone       map[string]tombstone
+	departures map[string]departure       // by server
+	tables     map[string]Table           // by server, also of servers whose entry was not read yet
+	tableLog   []string                   // servers in the order in which their tables changed
+	logged     int64                      // changes of tables before those in the log
+	reports    int64                      // how many reports were taken over
+	byService  map[string][]*Member       // usable for new work, in order of id; nil: to be sorted
+	holders    map[port.Adapter][]*Member // with a slot for the adapter
 
 	lostAt clock.Millis // since when the store is away; 0: it is not
 	backAt clock.Millis // when it came back from its last outage
@@ -71,8 +72,8 @@
 func New(options Options) *Fleet {
 	return &Fleet{
 		options: options, members: make(map[string]*Member),
-		gone: make(map[string]tombstone), tables: make(map[string]Table),
-		holders: make(map[port.Adapter][]*Member),
+		gone: make(map[string]tombstone), departures: make(map[string]departure),
+		tables: make(map[string]Table), holders: make(map[port.Adapter][]*Member),
 	}
 }
 
@@ -134,7 +135,8 @@
 	fleet.holders[adapter] = left
 }
 
-// Put applies an entry of the store. It reports whether the entry is news.
+// Put applies an entry of the store. It reports whether the entry is news. A process that
+// has said that it leaves is not taken back to work by an entry.
 func (fleet *Fleet) Put(server port.Server, revision int64) bool {
 	if revision <= fleet.gone[server.ID].revision {
 		return false
@@ -144,6 +146,7 @@
 		return false
 	}
 	news := !known || revision > member.Revision
+	server.Draining = fleet.leaves(server)
 	if !known {
 		member = &Member{Hash: xxhash.Sum64String(server.ID), table: fleet.tables[server.ID], recent: make(map[port.Adapter]int), onDisk: make(map[string]bool)}
 		fleet.members[server.ID] = member
@@ -291,6 +294,7 @@
 
 func (fleet *Fleet) drop(now clock.Millis, member *Member, revision int64) {
 	fleet.gone[member.ID] = tombstone{revision: revision, at: now}
+	fleet.removed(now, member.ID)
 	delete(fleet.members, member.ID)
 	fleet.sorted = nil
 	for adapter := range member.slots {
@@ -339,6 +343,7 @@
 			delete(fleet.tables, id)
 		}
 	}
+	fleet.forgetDepartures(now)
 	return dropped
 }
 
