gateway, fleet: what a server's answers say of its leaving is believed, and told

Cause: no decision read the word; that a server leaves was believed from the store alone.

Now the word is read from all answers, those to orders and for reports too. The server gets no new work, requests that wait for an adapter there are placed anew, and daemons tell each other. It is kept by the server's process, so that one that starts again under the id is used.

--- a/internal/direct/fleet/fleet.go
+++ b/internal/direct/fleet/fleet.go
@@ -51,13 +51,15 @@
 	members    map[string]*Member
 	sorted     []*Member // the members in order of id; nil: to be sorted
 	gone       map[string]tombstone
-	departures map[string]departure       // by server
-	tables     map[string]Table           // by server, also of servers whose entry was not read yet
-	tableLog   []string                   // servers in the order in which their tables changed
-	logged     int64                      // changes of tables before those in the log
-	reports    int64                      // how many reports were taken over
-	byService  map[string][]*Member       // usable for new work, in order of id; nil: to be sorted
-	holders    map[port.Adapter][]*Member // with a slot for the adapter
+	departures map[string]departure // by server
+	// departuresHeard is how many words of servers themselves that they leave were news.
+	departuresHeard int64
+	tables          map[string]Table           // by server, also of servers whose entry was not read yet
+	tableLog        []string                   // servers in the order in which their tables changed
+	logged          int64                      // changes of tables before those in the log
+	reports         int64                      // how many reports were taken over
+	byService       map[string][]*Member       // usable for new work, in order of id; nil: to be sorted
+	holders         map[port.Adapter][]*Member // with a slot for the adapter
 
 	lostAt clock.Millis // since when the store is away; 0: it is not
 	backAt clock.Millis // when it came back from its last outage
--- a/internal/direct/fleet/leaving.go
+++ b/internal/direct/fleet/leaving.go
@@ -8,8 +8,55 @@
 // departure is the last process of a server that has said that it leaves. It stays leaving
 // until its end, whatever an entry says that is older than its word or was restored.
 type departure struct {
-	born int64        // start of the process
-	at   clock.Millis // when its entry was removed; 0: it is there
+	born   int64        // start of the process
+	at     clock.Millis // when its entry was removed, or it was heard of before its entry; 0: the entry is there
+	change int64        // of departures, by which it was heard of; 0: the store has told
+}
+
+// Departure says of a server's process that it leaves, as servers say in their answers and
+// daemons tell each other.
+type Departure struct {
+	Server string
+	Born   int64 // start of the process, 0 where it is not known
+}
+
+// Leaving takes over the word of a server itself that it leaves, heard here or by another
+// daemon. It reports whether that is news.
+func (fleet *Fleet) Leaving(now clock.Millis, word Departure) bool {
+	if left, ok := fleet.departures[word.Server]; ok && word.Born <= left.born {
+		return false
+	}
+	member, known := fleet.members[word.Server]
+	if known && word.Born < member.Born {
+		return false // another process has started under the id
+	}
+	fleet.departuresHeard++
+	fleet.departures[word.Server] = departure{born: word.Born, at: now, change: fleet.departuresHeard}
+	if known {
+		member.Draining = true
+		fleet.byService = nil
+	}
+	return true
+}
+
+// DeparturesHeard rises with each word of a server itself that was news.
+func (fleet *Fleet) DeparturesHeard() int64 {
+	return fleet.departuresHeard
+}
+
+// DeparturesSince returns the words of servers themselves that were news after a number that
+// DeparturesHeard has returned.
+func (fleet *Fleet) DeparturesSince(heard int64) []Departure {
+	if heard >= fleet.departuresHeard {
+		return nil
+	}
+	var words []Departure
+	for id, left := range fleet.departures {
+		if left.change > heard {
+			words = append(words, Departure{Server: id, Born: left.born})
+		}
+	}
+	return words
 }
 
 // leaves reports whether the process that an entry is of leaves, by the entry or by an
--- a/internal/direct/fleet/leaving_test.go
+++ b/internal/direct/fleet/leaving_test.go
@@ -36,3 +36,42 @@
 	servers.Put(entry, 9)
 	require.Len(t, servers.Usable(service), 1, "it is not remembered for ever")
 }
+
+// TestServerSaysItselfThatItLeaves: its word counts before the store has it, for the process
+// that it is of, and is told on once.
+func TestServerSaysItselfThatItLeaves(t *testing.T) {
+	servers := fleet.New(fleet.DefaultOptions())
+	entry := server("a")
+	entry.Born = 100
+	servers.Put(entry, 1)
+	require.False(t, servers.Leaving(10, fleet.Departure{Server: "a", Born: 50}), "the word of an earlier process")
+	require.Len(t, servers.Usable(service), 1)
+	word := fleet.Departure{Server: "a", Born: 100}
+	require.True(t, servers.Leaving(10, word))
+	require.Empty(t, servers.Usable(service))
+	require.False(t, servers.Leaving(20, word), "it is no news any more")
+	require.Equal(t, []fleet.Departure{word}, servers.DeparturesSince(0))
+	require.Empty(t, servers.DeparturesSince(servers.DeparturesHeard()))
+	servers.Put(entry, 2)
+	require.Empty(t, servers.Usable(service), "its entry still says that it is ready")
+
+	entry.Born = 200
+	servers.Put(entry, 3)
+	require.Len(t, servers.Usable(service), 1, "another process has started under its id")
+	require.False(t, servers.Leaving(30, word))
+
+	other := server("b")
+	require.True(t, servers.Leaving(30, fleet.Departure{Server: "b"}), "it is heard of before its entry")
+	servers.Put(other, 4)
+	require.Len(t, servers.Usable(service), 1)
+}
+
+// TestServerThatTheStoreHasLeavingIsNotToldOn: all daemons hear of it from the store.
+func TestServerThatTheStoreHasLeavingIsNotToldOn(t *testing.T) {
+	servers := fleet.New(fleet.DefaultOptions())
+	entry := server("a")
+	entry.Draining = true
+	servers.Put(entry, 1)
+	require.False(t, servers.Leaving(10, fleet.Departure{Server: "a"}))
+	require.Empty(t, servers.DeparturesSince(0))
+}
--- a/internal/direct/gateway/dispatch.go
+++ b/internal/direct/gateway/dispatch.go
@@ -192,7 +192,7 @@
 func (gateway *Gateway) answered(ctx context.Context, writer http.ResponseWriter, job *job, to placed, held *placement, answer *upstream.Answer) verdict {
 	reply := gateway.protocol.Reply(answer.Response)
 	gateway.noteLimit(to, answer.StatusCode, reply)
-	gateway.noteLeaving(job, to, reply)
+	gateway.noteLeaving(to.server, reply.Leaving, "request "+job.call.Attempt)
 	if reply.NotRun {
 		gateway.finish(answer)
 		return gateway.declined(job, to, answer.StatusCode, reply)
--- a/internal/direct/gateway/holdings.go
+++ b/internal/direct/gateway/holdings.go
@@ -77,6 +77,8 @@
 
 func (gateway *Gateway) readHoldings(ctx context.Context, target port.Server) {
 	report, err := gateway.servers.Report(ctx, target)
+	target.Born = max(report.Born, target.Born)
+	gateway.noteLeaving(target, report.Leaving, "report")
 	core := gateway.core
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
@@ -85,7 +87,7 @@
 		core.fleet.Unreachable(core.now(), target.ID)
 		return
 	}
-	core.fleet.SetReported(target.ID, max(report.Born, target.Born), report.Models)
+	core.fleet.SetReported(target.ID, target.Born, report.Models)
 	core.log.Info("holdings read", "Server", target.ID, "Born", report.Born, "Models", len(report.Models))
 	core.notify()
 }
--- a/internal/direct/gateway/leaving.go
+++ b/internal/direct/gateway/leaving.go
@@ -1,18 +1,34 @@
 package gateway
 
 import (
+	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/ending"
+	"teaselmoor/internal/direct/fleet"
 	"teaselmoor/internal/direct/port"
 )
 
-// noteLeaving notes that an answer says that its server will end soon.
-func (gateway *Gateway) noteLeaving(job *job, to placed, reply port.Reply) {
-	if !reply.Leaving {
-		return
+// noteLeaving notes whether an answer says that its server leaves, and tells peers. The store
+// may take that word late, and the server may be gone soon; answered names what was answered.
+func (gateway *Gateway) noteLeaving(server port.Server, leaving bool, answered string) {
+	if leaving && gateway.core.heardLeaving(server, answered) {
+		gateway.tellWarnings()
 	}
-	core := gateway.core
+}
+
+// heardLeaving reports whether it is news that a server leaves.
+func (core *core) heardLeaving(server port.Server, answered string) bool {
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
-	member, known := core.fleet.Member(to.server.ID)
-	core.log.Info(ending.MessageServerLeaving, "Server", to.server.ID, "Request", job.call.Attempt, "Draining", known && member.Draining)
+	return core.leaves(core.now(), fleet.Departure{Server: server.ID, Born: server.Born}, answered)
+}
+
+// leaves takes over that a server leaves, and reports whether that is news; by names what said
+// so. The mutex is held.
+func (core *core) leaves(now clock.Millis, word fleet.Departure, by string) bool {
+	if !core.fleet.Leaving(now, word) {
+		return false
+	}
+	core.log.Info(ending.MessageServerLeaving, "Server", word.Server, "Born", word.Born, "By", by)
+	core.notify()
+	return true
 }
--- a/internal/direct/gateway/orders.go
+++ b/internal/direct/gateway/orders.go
@@ -171,7 +171,9 @@
 }
 
 func (gateway *Gateway) give(ctx context.Context, target port.Server, held *ordering, order port.Order) {
-	result, err := gateway.servers.Order(ctx, target, order)
+	answer, err := gateway.servers.Order(ctx, target, order)
+	gateway.noteLeaving(target, answer.Leaving, "order")
+	result := answer.Result
 	core := gateway.core
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
@@ -238,6 +240,8 @@
 // readReport learns what a server holds before it is given orders.
 func (gateway *Gateway) readReport(ctx context.Context, target port.Server, held *ordering) clock.Millis {
 	report, err := gateway.servers.Report(ctx, target)
+	target.Born = max(report.Born, target.Born)
+	gateway.noteLeaving(target, report.Leaving, "report")
 	core := gateway.core
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
@@ -247,7 +251,7 @@
 		core.fleet.Unreachable(now, target.ID)
 		return idleLook
 	}
-	held.born = max(report.Born, target.Born)
+	held.born = target.Born
 	held.planner.SetReport(now, report)
 	core.log.Info("report read", "Server", target.ID, "Born", report.Born, "Models", len(report.Models), "Incoming", len(report.Incoming))
 	gateway.publish(target.ID, held)
--- a/internal/direct/gateway/spread.go
+++ b/internal/direct/gateway/spread.go
@@ -42,8 +42,7 @@
 	revision int64                           // of the store
 	usage    quota.Told
 	usageAt  clock.Millis // when usage was told last
-	// quarantine and limits are the changes up to which these were told.
-	quarantine, limits int64
+	warned   warned
 }
 
 // toldTo returns what an address has been told. The mutex is held.
--- a/internal/direct/gateway/warnings.go
+++ b/internal/direct/gateway/warnings.go
@@ -1,12 +1,46 @@
 package gateway
 
 import (
+	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/peers"
 )
 
+// warned is how many changes of each kind of warning a peer was told, or has told itself.
+type warned struct {
+	quarantine, limits, departures int64
+}
+
+// learned returns what a peer knows that has just told of what changed from before to after:
+// of each kind of which it was told all before, all after.
+func (warned warned) learned(before, after warned) warned {
+	if warned.quarantine == before.quarantine {
+		warned.quarantine = after.quarantine
+	}
+	if warned.limits == before.limits {
+		warned.limits = after.limits
+	}
+	if warned.departures == before.departures {
+		warned.departures = after.departures
+	}
+	return warned
+}
+
+// warnedAll is what a peer was told that was told all. The mutex is held.
+func (core *core) warnedAll() warned {
+	return warned{quarantine: core.quarantine.Changes(), limits: core.limits.Changes(), departures: core.fleet.DeparturesHeard()}
+}
+
+// warnings returns what has changed since a peer was told. The mutex is held.
+func (core *core) warnings(now clock.Millis, since warned) peers.Warnings {
+	return peers.Warnings{
+		Quarantine: core.quarantine.Since(now, since.quarantine), Limits: core.limits.Since(since.limits),
+		Leaving: core.fleet.DeparturesSince(since.departures),
+	}
+}
+
 // tellWarnings tells peers what they have not been told of contents under which servers
-// ended and of limits that servers named. Each daemon passes on what is news to it, so that
-// all come to know it whoever hears whom.
+// ended, of limits that servers named, and of servers that said that they leave. Each daemon
+// passes on what is news to it, so that all come to know it whoever hears whom.
 func (gateway *Gateway) tellWarnings() {
 	core := gateway.core
 	core.mutex.Lock()
@@ -15,8 +49,8 @@
 	news := make([]peers.Warnings, len(targets))
 	for i, target := range targets {
 		told := core.toldTo(target.Address)
-		news[i] = peers.Warnings{Quarantine: core.quarantine.Since(now, told.quarantine), Limits: core.limits.Since(told.limits)}
-		told.quarantine, told.limits = core.quarantine.Changes(), core.limits.Changes()
+		news[i] = core.warnings(now, told.warned)
+		told.warned = core.warnedAll()
 	}
 	core.mutex.Unlock()
 	for i, warnings := range news {
@@ -28,30 +62,33 @@
 
 // takeWarnings takes over what a peer knows, and passes on what of it is news.
 func (gateway *Gateway) takeWarnings(from string, warnings *peers.Warnings) {
-	core := gateway.core
+	if gateway.core.takeWarnings(from, warnings) {
+		gateway.tellWarnings()
+	}
+}
+
+// takeWarnings reports whether anything that a peer knows was news.
+func (core *core) takeWarnings(from string, warnings *peers.Warnings) bool {
 	core.mutex.Lock()
+	defer core.mutex.Unlock()
 	now := core.now()
 	told := newTold()
 	if peer, ok := core.members.Peer(from); ok {
 		told = core.toldTo(peer.Address)
 	}
-	allRefused, allLimits := told.quarantine == core.quarantine.Changes(), told.limits == core.limits.Changes()
+	before := core.warnedAll()
 	refused := core.quarantine.Merge(now, warnings.Quarantine)
 	if len(warnings.Limits) > 0 {
 		core.limits.SetDaemons(now, core.members.Alive())
 	}
 	limited := core.limits.Merge(now, warnings.Limits)
-	if allRefused { // it knows what it has told
-		told.quarantine = core.quarantine.Changes()
-	}
-	if allLimits {
-		told.limits = core.limits.Changes()
+	left := false
+	for _, word := range warnings.Leaving {
+		left = core.leaves(now, word, "peer "+from) || left
 	}
+	told.warned = told.warned.learned(before, core.warnedAll())
 	if refused {
 		core.notify()
 	}
-	core.mutex.Unlock()
-	if refused || limited {
-		gateway.tellWarnings()
-	}
+	return refused || limited || left
 }
--- a/internal/direct/peers/message.go
+++ b/internal/direct/peers/message.go
@@ -131,13 +131,14 @@
 }
 
 // Warnings are what the receiver has not been told on the same connection of contents under
-// which servers ended, and of limits that servers named.
+// which servers ended, of limits that servers named, and of servers that said that they leave.
 type Warnings struct {
 	Quarantine []quarantine.Record
 	Limits     []throttle.Word
+	Leaving    []fleet.Departure
 }
 
 // Empty reports whether there is nothing to tell.
 func (warnings Warnings) Empty() bool {
-	return len(warnings.Quarantine) == 0 && len(warnings.Limits) == 0
+	return len(warnings.Quarantine) == 0 && len(warnings.Limits) == 0 && len(warnings.Leaving) == 0
 }
--- a/internal/direct/peers/message_test.go
+++ b/internal/direct/peers/message_test.go
@@ -63,7 +63,8 @@
 				{Content: content.ID{1, 2, 3}, Number: 2, Servers: []string{"s@1", "t@0"}, Age: 5},
 				{Content: content.ID{4}, Number: 3, Age: 7},
 			},
-			Limits: []throttle.Word{{Server: "s", Born: 1, Number: 2, Limited: true, Rate: 1.6}, {Server: "t", Number: 3}},
+			Limits:  []throttle.Word{{Server: "s", Born: 1, Number: 2, Limited: true, Rate: 1.6}, {Server: "t", Number: 3}},
+			Leaving: []fleet.Departure{{Server: "s", Born: 1}, {Server: "t"}},
 		}},
 		{Digest: &peers.Digest{Usage: &quota.Word{
 			Scope: quota.Others, Incarnation: 7, Daemons: 59,
--- a/internal/direct/peers/warnings.go
+++ b/internal/direct/peers/warnings.go
@@ -3,6 +3,7 @@
 import (
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/content"
+	"teaselmoor/internal/direct/fleet"
 	"teaselmoor/internal/direct/quarantine"
 	"teaselmoor/internal/direct/throttle"
 )
@@ -12,6 +13,12 @@
 	wireWarnings struct {
 		Quarantine []wireRefused `cbor:",omitempty"`
 		Limits     []wireLimit   `cbor:",omitempty"`
+		Leaving    []wireLeaving `cbor:",omitempty"`
+	}
+	wireLeaving struct {
+		_      struct{} `cbor:",toarray"`
+		Server string
+		Born   int64
 	}
 	wireRefused struct {
 		_       struct{} `cbor:",toarray"`
@@ -40,6 +47,9 @@
 	for _, word := range warnings.Limits {
 		wire.Limits = append(wire.Limits, wireLimit{Server: word.Server, Born: word.Born, Number: word.Number, Limited: word.Limited, Rate: word.Rate})
 	}
+	for _, word := range warnings.Leaving {
+		wire.Leaving = append(wire.Leaving, wireLeaving{Server: word.Server, Born: word.Born})
+	}
 	return wire
 }
 
@@ -60,5 +70,8 @@
 	for _, each := range wire.Limits {
 		warnings.Limits = append(warnings.Limits, throttle.Word{Server: each.Server, Born: each.Born, Number: each.Number, Limited: each.Limited, Rate: each.Rate})
 	}
+	for _, each := range wire.Leaving {
+		warnings.Leaving = append(warnings.Leaving, fleet.Departure{Server: each.Server, Born: each.Born})
+	}
 	return warnings
 }
--- a/internal/direct/port/port.go
+++ b/internal/direct/port/port.go
@@ -200,8 +200,15 @@
 	return [...]string{"Unknown", "Accepted", "Holds", "Conflict", "Fenced", "Invalid", "Other"}[result]
 }
 
+// Answer is what a server answers to an order.
+type Answer struct {
+	Result  Result
+	Leaving bool // the server says that it will end soon
+}
+
 // Report is a server's state, some hundred milliseconds old.
 type Report struct {
+	Leaving  bool // the server says that it will end soon
 	Born     int64
 	Busy     bool // a model is being loaded or unloaded
 	Models   []Holding
@@ -210,6 +217,6 @@
 
 // Servers gives orders to model engines and reads their reports.
 type Servers interface {
-	Order(ctx context.Context, server Server, order Order) (Result, error)
+	Order(ctx context.Context, server Server, order Order) (Answer, error)
 	Report(ctx context.Context, server Server) (Report, error)
 }
