--- a/internal/direct/gateway/dispatch.go
+++ b/internal/direct/gateway/dispatch.go
@@ -230,7 +230,7 @@
 
 // declined judges the statement of a server that it did not run the request.
 func (gateway *Gateway) declined(job *job, to placed, status int, reply port.Reply) verdict {
-	gateway.log.Info(ending.MessageDeclined, "Request", job.call.Attempt, "Server", to.server.ID, "Status", status, "Absent", reply.Absent)
+	gateway.log.Info(ending.MessageDeclined, "Request", job.call.Attempt, "Server", to.server.ID, "Status", status, "Absent", reply.Absent, "RestMillis", reply.Rest)
 	core := gateway.core
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
--- a/internal/direct/port/port.go
+++ b/internal/direct/port/port.go
@@ -57,6 +57,8 @@
 	Absent  bool   // the server is another one, or does not hold model, adapter or version
 	Signed  bool   // the server's signature is there
 	Leaving bool   // the server says that it will end soon
+	// Rest is how long the server wants nothing from this daemon; 0 where it does not say.
+	Rest clock.Millis
 	// Limited tells that the server takes no more than Limit requests a second from all
 	// daemons together.
 	Limited bool
