gateway, fleet: a server that asks a daemon for rest gets it

Cause: no decision read for how long a server that turns a request away wants nothing. It counted as one failure, a cost that others' queues exceed exactly when servers turn requests away. Ruled out: repeats of one request (each meets the server once), refusals of other servers as the source (the test has one server that refuses).

Now that server is passed over by this daemon until the time is over, also where a request waits for its adapter there, and gets no orders or reports from it. Where no other server is left, the request is refused at once with ServersRest and a time to come back at.

--- a/internal/decide/outcome/reason.go
+++ b/internal/decide/outcome/reason.go
@@ -51,6 +51,7 @@
 	InvalidAnswer       Reason = "InvalidAnswer"
 	CrashesEngines      Reason = "CrashesEngines"
 	EnginesLimited      Reason = "EnginesLimited"
+	EnginesRest         Reason = "EnginesRest"
 )
 
 var sentences = map[Reason]string{
@@ -98,6 +99,7 @@
 	AdapterLate:         "The adapter could not be made ready in time at any server.",
 	AnswerLate:          "The time allowed ran out after the request was sent and before its answer was complete.",
 	EnginesLimited:      "Each server that could take the request had named how many it takes in a second, and had got as many.",
+	EnginesRest:         "Each server that could take the request had turned this daemon away of late and asked it for rest.",
 	CrashesEngines:      "Engines have ended while they ran requests with the same content, so this one was not run.",
 	InvalidAnswer:       "What came back was not an answer of the server to this request, and it was discarded.",
 }
--- a/internal/direct/choose/choose.go
+++ b/internal/direct/choose/choose.go
@@ -80,7 +80,7 @@
 
 // excludes reports whether a server must not get the request, whatever its cost.
 func (query Query) excludes(member *fleet.Member) bool {
-	return slices.Contains(query.Tried, member.ID) || query.Barred != nil && query.Barred(member.ID)
+	return slices.Contains(query.Tried, member.ID) || member.Rests(query.Now) > 0 || query.Barred != nil && query.Barred(member.ID)
 }
 
 // Choice is a server and why it was chosen.
--- a/internal/direct/ending/ending.go
+++ b/internal/direct/ending/ending.go
@@ -22,6 +22,7 @@
 const (
 	MessageServerEnded   = "server ended"
 	MessageServerLeaving = "server leaving"
+	MessageServerRests   = "server rests"
 	MessageLimitNamed    = "server limit named"
 	MessageLimitLifted   = "server limit lifted"
 	MessageQuarantined   = "content refused"
@@ -43,6 +44,7 @@
 	TooLarge      Reason = "TooLarge"        // the body is over the limit
 	NoServer      Reason = "NoServer"        // no server of the service can take it
 	Limited       Reason = "ServersLimited"  // the limits of those that could take it are used up
+	Resting       Reason = "ServersRest"     // those that could take it want nothing from this daemon for a while
 	LoadWait      Reason = "AdapterNotReady" // its adapter did not arrive in time
 	Quarantined   Reason = "CrashesServers"  // servers have ended under requests with its content
 	NoBudget      Reason = "RetryBudget"     // the budget for repeats is used up
@@ -64,7 +66,7 @@
 	Lost: outcome.ServiceLost, Invalid: outcome.InvalidAnswer, CallerLeft: outcome.CallerGone,
 	StreamBroke: outcome.Truncated, UnknownKey: outcome.Unauthorized, OldAccounts: outcome.OldConfiguration,
 	OverLimit: outcome.CallerLimit, Quarantined: outcome.CrashesEngines,
-	Limited: outcome.EnginesLimited,
+	Limited: outcome.EnginesLimited, Resting: outcome.EnginesRest,
 }
 
 // Reasons lists every reason, in no particular order.
--- a/internal/direct/fleet/fleet.go
+++ b/internal/direct/fleet/fleet.go
@@ -54,6 +54,7 @@
 	departures map[string]departure // by server
 	// departuresHeard is how many words of servers themselves that they leave were news.
 	departuresHeard int64
+	rests           map[string]clock.Millis    // by server that asked for it: when it ends
 	tables          map[string]Table           // by server, also of servers whose entry was not read yet
 	tableLog        []string                   // servers in the order in which their tables changed
 	logged          int64                      // changes of tables before those in the log
@@ -74,7 +75,7 @@
 func New(options Options) *Fleet {
 	return &Fleet{
 		options: options, members: make(map[string]*Member),
-		gone: make(map[string]tombstone), departures: make(map[string]departure),
+		gone: make(map[string]tombstone), departures: make(map[string]departure), rests: make(map[string]clock.Millis),
 		tables: make(map[string]Table), holders: make(map[port.Adapter][]*Member),
 	}
 }
@@ -150,7 +151,10 @@
 	news := !known || revision > member.Revision
 	server.Draining = fleet.leaves(server)
 	if !known {
-		member = &Member{Hash: xxhash.Sum64String(server.ID), table: fleet.tables[server.ID], recent: make(map[port.Adapter]int), onDisk: make(map[string]bool)}
+		member = &Member{
+			Hash: xxhash.Sum64String(server.ID), table: fleet.tables[server.ID], recent: make(map[port.Adapter]int), onDisk: make(map[string]bool),
+			restsUntil: fleet.rests[server.ID],
+		}
 		fleet.members[server.ID] = member
 		fleet.sorted = nil
 	}
@@ -346,6 +350,7 @@
 		}
 	}
 	fleet.forgetDepartures(now)
+	fleet.forgetRests(now)
 	return dropped
 }
 
--- a/internal/direct/fleet/member.go
+++ b/internal/direct/fleet/member.go
@@ -51,6 +51,7 @@
 	onDisk      map[string]bool // base models that it has held, also before a restart
 
 	lapsesAt     clock.Millis // when a missing entry is taken as gone; 0: its entry is there
+	restsUntil   clock.Millis // the server wants nothing from this daemon before
 	suspectUntil clock.Millis
 	backoff      clock.Millis
 	trouble      float64
--- /dev/null
+++ b/internal/direct/fleet/rest_test.go
@@ -0,0 +1,29 @@
+package fleet_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"teaselmoor/internal/direct/fleet"
+)
+
+// TestRestOutlastsItsEntry: a rest holds while the entry of its server comes and goes, and a
+// shorter one does not end it.
+func TestRestOutlastsItsEntry(t *testing.T) {
+	servers := fleet.New(fleet.DefaultOptions())
+	entry := server("a")
+	entry.Born = 100
+	servers.Put(entry, 1)
+	servers.Rest("a", 4000)
+	servers.Rest("a", 2000)
+	member, _ := servers.Member("a")
+	require.Equal(t, int64(3000), int64(member.Rests(1000)))
+	servers.Remove(1000, "a", 2)
+	servers.Tick(1000)
+	entry.Born = 200
+	servers.Put(entry, 3)
+	member, _ = servers.Member("a")
+	require.Positive(t, member.Rests(3999))
+	require.Zero(t, member.Rests(4000))
+}
--- a/internal/direct/gateway/dispatch.go
+++ b/internal/direct/gateway/dispatch.go
@@ -193,6 +193,7 @@
 	reply := gateway.protocol.Reply(answer.Response)
 	gateway.noteLimit(to, answer.StatusCode, reply)
 	gateway.noteLeaving(to.server, reply.Leaving, "request "+job.call.Attempt)
+	gateway.core.noteRest(to.server.ID, reply.Rest)
 	if reply.NotRun {
 		gateway.finish(answer)
 		return gateway.declined(job, to, answer.StatusCode, reply)
--- a/internal/direct/gateway/holdings.go
+++ b/internal/direct/gateway/holdings.go
@@ -42,9 +42,9 @@
 	}
 	var unread []*fleet.Member
 	for _, member := range core.fleet.Members() {
-		engine := core.isEngine(member.Service)
 		asked, ok := core.reportAskedAt[member.ID]
-		if engine && member.HoldingsUnknown() && !member.Suspect(now) && (!ok || now-asked >= reportAgain) && len(unread) < reportsAtOnce {
+		due := core.isEngine(member.Service) && member.HoldingsUnknown() && (!ok || now-asked >= reportAgain)
+		if due && !member.Suspect(now) && member.Rests(now) == 0 && len(unread) < reportsAtOnce {
 			unread = append(unread, member)
 		}
 	}
--- a/internal/direct/gateway/limits.go
+++ b/internal/direct/gateway/limits.go
@@ -59,5 +59,9 @@
 			result.reason = ending.Limited
 		}
 	}
+	if left := core.resting(now, job); left > 0 && result.reason == ending.NoServer {
+		result.reason = ending.Resting
+		job.comeBack = min(left, core.options.RetryAfter)
+	}
 	return result
 }
--- a/internal/direct/gateway/orders.go
+++ b/internal/direct/gateway/orders.go
@@ -137,7 +137,7 @@
 	now := core.now()
 	member, known := core.fleet.Member(server)
 	fence, may := core.tenure.MayOrder(now, server)
-	if !known || !may || member.Suspect(now) || member.Draining {
+	if !known || !may || member.Suspect(now) || member.Draining || member.Rests(now) > 0 {
 		core.mutex.Unlock()
 		return idleLook
 	}
