gateway, mirror: the log tells the store's era, and what of it is ignored as older

The log could not tell what was thrown away for its revision from what was never heard. Decisions are unchanged.

--- a/internal/direct/gateway/store.go
+++ b/internal/direct/gateway/store.go
@@ -13,6 +13,7 @@
 type storeCopy struct {
 	items     map[string]peers.Item // removed ones too, with their revision
 	revision  int64                 // all changes up to it are known
+	era       int64                 // of the store's last answer
 	lostAt    clock.Millis          // since when no call was answered; 0: the last one was
 	readAt    clock.Millis          // when the store answered last
 	triedAt   clock.Millis          // when this daemon last called it
@@ -79,7 +80,7 @@
 }
 
 // Contact implements mirror.Sink.
-func (core *core) Contact(err error) {
+func (core *core) Contact(era int64, err error) {
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
 	now := core.now()
@@ -87,6 +88,10 @@
 		if core.store.lostAt > 0 {
 			core.log.Info("store back", "AwayMillis", now-core.store.lostAt)
 		}
+		if era != core.store.era {
+			core.log.Info("store era", "Era", era, "Before", core.store.era, "Knows", core.store.revision)
+		}
+		core.store.era = era
 		core.store.lostAt = 0
 		core.store.readAt = now
 		core.fleet.StoreBack(now)
@@ -120,6 +125,10 @@
 	if core.store.news(item.Key, item.Revision) {
 		core.store.put(peers.Pack(item))
 		core.believeItem(item)
+		return
+	}
+	if known := core.store.items[item.Key].Revision; item.Revision < known {
+		core.log.Info("older entry ignored", "Key", item.Key, "Revision", item.Revision, "Known", known)
 	}
 }
 
--- a/internal/direct/mirror/mirror.go
+++ b/internal/direct/mirror/mirror.go
@@ -58,8 +58,8 @@
 	// Turn tells whether this daemon has to read now, and up to which revision
 	// everything is known anyway.
 	Turn() (reads bool, known int64)
-	// Contact tells that a call was answered, or failed.
-	Contact(err error)
+	// Contact tells that a call was answered, by a store of that era, or failed.
+	Contact(era int64, err error)
 }
 
 // Mirror reads one prefix.
@@ -69,6 +69,7 @@
 	prefix  string
 	sink    Sink
 	asOf    int64 // 0: nothing was read, or the history was lost
+	era     int64 // of the store's last answer
 	gone    bool  // the history after what was read is lost: all has to be read
 	failed  int   // calls in a row
 }
@@ -110,7 +111,7 @@
 	if ctx.Err() != nil {
 		return 0
 	}
-	mirror.sink.Contact(err)
+	mirror.sink.Contact(mirror.era, err)
 	if err != nil {
 		return mirror.backoff(err)
 	}
@@ -132,6 +133,7 @@
 		if err != nil {
 			return err
 		}
+		mirror.era = page.Era
 		if asOf == 0 {
 			asOf = page.AsOf
 		}
@@ -160,6 +162,7 @@
 	if err != nil {
 		return false, err
 	}
+	mirror.era = page.Era
 	if len(page.Items) > 0 {
 		mirror.sink.Changed(page.Items, page.AsOf)
 	}
