gateway, mirror, fleet: what is known of the store is of one era

Cause: revisions were taken for numbers that only rise. The store came back from a copy, with lower revisions that it gave out again; what it then wrote was thrown away as older, and a watch from a revision that it had passed again left out what lay below. Ruled out: that the store was read too late (it answered each second for eight seconds).

Now answers, copies and messages between daemons say which era their revisions are of. A later era is entered with a list of all items; a watch answered by another era is not believed.

Fields are added to messages so that daemons of the version before pass over them.

--- a/internal/direct/fleet/fleet.go
+++ b/internal/direct/fleet/fleet.go
@@ -68,6 +68,7 @@
 
 type tombstone struct {
 	revision int64
+	born     int64 // start of the process that the entry was of
 	at       clock.Millis
 }
 
@@ -148,6 +149,10 @@
 	if known && revision < member.Revision {
 		return false
 	}
+	if known && member.outdated(server.Born) {
+		member.Revision, member.lapsesAt = revision, 0
+		return false
+	}
 	news := !known || revision > member.Revision
 	server.Draining = fleet.leaves(server)
 	if !known {
@@ -299,7 +304,7 @@
 }
 
 func (fleet *Fleet) drop(now clock.Millis, member *Member, revision int64) {
-	fleet.gone[member.ID] = tombstone{revision: revision, at: now}
+	fleet.gone[member.ID] = tombstone{revision: revision, born: member.Born, at: now}
 	fleet.removed(now, member.ID)
 	delete(fleet.members, member.ID)
 	fleet.sorted = nil
--- a/internal/direct/fleet/leaving.go
+++ b/internal/direct/fleet/leaving.go
@@ -11,6 +11,7 @@
 	born   int64        // start of the process
 	at     clock.Millis // when its entry was removed, or it was heard of before its entry; 0: the entry is there
 	change int64        // of departures, by which it was heard of; 0: the store has told
+	until  clock.Millis // from when its entry counts again, if it says that the server is ready; 0: never
 }
 
 // Departure says of a server's process that it leaves, as servers say in their answers and
@@ -23,7 +24,7 @@
 // Leaving takes over the word of a server itself that it leaves, heard here or by another
 // daemon. It reports whether that is news.
 func (fleet *Fleet) Leaving(now clock.Millis, word Departure) bool {
-	if left, ok := fleet.departures[word.Server]; ok && word.Born <= left.born {
+	if left, ok := fleet.departures[word.Server]; ok && left.until == 0 && word.Born <= left.born {
 		return false
 	}
 	member, known := fleet.members[word.Server]
@@ -64,6 +65,10 @@
 func (fleet *Fleet) leaves(server port.Server) bool {
 	left, ok := fleet.departures[server.ID]
 	if ok && server.Born <= left.born {
+		if server.Draining {
+			left.until = 0
+			fleet.departures[server.ID] = left
+		}
 		return true
 	}
 	if server.Draining {
@@ -82,10 +87,19 @@
 	}
 }
 
-// forgetDepartures forgets processes whose entries are gone for long.
+// forgetDepartures forgets processes whose entries are gone for long, and has those work
+// again whose entries are back from a copy of the store and still there.
 func (fleet *Fleet) forgetDepartures(now clock.Millis) {
 	for id, left := range fleet.departures {
-		if _, known := fleet.members[id]; !known && now-left.at > fleet.options.Tombstone {
+		member, known := fleet.members[id]
+		switch {
+		case left.until > 0 && now >= left.until:
+			delete(fleet.departures, id)
+			if known {
+				member.Draining = false
+				fleet.byService = nil
+			}
+		case !known && now-left.at > fleet.options.Tombstone:
 			delete(fleet.departures, id)
 		}
 	}
--- a/internal/direct/gateway/gossip.go
+++ b/internal/direct/gateway/gossip.go
@@ -95,19 +95,22 @@
 	core := gateway.core
 	core.mutex.Lock()
 	known, ok := core.members.Peer(from)
-	answer := peers.Items{Items: core.store.since(pull.After), AsOf: core.store.revision}
+	after := pull.After
+	if pull.Era != core.store.era {
+		after = 0
+	}
+	answer := core.store.itemsSince(after)
 	core.mutex.Unlock()
-	if ok && answer.AsOf > pull.After {
+	if ok && (answer.Era > pull.Era || answer.Era == pull.Era && answer.AsOf > pull.After) {
 		gateway.send(known.Address, peers.Message{Items: &answer})
 	}
 }
 
 // received takes over what a peer has read of the store.
-func (core *core) received(items peers.Items) {
+func (core *core) received(items peers.StoreItems) {
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
-	core.applyTold(items.Items)
-	core.store.revision = max(core.store.revision, items.AsOf)
+	core.takeStore(items)
 }
 
 // send sends a message; a peer without a connection hears it with the next update.
@@ -166,16 +169,17 @@
 // pullFrom picks the peer that knows most of the store, when this daemon cannot
 // read it. The mutex is held.
 func (core *core) pullFrom(now clock.Millis) (peers.Pull, string) {
-	revision := core.store.revision
-	behind := core.store.lostAt > 0 && now-core.store.lostAt >= pullAfter || revision == 0
+	pull := peers.Pull{After: core.store.revision, Era: core.store.era}
+	behind := core.store.lostAt > 0 && now-core.store.lostAt >= pullAfter || pull.After == 0
 	if !behind {
 		return peers.Pull{}, ""
 	}
-	address, most := "", revision
+	address, most := "", stamp{pull.Era, pull.After}
 	for name, peer := range core.members.Peers() {
-		if peer.Revision > most && core.members.Live(now, name) {
-			address, most = peer.Address, peer.Revision
+		knows := stamp{peer.Era, peer.Revision}
+		if knows.after(most) && core.members.Live(now, name) {
+			address, most = peer.Address, knows
 		}
 	}
-	return peers.Pull{After: revision}, address
+	return pull, address
 }
--- a/internal/direct/gateway/spread.go
+++ b/internal/direct/gateway/spread.go
@@ -39,7 +39,8 @@
 	reports  int64                           // reports of servers when they were last looked at
 	sums     map[string]tally.Sum            // by server; nil: none yet
 	uses     map[string]map[port.Adapter]int // by server
-	revision int64                           // of the store
+	era      int64                           // of the store
+	revision int64                           // of that era
 	usage    quota.Told
 	usageAt  clock.Millis // when usage was told last
 	warned   warned
@@ -265,10 +266,13 @@
 	if core.store.readAt == 0 {
 		return nil
 	}
-	if peer, ok := core.members.Peer(target); ok {
+	if told.era != core.store.era {
+		told.era, told.revision = core.store.era, 0
+	}
+	if peer, ok := core.members.Peer(target); ok && peer.Era == core.store.era {
 		told.revision = max(told.revision, peer.Revision) // it has read that itself
 	}
-	news := &peers.StoreNews{AsOf: core.store.revision, Age: now - core.store.readAt, Items: core.store.since(told.revision)}
+	news := &peers.StoreNews{StoreItems: core.store.itemsSince(told.revision), Age: now - core.store.readAt}
 	if backAt := core.fleet.BackAt(); backAt > 0 {
 		news.Back = now - backAt
 	}
@@ -360,14 +364,15 @@
 	if news.Back > 0 {
 		core.fleet.Back(now - news.Back)
 	}
-	core.applyTold(news.Items)
-	core.store.revision = max(core.store.revision, news.AsOf)
+	if !core.takeStore(news.StoreItems) {
+		return
+	}
 	core.store.coveredAt = max(core.store.coveredAt, now-news.Age)
 	core.store.newsAt = now
 }
 
 // Turn implements mirror.Sink.
-func (core *core) Turn() (bool, int64) {
+func (core *core) Turn() (bool, mirror.Known) {
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
 	now := core.now()
@@ -378,5 +383,5 @@
 	if reads {
 		core.store.triedAt = now
 	}
-	return reads, core.store.revision
+	return reads, mirror.Known{Era: core.store.era, Revision: core.store.revision}
 }
--- a/internal/direct/gateway/store.go
+++ b/internal/direct/gateway/store.go
@@ -9,16 +9,16 @@
 )
 
 // storeCopy is what this daemon has read of the store or heard of it from peers.
-// Items are kept as they are passed on.
+// Items are kept as they are passed on. All of it is of one era.
 type storeCopy struct {
 	items     map[string]peers.Item // removed ones too, with their revision
-	revision  int64                 // all changes up to it are known
-	era       int64                 // of the store's last answer
-	lostAt    clock.Millis          // since when no call was answered; 0: the last one was
-	readAt    clock.Millis          // when the store answered last
-	triedAt   clock.Millis          // when this daemon last called it
-	newsAt    clock.Millis          // when that peer was heard last
-	coveredAt clock.Millis          // when it answered the peer last that reads it for this daemon
+	era       int64
+	revision  int64        // all changes up to it are known
+	lostAt    clock.Millis // since when no call was answered; 0: the last one was
+	readAt    clock.Millis // when the store answered last
+	triedAt   clock.Millis // when this daemon last called it
+	newsAt    clock.Millis // when that peer was heard last
+	coveredAt clock.Millis // when it answered the peer last that reads it for this daemon
 }
 
 func newStoreCopy() *storeCopy {
@@ -52,35 +52,42 @@
 	return items
 }
 
+// itemsSince returns the items that changed after a revision, as peers are told.
+func (copied *storeCopy) itemsSince(revision int64) peers.StoreItems {
+	return peers.StoreItems{Items: copied.since(revision), AsOf: copied.revision, Era: copied.era, Whole: revision == 0}
+}
+
 // Whole implements mirror.Sink.
-func (core *core) Whole(items []port.Item, asOf int64) {
+func (core *core) Whole(page port.Page) {
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
-	listed := make(map[string]bool, len(items))
-	for _, item := range items {
+	if !core.enterEra(page.Era, true) {
+		return
+	}
+	listed := make(map[string]bool, len(page.Items))
+	for _, item := range page.Items {
 		listed[item.Key] = true
 		core.apply(item)
 	}
-	for key, known := range core.store.items {
-		if !listed[key] && !known.Deleted && known.Revision <= asOf {
-			core.apply(port.Item{Key: key, Revision: asOf, Deleted: true})
-		}
-	}
-	core.store.revision = max(core.store.revision, asOf)
+	core.removeUnlisted(listed, page.AsOf)
+	core.store.revision = max(core.store.revision, page.AsOf)
 }
 
 // Changed implements mirror.Sink.
-func (core *core) Changed(items []port.Item, asOf int64) {
+func (core *core) Changed(page port.Page) {
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
-	for _, item := range items {
+	if !core.enterEra(page.Era, false) {
+		return
+	}
+	for _, item := range page.Items {
 		core.apply(item)
 	}
-	core.store.revision = max(core.store.revision, asOf)
+	core.store.revision = max(core.store.revision, page.AsOf)
 }
 
 // Contact implements mirror.Sink.
-func (core *core) Contact(era int64, err error) {
+func (core *core) Contact(err error) {
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
 	now := core.now()
@@ -88,10 +95,6 @@
 		if core.store.lostAt > 0 {
 			core.log.Info("store back", "AwayMillis", now-core.store.lostAt)
 		}
-		if era != core.store.era {
-			core.log.Info("store era", "Era", era, "Before", core.store.era, "Knows", core.store.revision)
-		}
-		core.store.era = era
 		core.store.lostAt = 0
 		core.store.readAt = now
 		core.fleet.StoreBack(now)
--- a/internal/direct/gateway/updates.go
+++ b/internal/direct/gateway/updates.go
@@ -132,7 +132,7 @@
 	update := &peers.Update{Word: core.members.Word()}
 	update.Interval = core.interval(audience)
 	update.Wants = audience.wants
-	update.Revision = core.store.revision
+	update.Era, update.Revision = core.store.era, core.store.revision
 	if core.catalog != nil {
 		update.Version = core.catalog.Version
 	}
--- a/internal/direct/membership/membership.go
+++ b/internal/direct/membership/membership.go
@@ -42,6 +42,7 @@
 	Hub      string       // the daemon that it has chosen as its hub; empty: none
 	Wants    bool         // it wants the connection itself, and not only to answer
 	Interval clock.Millis // until its next word at the latest
+	Era      int64        // of the store, that Revision is of
 	Revision int64        // of the store, all changes up to which it knows
 	Version  int64        // of the configuration in force there
 	// Orderers are the daemons that give orders as far as it knows; nil: as told before.
--- a/internal/direct/mirror/mirror.go
+++ b/internal/direct/mirror/mirror.go
@@ -1,7 +1,7 @@
 // Package mirror keeps a copy of what the platform's store says under one
 // prefix: it reads the items once, watches for changes, and starts over when the
-// history that it missed is no longer available. What the items mean is decided
-// elsewhere.
+// history that it missed is no longer available, or the store has come back from a
+// copy. What the items mean is decided elsewhere.
 package mirror
 
 import (
@@ -52,14 +52,18 @@
 // Sink takes what a mirror reads. Its methods are called one at a time.
 type Sink interface {
 	// Whole takes all items under the prefix.
-	Whole(items []port.Item, asOf int64)
-	// Changed takes changes.
-	Changed(items []port.Item, asOf int64)
-	// Turn tells whether this daemon has to read now, and up to which revision
-	// everything is known anyway.
-	Turn() (reads bool, known int64)
-	// Contact tells that a call was answered, by a store of that era, or failed.
-	Contact(era int64, err error)
+	Whole(page port.Page)
+	// Changed takes changes in the era of what was read or known before.
+	Changed(page port.Page)
+	// Turn tells whether this daemon has to read now, and what is known anyway.
+	Turn() (reads bool, known Known)
+	// Contact tells that a call was answered, or failed.
+	Contact(err error)
+}
+
+// Known is what is known of the store: all changes of an era up to a revision.
+type Known struct {
+	Era, Revision int64
 }
 
 // Mirror reads one prefix.
@@ -68,8 +72,7 @@
 	store   port.Store
 	prefix  string
 	sink    Sink
-	asOf    int64 // 0: nothing was read, or the history was lost
-	era     int64 // of the store's last answer
+	known   Known // its revision is 0 where nothing was read, or the history was lost
 	gone    bool  // the history after what was read is lost: all has to be read
 	failed  int   // calls in a row
 }
@@ -95,15 +98,15 @@
 func (mirror *Mirror) step(ctx context.Context) clock.Millis {
 	reads, known := mirror.sink.Turn()
 	if !reads {
-		mirror.asOf = 0
+		mirror.known = Known{}
 		return mirror.options.Idle
 	}
-	if mirror.asOf == 0 && !mirror.gone {
-		mirror.asOf = known
+	if mirror.known.Revision == 0 && !mirror.gone {
+		mirror.known = known
 	}
 	var err error
 	news := true
-	if mirror.asOf == 0 {
+	if mirror.known.Revision == 0 {
 		err = mirror.readAll(ctx)
 	} else {
 		news, err = mirror.watch(ctx)
@@ -111,7 +114,7 @@
 	if ctx.Err() != nil {
 		return 0
 	}
-	mirror.sink.Contact(mirror.era, err)
+	mirror.sink.Contact(err)
 	if err != nil {
 		return mirror.backoff(err)
 	}
@@ -125,27 +128,22 @@
 // readAll reads page by page. Changes made meanwhile are watched for from the
 // revision of the first page.
 func (mirror *Mirror) readAll(ctx context.Context) error {
-	var items []port.Item
-	asOf := int64(0)
-	after := ""
-	for {
-		page, err := mirror.page(ctx, after)
-		if err != nil {
+	whole, err := mirror.page(ctx, "")
+	if err != nil {
+		return err
+	}
+	for more := whole; more.More && len(more.Items) > 0; {
+		if more, err = mirror.page(ctx, more.Items[len(more.Items)-1].Key); err != nil {
 			return err
 		}
-		mirror.era = page.Era
-		if asOf == 0 {
-			asOf = page.AsOf
-		}
-		items = append(items, page.Items...)
-		if !page.More || len(page.Items) == 0 {
-			break
+		if more.Era != whole.Era {
+			return &port.StoreError{Failure: port.Unavailable, Err: errors.Errorf("store of era %d came back as era %d between two pages", whole.Era, more.Era)}
 		}
-		after = page.Items[len(page.Items)-1].Key
+		whole.Items = append(whole.Items, more.Items...)
 	}
-	mirror.asOf = asOf
+	mirror.known = Known{Era: whole.Era, Revision: whole.AsOf}
 	mirror.gone = false
-	mirror.sink.Whole(items, asOf)
+	mirror.sink.Whole(whole)
 	return nil
 }
 
@@ -158,15 +156,18 @@
 func (mirror *Mirror) watch(ctx context.Context) (news bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, (mirror.options.Wait + mirror.options.CallTimeout).Duration())
 	defer cancel()
-	page, err := mirror.store.Watch(ctx, mirror.prefix, mirror.asOf, mirror.options.Wait)
+	page, err := mirror.store.Watch(ctx, mirror.prefix, mirror.known.Revision, mirror.options.Wait)
 	if err != nil {
 		return false, err
 	}
-	mirror.era = page.Era
+	if page.Era != mirror.known.Era {
+		// The revision that was asked for is one of another history.
+		return false, &port.StoreError{Failure: port.HistoryIsGone, Err: errors.Errorf("store of era %d came back as era %d", mirror.known.Era, page.Era)}
+	}
 	if len(page.Items) > 0 {
-		mirror.sink.Changed(page.Items, page.AsOf)
+		mirror.sink.Changed(page)
 	}
-	mirror.asOf = max(mirror.asOf, page.AsOf)
+	mirror.known.Revision = max(mirror.known.Revision, page.AsOf)
 	return len(page.Items) > 0, nil
 }
 
@@ -175,7 +176,7 @@
 func (mirror *Mirror) backoff(err error) clock.Millis {
 	var failed *port.StoreError
 	if errors.As(err, &failed) && failed.Failure == port.HistoryIsGone {
-		mirror.asOf = 0
+		mirror.known = Known{}
 		mirror.gone = true
 		return 0
 	}
--- a/internal/direct/peers/message.go
+++ b/internal/direct/peers/message.go
@@ -88,10 +88,17 @@
 	Share       tally.Share
 }
 
-// StoreNews is what was read of the store.
-type StoreNews struct {
+// StoreItems are items of the store, as of a revision of one of its eras.
+type StoreItems struct {
 	Items []Item
 	AsOf  int64
+	Era   int64 `cbor:",omitempty"`
+	Whole bool  `cbor:",omitempty"` // all items that there are, and not only those that the receiver lacks
+}
+
+// StoreNews is what was read of the store.
+type StoreNews struct {
+	StoreItems
 	// Age is how long ago the store answered the sender.
 	Age clock.Millis
 	// Back is how long ago the store came back from an outage; 0 when it has not
@@ -112,12 +119,7 @@
 // Pull asks a peer for what it has read of the store after a revision.
 type Pull struct {
 	After int64
-}
-
-// Items answers a Pull.
-type Items struct {
-	Items []Item
-	AsOf  int64
+	Era   int64 `cbor:",omitempty"` // that the revision is of
 }
 
 // Message is one of its parts; the others are nil.
@@ -126,7 +128,7 @@
 	Digest   *Digest
 	Want     *Want
 	Pull     *Pull
-	Items    *Items
+	Items    *StoreItems // answers a Pull
 	Warnings *Warnings
 }
 
--- a/internal/direct/peers/message_test.go
+++ b/internal/direct/peers/message_test.go
@@ -43,7 +43,9 @@
 				Server: "s", Born: 1, Fence: 2, Number: 3, Models: []string{"m"},
 				Slots: []fleet.Slot{{Adapter: adapter, Version: 4, Coming: true, Queued: true}, {Adapter: port.Adapter{Model: "n", Name: "b"}}},
 			}},
-			Store: &peers.StoreNews{Items: []peers.Item{{Key: "k", Value: []byte("v"), Revision: 4}}, AsOf: 5, Age: 6, Back: 7},
+			Store: &peers.StoreNews{
+				StoreItems: peers.StoreItems{Items: []peers.Item{{Key: "k", Value: []byte("v"), Revision: 4}}, AsOf: 5, Era: 2, Whole: true}, Age: 6, Back: 7,
+			},
 			Loads: map[string]peers.Work{"s": {Load: tally.Load{Runs: 2, Reading: 30}, Sent: 40}, "r": {}},
 		}},
 		{Digest: &peers.Digest{Sums: &peers.Sums{
@@ -71,8 +73,8 @@
 			Readings: []quota.Reading{{Account: "payroll", Number: 2, Total: 1630, Recent: 800}},
 		}}},
 		{Want: &peers.Want{Server: "s", Adapter: adapter, Version: 2, Rank: 1, Left: 300, Absent: true}},
-		{Pull: &peers.Pull{After: 4}},
-		{Items: &peers.Items{Items: []peers.Item{{Key: "k", Packed: true, Deleted: true, Revision: 4}}, AsOf: 5}},
+		{Pull: &peers.Pull{After: 4, Era: 2}},
+		{Items: &peers.StoreItems{Items: []peers.Item{{Key: "k", Packed: true, Deleted: true, Revision: 4}}, AsOf: 5}},
 	}
 }
 
--- a/internal/direct/peers/wire.go
+++ b/internal/direct/peers/wire.go
@@ -27,7 +27,10 @@
 		Digest *wireDigest `cbor:",omitempty"`
 		Want   *wireWant   `cbor:",omitempty"`
 		Pull   *Pull       `cbor:",omitempty"`
-		Items  *Items      `cbor:",omitempty"`
+		Items  *StoreItems `cbor:",omitempty"`
+		// Era is that of an update's revision. It stands outside of the update, an array
+		// whose length daemons of other versions know.
+		Era int64 `cbor:",omitempty"`
 		// Warnings are passed over by daemons that do not know of them.
 		Warnings *wireWarnings `cbor:",omitempty"`
 	}
@@ -173,6 +176,7 @@
 	wire := wireMessage{Pull: message.Pull, Items: message.Items, Warnings: encodeWarnings(message.Warnings)}
 	if message.Update != nil {
 		wire.Update = encodeUpdate(message.Update)
+		wire.Era = message.Update.Era
 	}
 	if message.Digest != nil {
 		wire.Digest = encodeDigest(message.Digest)
@@ -429,6 +433,7 @@
 	message := Message{Pull: wire.Pull, Items: wire.Items, Warnings: decodeWarnings(wire.Warnings)}
 	if wire.Update != nil {
 		message.Update = decodeUpdate(wire.Update)
+		message.Update.Era = wire.Era
 	}
 	if wire.Digest != nil {
 		message.Digest = decodeDigest(wire.Digest)
--- a/internal/direct/port/port.go
+++ b/internal/direct/port/port.go
@@ -91,7 +91,8 @@
 	Items []Item
 	More  bool  // another page begins after the last item's key
 	AsOf  int64 // the store's revision
-	// Era rises each time the store comes back from a copy; 0 where it does not say.
+	// Era rises each time the store comes back from a copy of some time before, which has
+	// lower revisions; 0 where it does not say.
 	Era int64
 }
 
