--- a/internal/direct/gateway/limits.go
+++ b/internal/direct/gateway/limits.go
@@ -59,8 +59,12 @@
 			result.reason = ending.Limited
 		}
 	}
-	if left := core.resting(now, job); left > 0 && result.reason == ending.NoServer {
-		result.reason = ending.Resting
+	left := core.resting(now, job)
+	if left == 0 || result.reason != ending.NoServer {
+		return result
+	}
+	result.reason = ending.Resting
+	if job.sends == 0 {
 		job.comeBack = min(left, core.options.RetryAfter)
 	}
 	return result
