--- a/internal/direct/gateway/era.go
+++ b/internal/direct/gateway/era.go
@@ -24,19 +24,6 @@
 	return true
 }
 
-// enter begins a later era: whatever is read in it is news, and what is not is not told on.
-func (copied *storeCopy) enter(era int64) {
-	copied.era, copied.revision = era, 0
-	for key, item := range copied.items {
-		if item.Deleted {
-			delete(copied.items, key)
-			continue
-		}
-		item.Revision = 0
-		copied.items[key] = item
-	}
-}
-
 // takeStore takes over items that a peer has told, and reports whether they are of the era
 // that is known now. The mutex is held.
 func (core *core) takeStore(told peers.StoreItems) bool {
--- a/internal/direct/gateway/limits.go
+++ b/internal/direct/gateway/limits.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"slices"
 
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/ending"
@@ -50,22 +49,3 @@
 	}
 	return func(server string) bool { return server != at && !core.limits.Allows(now, server) }
 }
-
-// unplaced says why there is no server for a request. The mutex is held.
-func (core *core) unplaced(now clock.Millis, job *job) *verdict {
-	result := &verdict{status: http.StatusServiceUnavailable, reason: ending.NoServer}
-	for _, member := range core.fleet.Usable(job.service) {
-		if !slices.Contains(job.tried, member.ID) && !core.limits.Allows(now, member.ID) {
-			result.reason = ending.Limited
-		}
-	}
-	left := core.resting(now, job)
-	if left == 0 || result.reason != ending.NoServer {
-		return result
-	}
-	result.reason = ending.Resting
-	if job.sends == 0 {
-		job.comeBack = min(left, core.options.RetryAfter)
-	}
-	return result
-}
--- a/internal/direct/gateway/place.go
+++ b/internal/direct/gateway/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -152,28 +151,6 @@
 	return core.options.Hold.Holds(prompt, core.intake.Tokens(now, server, rate), rate)
 }
 
-// logNotPlaced writes what decided that a request does not wait any longer. The
-// mutex is held.
-func (core *core) logNotPlaced(now clock.Millis, job *job, server *fleet.Member, hopeless bool, patience clock.Millis) {
-	loading, queued := core.coming()
-	loadingHere, queuedHere := server.Coming()
-	owner, _ := core.ownerOf(now, server.ID)
-	core.log.Info(ending.MessageNotReady, "Request", job.call.Attempt, "Server", server.ID, "Adapter", job.adapter.Name, "Owner", owner,
-		"AtOnce", hopeless, "PatienceMillis", patience, "LoadMillis", core.loadWait(server), "Loading", loading, "Queued", queued,
-		"LoadingHere", loadingHere, "QueuedHere", queuedHere)
-}
-
-// notPlaced says why a request got no server in time.
-func notPlaced(ctx context.Context, job *job) *verdict {
-	if job.incoming.Context().Err() != nil {
-		return &verdict{done: false, status: http.StatusServiceUnavailable, reason: ending.CallerLeft}
-	}
-	if ctx.Err() != nil {
-		return &verdict{status: http.StatusServiceUnavailable, reason: ending.Deadline}
-	}
-	return &verdict{status: http.StatusServiceUnavailable, reason: ending.LoadWait}
-}
-
 // frequentSpan is how long ago an adapter may have been asked for here last to count
 // as one that is asked for often.
 const frequentSpan = 10 * clock.Second
