--- a/internal/serve/callers/callers.go
+++ b/internal/serve/callers/callers.go
@@ -21,6 +21,7 @@
 	"teaselmoor/internal/decide/node"
 	"teaselmoor/internal/decide/outcome"
 	"teaselmoor/internal/serve/daemon"
+	"teaselmoor/internal/serve/health"
 )
 
 // Headers of the callers' API.
@@ -89,8 +90,8 @@
 	mux.HandleFunc(ChatPath, api.only(http.MethodPost, api.model))
 	mux.HandleFunc(ModelsPath, api.only(http.MethodGet, api.models))
 	mux.HandleFunc(ServicesPath, api.service)
-	mux.HandleFunc(HealthPath, api.only(http.MethodGet, health))
-	mux.HandleFunc(ReadyPath, api.only(http.MethodGet, api.ready))
+	mux.HandleFunc(HealthPath, api.only(http.MethodGet, health.Live))
+	mux.HandleFunc(ReadyPath, api.only(http.MethodGet, health.Ready(api.daemon.Ready)))
 	mux.HandleFunc("/", api.unknownPath)
 	return api.cleanPaths(mux)
 }
@@ -123,18 +124,6 @@
 	}
 }
 
-func health(writer http.ResponseWriter, _ *http.Request) {
-	_, _ = writer.Write([]byte("ok\n"))
-}
-
-func (api *API) ready(writer http.ResponseWriter, _ *http.Request) {
-	if !api.daemon.Ready() {
-		http.Error(writer, "not ready", http.StatusServiceUnavailable)
-		return
-	}
-	_, _ = writer.Write([]byte("ready\n"))
-}
-
 func (api *API) unknownPath(writer http.ResponseWriter, request *http.Request) {
 	api.refuse(writer, newArrival(request), mistake{outcome.UnknownPath, ""})
 }
--- a/internal/serve/operators/operators.go
+++ b/internal/serve/operators/operators.go
@@ -11,6 +11,7 @@
 
 	"teaselmoor/internal/control/audit"
 	"teaselmoor/internal/serve/daemon"
+	"teaselmoor/internal/serve/health"
 	"teaselmoor/internal/serve/metrics"
 )
 
@@ -50,8 +51,8 @@
 func New(serving Daemon, trail *audit.Trail, counted *metrics.Metrics, observer *metrics.Observer, options Options) http.Handler {
 	api := &API{daemon: serving, trail: trail, metrics: counted, observer: observer}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+HealthPath, api.health)
-	mux.HandleFunc("GET "+ReadyPath, api.ready)
+	mux.HandleFunc("GET "+HealthPath, health.Live)
+	mux.HandleFunc("GET "+ReadyPath, health.Ready(api.daemon.Ready))
 	mux.HandleFunc("GET "+StatusPath, api.status)
 	mux.HandleFunc("GET "+AuditPath, api.audit)
 	mux.HandleFunc("GET "+RecordsPath+"{request}", api.record)
@@ -70,20 +71,6 @@
 	mux.HandleFunc(ProfilePath+"trace", pprof.Trace)
 }
 
-// health answers as long as the process serves at all.
-func (api *API) health(writer http.ResponseWriter, _ *http.Request) {
-	_, _ = writer.Write([]byte("ok\n"))
-}
-
-// ready tells the balancer whether to send callers here.
-func (api *API) ready(writer http.ResponseWriter, _ *http.Request) {
-	if !api.daemon.Ready() {
-		http.Error(writer, "not ready", http.StatusServiceUnavailable)
-		return
-	}
-	_, _ = writer.Write([]byte("ready\n"))
-}
-
 func (api *API) status(writer http.ResponseWriter, _ *http.Request) {
 	writeJSON(writer, http.StatusOK, api.daemon.Status())
 }
