fleet: a restored store does not bring back a process that another one has replaced

The first process was used again: that it had said that it leaves was forgotten when the second one started, and the second return did not prolong the time for which a removed server is kept out. Now an entry of an earlier process than the one removed stays out, and each return begins that time anew.

--- a/internal/direct/fleet/leaving.go
+++ b/internal/direct/fleet/leaving.go
@@ -94,13 +94,24 @@
 		member, known := fleet.members[id]
 		switch {
 		case left.until > 0 && now >= left.until:
-			delete(fleet.departures, id)
-			if known {
-				member.Draining = false
-				fleet.byService = nil
-			}
+			fleet.returned(id, member, left)
 		case !known && now-left.at > fleet.options.Tombstone:
 			delete(fleet.departures, id)
 		}
 	}
 }
+
+// returned has a process work again that was removed and is back, unless the entry is one of
+// an earlier process than the one removed, which has ended before.
+func (fleet *Fleet) returned(id string, member *Member, left departure) {
+	if member != nil && member.Born < left.born {
+		left.until = 0
+		fleet.departures[id] = left
+		return
+	}
+	delete(fleet.departures, id)
+	if member != nil {
+		member.Draining = false
+		fleet.byService = nil
+	}
+}
--- a/internal/direct/fleet/restored.go
+++ b/internal/direct/fleet/restored.go
@@ -14,9 +14,16 @@
 			member.lapsesAt = now + fleet.options.ReturnGrace
 		}
 	}
+	until := now + fleet.options.ReturnGrace
+	for id, left := range fleet.departures {
+		if left.until > 0 {
+			left.until = until
+			fleet.departures[id] = left
+		}
+	}
 	for id, stone := range fleet.gone {
-		if left, ok := fleet.departures[id]; !ok || left.until > 0 {
-			fleet.departures[id] = departure{born: stone.born, at: stone.at, until: now + fleet.options.ReturnGrace}
+		if _, left := fleet.departures[id]; !left {
+			fleet.departures[id] = departure{born: stone.born, at: stone.at, until: until}
 		}
 		stone.revision = 0
 		fleet.gone[id] = stone
