--- a/internal/direct/claims/claims.go
+++ b/internal/direct/claims/claims.go
@@ -133,8 +133,5 @@
 	if !ok || state.owner == "" {
 		return "", false
 	}
-	if state.owner == registry.self {
-		return registry.self, true
-	}
-	return state.owner, now-state.ownerLastContact < registry.options.Suspicion
+	return state.owner, registry.ownerIsLive(now, state)
 }
