--- a/internal/direct/gateway/holdings.go
+++ b/internal/direct/gateway/holdings.go
@@ -78,18 +78,32 @@
 
 // readHoldings reads a server's report and applies the holdings in it.
 func (gateway *Gateway) readHoldings(ctx context.Context, target platformapi.Server) {
-	report, err := gateway.servers.ReadReport(ctx, target)
-	target.StartedAt = max(report.StartedAt, target.StartedAt)
-	gateway.handleLeaving(target, report.Leaving, "report")
+	target, report, ok := gateway.fetchReport(ctx, target)
+	if !ok {
+		return
+	}
 	core := gateway.core
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
+	core.fleet.SetReport(target.ID, target.StartedAt, report.Models)
+	core.log.Info("holdings read", "Server", target.ID, "Born", report.StartedAt, "Models", len(report.Models))
+	core.wakeWaitingRequests()
+}
+
+// fetchReport reads a server's report and applies whether the server is leaving. It returns the
+// server, with the start time of its process, and the report. If the report cannot be read, it
+// marks the server as unreachable and returns false.
+func (gateway *Gateway) fetchReport(ctx context.Context, target platformapi.Server) (platformapi.Server, platformapi.Report, bool) {
+	report, err := gateway.servers.ReadReport(ctx, target)
+	target.StartedAt = max(report.StartedAt, target.StartedAt)
+	gateway.handleLeaving(target, report.Leaving, "report")
 	if err != nil {
+		core := gateway.core
+		core.mutex.Lock()
+		defer core.mutex.Unlock()
 		core.log.Warn("cannot read server report", "Server", target.ID, "Error", err.Error())
 		core.fleet.MarkUnreachable(core.now(), target.ID)
-		return
+		return target, report, false
 	}
-	core.fleet.SetReport(target.ID, target.StartedAt, report.Models)
-	core.log.Info("holdings read", "Server", target.ID, "Born", report.StartedAt, "Models", len(report.Models))
-	core.wakeWaitingRequests()
+	return target, report, true
 }
--- a/internal/direct/gateway/orders.go
+++ b/internal/direct/gateway/orders.go
@@ -247,20 +247,15 @@
 // readReport reads what a server holds, which its planner needs before it sends orders. It
 // returns the time to wait before the next call of orderOnce.
 func (gateway *Gateway) readReport(ctx context.Context, target platformapi.Server, worker *orderWorker) clock.Millis {
-	report, err := gateway.servers.ReadReport(ctx, target)
-	target.StartedAt = max(report.StartedAt, target.StartedAt)
-	gateway.handleLeaving(target, report.Leaving, "report")
+	target, report, ok := gateway.fetchReport(ctx, target)
+	if !ok {
+		return idleCheckInterval
+	}
 	core := gateway.core
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
-	now := core.now()
-	if err != nil {
-		core.log.Warn("cannot read server report", "Server", target.ID, "Error", err.Error())
-		core.fleet.MarkUnreachable(now, target.ID)
-		return idleCheckInterval
-	}
 	worker.serverStart = target.StartedAt
-	worker.planner.SetReport(now, report)
+	worker.planner.SetReport(core.now(), report)
 	core.log.Info("report read", "Server", target.ID, "Born", report.StartedAt, "Models", len(report.Models), "Incoming", len(report.Incoming))
 	gateway.publishTable(target.ID, worker)
 	return 0
