--- a/internal/direct/gateway/dispatch.go
+++ b/internal/direct/gateway/dispatch.go
@@ -176,6 +176,12 @@
 		job.timesSent-- // no server has received it
 		return tryResult{retry: ctx.Err() == nil && len(job.triedServers) < gateway.options.MostSends, status: http.StatusServiceUnavailable, reason: ending.NoServer}
 	}
+	return gateway.handleLostAnswer(ctx, job, to, err)
+}
+
+// handleLostAnswer decides how to go on with a request that was sent and whose answer did not
+// arrive, or broke off before the caller saw any of it.
+func (gateway *Gateway) handleLostAnswer(ctx context.Context, job *job, to assignment, err error) tryResult {
 	if ctx.Err() != nil {
 		return tryResult{status: http.StatusGatewayTimeout, reason: ending.Timeout}
 	}
--- a/internal/direct/gateway/relay.go
+++ b/internal/direct/gateway/relay.go
@@ -63,11 +63,7 @@
 		gateway.logEnd(job, 0, ending.CallerLeft)
 		return tryResult{done: true}
 	}
-	if ctx.Err() != nil {
-		return tryResult{status: http.StatusGatewayTimeout, reason: ending.Timeout}
-	}
-	gateway.recordLoss(job, to.server, err)
-	return gateway.lostResult(job, http.StatusBadGateway, ending.AnswerLost)
+	return gateway.handleLostAnswer(ctx, job, to, err)
 }
 
 // relayStream passes events on as they arrive, each only when it is complete, so that a stream
