prefill: owners admit the prompts of all daemons for their engines

On a site with hubs a daemon learns of other daemons' prompts 50 to 100 ms late, when a prefill of 70 ms has already finished, so prompts that several daemons send to one engine pile up and make its streams pause. The daemon that owns an engine now keeps a queue for it, to which prompts are announced, and grants them by rank at a rate that the streams' gap goal allows. Every wait ends by itself: at the bound, or after 60 ms without any answer, when the daemon's own rule applies as before.

--- a/internal/direct/catalog/catalog.go
+++ b/internal/direct/catalog/catalog.go
@@ -134,6 +134,7 @@
 	Accounts   *account.Directory  // nil if callers need no key
 	routes     map[string][]*Route // by host, longest prefix first
 	minGapGoal clock.Millis        // shortest gap goal of all routes; 0: none has one
+	competing  map[string]competition
 }
 
 // New returns a catalog. Accounts may be nil.
@@ -155,6 +156,7 @@
 	for _, hostRoutes := range catalog.routes {
 		slices.SortStableFunc(hostRoutes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
+	catalog.competing = competitions(catalog.Services, routes)
 	return catalog
 }
 
--- a/internal/direct/choose/delay.go
+++ b/internal/direct/choose/delay.go
@@ -1,6 +1,9 @@
 package choose
 
-import "teaselmoor/internal/base/clock"
+import (
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/direct/prefill"
+)
 
 // DelayPolicy decides whether a prompt is sent to its server now or delayed. An engine reads
 // prompts between the decoding steps of its streams, so prompts that arrive together
@@ -20,7 +23,7 @@
 // DefaultDelayPolicy returns the limits for engines that also get prompts which this daemon does
 // not know of.
 func DefaultDelayPolicy() DelayPolicy {
-	return DelayPolicy{GapShare: 0.5, GoalShare: 0.33, Look: 15}
+	return DelayPolicy{GapShare: prefill.DefaultGapShare, GoalShare: prefill.DefaultGoalShare, Look: 15}
 }
 
 // Prompt is a prompt that is ready to be sent.
@@ -35,9 +38,8 @@
 // prompt bucket; tokensPerMS is the engine's read rate. A server with an empty bucket is sent
 // a prompt of any size.
 func (delayPolicy DelayPolicy) ShouldDelay(prompt Prompt, level, tokensPerMS float64) bool {
-	if prompt.Waited >= clock.Millis(delayPolicy.GoalShare*float64(prompt.Goal)) || level <= 0 {
+	if prompt.Waited >= clock.Millis(delayPolicy.GoalShare*float64(prompt.Goal)) {
 		return false
 	}
-	limit := delayPolicy.GapShare * float64(prompt.GapGoal) * tokensPerMS
-	return level+float64(prompt.Tokens) > limit
+	return !prefill.Fits(level, prompt.Tokens, prefill.TokenLimit(delayPolicy.GapShare, prompt.GapGoal, tokensPerMS))
 }
--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -17,6 +17,7 @@
 	"teaselmoor/internal/direct/membership"
 	"teaselmoor/internal/direct/peers"
 	"teaselmoor/internal/direct/platformapi"
+	"teaselmoor/internal/direct/prefill"
 	"teaselmoor/internal/direct/quarantine"
 	"teaselmoor/internal/direct/quota"
 	"teaselmoor/internal/direct/retry"
@@ -61,6 +62,7 @@
 	quarantine        *quarantine.List                     // contents that servers have crashed on
 	lostRequests      map[string]*serverLosses             // by server, recent ones
 	serverLimits      *throttle.Limits                     // request rates that servers have announced
+	turns             *promptTurns                         // prompts that wait to be admitted at engines
 	holdingsChanged   chan struct{}                        // closed and replaced when holdings change
 
 	// Ownership of servers, and the servers that this daemon owns.
@@ -113,6 +115,7 @@
 	wake        chan struct{} // holds a token when an order may be due
 	stop        func()
 	waiting     waitingPeers
+	prompts     *prefill.Queue
 }
 
 func newCore(settings Settings, options Options, decoder platformapi.Decoder, now, wall clock.Source, log *slog.Logger) *core {
@@ -142,6 +145,7 @@
 		lostRequests:      make(map[string]*serverLosses),
 		quarantine:        quarantine.New(options.Quarantine, settings.Name),
 		serverLimits:      throttle.New(settings.Name),
+		turns:             newPromptTurns(options.Turns, int64(wall())),
 		holdingsChanged:   make(chan struct{}),
 
 		claims:                 claims.New(options.Tenure, settings.Name, now(), wall),
--- a/internal/direct/gateway/counters.go
+++ b/internal/direct/gateway/counters.go
@@ -5,12 +5,14 @@
 	"io"
 	"maps"
 	"slices"
+	"strconv"
 	"sync"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/ending"
+	"teaselmoor/internal/direct/prefill"
 )
 
 // maxSeries bounds the number of label sets of a metric, so that many services or accounts, or
@@ -23,9 +25,11 @@
 	ends    map[endLabels]int64
 	latency histograms // until the answer's first event, or until its end if it is not a stream
 	gaps    histograms // longest gap between two events of a stream
+	turns   map[prefill.Result]int64
+	waits   histograms // of prompts for a grant, by rank
 }
 
-// histograms holds histograms in milliseconds, by service.
+// histograms holds histograms in milliseconds, by service or rank.
 type histograms map[string]*hdrhistogram.Histogram
 
 type endLabels struct {
@@ -35,7 +39,7 @@
 }
 
 func newCounters() *counters {
-	return &counters{ends: make(map[endLabels]int64), latency: make(histograms), gaps: make(histograms)}
+	return &counters{ends: make(map[endLabels]int64), latency: make(histograms), gaps: make(histograms), turns: make(map[prefill.Result]int64), waits: make(histograms)}
 }
 
 func (counters *counters) recordEnd(job *job, status int, reason ending.Reason, now clock.Millis) {
@@ -57,30 +61,51 @@
 	counters.latency.observe(job.service, at-job.arrived)
 }
 
+// maxRankSeries is the number of ranks that a metric distinguishes; the last one stands for all
+// further ones.
+const maxRankSeries = 10
+
+// recordTurn counts how the prompt of a request was admitted in its last placement, and records
+// how long it waited for a grant.
+func (counters *counters) recordTurn(job *job) {
+	if job.turn == prefill.Pending && job.turnsWithdrawn == 0 {
+		return
+	}
+	counters.mutex.Lock()
+	defer counters.mutex.Unlock()
+	if job.turnsWithdrawn > 0 {
+		counters.turns[prefill.Withdrawn] += int64(job.turnsWithdrawn)
+	}
+	if job.turn != prefill.Pending {
+		counters.turns[job.turn]++
+		counters.waits.observe(strconv.Itoa(min(max(job.rank, 0), maxRankSeries-1)), job.turnTime)
+	}
+}
+
 // maxLatencyMillis is the highest latency that a histogram distinguishes, with two significant
 // figures.
 const maxLatencyMillis = 60_000
 
-func (histograms histograms) observe(service string, value clock.Millis) {
-	histogram, ok := histograms[service]
+func (histograms histograms) observe(key string, value clock.Millis) {
+	histogram, ok := histograms[key]
 	if !ok {
 		if len(histograms) >= maxSeries {
 			return
 		}
 		histogram = hdrhistogram.New(1, maxLatencyMillis, 2)
-		histograms[service] = histogram
+		histograms[key] = histogram
 	}
 	_ = histogram.RecordValue(min(max(int64(value), 1), maxLatencyMillis)) // always in range
 }
 
-// write writes quantiles and counts under a metric name.
-func (histograms histograms) write(out io.Writer, name string) {
-	for _, service := range slices.Sorted(maps.Keys(histograms)) {
-		histogram := histograms[service]
+// write writes quantiles and counts under a metric name; the keys are values of a label.
+func (histograms histograms) write(out io.Writer, name, label string) {
+	for _, key := range slices.Sorted(maps.Keys(histograms)) {
+		histogram := histograms[key]
 		for _, quantile := range []float64{50, 95, 99} {
-			_, _ = fmt.Fprintf(out, "%s{service=%q,quantile=\"%g\"} %d\n", name, service, quantile/100, histogram.ValueAtQuantile(quantile))
+			_, _ = fmt.Fprintf(out, "%s{%s=%q,quantile=\"%g\"} %d\n", name, label, key, quantile/100, histogram.ValueAtQuantile(quantile))
 		}
-		_, _ = fmt.Fprintf(out, "%s_count{service=%q} %d\n", name, service, histogram.TotalCount())
+		_, _ = fmt.Fprintf(out, "%s_count{%s=%q} %d\n", name, label, key, histogram.TotalCount())
 	}
 }
 
@@ -91,6 +116,10 @@
 	for labels, count := range counters.ends {
 		_, _ = fmt.Fprintf(out, "teaselmoor_requests_total{service=%q,status=\"%d\",reason=%q} %d\n", labels.Service, labels.Status, labels.Reason, count)
 	}
-	counters.latency.write(out, "teaselmoor_latency_millis")
-	counters.gaps.write(out, "teaselmoor_stream_gap_millis")
+	counters.latency.write(out, "teaselmoor_latency_millis", "service")
+	counters.gaps.write(out, "teaselmoor_stream_gap_millis", "service")
+	for result, count := range counters.turns {
+		_, _ = fmt.Fprintf(out, "teaselmoor_prompt_turns_total{result=%q} %d\n", result, count)
+	}
+	counters.waits.write(out, "teaselmoor_prompt_turn_millis", "rank")
 }
--- a/internal/direct/gateway/dispatch.go
+++ b/internal/direct/gateway/dispatch.go
@@ -70,6 +70,7 @@
 // try places a request and sends it to one server.
 func (gateway *Gateway) try(ctx context.Context, writer http.ResponseWriter, job *job) tryResult {
 	assigned, failed := gateway.place(ctx, job)
+	gateway.counters.recordTurn(job)
 	if failed != nil {
 		return *failed
 	}
@@ -87,7 +88,7 @@
 	}
 	job.timesSent++
 	gateway.log.Info(ending.MessageRequestSent, "Request", job.headers.Attempt, "Server", to.server.ID, "Adapter", job.adapter.Name, "Prompt", job.headers.PromptTokens, "Alone", to.alone,
-		"Offer", job.timesSent, "CostMillis", int(to.cost), "LeftMillis", left, "Version", to.version, "WaitedMillis", job.waited, "HeldMillis", job.holdTime, "Content", job.content.String())
+		"Offer", job.timesSent, "CostMillis", int(to.cost), "LeftMillis", left, "Version", to.version, "WaitedMillis", job.waited, "HeldMillis", job.holdTime, "TurnMillis", job.turnTime, "Turn", string(job.turn), "Content", job.content.String())
 	tryCtx, cancel := job.tryContext(ctx, left)
 	defer cancel()
 	answer, err := gateway.pool.Send(tryCtx, to.server.Address, gateway.forwardedRequest(tryCtx, job, to, left), gateway.answerMatcher(job))
--- a/internal/direct/gateway/gossip.go
+++ b/internal/direct/gateway/gossip.go
@@ -20,6 +20,12 @@
 		gateway.applyDelta(from, message.Delta)
 	case message.AdapterRequest != nil:
 		gateway.handleAdapterRequest(from, *message.AdapterRequest)
+	case message.PromptRequest != nil:
+		gateway.handlePromptRequest(from, *message.PromptRequest)
+	case message.PromptAnswer != nil:
+		gateway.handlePromptAnswer(from, *message.PromptAnswer)
+	case message.PromptWithdrawal != nil:
+		gateway.handlePromptWithdrawal(from, *message.PromptWithdrawal)
 	case message.Pull != nil:
 		gateway.handlePull(from, *message.Pull)
 	case message.Warnings != nil:
@@ -137,6 +143,7 @@
 		return now-requested.at >= copyVisibilityDelay
 	})
 	core.updateModelTurns(now)
+	core.turns.prune(now)
 	for _, id := range core.fleet.Tick(now) {
 		core.log.Info("server gone", "Server", id, "Cause", "its entry did not come back")
 	}
--- a/internal/direct/gateway/handler.go
+++ b/internal/direct/gateway/handler.go
@@ -13,6 +13,7 @@
 	"teaselmoor/internal/direct/content"
 	"teaselmoor/internal/direct/ending"
 	"teaselmoor/internal/direct/platformapi"
+	"teaselmoor/internal/direct/prefill"
 )
 
 // job is the state of a caller's request in this daemon.
@@ -46,6 +47,11 @@
 	firstEventAt clock.Millis // when the head of a streamed answer was sent; 0: not yet
 	longestGap   clock.Millis // longest time between two events of the answer as they arrived
 	retryAfter   clock.Millis // sent to a refused caller
+
+	// Prefill admission control in the last placement.
+	turn           prefill.Result // how the prompt came to be sent; empty: without admission control
+	turnTime       clock.Millis   // part of waited in which the prompt waited for a grant
+	turnsWithdrawn int            // prompts withdrawn from owners
 }
 
 // ServeHTTP serves a caller's request.
--- a/internal/direct/gateway/orders.go
+++ b/internal/direct/gateway/orders.go
@@ -10,6 +10,7 @@
 	"teaselmoor/internal/direct/inflight"
 	"teaselmoor/internal/direct/loading"
 	"teaselmoor/internal/direct/platformapi"
+	"teaselmoor/internal/direct/prefill"
 	"teaselmoor/internal/direct/topology"
 )
 
@@ -85,6 +86,7 @@
 	worker := &orderWorker{
 		planner: loading.New(core.options.Loading, loading.Limits{}, core.loadRate, recentlyHeld), fence: fence,
 		wake: make(chan struct{}, 1), stop: cancel, waiting: make(waitingPeers),
+		prompts: prefill.New(core.options.Turns),
 	}
 	core.orderWorkers[server] = worker
 	core.log.Info("server ownership taken over", "Server", server, "Fence", fence, "Live", core.claims.Live(core.now()))
--- a/internal/direct/gateway/place.go
+++ b/internal/direct/gateway/place.go
@@ -13,6 +13,7 @@
 	"teaselmoor/internal/direct/inflight"
 	"teaselmoor/internal/direct/peers"
 	"teaselmoor/internal/direct/platformapi"
+	"teaselmoor/internal/direct/prefill"
 )
 
 // assignment is the server that a request is sent to.
@@ -97,7 +98,9 @@
 	frequent := core.markRequested(started, job)
 	maxWait := core.maxAdapterWait(started, job)
 	lastRequest := clock.Millis(0)
+	job.turn, job.turnTime, job.turnsWithdrawn = prefill.Pending, 0, 0
 	counted := &countedUse{}
+	turn := &promptTurn{}
 	for {
 		now := core.now()
 		if refused := core.refuseQuarantined(now, job); refused != nil {
@@ -115,13 +118,11 @@
 			core.moveCount(counted, use, job.headers.PromptTokens)
 			lastRequest = 0
 		}
-		if choice.Ready && ctx.Err() == nil && core.shouldDelay(now, now-started, job, use.Server) {
-			core.moveCount(counted, use, 0)
-			gateway.waitForChange(ctx, core.options.Hold.Look)
-			job.holdTime += core.now() - now
+		if choice.Ready && ctx.Err() == nil && !gateway.admitPrompt(ctx, started, job, &choice, counted, turn) {
 			continue
 		}
 		if choice.Ready {
+			now = core.now()
 			core.moveCount(counted, use, job.headers.PromptTokens)
 			if choice.CopyTo != nil {
 				gateway.requestCopy(job, choice.CopyTo, now)
@@ -242,12 +243,17 @@
 	core := gateway.core
 	changed := core.holdingsChanged
 	core.mutex.Unlock()
+	awaitAny(ctx, changed, timeout)
+	core.mutex.Lock()
+}
+
+// awaitAny waits until a channel can be received from, the timeout expires or the context ends.
+func awaitAny(ctx context.Context, changed <-chan struct{}, timeout clock.Millis) {
 	timer := time.NewTimer(max(1, timeout).Duration())
+	defer timer.Stop()
 	select {
 	case <-changed:
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	timer.Stop()
-	core.mutex.Lock()
 }
--- a/internal/direct/gateway/settings.go
+++ b/internal/direct/gateway/settings.go
@@ -18,6 +18,7 @@
 	"teaselmoor/internal/direct/membership"
 	"teaselmoor/internal/direct/mirror"
 	"teaselmoor/internal/direct/peers"
+	"teaselmoor/internal/direct/prefill"
 	"teaselmoor/internal/direct/quarantine"
 	"teaselmoor/internal/direct/quota"
 	"teaselmoor/internal/direct/retry"
@@ -101,6 +102,7 @@
 	Fleet      fleet.Options
 	Weights    choose.Weights
 	Hold       choose.DelayPolicy
+	Turns      prefill.Options
 	Loading    loading.Options
 	Mirror     mirror.Options
 	Peers      peers.Options
@@ -168,7 +170,7 @@
 // DefaultOptions returns the default options for the lease and the fencing in the settings.
 func DefaultOptions(settings Settings) Options {
 	return Options{
-		Fleet: fleet.DefaultOptions(), Weights: choose.DefaultWeights(), Hold: choose.DefaultDelayPolicy(), Loading: loading.DefaultOptions(),
+		Fleet: fleet.DefaultOptions(), Weights: choose.DefaultWeights(), Hold: choose.DefaultDelayPolicy(), Turns: prefill.DefaultOptions(), Loading: loading.DefaultOptions(),
 		Mirror: mirror.DefaultOptions(), Peers: peers.DefaultOptions(), Membership: membership.DefaultOptions(), Tenure: claims.DefaultOptions(settings.Lease, settings.Fenced),
 		Upstream: upstream.DefaultOptions(), Quarantine: quarantine.DefaultOptions(),
 
--- a/internal/direct/peers/message.go
+++ b/internal/direct/peers/message.go
@@ -130,6 +130,10 @@
 	Pull           *Pull
 	Items          *StoreItems // answers a Pull
 	Warnings       *Warnings
+
+	PromptRequest    *PromptRequest
+	PromptAnswer     *PromptAnswer
+	PromptWithdrawal *PromptWithdrawal
 }
 
 // Warnings holds what was not yet sent to the receiver on the same connection about contents
--- a/internal/direct/peers/message_test.go
+++ b/internal/direct/peers/message_test.go
@@ -74,6 +74,9 @@
 			Readings: []quota.Reading{{Account: "payroll", Number: 2, Total: 1630, Recent: 800}},
 		}}},
 		{AdapterRequest: &peers.AdapterRequest{Server: "s", Adapter: adapter, Version: 2, Rank: 1, Left: 300, Absent: true}},
+		{PromptRequest: &peers.PromptRequest{From: "d", Server: "s", ID: 1 << 40, Tokens: 4700, Rank: 2, GapGoal: 300, Left: 264}},
+		{PromptAnswer: &peers.PromptAnswer{To: "d", Server: "s", ID: 1 << 40, Granted: true}},
+		{PromptWithdrawal: &peers.PromptWithdrawal{From: "d", Server: "s", ID: 1 << 40}},
 		{Pull: &peers.Pull{After: 4, Era: 2}},
 		{Items: &peers.StoreItems{Items: []peers.Item{{Key: "k", Packed: true, Deleted: true, Revision: 4}}, AsOf: 5}},
 	}
--- a/internal/direct/peers/wire.go
+++ b/internal/direct/peers/wire.go
@@ -35,6 +35,10 @@
 		Era int64 `cbor:",omitempty"`
 		// Warnings is ignored by daemons that do not support it.
 		Warnings *wireWarnings `cbor:",omitempty"`
+		// Turn, TurnAnswer and TurnEnd are ignored by daemons without prefill admission control.
+		Turn       *wirePromptRequest    `cbor:",omitempty"`
+		TurnAnswer *wirePromptAnswer     `cbor:",omitempty"`
+		TurnEnd    *wirePromptWithdrawal `cbor:",omitempty"`
 	}
 	wireUpdate struct {
 		_                 struct{} `cbor:",toarray"`
@@ -189,6 +193,7 @@
 			Rank: request.Rank, Left: int64(request.Left), Absent: request.Absent,
 		}
 	}
+	wire.encodeTurns(message)
 	encoded, err := cbor.Marshal(wire)
 	return encoded, errors.Wrap(err, "encode message")
 }
@@ -446,6 +451,7 @@
 			Rank: request.Rank, Left: clock.Millis(request.Left), Absent: request.Absent,
 		}
 	}
+	message.decodeTurns(wire)
 	return message, nil
 }
 
--- /dev/null
+++ b/internal/direct/prefill/queue.go
@@ -0,0 +1,128 @@
+package prefill
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"teaselmoor/internal/base/clock"
+)
+
+// Request is a prompt that waits to be sent to a server.
+type Request struct {
+	Daemon  string // that asks
+	ID      uint64 // unique among the requests of the daemon
+	Tokens  int
+	Rank    int          // 0 is the most urgent
+	GapGoal clock.Millis // longest pause allowed for streams on this server
+	Until   clock.Millis // when the daemon sends it in any case
+}
+
+// is reports whether a request has the given identity.
+func (request Request) is(daemon string, id uint64) bool {
+	return request.ID == id && request.Daemon == daemon
+}
+
+// Queue orders the prompts for one server, and grants them at a rate at which the server's
+// streams meet their gap goal. Its owner keeps it while it owns the server.
+type Queue struct {
+	options Options
+	bucket  Bucket
+	waiting []Request // by rank, then Until, then arrival
+	surplus []Request // beyond MostWaiting; granted by the next call of Next
+	sent    []Request // sent by their daemons before they were added; not yet in the bucket
+}
+
+// New returns an empty queue.
+func New(options Options) *Queue {
+	return &Queue{options: options}
+}
+
+// Add adds a request. One whose Until has passed only counts towards the bucket. A request that
+// is in the queue already is ignored.
+func (queue *Queue) Add(now clock.Millis, request Request) {
+	switch {
+	case slices.ContainsFunc(queue.waiting, func(other Request) bool { return other.is(request.Daemon, request.ID) }):
+	case request.Until <= now:
+		request.Until = now
+		queue.sent = append(queue.sent, request)
+	case len(queue.waiting) >= queue.options.MostWaiting:
+		queue.surplus = append(queue.surplus, request)
+	default:
+		at, _ := slices.BinarySearchFunc(queue.waiting, request, func(other, added Request) int {
+			return cmp.Or(cmp.Compare(other.Rank, added.Rank), cmp.Compare(other.Until, added.Until), -1) // behind its equals
+		})
+		queue.waiting = slices.Insert(queue.waiting, at, request)
+	}
+}
+
+// Withdraw removes a request that its daemon does not send any more. A request that was granted
+// stays counted.
+func (queue *Queue) Withdraw(_ clock.Millis, daemon string, id uint64) {
+	queue.waiting = slices.DeleteFunc(queue.waiting, func(request Request) bool { return request.is(daemon, id) })
+}
+
+// Waiting returns the number of requests in the queue.
+func (queue *Queue) Waiting() int {
+	return len(queue.waiting)
+}
+
+// Next returns the requests that may be sent now, and when to call it again unless requests are
+// added or withdrawn before; 0: no request is waiting. Requests whose Until has passed leave the
+// queue without a grant, as their daemons have sent them.
+func (queue *Queue) Next(now clock.Millis, tokensPerMS float64) (granted []Request, wakeAt clock.Millis) {
+	drain := queue.options.LeakShare * tokensPerMS
+	queue.countSent(now, drain)
+	granted, queue.surplus = queue.surplus, nil
+	for _, request := range granted {
+		queue.bucket = queue.bucket.Add(now, request.Tokens, drain)
+	}
+	for len(queue.waiting) > 0 {
+		head := queue.waiting[0]
+		if !Fits(queue.bucket.Level(now, drain), head.Tokens, TokenLimit(queue.options.GapShare, head.GapGoal, tokensPerMS)) {
+			break
+		}
+		queue.bucket = queue.bucket.Add(now, head.Tokens, drain)
+		granted = append(granted, head)
+		queue.waiting = slices.Delete(queue.waiting, 0, 1)
+	}
+	return granted, queue.wakeAt(now, tokensPerMS)
+}
+
+// countSent removes the requests whose Until has passed, and adds their tokens to the bucket as
+// of the time at which they were sent. An owner that was frozen thus finds their tokens drained
+// in part.
+func (queue *Queue) countSent(now clock.Millis, drain float64) {
+	for _, request := range queue.waiting {
+		if request.Until <= now {
+			queue.sent = append(queue.sent, request)
+		}
+	}
+	if len(queue.sent) == 0 {
+		return
+	}
+	queue.waiting = slices.DeleteFunc(queue.waiting, func(request Request) bool { return request.Until <= now })
+	slices.SortStableFunc(queue.sent, func(a, b Request) int { return cmp.Compare(a.Until, b.Until) })
+	for _, request := range queue.sent {
+		queue.bucket = queue.bucket.Add(max(request.Until, queue.bucket.at), request.Tokens, drain)
+	}
+	queue.sent = nil
+}
+
+// wakeAt returns the earlier of the time at which the first request fits and the first Until.
+func (queue *Queue) wakeAt(now clock.Millis, tokensPerMS float64) clock.Millis {
+	if len(queue.waiting) == 0 {
+		return 0
+	}
+	head, at := queue.waiting[0], queue.waiting[0].Until
+	for _, request := range queue.waiting {
+		at = min(at, request.Until)
+	}
+	drain := queue.options.LeakShare * tokensPerMS
+	target := max(0, TokenLimit(queue.options.GapShare, head.GapGoal, tokensPerMS)-float64(head.Tokens))
+	left := math.Ceil((queue.bucket.Level(now, drain) - target) / drain)
+	if left < float64(at-now) { // false as well if nothing drains
+		at = now + max(1, clock.Millis(left))
+	}
+	return at
+}
--- /dev/null
+++ b/internal/direct/prefill/queue_test.go
@@ -0,0 +1,147 @@
+package prefill_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/direct/prefill"
+)
+
+const (
+	rate    = 20.0 // prompt tokens per millisecond; the bucket drains 12 per millisecond
+	gapGoal = clock.Millis(300)
+	limit   = 3000 // tokens: half of the gap goal
+)
+
+func request(id uint64, rank, tokens int, until clock.Millis) prefill.Request {
+	return prefill.Request{Daemon: "d", ID: id, Rank: rank, Tokens: tokens, GapGoal: gapGoal, Until: until}
+}
+
+func ids(requests []prefill.Request) []uint64 {
+	var ids []uint64
+	for _, request := range requests {
+		ids = append(ids, request.ID)
+	}
+	return ids
+}
+
+// TestQueueOrder guards against prompts that overtake more urgent ones, or ones of their rank
+// that must be sent earlier or came earlier, and against grants beyond the limit.
+func TestQueueOrder(t *testing.T) {
+	queue := prefill.New(prefill.DefaultOptions())
+	queue.Add(0, request(1, 1, limit, 500))
+	granted, wakeAt := queue.Next(0, rate)
+	require.Equal(t, []uint64{1}, ids(granted), "an empty engine")
+	require.Zero(t, wakeAt, "nothing waits")
+	for _, each := range []prefill.Request{request(2, 2, 600, 300), request(3, 1, 600, 500), request(4, 1, 600, 400), request(5, 0, 600, 500), request(6, 1, 600, 400), request(6, 1, 600, 400)} {
+		queue.Add(0, each)
+	}
+	require.Equal(t, 5, queue.Waiting(), "a repeated request")
+	var order []uint64
+	for range 5 {
+		granted, wakeAt = queue.Next(wakeAt, rate)
+		order = append(order, ids(granted)...)
+	}
+	require.Equal(t, []uint64{5, 4, 6, 3}, order, "one each 50 ms, in which 600 tokens drain")
+	require.Equal(t, clock.Millis(250), wakeAt)
+}
+
+// TestQueueLargePrompt guards against a large prompt that never fits while small ones do.
+func TestQueueLargePrompt(t *testing.T) {
+	queue := prefill.New(prefill.DefaultOptions())
+	queue.Add(0, request(1, 0, 1200, 900))
+	queue.Next(0, rate)
+	queue.Add(0, request(2, 0, 2*limit, 800))
+	queue.Add(0, request(3, 0, 10, 900))
+	granted, wakeAt := queue.Next(0, rate)
+	require.Empty(t, granted)
+	require.Equal(t, clock.Millis(100), wakeAt, "the bucket is empty")
+	granted, _ = queue.Next(wakeAt, rate)
+	require.Equal(t, []uint64{2}, ids(granted))
+}
+
+// TestQueueExpiry guards against a late grant for a prompt that its daemon has sent, as by an
+// owner that was frozen, and against tokens that are not counted, or counted as if the prompt had
+// just been sent.
+func TestQueueExpiry(t *testing.T) {
+	queue := prefill.New(prefill.DefaultOptions())
+	queue.Add(0, request(1, 0, limit, 0))
+	granted, _ := queue.Next(0, rate)
+	require.Empty(t, granted, "it was sent before")
+	queue.Add(0, request(2, 2, 2400, 200))
+	queue.Add(0, request(3, 0, 2700, 900))
+	granted, wakeAt := queue.Next(0, rate)
+	require.Empty(t, granted)
+	require.Equal(t, clock.Millis(200), wakeAt, "the first bound; request 3 would fit at 225")
+	granted, wakeAt = queue.Next(300, rate)
+	require.Empty(t, granted, "the level was 3,000 at 200, of which 1,200 have drained")
+	require.Equal(t, clock.Millis(425), wakeAt)
+	granted, wakeAt = queue.Next(3300, rate)
+	require.Empty(t, granted)
+	require.Zero(t, wakeAt)
+}
+
+// TestQueueBounds guards against a queue that grows without limit, and against a withdrawn
+// prompt that keeps others waiting.
+func TestQueueBounds(t *testing.T) {
+	options := prefill.DefaultOptions()
+	options.MostWaiting = 2
+	queue := prefill.New(options)
+	for id := range uint64(4) {
+		queue.Add(0, request(id, 0, 2*limit, 500+clock.Millis(id)))
+	}
+	granted, _ := queue.Next(0, rate)
+	require.Equal(t, []uint64{2, 3}, ids(granted), "those beyond the limit")
+	require.Equal(t, 2, queue.Waiting())
+	queue.Withdraw(0, "other", 0)
+	require.Equal(t, 2, queue.Waiting())
+	queue.Withdraw(0, "d", 0)
+	queue.Withdraw(0, "d", 1)
+	_, wakeAt := queue.Next(0, rate)
+	require.Zero(t, wakeAt)
+}
+
+// TestQueueWithoutRate guards against a wake-up that never comes, or comes at once for ever, when
+// the rate is unknown.
+func TestQueueWithoutRate(t *testing.T) {
+	queue := prefill.New(prefill.DefaultOptions())
+	queue.Add(0, request(1, 0, 1, 0))
+	queue.Add(0, request(2, 0, 1, 500))
+	granted, wakeAt := queue.Next(0, 0)
+	require.Empty(t, granted)
+	require.Equal(t, clock.Millis(500), wakeAt)
+}
+
+// TestRequester guards against a wait that does not end: without any answer, with only the
+// answer that the prompt is queued, and with answers to another wait.
+func TestRequester(t *testing.T) {
+	requester := prefill.NewRequester(prefill.DefaultOptions(), 7)
+	require.Equal(t, clock.Millis(1264), requester.Bound(1000, 800))
+	unanswered, queued := requester.Begin(1000, "o", "s", 1264), requester.Begin(1000, "p", "t", 1264)
+	require.Nil(t, requester.Answer("s", queued.ID, true), "of another server")
+	require.Same(t, queued, requester.Answer("t", queued.ID, false))
+	result, remaining := requester.Check(1000, unanswered)
+	require.Equal(t, prefill.Pending, result)
+	require.Equal(t, clock.Millis(60), remaining)
+	result, _ = requester.Check(1060, unanswered)
+	require.Equal(t, prefill.Silent, result)
+	require.False(t, requester.MayAsk(2059, "o"))
+	require.True(t, requester.MayAsk(2059, "p"))
+	require.True(t, requester.MayAsk(2060, "o"))
+	result, remaining = requester.Check(1060, queued)
+	require.Equal(t, prefill.Pending, result)
+	require.Equal(t, clock.Millis(204), remaining)
+	result, _ = requester.Check(1264, queued)
+	require.Equal(t, prefill.Bound, result)
+	requester.Answer("t", queued.ID, true)
+	requester.Answer("t", queued.ID, false)
+	result, _ = requester.Check(1264, queued)
+	require.Equal(t, prefill.Granted, result, "the answers have overtaken each other")
+	requester.End(queued)
+	require.Nil(t, requester.Answer("t", queued.ID, true), "the wait has ended")
+	short := requester.Begin(1000, "o", "s", 1000)
+	result, _ = requester.Check(1000, short)
+	require.Equal(t, prefill.Bound, result, "no time is left")
+}
