--- a/internal/direct/gateway/turns.go
+++ b/internal/direct/gateway/turns.go
@@ -80,7 +80,7 @@
 	if !known || turn.asked > maxTurnRequests || !core.turns.requester.MayAsk(now, owner) {
 		return prefill.Local
 	}
-	wait := core.turns.requester.Begin(now, owner, server, core.turns.requester.Bound(job.arrived, job.route.Goal))
+	wait := core.turns.requester.Begin(now, owner, server, core.turns.requester.Bound(job.arrived, min(job.route.Goal, job.deadline-job.arrived)))
 	defer core.turns.requester.End(wait)
 	changed := core.turns.listen(wait.ID)
 	defer core.turns.unlisten(wait.ID)
@@ -95,6 +95,9 @@
 			gateway.withdrawTurn(wait)
 			return prefill.Withdrawn
 		}
+		if result == prefill.Silent {
+			gateway.withdrawTurn(wait) // an owner that was frozen receives both, and does not queue a prompt that was sent long ago
+		}
 		if result != prefill.Pending {
 			return result
 		}
--- a/internal/direct/peers/wireturns.go
+++ b/internal/direct/peers/wireturns.go
@@ -21,7 +21,8 @@
 	Granted    bool
 }
 
-// PromptWithdrawal withdraws a PromptRequest of which the prompt is not sent to the server.
+// PromptWithdrawal withdraws a PromptRequest of which the prompt is not sent to the server, or was
+// sent without waiting for the owner, which did not answer.
 type PromptWithdrawal struct {
 	From, Server string
 	ID           uint64
--- a/internal/direct/prefill/requester.go
+++ b/internal/direct/prefill/requester.go
@@ -45,8 +45,8 @@
 	return &Requester{options: options, lastID: firstID, waits: make(map[uint64]*Wait), silentUntil: make(map[string]clock.Millis)}
 }
 
-// Bound returns when a prompt is sent in any case, given the arrival and the first-event goal of
-// its request.
+// Bound returns when a prompt is sent in any case, given the arrival of its request and the
+// first-event goal, or the time that the request has in all if that is shorter.
 func (requester *Requester) Bound(arrived, goal clock.Millis) clock.Millis {
 	return arrived + clock.Millis(requester.options.GoalShare*float64(goal))
 }
