choose: servers for short requests are drawn by average load, not by old counts

On sites with hubs a daemon learns of other daemons' requests some 100 ms late, and a request to a plain service ends in 30 ms.

--- a/internal/direct/choose/choose.go
+++ b/internal/direct/choose/choose.go
@@ -82,6 +82,7 @@
 	Frequent     bool                     // the adapter was requested before, recently: another copy may be worth its load
 	ManyDaemons  bool                     // many daemons place requests by the same, somewhat stale load counts
 	WaitingAt    string                   // the server at which the request waits for the adapter; empty: none
+	Short        *LoadAverage             // of the service, for a request that ends before other daemons' counts show it; nil: counts are used
 }
 
 // excludes reports whether a server must not be sent the request, whatever its cost.
@@ -101,6 +102,9 @@
 
 // Choose returns the cheapest server, or false if no server may take the request.
 func (weights Weights) Choose(query Query, adapterHash uint64, servers *fleet.Fleet, work *inflight.Tracker) (Choice, bool) {
+	if query.Short != nil {
+		return weights.chooseShort(query, servers, work)
+	}
 	if choice, ok := weights.chooseHolder(query, servers, work); ok {
 		return choice, true
 	}
--- a/internal/direct/choose/twochoices.go
+++ b/internal/direct/choose/twochoices.go
@@ -25,12 +25,16 @@
 // pick returns the cheaper of the two servers, or best, the cheapest of all, if that
 // costs less by more than margin, as both of the two may be failing.
 func (twoChoices *twoChoices) pick(best Choice, margin float64) Choice {
-	chosen := twoChoices.choices[0]
-	if second := twoChoices.choices[1]; second.Member != nil && second.Cost < chosen.Cost {
-		chosen = second
+	if chosen := twoChoices.cheaper(); chosen.Cost <= best.Cost+margin {
+		return chosen
 	}
-	if chosen.Cost > best.Cost+margin {
-		return best
+	return best
+}
+
+// cheaper returns the cheaper of the two servers.
+func (twoChoices *twoChoices) cheaper() Choice {
+	if second := twoChoices.choices[1]; second.Member != nil && second.Cost < twoChoices.choices[0].Cost {
+		return second
 	}
-	return chosen
+	return twoChoices.choices[0]
 }
--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -54,6 +54,7 @@
 	budgets           map[string]*retry.Budget             // by service
 	readRate          *choose.ReadRate                     // of engines
 	slotTime          choose.SlotTime                      // of engines
+	loadAverage       *choose.LoadAverage                  // of plain services' servers
 	loadRate          *loading.LoadRate                    // of adapter loads from the weight store
 	promptBuckets     *choose.PromptBucket                 // prompt tokens recently sent to each server by all daemons of a mesh
 	requestedAt       map[platformapi.Adapter]clock.Millis // when callers last requested an adapter here
@@ -137,6 +138,7 @@
 		readRate:          choose.NewReadRate(),
 		loadRate:          loading.NewLoadRate(),
 		promptBuckets:     choose.NewPromptBucket(),
+		loadAverage:       choose.NewLoadAverage(),
 		requestedAt:       make(map[platformapi.Adapter]clock.Millis),
 		reportRequestedAt: make(map[string]clock.Millis),
 		lostRequests:      make(map[string]*serverLosses),
--- a/internal/direct/gateway/gossip.go
+++ b/internal/direct/gateway/gossip.go
@@ -150,7 +150,9 @@
 		core.serverLimits.SetDaemons(now, core.members.AliveNames())
 	}
 	core.serverLimits.Retain(func(server string) bool { _, ok := core.fleet.Member(server); return ok })
-	core.promptBuckets.Retain(func(server string) bool { _, ok := core.fleet.Member(server); return ok })
+	known := func(server string) bool { _, ok := core.fleet.Member(server); return ok }
+	core.promptBuckets.Retain(known)
+	core.loadAverage.Retain(known)
 	maps.DeleteFunc(core.reportRequestedAt, func(server string, _ clock.Millis) bool { _, ok := core.fleet.Member(server); return !ok })
 	core.mutex.Unlock()
 	gateway.updateConnections()
--- a/internal/direct/gateway/metrics.go
+++ b/internal/direct/gateway/metrics.go
@@ -73,6 +73,7 @@
 		unreachable = now - core.store.failingSince
 	}
 	loading, queued := core.incomingAdapters()
+	plainLowest, plainHighest := core.loadAverage.Range()
 	inProgress := 0
 	for _, load := range core.work.Own().Loads {
 		inProgress += load.Runs
@@ -87,6 +88,8 @@
 		{"teaselmoor_peers", float64(len(core.members.Peers()))},
 		{"teaselmoor_servers", float64(len(core.fleet.Members()))},
 		{"teaselmoor_servers_ordered", float64(len(core.orderWorkers))},
+		{"teaselmoor_plain_load_lowest", plainLowest},
+		{"teaselmoor_plain_load_highest", plainHighest},
 		{"teaselmoor_adapters_loading", float64(loading)},
 		{"teaselmoor_adapters_queued", float64(queued)},
 		{"teaselmoor_requests_in_progress", float64(inProgress)},
--- a/internal/direct/gateway/place.go
+++ b/internal/direct/gateway/place.go
@@ -187,6 +187,7 @@
 		Frequent:     frequent,
 		ManyDaemons:  !core.members.Plan().Mesh,
 		WaitingAt:    waiting,
+		Short:        core.shortLoads(job),
 	}
 }
 
--- a/internal/direct/gateway/settings.go
+++ b/internal/direct/gateway/settings.go
@@ -109,6 +109,10 @@
 	Upstream   upstream.Options
 	Quarantine quarantine.Options
 
+	// Short has requests with a short goal to plain services placed without the load counts of
+	// other daemons at a site with hubs.
+	Short bool
+
 	// TellInterval is the time between two deltas with the requests in progress, which peers
 	// need to place their own.
 	TellInterval clock.Millis
@@ -172,7 +176,7 @@
 		Mirror: mirror.DefaultOptions(), Peers: peers.DefaultOptions(), Membership: membership.DefaultOptions(), Tenure: claims.DefaultOptions(settings.Lease, settings.Fenced),
 		Upstream: upstream.DefaultOptions(), Quarantine: quarantine.DefaultOptions(),
 
-		TellInterval: 100, ReadingInterval: 20, HubInterval: 50, WorkPause: 30, UpdateInterval: 500, VersionGrace: 2500,
+		Short: true, TellInterval: 100, ReadingInterval: 20, HubInterval: 50, WorkPause: 30, UpdateInterval: 500, VersionGrace: 2500,
 		LoadPatience: 0.8, WantInterval: 400,
 		RetryAfter: 500, AccountsAge: 2500, MostSends: 4, LeaveSpan: 2500, ExitMargin: 400,
 		IdleTimeout: 60 * clock.Second, BodyBytes: 4 << 20, SparePeers: 8, LoneDaemons: 64, LogLines: 1024,
