speed: estimates of how fast each server produces events

Slow engines make half of the late answers, and nothing knew the speed of a server. Daemons measure the streams that they relay and report to the server's owner, which publishes estimates that spread with the warnings.

--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -62,6 +62,7 @@
 	lostRequests      map[string]*serverLosses             // by server, recent ones
 	serverLimits      *throttle.Limits                     // request rates that servers have announced
 	holdingsChanged   chan struct{}                        // closed and replaced when holdings change
+	speeds            serverSpeeds                         // of engines
 
 	// Ownership of servers, and the servers that this daemon owns.
 	claims                 *claims.Registry
@@ -143,6 +144,7 @@
 		quarantine:        quarantine.New(options.Quarantine, settings.Name),
 		serverLimits:      throttle.New(settings.Name),
 		holdingsChanged:   make(chan struct{}),
+		speeds:            newServerSpeeds(settings.Name, options.Speeds),
 
 		claims:                 claims.New(options.Tenure, settings.Name, now(), wall),
 		orderWorkers:           make(map[string]*orderWorker),
--- a/internal/direct/gateway/deltas.go
+++ b/internal/direct/gateway/deltas.go
@@ -44,6 +44,7 @@
 	usage          quota.SentTotals
 	usageAt        clock.Millis // when usage was last sent
 	warnings       warningsSent
+	speeds         speedsSent
 }
 
 // sentTo returns the record of what the peer at an address has been sent. The mutex must be
--- a/internal/direct/gateway/gossip.go
+++ b/internal/direct/gateway/gossip.go
@@ -24,6 +24,8 @@
 		gateway.handlePull(from, *message.Pull)
 	case message.Warnings != nil:
 		gateway.handleWarnings(from, message.Warnings)
+	case len(message.Streams) > 0:
+		gateway.core.applyStreams(from, message.Streams)
 	case message.Items != nil:
 		gateway.core.applyPulledItems(*message.Items)
 	}
--- a/internal/direct/gateway/metrics.go
+++ b/internal/direct/gateway/metrics.go
@@ -43,6 +43,7 @@
 	for _, each := range core.gauges(now) {
 		writeGauge(out, each)
 	}
+	core.writeSpeeds(out, now)
 	for _, status := range core.ledger.Statuses(now, maxSeries) {
 		writeUse(out, status)
 	}
--- a/internal/direct/gateway/relay.go
+++ b/internal/direct/gateway/relay.go
@@ -76,11 +76,13 @@
 	control := http.NewResponseController(writer)
 	// A caller that does not read must not keep the stream open beyond its deadline.
 	_ = control.SetWriteDeadline(time.Now().Add((job.deadline - gateway.core.now()).Duration()))
+	streamSpeed := gateway.measureStream(job, to)
 	relayed := &eventReader{answer: answer, buffer: make([]byte, 0, eventBuffer)}
 	for {
 		event, err := relayed.next()
 		if len(event) > 0 {
 			now := gateway.core.now()
+			streamSpeed.record(now, event)
 			if !job.headSent {
 				gateway.sendHead(writer, job, answer)
 				active.recordFirstEvent()
--- a/internal/direct/gateway/run.go
+++ b/internal/direct/gateway/run.go
@@ -126,6 +126,7 @@
 	gateway.tasks.Go("usage", gateway.sendUsageLoop)
 	gateway.every("updates", gateway.options.UpdateInterval, gateway.sendDueUpdates)
 	gateway.every("ticks", tickInterval, func() { gateway.tick(gateway.core.now()) })
+	gateway.every("speeds", speedInterval, gateway.updateSpeeds)
 	gateway.every("sweep", sweepInterval, gateway.pool.CloseExpired)
 }
 
--- a/internal/direct/gateway/settings.go
+++ b/internal/direct/gateway/settings.go
@@ -21,6 +21,7 @@
 	"teaselmoor/internal/direct/quarantine"
 	"teaselmoor/internal/direct/quota"
 	"teaselmoor/internal/direct/retry"
+	"teaselmoor/internal/direct/speed"
 	"teaselmoor/internal/direct/upstream"
 )
 
@@ -108,6 +109,7 @@
 	Tenure     claims.Options
 	Upstream   upstream.Options
 	Quarantine quarantine.Options
+	Speeds     speed.Options
 
 	// TellInterval is the time between two deltas with the requests in progress, which peers
 	// need to place their own.
@@ -171,6 +173,7 @@
 		Fleet: fleet.DefaultOptions(), Weights: choose.DefaultWeights(), Hold: choose.DefaultDelayPolicy(), Loading: loading.DefaultOptions(),
 		Mirror: mirror.DefaultOptions(), Peers: peers.DefaultOptions(), Membership: membership.DefaultOptions(), Tenure: claims.DefaultOptions(settings.Lease, settings.Fenced),
 		Upstream: upstream.DefaultOptions(), Quarantine: quarantine.DefaultOptions(),
+		Speeds: speed.DefaultOptions(),
 
 		TellInterval: 100, ReadingInterval: 20, HubInterval: 50, WorkPause: 30, UpdateInterval: 500, VersionGrace: 2500,
 		LoadPatience: 0.8, WantInterval: 400,
--- a/internal/direct/gateway/warnings.go
+++ b/internal/direct/gateway/warnings.go
@@ -42,7 +42,7 @@
 }
 
 // sendWarnings sends peers the warnings that they lack: contents that servers crashed on,
-// limits that servers announced, and servers that are leaving. Each daemon forwards what is new
+// limits that servers announced, servers that are leaving, and speeds of servers. Each daemon forwards what is new
 // to it, so that warnings reach all daemons whichever are connected.
 func (gateway *Gateway) sendWarnings() {
 	core := gateway.core
@@ -53,6 +53,7 @@
 	for i, target := range targets {
 		sent := core.sentTo(target.Address)
 		unsent[i] = core.unsentWarnings(now, sent.warnings)
+		unsent[i].Speeds = core.unsentSpeeds(now, sent)
 		sent.warnings = core.currentWarnings()
 	}
 	core.mutex.Unlock()
@@ -85,6 +86,7 @@
 		core.serverLimits.SetDaemons(now, core.members.AliveNames())
 	}
 	limited := core.serverLimits.Merge(now, warnings.Limits)
+	core.mergeSpeeds(now, sent, warnings.Speeds)
 	left := false
 	for _, notice := range warnings.Leaving {
 		left = core.markLeaving(now, notice, "peer "+from) || left
--- a/internal/direct/peers/message.go
+++ b/internal/direct/peers/message.go
@@ -14,6 +14,7 @@
 	"teaselmoor/internal/direct/platformapi"
 	"teaselmoor/internal/direct/quarantine"
 	"teaselmoor/internal/direct/quota"
+	"teaselmoor/internal/direct/speed"
 	"teaselmoor/internal/direct/throttle"
 )
 
@@ -130,18 +131,20 @@
 	Pull           *Pull
 	Items          *StoreItems // answers a Pull
 	Warnings       *Warnings
+	Streams        []speed.Report // for the owners of the servers; sent to them or to the sender's hub, which forwards them
 }
 
 // Warnings holds what was not yet sent to the receiver on the same connection about contents
-// of requests under which servers crashed, limits that servers reported, and servers that
-// announced that they leave.
+// of requests under which servers crashed, limits that servers reported, servers that announced
+// that they leave, and the speeds of servers.
 type Warnings struct {
 	Quarantine []quarantine.Record
 	Limits     []throttle.ServerLimit
 	Leaving    []fleet.DrainNotice
+	Speeds     []speed.Estimate
 }
 
 // Empty reports whether there are no warnings.
 func (warnings Warnings) Empty() bool {
-	return len(warnings.Quarantine) == 0 && len(warnings.Limits) == 0 && len(warnings.Leaving) == 0
+	return len(warnings.Quarantine) == 0 && len(warnings.Limits) == 0 && len(warnings.Leaving) == 0 && len(warnings.Speeds) == 0
 }
--- a/internal/direct/peers/message_test.go
+++ b/internal/direct/peers/message_test.go
@@ -15,6 +15,7 @@
 	"teaselmoor/internal/direct/platformapi"
 	"teaselmoor/internal/direct/quarantine"
 	"teaselmoor/internal/direct/quota"
+	"teaselmoor/internal/direct/speed"
 	"teaselmoor/internal/direct/throttle"
 	"teaselmoor/internal/direct/topology"
 )
@@ -68,12 +69,16 @@
 			},
 			Limits:  []throttle.ServerLimit{{Server: "s", StartedAt: 1, Number: 2, Limited: true, Rate: 1.6}, {Server: "t", Number: 3}},
 			Leaving: []fleet.DrainNotice{{Server: "s", StartedAt: 1}, {Server: "t"}},
+			Speeds: []speed.Estimate{
+				{Server: "s", Born: 1, Fence: 1 << 52, Number: 3, Interval: 37.9}, {Server: "t", Number: 1, Interval: 63, Idle: true},
+			},
 		}},
 		{Delta: &peers.Delta{Usage: &quota.Report{
 			Scope: quota.Others, Incarnation: 7, Daemons: 59,
 			Readings: []quota.Reading{{Account: "payroll", Number: 2, Total: 1630, Recent: 800}},
 		}}},
 		{AdapterRequest: &peers.AdapterRequest{Server: "s", Adapter: adapter, Version: 2, Rank: 1, Left: 300, Absent: true}},
+		{Streams: []speed.Report{{Server: "s", Born: 1, Interval: 37.9, Events: 12}, {Server: "t", Interval: 0.5, Events: 4}}},
 		{Pull: &peers.Pull{After: 4, Era: 2}},
 		{Items: &peers.StoreItems{Items: []peers.Item{{Key: "k", Packed: true, Deleted: true, Revision: 4}}, AsOf: 5}},
 	}
--- a/internal/direct/peers/warnings.go
+++ b/internal/direct/peers/warnings.go
@@ -15,6 +15,7 @@
 		Quarantine []wireQuarantine `cbor:",omitempty"`
 		Limits     []wireLimit      `cbor:",omitempty"`
 		Leaving    []wireLeaving    `cbor:",omitempty"`
+		Speeds     []wireSpeed      `cbor:",omitempty"`
 	}
 	wireLeaving struct {
 		_      struct{} `cbor:",toarray"`
@@ -42,7 +43,7 @@
 	if warnings == nil {
 		return nil
 	}
-	wire := &wireWarnings{}
+	wire := &wireWarnings{Speeds: encodeSpeeds(warnings.Speeds)}
 	for _, record := range warnings.Quarantine {
 		wire.Quarantine = append(wire.Quarantine, wireQuarantine{Content: record.Content[:], Number: record.Number, Servers: record.Servers, Age: int64(record.Age)})
 	}
@@ -61,7 +62,7 @@
 	if wire == nil {
 		return nil
 	}
-	warnings := &Warnings{}
+	warnings := &Warnings{Speeds: decodeSpeeds(wire.Speeds)}
 	for _, each := range wire.Quarantine {
 		if len(each.Content) != len(content.ID{}) {
 			continue
--- a/internal/direct/peers/wire.go
+++ b/internal/direct/peers/wire.go
@@ -35,6 +35,8 @@
 		Era int64 `cbor:",omitempty"`
 		// Warnings is ignored by daemons that do not support it.
 		Warnings *wireWarnings `cbor:",omitempty"`
+		// Streams is ignored by daemons that do not support it.
+		Streams []wireStreamReport `cbor:",omitempty"`
 	}
 	wireUpdate struct {
 		_                 struct{} `cbor:",toarray"`
@@ -175,7 +177,7 @@
 
 // Encode encodes a message.
 func Encode(message Message) ([]byte, error) {
-	wire := wireMessage{Pull: message.Pull, Items: message.Items, Warnings: encodeWarnings(message.Warnings)}
+	wire := wireMessage{Pull: message.Pull, Items: message.Items, Warnings: encodeWarnings(message.Warnings), Streams: encodeStreams(message.Streams)}
 	if message.Update != nil {
 		wire.Update = encodeUpdate(message.Update)
 		wire.Era = message.Update.Era
@@ -432,7 +434,7 @@
 	if err := cbor.Unmarshal(encoded, &wire); err != nil {
 		return Message{}, errors.Wrap(err, "decode message")
 	}
-	message := Message{Pull: wire.Pull, Items: wire.Items, Warnings: decodeWarnings(wire.Warnings)}
+	message := Message{Pull: wire.Pull, Items: wire.Items, Warnings: decodeWarnings(wire.Warnings), Streams: decodeStreams(wire.Streams)}
 	if wire.Update != nil {
 		message.Update = decodeUpdate(wire.Update)
 		message.Update.Era = wire.Era
--- a/internal/serve/command/gatewaystatus.go
+++ b/internal/serve/command/gatewaystatus.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -97,9 +98,41 @@
 	} {
 		metrics.printLabelled(invocation, each.title, each.name, "account")
 	}
+	metrics.printSpeeds(invocation)
 	metrics.printLabelled(invocation, "repeats left of the retry budget:", "teaselmoor_retry_budget_left", "service")
 }
 
+// printSpeeds prints the speeds of servers, if the gateway estimates them, and the slowest servers
+// with the ages of their estimates.
+func (metrics gatewayMetrics) printSpeeds(invocation *cli.Context) {
+	quantiles := metrics.byLabel("teaselmoor_server_speed", "quantile")
+	if len(quantiles) == 0 {
+		return
+	}
+	writeLine(invocation, "\nspeeds of servers, as multiples of the median of their service: %.2f to %.2f, median %.2f; %d slow ones",
+		quantiles["0"], quantiles["1"], quantiles["0.5"], int64(metrics.value("teaselmoor_servers_slow")))
+	writeLine(invocation, "slowest servers: speed, milliseconds between two events, age of the estimate")
+	speeds := metrics.byLabel("teaselmoor_slowest_server_speed", "server")
+	intervals := metrics.byLabel("teaselmoor_slowest_server_interval_millis", "server")
+	ages := metrics.byLabel("teaselmoor_slowest_server_age_millis", "server")
+	table := newTable(invocation)
+	for _, server := range slices.SortedFunc(maps.Keys(speeds), func(a, b string) int {
+		return cmp.Or(cmp.Compare(speeds[a], speeds[b]), cmp.Compare(a, b))
+	}) {
+		table.row(server, speeds[server], intervals[server], formatAge(clock.Millis(ages[server])))
+	}
+	table.flush()
+}
+
+// byLabel returns the values of a metric by one of its labels.
+func (metrics gatewayMetrics) byLabel(name, label string) map[string]float64 {
+	values := make(map[string]float64)
+	for _, metric := range metrics[name].GetMetric() {
+		values[labelValue(metric, label)] = metric.GetUntyped().GetValue()
+	}
+	return values
+}
+
 // printLabelled prints the series of a metric as a table: a column for each label
 // and one for the value.
 func (metrics gatewayMetrics) printLabelled(invocation *cli.Context, title, name string, labels ...string) {
