--- a/internal/direct/peers/message_test.go
+++ b/internal/direct/peers/message_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"teaselmoor/internal/direct/claims"
@@ -96,6 +97,52 @@
 	}
 }
 
+// TestSpeedMessagesAreSmall guards against more control traffic than docs/design/server-speed.md
+// computes, with names and numbers of the usual length.
+func TestSpeedMessagesAreSmall(t *testing.T) {
+	size := func(message peers.Message) int {
+		encoded, err := peers.Encode(message)
+		require.NoError(t, err)
+		return len(encoded)
+	}
+	report := speed.Report{Server: "i-62241e2ae3", Born: 1_796_000_000_000, Interval: 37.9, Events: 12}
+	estimate := speed.Estimate{Server: "i-62241e2ae3", Born: 1_796_000_000_000, Fence: 1_796_000_000_000 << 10, Number: 300, Interval: 37.9}
+	one, two := size(peers.Message{Streams: []speed.Report{report}}), size(peers.Message{Streams: []speed.Report{report, report}})
+	t.Logf("a report: %d bytes, and %d for the message", two-one, 2*one-two)
+	require.LessOrEqual(t, two-one, 27)
+	require.LessOrEqual(t, 2*one-two, 10)
+	one = size(peers.Message{Warnings: &peers.Warnings{Speeds: []speed.Estimate{estimate}}})
+	two = size(peers.Message{Warnings: &peers.Warnings{Speeds: []speed.Estimate{estimate, estimate}}})
+	t.Logf("an estimate: %d bytes, and %d for the message", two-one, 2*one-two)
+	require.LessOrEqual(t, two-one, 38)
+	require.LessOrEqual(t, 2*one-two, 20)
+}
+
+// TestPreviousVersionIgnoresSpeeds guards against a daemon of the previous version that rejects
+// messages with the new fields, and with them the other warnings.
+func TestPreviousVersionIgnoresSpeeds(t *testing.T) {
+	type previousWarnings struct {
+		Leaving []struct {
+			_      struct{} `cbor:",toarray"`
+			Server string
+			Born   int64
+		} `cbor:",omitempty"`
+	}
+	for _, message := range messages() {
+		if message.Warnings == nil && message.Streams == nil {
+			continue
+		}
+		encoded, err := peers.Encode(message)
+		require.NoError(t, err)
+		var previous struct{ Warnings *previousWarnings }
+		require.NoError(t, cbor.Unmarshal(encoded, &previous))
+		require.Equal(t, message.Warnings != nil, previous.Warnings != nil)
+		if previous.Warnings != nil {
+			require.Len(t, previous.Warnings.Leaving, 2)
+		}
+	}
+}
+
 // FuzzDecode checks that any bytes are decoded to a message that can be encoded, or to an error.
 func FuzzDecode(f *testing.F) {
 	for _, message := range messages() {
--- a/internal/direct/speed/factor.go
+++ b/internal/direct/speed/factor.go
@@ -33,18 +33,28 @@
 // servers without an estimate, for those close to the median, and while fewer than half of the
 // service's servers have estimates.
 func (table *Table) Factor(now clock.Millis, server string) float64 {
-	table.refresh(now)
-	if value, ok := table.values[server]; ok {
-		return value.factor
-	}
-	return 1
+	return table.valueAt(now, server).factor
 }
 
 // Interval returns the time between two events of a stream at a server, in milliseconds, or 0 if
 // it is not known.
 func (table *Table) Interval(now clock.Millis, server string) float64 {
+	return table.valueAt(now, server).interval
+}
+
+// valueAt returns what is known of a server. It keeps the last one found, as callers need both
+// the factor and the interval of each server of a placement.
+func (table *Table) valueAt(now clock.Millis, server string) value {
 	table.refresh(now)
-	return table.values[server].interval
+	if server == table.lastServer {
+		return table.lastValue
+	}
+	found, ok := table.values[server]
+	if !ok {
+		found.factor = 1
+	}
+	table.lastServer, table.lastValue = server, found
+	return found
 }
 
 // refresh computes the factors again if they are due.
@@ -59,6 +69,7 @@
 func (table *Table) compute(now clock.Millis) {
 	table.valuesAt, table.outOfDate, table.slowCount = now, false, 0
 	clear(table.values)
+	table.lastServer, table.lastValue = "", value{factor: 1}
 	for _, servers := range table.services {
 		intervals := table.sortBuffer[:0]
 		for _, server := range servers {
--- a/internal/direct/speed/replay_test.go
+++ b/internal/direct/speed/replay_test.go
@@ -213,7 +213,8 @@
 	}
 }
 
-// BenchmarkFactor measures a placement's look at 1,500 servers, with estimates that change.
+// BenchmarkFactor measures a placement that needs the factors and intervals of 1,500 servers, with
+// estimates that change.
 func BenchmarkFactor(b *testing.B) {
 	table := newTable(serversOf(1500, 1))
 	var ids []string
@@ -230,7 +231,7 @@
 		estimates[0].Number++
 		table.Merge(now, estimates[:1])
 		for _, id := range ids {
-			_ = table.Factor(now, id)
+			_, _ = table.Factor(now, id), table.Interval(now, id)
 		}
 	}
 }
--- a/internal/direct/speed/table.go
+++ b/internal/direct/speed/table.go
@@ -92,8 +92,10 @@
 	contactAt clock.Millis // when this daemon last had contact with others
 
 	values     map[string]value // by server
-	valuesAt   clock.Millis     // when values were computed; 0: not yet
-	outOfDate  bool             // something has changed since
+	lastServer string           // of which the value was last asked for
+	lastValue  value
+	valuesAt   clock.Millis // when values were computed; 0: not yet
+	outOfDate  bool         // something has changed since
 	slowCount  int
 	sortBuffer []float64
 }
@@ -103,7 +105,7 @@
 	return &Table{
 		options: options, servers: make(map[string]Server), services: make(map[string][]string),
 		entries: make(map[string]*list.Element), order: list.New(), averages: make(map[string]*average),
-		values: make(map[string]value),
+		values: make(map[string]value), lastValue: value{factor: 1},
 	}
 }
 
--- a/internal/direct/speed/table_test.go
+++ b/internal/direct/speed/table_test.go
@@ -150,7 +150,7 @@
 		{Server: "s1", Born: 1, Fence: 9, Number: 1, Interval: 40},
 		{Server: "s3", Born: 1, Fence: 9, Number: 1, Interval: 80},
 	})
-	now = reportFor(third, now, 31_000, 10, 1, 40, 40)
+	reportFor(third, now, 31_000, 10, 1, 40, 40)
 	idle := third.ChangedSince(3)
 	require.Len(t, idle, 1)
 	require.Equal(t, speed.Estimate{Server: "s3", Born: 1, Fence: 10, Number: 2, Interval: 80, Idle: true}, idle[0])
