--- a/internal/direct/speed/factor.go
+++ b/internal/direct/speed/factor.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 
 	"teaselmoor/internal/base/clock"
@@ -26,6 +25,8 @@
 
 // value is what is known of a server, as of the last computation.
 type value struct {
+	server           string
+	known            bool // there is an estimate
 	factor, interval float64
 }
 
@@ -33,28 +34,38 @@
 // servers without an estimate, for those close to the median, and while fewer than half of the
 // service's servers have estimates.
 func (table *Table) Factor(now clock.Millis, server string) float64 {
-	return table.valueAt(now, server).factor
+	table.refresh(now)
+	if at, ok := table.indexOf(server); ok {
+		return table.values[at].factor
+	}
+	return 1
 }
 
 // Interval returns the time between two events of a stream at a server, in milliseconds, or 0 if
 // it is not known.
 func (table *Table) Interval(now clock.Millis, server string) float64 {
-	return table.valueAt(now, server).interval
+	table.refresh(now)
+	if at, ok := table.indexOf(server); ok {
+		return table.values[at].interval
+	}
+	return 0
 }
 
-// valueAt returns what is known of a server. It keeps the last one found, as callers need both
-// the factor and the interval of each server of a placement.
-func (table *Table) valueAt(now clock.Millis, server string) value {
-	table.refresh(now)
-	if server == table.lastServer {
-		return table.lastValue
+// indexOf returns the index of a server's value. Callers ask for the factor and the interval of a
+// server, and go through all servers in order: both are found without a look-up in the map.
+func (table *Table) indexOf(server string) (int, bool) {
+	if last := table.lastIndex; last < len(table.values) && table.values[last].server == server {
+		return last, true
+	}
+	if next := table.lastIndex + 1; next < len(table.values) && table.values[next].server == server {
+		table.lastIndex = next
+		return next, true
 	}
-	found, ok := table.values[server]
-	if !ok {
-		found.factor = 1
+	at, ok := table.index[server]
+	if ok {
+		table.lastIndex = at
 	}
-	table.lastServer, table.lastValue = server, found
-	return found
+	return at, ok
 }
 
 // refresh computes the factors again if they are due.
@@ -68,36 +79,34 @@
 // compute computes the factors of all servers.
 func (table *Table) compute(now clock.Millis) {
 	table.valuesAt, table.outOfDate, table.slowCount = now, false, 0
-	clear(table.values)
-	table.lastServer, table.lastValue = "", value{factor: 1}
-	for _, servers := range table.services {
+	for _, indexes := range table.services {
 		intervals := table.sortBuffer[:0]
-		for _, server := range servers {
-			if known, ok := table.lookup(server); ok {
+		for _, at := range indexes {
+			if known, ok := table.lookup(table.values[at].server); ok {
 				intervals = append(intervals, known.estimate.Interval)
 			}
 		}
 		table.sortBuffer = intervals
-		if len(intervals) == 0 {
-			continue
-		}
 		slices.Sort(intervals)
-		enough := 2*len(intervals) >= len(servers)
-		median := (intervals[(len(intervals)-1)/2] + intervals[len(intervals)/2]) / 2
-		for _, server := range servers {
-			if known, ok := table.lookup(server); ok {
-				table.values[server] = table.valueOf(now, known, median, enough)
+		enough := 2*len(intervals) >= len(indexes)
+		for _, at := range indexes {
+			value := &table.values[at]
+			value.known, value.factor, value.interval = false, 1, 0
+			if known, ok := table.lookup(value.server); ok {
+				median := (intervals[(len(intervals)-1)/2] + intervals[len(intervals)/2]) / 2
+				value.known = true
+				value.factor, value.interval = table.factorOf(now, known, median, enough)
 			}
 		}
 	}
 }
 
-// valueOf returns the factor and the interval of a server. Both fade together.
-func (table *Table) valueOf(now clock.Millis, known *entry, median float64, enough bool) value {
-	own := known.estimate.Interval
-	factor := min(max(median/own, minFactor), maxFactor)
+// factorOf returns the factor and the interval of a server. Both fade together.
+func (table *Table) factorOf(now clock.Millis, known *entry, median float64, enough bool) (factor, own float64) {
+	own = known.estimate.Interval
+	factor = min(max(median/own, minFactor), maxFactor)
 	if !enough || own >= (1-equalBand)*median && own <= (1+equalBand)*median {
-		return value{factor: 1, interval: own}
+		return 1, own
 	}
 	if faded := table.faded(now, known); faded > 0 {
 		factor += (1 - factor) * faded
@@ -106,7 +115,7 @@
 	if factor < slowFactor {
 		table.slowCount++
 	}
-	return value{factor: factor, interval: own}
+	return factor, own
 }
 
 // faded returns how far an estimate has faded: from 0, not at all, to 1.
@@ -127,18 +136,24 @@
 // Slowest returns at most the given number of servers with estimates, the slowest first.
 func (table *Table) Slowest(now clock.Millis, most int) []Status {
 	table.refresh(now)
-	ids := slices.SortedFunc(maps.Keys(table.values), func(a, b string) int {
-		return cmp.Or(cmp.Compare(table.values[a].factor, table.values[b].factor), cmp.Compare(table.values[b].interval, table.values[a].interval), cmp.Compare(a, b))
+	sorted := table.estimated()
+	slices.SortFunc(sorted, func(a, b value) int {
+		return cmp.Or(cmp.Compare(a.factor, b.factor), cmp.Compare(b.interval, a.interval), cmp.Compare(a.server, b.server))
 	})
 	var statuses []Status
-	for _, id := range ids[:min(len(ids), most)] {
-		if known, ok := table.lookup(id); ok {
-			statuses = append(statuses, Status{Server: id, Age: now - known.heardAt})
+	for _, each := range sorted[:min(len(sorted), most)] {
+		if known, ok := table.lookup(each.server); ok {
+			statuses = append(statuses, Status{Server: each.server, Age: now - known.heardAt})
 		}
 	}
 	return statuses
 }
 
+// estimated returns a copy of the values of the servers with estimates.
+func (table *Table) estimated() []value {
+	return slices.DeleteFunc(slices.Clone(table.values), func(value value) bool { return !value.known })
+}
+
 // Summary describes the factors of all servers with estimates.
 type Summary struct {
 	Smallest, Median, Largest float64
@@ -148,13 +163,13 @@
 // Summary returns a summary of the factors. Without estimates all factors are 1.
 func (table *Table) Summary(now clock.Millis) Summary {
 	table.refresh(now)
-	if len(table.values) == 0 {
-		return Summary{Smallest: 1, Median: 1, Largest: 1}
-	}
-	factors := make([]float64, 0, len(table.values))
-	for _, value := range table.values {
+	var factors []float64
+	for _, value := range table.estimated() {
 		factors = append(factors, value.factor)
 	}
+	if len(factors) == 0 {
+		return Summary{Smallest: 1, Median: 1, Largest: 1}
+	}
 	slices.Sort(factors)
 	return Summary{Smallest: factors[0], Median: factors[len(factors)/2], Largest: factors[len(factors)-1], Slow: table.slowCount}
 }
--- a/internal/direct/speed/meter.go
+++ b/internal/direct/speed/meter.go
@@ -21,30 +21,47 @@
 	kept      []interval
 }
 
-// interval is the time before an event.
+// interval is the time before events that arrived together.
 type interval struct {
 	endedAt clock.Millis
-	millis  float64
+	length  clock.Millis
+	count   int
 }
 
+func (interval interval) millis() float64 {
+	return float64(interval.length) / float64(interval.count)
+}
+
+// togetherTime is the time within which events count as having arrived together. A daemon that
+// was suspended reads what has arrived meanwhile in several parts.
+const togetherTime = 2 * clock.Millisecond
+
 // sampleLength is the time over which a stream is sampled, and between two samples. In the replay
 // of this package, 500 ms showed a change 200 ms later, and samples that did not overlap showed
 // one up to a second later, as a sample that began before a change hides it.
 const sampleLength = 250 * clock.Millisecond
 
 // Event records that a number of events arrived together. The time since the previous ones is
-// divided among them: events that the network has held up would otherwise look slow.
+// divided among them: events that the network or this daemon has held up would otherwise look
+// slow, and those behind them fast.
 func (meter *Meter) Event(now clock.Millis, count int) {
 	if !meter.started || count < 1 {
 		meter.started, meter.lastAt, meter.sampledAt = true, now, now
 		return
 	}
+	length := now - meter.lastAt
+	meter.lastAt = now
+	if last := len(meter.kept) - 1; last >= 0 && length < togetherTime {
+		meter.kept[last].endedAt = now
+		meter.kept[last].length += length
+		meter.kept[last].count += count
+		return
+	}
 	outdated := 0
 	for len(meter.kept)-outdated >= minEvents && meter.kept[outdated].endedAt <= now-sampleLength {
 		outdated++
 	}
-	meter.kept = append(slices.Delete(meter.kept, 0, outdated), interval{endedAt: now, millis: float64(now-meter.lastAt) / float64(count)})
-	meter.lastAt = now
+	meter.kept = append(slices.Delete(meter.kept, 0, outdated), interval{endedAt: now, length: length, count: count})
 }
 
 // LowerQuartile returns the lower quartile of the kept intervals, and their number. A pause that
@@ -54,8 +71,8 @@
 	if events == 0 {
 		return 0, 0
 	}
-	sorted := slices.SortedFunc(slices.Values(meter.kept), func(a, b interval) int { return cmp.Compare(a.millis, b.millis) })
-	return sorted[(events-1)/4].millis, events
+	sorted := slices.SortedFunc(slices.Values(meter.kept), func(a, b interval) int { return cmp.Compare(a.millis(), b.millis()) })
+	return sorted[(events-1)/4].millis(), events
 }
 
 // Sample returns the lower quartile if a sample is due and there are enough intervals.
--- a/internal/direct/speed/table.go
+++ b/internal/direct/speed/table.go
@@ -83,7 +83,7 @@
 type Table struct {
 	options   Options
 	servers   map[string]Server
-	services  map[string][]string // servers by service
+	services  map[string][]int // indexes of values, by service
 	entries   map[string]*list.Element
 	order     *list.List // of *entry, the most recently changed last
 	averages  map[string]*average
@@ -91,11 +91,11 @@
 	revision  int64
 	contactAt clock.Millis // when this daemon last had contact with others
 
-	values     map[string]value // by server
-	lastServer string           // of which the value was last asked for
-	lastValue  value
-	valuesAt   clock.Millis // when values were computed; 0: not yet
-	outOfDate  bool         // something has changed since
+	values     []value        // in the order of SetServers
+	index      map[string]int // of values, by server
+	lastIndex  int            // of the value that was last found
+	valuesAt   clock.Millis   // when values were computed; 0: not yet
+	outOfDate  bool           // something has changed since
 	slowCount  int
 	sortBuffer []float64
 }
@@ -103,9 +103,9 @@
 // New returns a table without estimates.
 func New(options Options) *Table {
 	return &Table{
-		options: options, servers: make(map[string]Server), services: make(map[string][]string),
+		options: options, servers: make(map[string]Server), services: make(map[string][]int),
 		entries: make(map[string]*list.Element), order: list.New(), averages: make(map[string]*average),
-		values: make(map[string]value), lastValue: value{factor: 1},
+		index: make(map[string]int),
 	}
 }
 
@@ -120,10 +120,15 @@
 	if len(servers) != len(table.servers) || slices.ContainsFunc(servers, func(server Server) bool { return table.servers[server.ID] != server }) {
 		clear(table.servers)
 		clear(table.services)
-		for _, server := range servers {
+		clear(table.index)
+		table.values, table.lastIndex = make([]value, len(servers)), 0
+		for i, server := range servers {
 			table.servers[server.ID] = server
-			table.services[server.Service] = append(table.services[server.Service], server.ID)
+			table.services[server.Service] = append(table.services[server.Service], i)
+			table.index[server.ID] = i
+			table.values[i] = value{server: server.ID, factor: 1}
 		}
+		table.valuesAt = 0
 		table.outOfDate = true
 	}
 	for id, element := range table.entries {
