--- a/internal/direct/speed/meter.go
+++ b/internal/direct/speed/meter.go
@@ -1,7 +1,6 @@
 package speed
 
 import (
-	"cmp"
 	"slices"
 
 	"teaselmoor/internal/base/clock"
@@ -19,6 +18,7 @@
 	lastAt    clock.Millis // of the last event
 	sampledAt clock.Millis
 	kept      []interval
+	sorted    []float64 // buffer of LowerQuartile
 }
 
 // interval is the time before events that arrived together.
@@ -71,8 +71,12 @@
 	if events == 0 {
 		return 0, 0
 	}
-	sorted := slices.SortedFunc(slices.Values(meter.kept), func(a, b interval) int { return cmp.Compare(a.millis(), b.millis()) })
-	return sorted[(events-1)/4].millis(), events
+	meter.sorted = meter.sorted[:0]
+	for _, interval := range meter.kept {
+		meter.sorted = append(meter.sorted, interval.millis())
+	}
+	slices.Sort(meter.sorted)
+	return meter.sorted[(events-1)/4], events
 }
 
 // Sample returns the lower quartile if a sample is due and there are enough intervals.
