--- a/internal/direct/catalog/competing_test.go
+++ b/internal/direct/catalog/competing_test.go
@@ -42,3 +42,17 @@
 		}
 	}
 }
+
+// TestCompetingRanksOfUnusedTarget guards against callers counting as competing for a service to
+// which their route sends nothing.
+func TestCompetingRanksOfUnusedTarget(t *testing.T) {
+	engines, other := &catalog.Service{Name: "engines", Engine: &catalog.Engine{}}, &catalog.Service{Name: "other", Engine: &catalog.Engine{}}
+	var routes []*catalog.Route
+	for rank := range 2 {
+		targets := []catalog.Target{{Service: "engines", Weight: 1}, {Service: "other"}}
+		routes = append(routes, &catalog.Route{Kind: catalog.Streaming, Rank: rank, GapGoal: 300, Targets: targets})
+	}
+	built := catalog.New(1, catalog.Limits{}, []*catalog.Service{engines, other}, routes, nil)
+	require.True(t, built.CompetingRanks("engines"))
+	require.False(t, built.CompetingRanks("other"))
+}
--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -65,6 +65,7 @@
 	serverLimits      *throttle.Limits                     // request rates that servers have announced
 	turns             *promptTurns                         // prompts that wait to be admitted at engines
 	holdingsChanged   chan struct{}                        // closed and replaced when holdings change
+	speeds            serverSpeeds                         // of engines
 
 	// Ownership of servers, and the servers that this daemon owns.
 	claims                 *claims.Registry
@@ -149,6 +150,7 @@
 		serverLimits:      throttle.New(settings.Name),
 		turns:             newPromptTurns(options.Turns, int64(wall())),
 		holdingsChanged:   make(chan struct{}),
+		speeds:            newServerSpeeds(settings.Name, options.Speeds),
 
 		claims:                 claims.New(options.Tenure, settings.Name, now(), wall),
 		orderWorkers:           make(map[string]*orderWorker),
--- a/internal/direct/gateway/settings.go
+++ b/internal/direct/gateway/settings.go
@@ -22,6 +22,7 @@
 	"teaselmoor/internal/direct/quarantine"
 	"teaselmoor/internal/direct/quota"
 	"teaselmoor/internal/direct/retry"
+	"teaselmoor/internal/direct/speed"
 	"teaselmoor/internal/direct/upstream"
 )
 
@@ -110,6 +111,7 @@
 	Tenure     claims.Options
 	Upstream   upstream.Options
 	Quarantine quarantine.Options
+	Speeds     speed.Options
 
 	// Short has requests with a short goal to plain services placed without the load counts of
 	// other daemons at a site with hubs.
@@ -177,6 +179,7 @@
 		Fleet: fleet.DefaultOptions(), Weights: choose.DefaultWeights(), Hold: choose.DefaultDelayPolicy(), Turns: prefill.DefaultOptions(), Loading: loading.DefaultOptions(),
 		Mirror: mirror.DefaultOptions(), Peers: peers.DefaultOptions(), Membership: membership.DefaultOptions(), Tenure: claims.DefaultOptions(settings.Lease, settings.Fenced),
 		Upstream: upstream.DefaultOptions(), Quarantine: quarantine.DefaultOptions(),
+		Speeds: speed.DefaultOptions(),
 
 		Short: true, TellInterval: 100, ReadingInterval: 20, HubInterval: 50, WorkPause: 30, UpdateInterval: 500, VersionGrace: 2500,
 		LoadPatience: 0.8, WantInterval: 400,
--- a/internal/direct/peers/message_test.go
+++ b/internal/direct/peers/message_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"teaselmoor/internal/direct/claims"
@@ -15,6 +16,7 @@
 	"teaselmoor/internal/direct/platformapi"
 	"teaselmoor/internal/direct/quarantine"
 	"teaselmoor/internal/direct/quota"
+	"teaselmoor/internal/direct/speed"
 	"teaselmoor/internal/direct/throttle"
 	"teaselmoor/internal/direct/topology"
 )
@@ -68,6 +70,9 @@
 			},
 			Limits:  []throttle.ServerLimit{{Server: "s", StartedAt: 1, Number: 2, Limited: true, Rate: 1.6}, {Server: "t", Number: 3}},
 			Leaving: []fleet.DrainNotice{{Server: "s", StartedAt: 1}, {Server: "t"}},
+			Speeds: []speed.Estimate{
+				{Server: "s", Born: 1, Fence: 1 << 52, Number: 3, Interval: 37.9}, {Server: "t", Number: 1, Interval: 63, Idle: true},
+			},
 		}},
 		{Delta: &peers.Delta{Usage: &quota.Report{
 			Scope: quota.Others, Incarnation: 7, Daemons: 59,
@@ -77,6 +82,7 @@
 		{PromptRequest: &peers.PromptRequest{From: "d", Server: "s", ID: 1 << 40, Tokens: 4700, Rank: 2, GapGoal: 300, Left: 264}},
 		{PromptAnswer: &peers.PromptAnswer{To: "d", Server: "s", ID: 1 << 40, Granted: true}},
 		{PromptWithdrawal: &peers.PromptWithdrawal{From: "d", Server: "s", ID: 1 << 40}},
+		{Streams: []speed.Report{{Server: "s", Born: 1, Interval: 37.9, Events: 12}, {Server: "t", Interval: 0.5, Events: 4}}},
 		{Pull: &peers.Pull{After: 4, Era: 2}},
 		{Items: &peers.StoreItems{Items: []peers.Item{{Key: "k", Packed: true, Deleted: true, Revision: 4}}, AsOf: 5}},
 	}
@@ -94,6 +100,37 @@
 	}
 }
 
+// TestSpeedMessagesAreSmall guards against more control traffic than docs/design/server-speed.md
+// computes, with names and numbers of the usual length.
+func TestSpeedMessagesAreSmall(t *testing.T) {
+	size := func(message peers.Message) int {
+		encoded, err := peers.Encode(message)
+		require.NoError(t, err)
+		return len(encoded)
+	}
+	report := speed.Report{Server: "i-62241e2ae3", Born: 1_796_000_000_000, Interval: 37.9, Events: 12}
+	estimate := speed.Estimate{Server: "i-62241e2ae3", Born: 1_796_000_000_000, Fence: 1_796_000_000_000 << 10, Number: 300, Interval: 37.9}
+	one, two := size(peers.Message{Streams: []speed.Report{report}}), size(peers.Message{Streams: []speed.Report{report, report}})
+	require.Equal(t, []int{27, 10}, []int{two - one, 2*one - two}, "of a report, and of the message")
+	one = size(peers.Message{Warnings: &peers.Warnings{Speeds: []speed.Estimate{estimate}}})
+	two = size(peers.Message{Warnings: &peers.Warnings{Speeds: []speed.Estimate{estimate, estimate}}})
+	require.Equal(t, []int{38, 19}, []int{two - one, 2*one - two}, "of an estimate, and of the message")
+}
+
+// TestPreviousVersionIgnoresSpeeds guards against a daemon of the previous version that rejects
+// messages with the new fields, and with them the other warnings.
+func TestPreviousVersionIgnoresSpeeds(t *testing.T) {
+	for _, message := range messages() {
+		encoded, err := peers.Encode(message)
+		require.NoError(t, err)
+		var previous struct{ Warnings struct{ Leaving []any } }
+		require.NoError(t, cbor.Unmarshal(encoded, &previous))
+		if message.Warnings != nil {
+			require.Len(t, previous.Warnings.Leaving, len(message.Warnings.Leaving))
+		}
+	}
+}
+
 // FuzzDecode checks that any bytes are decoded to a message that can be encoded, or to an error.
 func FuzzDecode(f *testing.F) {
 	for _, message := range messages() {
