choose: late streams count between holders, not against loads

Holders are now compared by it, and loads and copies by speed alone; the margin over the drawn pair leaves it out, as all daemons chose the same server otherwise.

--- a/internal/direct/choose/choose.go
+++ b/internal/direct/choose/choose.go
@@ -105,6 +105,7 @@
 	// CopyTo is a server that should load another copy of the adapter for later requests,
 	// as all its holders are much busier. Nil: no copy is needed.
 	CopyTo *fleet.Member
+	base   float64 // Cost without the cost of late streams, by which it is compared with loads
 }
 
 // Choose returns the cheapest server, or false if no server may take the request.
@@ -123,24 +124,27 @@
 		return Choice{}, false
 	}
 	best := Choice{}
-	drawn := twoChoices{limit: weights.drawLimit(query, servers, work)}
+	draw := draw{bySpeed: query.Speed != nil}
 	for _, member := range servers.Holders(query.Adapter) {
 		if !query.canRun(member) {
 			continue
 		}
-		choice := Choice{Member: member, Ready: true, Cost: weights.baseCost(query, servers, work, member) + tieBreaker(query, member)}
-		if best.Member == nil || choice.Cost < best.Cost {
-			best = choice
+		holder := weights.holder(query, servers, work, member)
+		if best.Member == nil || holder.Cost < best.Cost {
+			best = holder.Choice
+		}
+		if query.ManyDaemons {
+			draw.add(&holder)
 		}
-		weights.draw(&drawn, query, choice)
 	}
 	if best.Member == nil {
 		return Choice{}, false
 	}
+	lowest := best
 	if query.ManyDaemons {
-		best = drawn.pick(best, weights.Load)
+		best = draw.pick(best, weights)
 	}
-	return best, best.Cost <= weights.leastCost(query)
+	return best, weights.isCheapest(query, lowest, best)
 }
 
 // chooseAny considers all servers of the service.
@@ -151,45 +155,53 @@
 	if query.Adapter.Name != "" {
 		copies, preferred = rankServers(usable, query, adapterHash)
 	}
-	best, waiting, spare := Choice{}, Choice{}, Choice{}
-	drawn := twoChoices{limit: weights.drawLimit(query, servers, work)}
+	best, other, waiting, spare := Choice{}, Choice{}, Choice{}, Choice{}
+	draw := draw{bySpeed: query.Speed != nil}
 	for _, member := range usable {
 		if query.excludes(member) {
 			continue
 		}
-		choice := Choice{Member: member, Ready: ready(member, query)}
-		choice.Cost = weights.baseCost(query, servers, work, member) + tieBreaker(query, member)
-		if !choice.Ready {
-			position := preferred.position(rank(adapterHash, member), weights.Homes)
-			crowding := weights.crowdingCost(query, member, work)
-			loaded := choice.Cost + weights.Step*float64(position) + crowding
-			if spare.Member == nil || loaded < spare.Cost {
-				spare = Choice{Member: member, Cost: loaded}
+		if ready(member, query) {
+			holder := weights.holder(query, servers, work, member)
+			if best.Member == nil || holder.Cost < best.Cost {
+				best = holder.Choice
+			}
+			if query.ManyDaemons {
+				draw.add(&holder)
 			}
-			choice.Cost += weights.loadCost(query, member, position, copies) + crowding
+			continue
 		}
-		if member.ID == query.WaitingAt && !choice.Ready {
-			waiting = choice
+		cost, _ := weights.baseCost(query, servers, member, work.Load(member.ID), speedOf(query.Speed, member))
+		cost += tieBreaker(query, member)
+		position := preferred.position(rank(adapterHash, member), weights.Homes)
+		crowding := weights.crowdingCost(query, member, work)
+		loaded := cost + weights.Step*float64(position) + crowding
+		if spare.Member == nil || loaded < spare.Cost {
+			spare = Choice{Member: member, Cost: loaded}
 		}
-		if best.Member == nil || choice.Cost < best.Cost {
-			best = choice
+		cost += weights.loadCost(query, member, position, copies) + crowding
+		if member.ID == query.WaitingAt {
+			waiting = Choice{Member: member, Cost: cost}
 		}
-		if choice.Ready {
-			weights.draw(&drawn, query, choice)
+		if other.Member == nil || cost < other.Cost {
+			other = Choice{Member: member, Cost: cost}
 		}
 	}
-	if query.ManyDaemons && best.Ready {
-		best = drawn.pick(best, weights.Load)
+	if best.Member == nil || other.Member != nil && other.Cost < best.base {
+		// A waiting request stays at its server unless another one can run it at once:
+		// moving it would have the adapter loaded at two servers.
+		if waiting.Member != nil && !waiting.Member.Suspect(query.Now) {
+			return waiting, true
+		}
+		return other, other.Member != nil
 	}
-	// A waiting request stays at its server unless another one can run it at once:
-	// moving it would have the adapter loaded at two servers.
-	if waiting.Member != nil && !best.Ready && !waiting.Member.Suspect(query.Now) {
-		return waiting, true
+	if query.ManyDaemons {
+		best = draw.pick(best, weights)
 	}
-	if query.Frequent && best.Ready && spare.Member != nil && best.Cost > spare.Cost+weights.Relief {
+	if query.Frequent && spare.Member != nil && best.base > spare.Cost+weights.Relief {
 		best.CopyTo = weights.copyTarget(query, usable, spare.Member)
 	}
-	return best, best.Member != nil
+	return best, true
 }
 
 // copyTarget returns spare as the server for another copy, or nil if it has no owner or a
--- a/internal/direct/choose/copytargets.go
+++ b/internal/direct/choose/copytargets.go
@@ -20,7 +20,8 @@
 			continue
 		}
 		position := preferred.position(rank(adapterHash, member), weights.Homes)
-		cost := weights.baseCost(query, servers, work, member) + weights.Step*float64(position) + weights.crowdingCost(query, member, work)
+		base, _ := weights.baseCost(query, servers, member, work.Load(member.ID), speedOf(query.Speed, member))
+		cost := base + weights.Step*float64(position) + weights.crowdingCost(query, member, work)
 		if member.RecentlyHeld(query.Adapter) {
 			cost += weights.AtHand - weights.Load
 		}
--- a/internal/direct/choose/cost.go
+++ b/internal/direct/choose/cost.go
@@ -47,15 +47,14 @@
 	return float64(rank(query.Attempt, member)>>32) / (1 << 32)
 }
 
-// baseCost is the cost of a server without the cost of loading the adapter.
-func (weights Weights) baseCost(query Query, servers *fleet.Fleet, work *inflight.Tracker, member *fleet.Member) float64 {
-	load, speed := work.Load(member.ID), query.speed(member)
-	reading := weights.readingTime(load.Reading+query.Prompt, speed)
-	cost := reading + weights.Full*float64(load.Runs)/float64(max(1, member.Slots))
+// baseCost is the cost of a server without the costs of loading the adapter and of late streams.
+// It also returns the time for reading all prompts there, the request's own included.
+func (weights Weights) baseCost(query Query, servers *fleet.Fleet, member *fleet.Member, load inflight.Load, speed float64) (cost, reading float64) {
+	reading = weights.readingTime(load.Reading+query.Prompt, speed)
+	cost = reading + weights.Full*float64(load.Runs)/float64(max(1, member.Slots))
 	if beyond := load.Runs + 1 - member.Slots; beyond > 0 {
 		cost += weights.queueTime(member, speed) * float64(beyond)
 	}
-	cost += weights.latenessCost(query, member, reading, load.Runs)
 	cost += weights.Trouble * servers.FailureRate(query.Now, member)
 	if member.Suspect(query.Now) {
 		cost += weights.Suspect
@@ -63,7 +62,7 @@
 	if member.DataCentre != query.DataCentre {
 		cost += weights.Away
 	}
-	return cost
+	return cost, reading
 }
 
 // queueTime is the expected time until the next slot of a full server becomes free.
--- a/internal/direct/choose/lateness.go
+++ b/internal/direct/choose/lateness.go
@@ -4,7 +4,6 @@
 	"math"
 
 	"teaselmoor/internal/direct/fleet"
-	"teaselmoor/internal/direct/inflight"
 )
 
 // A stream is late if a pause between two of its events exceeds the gap goal. An engine reads
@@ -22,12 +21,15 @@
 	minSpeed, maxSpeed = 0.2, 4.0
 )
 
-// speed returns the speed factor of a server. It is 1 if the speed is unknown or invalid.
-func (query Query) speed(member *fleet.Member) float64 {
-	if query.Speed == nil {
+// speedOf returns the speed factor of a server. It is 1 if the speed is unknown or invalid.
+func speedOf(speed func(server string) float64, member *fleet.Member) float64 {
+	if speed == nil {
 		return 1
 	}
-	factor := query.Speed(member.ID)
+	factor := speed(member.ID)
+	if factor >= minSpeed && factor <= maxSpeed {
+		return factor
+	}
 	if math.IsNaN(factor) || factor <= 0 {
 		return 1
 	}
@@ -67,56 +69,19 @@
 	return weights.Late * probability * (1 + weights.LateOthers*float64(min(streams, maxOthers)))
 }
 
-// latenessCost is the expected cost of late streams if a server that runs this many requests is
-// sent a prompt, with which it takes reading milliseconds to read all its prompts.
-func (weights Weights) latenessCost(query Query, member *fleet.Member, reading float64, runs int) float64 {
-	if !weights.countsLateness(query) {
-		return 0
-	}
-	return weights.lateness(query, query.interval(member)+reading, runs)
-}
-
 // readingTime is the time in milliseconds in which a server of the given speed reads a prompt.
 func (weights Weights) readingTime(tokens int, speed float64) float64 {
 	return float64(tokens) / (weights.ReadTokensPerMS * speed)
 }
 
-// leastCost is a lower bound of the cost of any server that cannot run the request at once, and
-// of CopyTo including Relief.
-func (weights Weights) leastCost(query Query) float64 {
-	cost := weights.readingTime(query.Prompt, query.maxSpeed())
-	if weights.countsLateness(query) {
-		cost += weights.lateness(query, cost, 0)
-	}
-	return cost + min(weights.AtHand, weights.Coming, weights.Load, weights.Relief)
-}
-
-// speedCost is the cost of a server while it has no other work.
-func (weights Weights) speedCost(query Query, member *fleet.Member) float64 {
-	reading := weights.readingTime(query.Prompt, query.speed(member))
-	return reading + weights.latenessCost(query, member, reading, 0)
-}
-
-// drawLimit returns the highest speedCost of the servers that twoChoices may draw. Counts of
-// work may be out of date, and the draw guards against this; speeds change too slowly to need
-// it. Without the limit a third of the requests for an adapter with holders of all speeds
-// would be sent to slow servers that are known to be slow. A server whose slots are all taken
-// does not lower the limit, so that slower ones with free slots remain in the draw.
-func (weights Weights) drawLimit(query Query, servers *fleet.Fleet, work *inflight.Tracker) float64 {
-	if !query.ManyDaemons || query.Speed == nil {
-		return math.Inf(1)
-	}
-	candidates := servers.Holders(query.Adapter)
-	if query.Adapter.Name == "" {
-		candidates = servers.Usable(query.Service)
-	}
-	least := math.Inf(1)
-	for _, member := range candidates {
-		if query.canRun(member) && !member.Suspect(query.Now) && work.Load(member.ID).Runs < max(1, member.Slots) {
-			least = min(least, weights.speedCost(query, member))
-		}
+// isCheapest reports whether no server that would have to load the adapter can be preferred to
+// lowest, the cheapest holder, nor be CopyTo if the request is sent to chosen.
+func (weights Weights) isCheapest(query Query, lowest, chosen Choice) bool {
+	least := weights.readingTime(query.Prompt, query.maxSpeed())
+	if lowest.base > least+min(weights.AtHand, weights.Coming, weights.Load) {
+		return false
 	}
-	return least + weights.Relief
+	return !query.Frequent || chosen.base <= least+weights.Relief
 }
 
 // canRun reports whether a server may be sent the request and can run it at once.
