--- a/internal/direct/choose/choose.go
+++ b/internal/direct/choose/choose.go
@@ -100,7 +100,7 @@
 // Choice is a chosen server and its cost.
 type Choice struct {
 	Member *fleet.Member
-	Cost   float64 // expected time in milliseconds
+	Cost   float64 // expected time in milliseconds, and the cost of late streams
 	Ready  bool    // the server holds what the request needs and can run it at once
 	// CopyTo is a server that should load another copy of the adapter for later requests,
 	// as all its holders are much busier. Nil: no copy is needed.
--- a/internal/direct/choose/holders.go
+++ b/internal/direct/choose/holders.go
@@ -17,7 +17,7 @@
 
 // holder returns a server that can run the request at once. The cost of late streams counts
 // only in the comparison of such servers: counted against loads and copies as well, it doubled
-// the requests whose first event was late, as it added two fifths to the loads.
+// the requests whose first event was late, as it added half to the loads.
 func (weights Weights) holder(query Query, servers *fleet.Fleet, work *inflight.Tracker, member *fleet.Member) holder {
 	load, speed := work.Load(member.ID), speedOf(query.Speed, member)
 	cost, reading := weights.baseCost(query, servers, member, load, speed)
