--- a/internal/direct/choose/choose.go
+++ b/internal/direct/choose/choose.go
@@ -31,6 +31,8 @@
 	Suspect         float64 // cost of a server that could not be reached recently
 	Away            float64 // cost of a server in another data centre
 	Relief          float64 // a copy is made only if its server would be cheaper by more than this
+	Late            float64 // cost of a stream that pauses for longer than its gap goal; scaled by the probability; 0: not counted
+	LateOthers      float64 // share of Late that each stream running at the same server adds
 	Shortcut        bool    // skip the other servers if none can be cheaper than the best holder of the adapter
 	Homes           int     // positions of the rendezvous order that Step distinguishes; 4 at most
 }
@@ -42,6 +44,7 @@
 		ReadTokensPerMS: initialReadRate, Full: 250, Queued: 40,
 		Load: 300, AtHand: 60, Coming: 160, Copy: 150, Crowded: 300, Orderless: 1500, Step: 40,
 		Trouble: 1500, Suspect: 3000, Away: 1, Relief: 100, Shortcut: true, Homes: 3,
+		Late: 800, LateOthers: 0.25,
 	}
 }
 
@@ -83,6 +86,11 @@
 	ManyDaemons  bool                     // many daemons place requests by the same, somewhat stale load counts
 	WaitingAt    string                   // the server at which the request waits for the adapter; empty: none
 	Short        *LoadAverage             // of the service, for a request that ends before other daemons' counts show it; nil: counts are used
+
+	// Inputs of pause-aware placement. Without them all engines count as equal.
+	GapGoal  clock.Millis                // longest pause of a stream on time; 0: pauses are not counted
+	Speed    func(server string) float64 // speed of a server relative to the median, between 0.2 and 4; nil: 1
+	Interval func(server string) float64 // milliseconds between two events of a stream; 0: unknown; nil: all unknown
 }
 
 // excludes reports whether a server must not be sent the request, whatever its cost.
@@ -93,11 +101,12 @@
 // Choice is a chosen server and its cost.
 type Choice struct {
 	Member *fleet.Member
-	Cost   float64 // expected time in milliseconds
+	Cost   float64 // expected time in milliseconds, and the cost of late streams
 	Ready  bool    // the server holds what the request needs and can run it at once
 	// CopyTo is a server that should load another copy of the adapter for later requests,
 	// as all its holders are much busier. Nil: no copy is needed.
 	CopyTo *fleet.Member
+	base   float64 // Cost without the cost of late streams, by which it is compared with loads
 }
 
 // Choose returns the cheapest server, or false if no server may take the request.
@@ -119,25 +128,27 @@
 		return Choice{}, false
 	}
 	best := Choice{}
-	var drawn twoChoices
+	draw := draw{bySpeed: query.Speed != nil}
 	for _, member := range servers.Holders(query.Adapter) {
-		if member.Service != query.Service || member.Draining || !ready(member, query) || query.excludes(member) {
+		if !query.canRun(member) {
 			continue
 		}
-		choice := Choice{Member: member, Ready: true, Cost: weights.baseCost(query, servers, work, member) + tieBreaker(query, member)}
-		if best.Member == nil || choice.Cost < best.Cost {
-			best = choice
+		holder := weights.holder(query, servers, work, member)
+		if best.Member == nil || holder.Cost < best.Cost {
+			best = holder.Choice
+		}
+		if query.ManyDaemons {
+			draw.add(&holder)
 		}
-		drawn.add(choice, rank(query.Attempt, member))
 	}
 	if best.Member == nil {
 		return Choice{}, false
 	}
+	lowest := best
 	if query.ManyDaemons {
-		best = drawn.pick(best, weights.Load)
+		best = draw.pick(best, weights)
 	}
-	least := float64(query.Prompt)/weights.ReadTokensPerMS + min(weights.AtHand, weights.Coming, weights.Load, weights.Relief)
-	return best, best.Cost <= least
+	return best, weights.isCheapest(query, lowest, best)
 }
 
 // chooseAny considers all servers of the service.
@@ -148,45 +159,53 @@
 	if query.Adapter.Name != "" {
 		copies, preferred = rankServers(usable, query, adapterHash)
 	}
-	best, waiting, spare := Choice{}, Choice{}, Choice{}
-	var drawn twoChoices
+	best, other, waiting, spare := Choice{}, Choice{}, Choice{}, Choice{}
+	draw := draw{bySpeed: query.Speed != nil}
 	for _, member := range usable {
 		if query.excludes(member) {
 			continue
 		}
-		choice := Choice{Member: member, Ready: ready(member, query)}
-		choice.Cost = weights.baseCost(query, servers, work, member) + tieBreaker(query, member)
-		if !choice.Ready {
-			position := preferred.position(rank(adapterHash, member), weights.Homes)
-			crowding := weights.crowdingCost(query, member, work)
-			loaded := choice.Cost + weights.Step*float64(position) + crowding
-			if spare.Member == nil || loaded < spare.Cost {
-				spare = Choice{Member: member, Cost: loaded}
+		if ready(member, query) {
+			holder := weights.holder(query, servers, work, member)
+			if best.Member == nil || holder.Cost < best.Cost {
+				best = holder.Choice
+			}
+			if query.ManyDaemons {
+				draw.add(&holder)
 			}
-			choice.Cost += weights.loadCost(query, member, position, copies) + crowding
+			continue
 		}
-		if member.ID == query.WaitingAt && !choice.Ready {
-			waiting = choice
+		cost, _ := weights.baseCost(query, servers, member, work.Load(member.ID), speedOf(query.Speed, member))
+		cost += tieBreaker(query, member)
+		position := preferred.position(rank(adapterHash, member), weights.Homes)
+		crowding := weights.crowdingCost(query, member, work)
+		loaded := cost + weights.Step*float64(position) + crowding
+		if spare.Member == nil || loaded < spare.Cost {
+			spare = Choice{Member: member, Cost: loaded}
 		}
-		if best.Member == nil || choice.Cost < best.Cost {
-			best = choice
+		cost += weights.loadCost(query, member, position, copies) + crowding
+		if member.ID == query.WaitingAt {
+			waiting = Choice{Member: member, Cost: cost}
 		}
-		if choice.Ready {
-			drawn.add(choice, rank(query.Attempt, member))
+		if other.Member == nil || cost < other.Cost {
+			other = Choice{Member: member, Cost: cost}
 		}
 	}
-	if query.ManyDaemons && best.Ready {
-		best = drawn.pick(best, weights.Load)
+	if best.Member == nil || other.Member != nil && other.Cost < best.base {
+		// A waiting request stays at its server unless another one can run it at once:
+		// moving it would have the adapter loaded at two servers.
+		if waiting.Member != nil && !waiting.Member.Suspect(query.Now) {
+			return waiting, true
+		}
+		return other, other.Member != nil
 	}
-	// A waiting request stays at its server unless another one can run it at once:
-	// moving it would have the adapter loaded at two servers.
-	if waiting.Member != nil && !best.Ready && !waiting.Member.Suspect(query.Now) {
-		return waiting, true
+	if query.ManyDaemons {
+		best = draw.pick(best, weights)
 	}
-	if query.Frequent && best.Ready && spare.Member != nil && best.Cost > spare.Cost+weights.Relief {
+	if query.Frequent && spare.Member != nil && best.base > spare.Cost+weights.Relief {
 		best.CopyTo = weights.copyTarget(query, usable, spare.Member)
 	}
-	return best, best.Member != nil
+	return best, true
 }
 
 // copyTarget returns spare as the server for another copy, or nil if it has no owner or a
--- a/internal/direct/choose/twochoices.go
+++ b/internal/direct/choose/twochoices.go
@@ -23,9 +23,10 @@
 }
 
 // pick returns the cheaper of the two servers, or best, the cheapest of all, if that
-// costs less by more than margin, as both of the two may be failing.
+// costs less by more than margin, as both of the two may be failing. Late streams do not count
+// in the margin: they depend on counts of work, and all daemons would choose best by them.
 func (twoChoices *twoChoices) pick(best Choice, margin float64) Choice {
-	if chosen := twoChoices.cheaper(); chosen.Cost <= best.Cost+margin {
+	if chosen := twoChoices.cheaper(); chosen.base <= best.base+margin {
 		return chosen
 	}
 	return best
