--- a/internal/direct/gateway/place.go
+++ b/internal/direct/gateway/place.go
@@ -45,7 +45,7 @@
 	if activeRequest.to.alone {
 		took := activeRequest.firstEventAt - activeRequest.to.at
 		core.readRate.Observe(activeRequest.unreadTokens, took)
-		core.turns.rate.Observe(activeRequest.unreadTokens, took)
+		core.turns.rate.Observe(activeRequest.unreadTokens, clock.Millis(float64(took)*core.speedFactor(activeRequest.firstEventAt, activeRequest.to.server.ID)))
 	}
 	activeRequest.unreadTokens = 0
 }
