quota, comeback, gateway: urgent ranks first at an account's limit, and a schedule of Retry-After

Units of an account at its limit went to whichever request came first, and all refused callers were told the same short time, returned together and were refused again. Less urgent ranks now leave a reserve in the bucket while the account is at its limit, and refused callers are told times by what was promised before. Callers whose adapter is not ready are told the expected time of a load.

--- a/internal/direct/catalog/catalog.go
+++ b/internal/direct/catalog/catalog.go
@@ -134,6 +134,7 @@
 	Accounts   *account.Directory  // nil if callers need no key
 	routes     map[string][]*Route // by host, longest prefix first
 	minGapGoal clock.Millis        // shortest gap goal of all routes; 0: none has one
+	keyRanks   []int               // ranks of the routes that need a key, ascending
 }
 
 // New returns a catalog. Accounts may be nil.
@@ -151,7 +152,12 @@
 		if route.GapGoal > 0 && (catalog.minGapGoal == 0 || route.GapGoal < catalog.minGapGoal) {
 			catalog.minGapGoal = route.GapGoal
 		}
+		if !route.Open {
+			catalog.keyRanks = append(catalog.keyRanks, route.Rank)
+		}
 	}
+	slices.Sort(catalog.keyRanks)
+	catalog.keyRanks = slices.Compact(catalog.keyRanks)
 	for _, hostRoutes := range catalog.routes {
 		slices.SortStableFunc(hostRoutes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
@@ -163,6 +169,13 @@
 	return catalog.minGapGoal
 }
 
+// RankPosition returns the position of a rank among the ranks of the routes that need a key, of which
+// 0 is the most urgent, and their number. A rank between them has the position of the next one.
+func (catalog *Catalog) RankPosition(rank int) (position, ranks int) {
+	position, _ = slices.BinarySearch(catalog.keyRanks, rank)
+	return min(position, max(0, len(catalog.keyRanks)-1)), len(catalog.keyRanks)
+}
+
 // Match returns the route of a host with the longest prefix that matches path.
 func (catalog *Catalog) Match(host, path string) (*Route, bool) {
 	for _, route := range catalog.routes[strings.ToLower(host)] {
--- a/internal/direct/gateway/accounts.go
+++ b/internal/direct/gateway/accounts.go
@@ -6,6 +6,7 @@
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/catalog"
 	"teaselmoor/internal/direct/ending"
+	"teaselmoor/internal/direct/quota"
 )
 
 // admit identifies the caller's account by its key and charges the request to the account's
@@ -28,7 +29,7 @@
 	if job.account.HasRank {
 		job.rank = job.account.Rank
 	}
-	return gateway.chargeAccount(job)
+	return gateway.chargeAccount(job, competingRank(config, job))
 }
 
 // refuseUnknownKey refuses a request whose key is not in the configuration. If this
@@ -54,21 +55,28 @@
 
 // chargeAccount charges a request to its account's limit, and refuses it if the limit is
 // exceeded.
-func (gateway *Gateway) chargeAccount(job *job) (int, ending.Reason) {
+func (gateway *Gateway) chargeAccount(job *job, rank quota.Rank) (int, ending.Reason) {
 	core := gateway.core
 	cost := job.account.Limit.Cost(job.headers.Tokens())
 	core.mutex.Lock()
-	decision := core.ledger.Take(job.arrived, job.account.Name, cost)
+	decision := core.ledger.Take(job.arrived, job.account.Name, cost, rank)
 	core.markUsageChanged()
+	promised := 0.0
+	if !decision.Allowed {
+		job.retryAfter, promised = core.accountRetryAfter(job, decision)
+	}
 	core.mutex.Unlock()
 	if decision.Allowed {
 		job.charged = cost
 		return 0, ""
 	}
-	job.retryAfter = decision.RetryAfter
+	if decision.Reserved {
+		gateway.counters.recordReserveRefusal(job.account.Name)
+	}
 	gateway.log.Info(ending.MessageAccountOverLimit, "Request", job.headers.Attempt, "Account", job.account.Name, "Units", decision.Cost,
 		"LeftUnits", int(decision.Left), "RatePerSecond", int(decision.Rate), "LimitPerSecond", int(job.account.Limit.Rate),
-		"DaemonsCounted", decision.Reached, "Daemons", decision.Daemons)
+		"DaemonsCounted", decision.Reached, "Daemons", decision.Daemons,
+		"Rank", job.rank, "ReserveUnits", int(decision.Reserve), "PromisedUnits", int(promised))
 	return http.StatusTooManyRequests, ending.AccountLimit
 }
 
--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -11,6 +11,7 @@
 	"teaselmoor/internal/direct/catalog"
 	"teaselmoor/internal/direct/choose"
 	"teaselmoor/internal/direct/claims"
+	"teaselmoor/internal/direct/comeback"
 	"teaselmoor/internal/direct/fleet"
 	"teaselmoor/internal/direct/inflight"
 	"teaselmoor/internal/direct/loading"
@@ -47,6 +48,7 @@
 	usageReports     map[string]usageReport // by daemon that sent it
 	lastHub          string                 // the last hub of this daemon
 	accountsPrunedAt clock.Millis           // when unused accounts were last removed
+	promises         *comeback.Schedule     // to callers refused for their accounts' limits
 
 	// Backend servers and their work.
 	fleet             *fleet.Fleet
@@ -130,6 +132,7 @@
 
 		ledger:       quota.New(now(), settings.Quota),
 		usageReports: make(map[string]usageReport),
+		promises:     comeback.New(comeback.DefaultOptions()),
 
 		fleet:             fleet.New(options.Fleet),
 		work:              inflight.New(),
@@ -165,6 +168,7 @@
 		usageChanged: make(chan struct{}, 1),
 		deltaDue:     make(chan struct{}, 1),
 	}
+	core.ledger.SetReserveShare(options.Refusals.ReserveShare)
 	core.lastHubAt = now()
 	core.members = membership.New(options.Membership, core.self(), core.lastHubAt, core.incarnation, core.hasOtherSeeds())
 	return core
--- a/internal/direct/gateway/counters.go
+++ b/internal/direct/gateway/counters.go
@@ -23,9 +23,12 @@
 	ends    map[endLabels]int64
 	latency histograms // until the answer's first event, or until its end if it is not a stream
 	gaps    histograms // longest gap between two events of a stream
+
+	retryAfter      histograms       // times that refused callers were told to wait, by reason
+	reserveRefusals map[string]int64 // by account: refusals that kept units for more urgent ranks
 }
 
-// histograms holds histograms in milliseconds, by service.
+// histograms holds histograms in milliseconds, by the value of a label.
 type histograms map[string]*hdrhistogram.Histogram
 
 type endLabels struct {
@@ -35,7 +38,10 @@
 }
 
 func newCounters() *counters {
-	return &counters{ends: make(map[endLabels]int64), latency: make(histograms), gaps: make(histograms)}
+	return &counters{
+		ends: make(map[endLabels]int64), latency: make(histograms), gaps: make(histograms),
+		retryAfter: make(histograms), reserveRefusals: make(map[string]int64),
+	}
 }
 
 func (counters *counters) recordEnd(job *job, status int, reason ending.Reason, now clock.Millis) {
@@ -61,26 +67,26 @@
 // figures.
 const maxLatencyMillis = 60_000
 
-func (histograms histograms) observe(service string, value clock.Millis) {
-	histogram, ok := histograms[service]
+func (histograms histograms) observe(label string, value clock.Millis) {
+	histogram, ok := histograms[label]
 	if !ok {
 		if len(histograms) >= maxSeries {
 			return
 		}
 		histogram = hdrhistogram.New(1, maxLatencyMillis, 2)
-		histograms[service] = histogram
+		histograms[label] = histogram
 	}
 	_ = histogram.RecordValue(min(max(int64(value), 1), maxLatencyMillis)) // always in range
 }
 
-// write writes quantiles and counts under a metric name.
-func (histograms histograms) write(out io.Writer, name string) {
-	for _, service := range slices.Sorted(maps.Keys(histograms)) {
-		histogram := histograms[service]
+// write writes quantiles and counts under the names of a metric and its label.
+func (histograms histograms) write(out io.Writer, name, label string) {
+	for _, value := range slices.Sorted(maps.Keys(histograms)) {
+		histogram := histograms[value]
 		for _, quantile := range []float64{50, 95, 99} {
-			_, _ = fmt.Fprintf(out, "%s{service=%q,quantile=\"%g\"} %d\n", name, service, quantile/100, histogram.ValueAtQuantile(quantile))
+			_, _ = fmt.Fprintf(out, "%s{%s=%q,quantile=\"%g\"} %d\n", name, label, value, quantile/100, histogram.ValueAtQuantile(quantile))
 		}
-		_, _ = fmt.Fprintf(out, "%s_count{service=%q} %d\n", name, service, histogram.TotalCount())
+		_, _ = fmt.Fprintf(out, "%s_count{%s=%q} %d\n", name, label, value, histogram.TotalCount())
 	}
 }
 
@@ -91,6 +97,7 @@
 	for labels, count := range counters.ends {
 		_, _ = fmt.Fprintf(out, "teaselmoor_requests_total{service=%q,status=\"%d\",reason=%q} %d\n", labels.Service, labels.Status, labels.Reason, count)
 	}
-	counters.latency.write(out, "teaselmoor_latency_millis")
-	counters.gaps.write(out, "teaselmoor_stream_gap_millis")
+	counters.latency.write(out, "teaselmoor_latency_millis", "service")
+	counters.gaps.write(out, "teaselmoor_stream_gap_millis", "service")
+	counters.writeRefusals(out)
 }
--- a/internal/direct/gateway/handler.go
+++ b/internal/direct/gateway/handler.go
@@ -146,6 +146,7 @@
 		job.retryAfter = gateway.options.RetryAfter
 	}
 	gateway.protocol.SetRefusalHeaders(writer.Header(), job.retryAfter)
+	gateway.counters.recordRetryAfter(reason, job.retryAfter)
 	gateway.logEnd(job, status, reason)
 	http.Error(writer, string(reason), status)
 }
--- a/internal/direct/gateway/place.go
+++ b/internal/direct/gateway/place.go
@@ -133,7 +133,9 @@
 			core.moveCount(counted, inflight.Use{}, 0)
 			job.waited += now - started
 			core.logAdapterNotReady(now, job, choice.Member, tooLate, maxWait)
-			return assignment{}, waitEndedResult(ctx, job)
+			result := waitEndedResult(ctx, job)
+			core.setAdapterRetryAfter(now, job, choice.Member, result)
+			return assignment{}, result
 		}
 		if lastRequest == 0 || now-lastRequest >= core.options.WantInterval {
 			lastRequest = now
--- a/internal/direct/gateway/settings.go
+++ b/internal/direct/gateway/settings.go
@@ -108,6 +108,7 @@
 	Tenure     claims.Options
 	Upstream   upstream.Options
 	Quarantine quarantine.Options
+	Refusals   Refusals
 
 	// TellInterval is the time between two deltas with the requests in progress, which peers
 	// need to place their own.
@@ -171,6 +172,7 @@
 		Fleet: fleet.DefaultOptions(), Weights: choose.DefaultWeights(), Hold: choose.DefaultDelayPolicy(), Loading: loading.DefaultOptions(),
 		Mirror: mirror.DefaultOptions(), Peers: peers.DefaultOptions(), Membership: membership.DefaultOptions(), Tenure: claims.DefaultOptions(settings.Lease, settings.Fenced),
 		Upstream: upstream.DefaultOptions(), Quarantine: quarantine.DefaultOptions(),
+		Refusals: DefaultRefusals(),
 
 		TellInterval: 100, ReadingInterval: 20, HubInterval: 50, WorkPause: 30, UpdateInterval: 500, VersionGrace: 2500,
 		LoadPatience: 0.8, WantInterval: 400,
--- a/internal/direct/quota/ledger.go
+++ b/internal/direct/quota/ledger.go
@@ -13,6 +13,7 @@
 type Ledger struct {
 	started      clock.Millis
 	tolerance    Tolerance
+	reserveShare float64 // see SetReserveShare
 	limits       *account.Directory
 	accounts     map[string]*usage
 	lastNumber   int64 // number of the usage created last
@@ -81,13 +82,22 @@
 	RetryAfter clock.Millis // how long the caller should wait before a retry, if it is not
 	Cost       float64      // units
 	Left       float64      // units before the request
+	Reserve    float64      // units that the request must leave for more urgent ones
+	Reserved   bool         // only the reserve was in its way
+	Lacking    float64      // units that must be added before it can be admitted; set if refused
 	Rate       float64      // units a second that the daemons counted together may use
+	Share      float64      // part of Rate that this daemon's callers use, at least an equal part; set if refused
 	Reached    int          // daemons that are counted together, this one included
 	Daemons    int          // of the site
 }
 
+// Isolated reports whether the daemon that decided received reports from none of the others.
+func (decision Decision) Isolated() bool {
+	return decision.Reached <= 1 && decision.Daemons > 1
+}
+
 // Take charges a request to its account if enough units are left, and returns the decision.
-func (ledger *Ledger) Take(now clock.Millis, name string, cost float64) Decision {
+func (ledger *Ledger) Take(now clock.Millis, name string, cost float64, rank Rank) Decision {
 	limit := ledger.limits.Limit(name)
 	if !limit.Limited() {
 		return Decision{Allowed: true, Cost: cost}
@@ -99,15 +109,34 @@
 		Reached: ledger.site.Reached, Daemons: ledger.site.Daemons,
 	}
 	required := ledger.required(cost, split)
-	decision.Allowed = usage.level >= required
+	// A request that needs more than a full bucket together with its reserve needs a full one.
+	needed := min(required+ledger.reserve(usage, split, rank), max(required, split.depth))
+	decision.Reserve = needed - required
+	enough := usage.level >= required
+	decision.Allowed = usage.level >= needed || enough && usage.hasMinimum(rank)
 	if !decision.Allowed {
-		decision.RetryAfter = ledger.retryAfter(required-usage.level, decision.Rate)
+		decision.Reserved = enough
+		decision.Lacking = needed - usage.level
+		decision.RetryAfter = ledger.retryAfter(decision.Lacking, decision.Rate)
+		decision.Share = ledger.ownShare(now, usage)
 		return decision
 	}
 	ledger.charge(now, usage, cost)
+	ledger.countMinimum(usage, limit, rank, cost)
 	return decision
 }
 
+// ownShare returns the part of the recent use of an account that this daemon admitted, at least an
+// equal part of the daemons counted together.
+func (ledger *Ledger) ownShare(now clock.Millis, usage *usage) float64 {
+	equal := 1 / float64(max(1, ledger.site.Reached))
+	own, all := usage.own.recent.decayed(now), usage.all.recent.decayed(now)
+	if all <= 0 {
+		return equal
+	}
+	return min(max(own/all, equal), 1)
+}
+
 // required returns the units that must be left for a request. One that costs more than the
 // bucket holds needs a full bucket. An isolated daemon refuses such a request, as each of
 // many isolated daemons would otherwise admit one.
--- a/internal/direct/quota/ledger_bench_test.go
+++ b/internal/direct/quota/ledger_bench_test.go
@@ -41,9 +41,28 @@
 			runtime.ReadMemStats(&after)
 			b.ResetTimer()
 			for i := range b.N {
-				ledger.Take(clock.Millis(1000+i/10), entries[i%count].Name, 1)
+				ledger.Take(clock.Millis(1000+i/10), entries[i%count].Name, 1, quota.Rank{})
 			}
 			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(count), "B/account")
 		})
 	}
 }
+
+// BenchmarkTakeAtLimit measures decisions for three ranks in turn on an account at six times its limit, without and
+// with a reserve.
+func BenchmarkTakeAtLimit(b *testing.B) {
+	for _, share := range []float64{0, 0.5} {
+		b.Run(fmt.Sprint(share), func(b *testing.B) {
+			ledger := quota.New(0, tolerance)
+			ledger.SetReserveShare(share)
+			ledger.SetLimits(0, directoryOf(large))
+			for i := range b.N {
+				now := clock.Millis(10_000 + i)
+				if i%100 == 0 {
+					ledger.SetSite(now, quota.Site{Daemons: 1, Reached: 1})
+				}
+				ledger.Take(now, caller, 6*large.Rate/1000, quota.Rank{Position: i % 3, Ranks: 3})
+			}
+		})
+	}
+}
--- a/internal/direct/quota/site_test.go
+++ b/internal/direct/quota/site_test.go
@@ -35,6 +35,8 @@
 	refused   float64 // units refused, of those asked for
 	reports   int     // sent
 	readings  int
+	reserve   float64           // share of the depth, of each ledger
+	rank      func() quota.Rank // of the next request
 }
 
 // strategy is how daemons enforce a limit.
@@ -68,6 +70,7 @@
 
 func newSite(seed uint64, count int, limit account.Limit, tolerance quota.Tolerance) *site {
 	site := &site{random: rand.New(rand.NewPCG(seed, 1)), limit: limit, tolerance: tolerance, cut: make(map[int]bool), now: 1000}
+	site.rank = func() quota.Rank { return quota.Rank{} }
 	for number := range count {
 		site.daemons = append(site.daemons, &daemon{number: number, hub: hubOf(number, count)})
 	}
@@ -99,6 +102,7 @@
 	each.startedAt = site.now
 	each.down = false
 	each.ledger = quota.New(site.now, site.tolerance)
+	each.ledger.SetReserveShare(site.reserve)
 	each.ledger.SetLimits(site.now, site.directory())
 	each.sent = make(map[int]quota.SentTotals)
 	each.reportedAt = make(map[int]clock.Millis)
@@ -242,7 +246,7 @@
 	if each.down {
 		return
 	}
-	if !each.ledger.Take(site.now, caller, units).Allowed {
+	if !each.ledger.Take(site.now, caller, units, site.rank()).Allowed {
 		site.refused += units
 		return
 	}
--- a/internal/direct/quota/split.go
+++ b/internal/direct/quota/split.go
@@ -128,10 +128,12 @@
 		if !limit.Limited() {
 			continue
 		}
+		split, allRate := ledger.splitOf(usage, limit), ledger.totalRate(now, usage)
 		usage.history.add(snapshot{
-			at: now, level: usage.level, units: usage.reportedUnits(), reachableRate: ledger.splitOf(usage, limit).reachableRate(),
-			allRate: ledger.totalRate(now, usage), ownRate: usage.own.recent.rate(now),
+			at: now, level: usage.level, units: usage.reportedUnits(), reachableRate: split.reachableRate(),
+			allRate: allRate, ownRate: usage.own.recent.rate(now),
 		})
+		ledger.reviewUrgency(usage, limit, split, allRate)
 	}
 }
 
--- a/internal/direct/quota/usage.go
+++ b/internal/direct/quota/usage.go
@@ -9,6 +9,7 @@
 	number    int64        // identifies this count; a new count of the same account starts from 0
 	level     float64      // units left in the bucket; negative when the account is overdrawn
 	history   history      // recent snapshots
+	urgency   urgency      // which of its requests go first at the limit
 	atSplit   snapshot     // state when the daemons that are missing now last sent reports
 	updatedAt clock.Millis // when the level was last advanced
 	own       total        // admitted by this daemon
--- a/internal/direct/requestlog/requestlog.go
+++ b/internal/direct/requestlog/requestlog.go
@@ -42,6 +42,9 @@
 	LimitPerSecond float64
 	DaemonsCounted int
 	Daemons        int
+	Rank           int
+	ReserveUnits   float64
+	PromisedUnits  float64
 
 	// Fields of the message that the request ended.
 	Daemon           string
@@ -172,9 +175,7 @@
 			reader.notReady.PatienceMillis, reader.notReady.LoadMillis, reader.notReady.Loading, reader.notReady.Queued)
 	}
 	if line.Reason == ending.AccountLimit {
-		over := reader.overLimit
-		record.Detail = fmt.Sprintf("account %s had %.0f units left and the request counts %.0f; its limit is %.0f a second; %d of %d daemons were counted together",
-			over.Account, over.LeftUnits, over.Units, over.LimitPerSecond, over.DaemonsCounted, over.Daemons)
+		record.Detail = reader.overLimit.limitDetail()
 	}
 	attempts := record.Attempts
 	if len(attempts) > 0 && attempts[len(attempts)-1].Outcome.Kind == "" {
@@ -182,6 +183,19 @@
 	}
 }
 
+// limitDetail says what a request that was over its account's limit lacked.
+func (line line) limitDetail() string {
+	text := fmt.Sprintf("account %s had %.0f units left and the request counts %.0f; its limit is %.0f a second; %d of %d daemons were counted together",
+		line.Account, line.LeftUnits, line.Units, line.LimitPerSecond, line.DaemonsCounted, line.Daemons)
+	if line.ReserveUnits > 0 {
+		text += fmt.Sprintf("; at its limit %.0f units are kept for ranks more urgent than %d", line.ReserveUnits, line.Rank)
+	}
+	if line.PromisedUnits > 0 {
+		text += fmt.Sprintf("; callers refused before were promised %.0f units", line.PromisedUnits)
+	}
+	return text
+}
+
 // result returns the record, or an error if the log does not show how the request ended.
 func (reader *reader) result() (outcome.Record, error) {
 	switch {
--- a/internal/direct/requestlog/requestlog_test.go
+++ b/internal/direct/requestlog/requestlog_test.go
@@ -58,6 +58,20 @@
 	require.Equal(t, "account payroll had -20 units left and the request counts 1630; its limit is 240 a second; 39 of 59 daemons were counted together", record.Detail)
 }
 
+// TestKeptForUrgentRanks guards against a refusal for the reserve that is explained by what the
+// account had left alone, which may be more than the request counts.
+func TestKeptForUrgentRanks(t *testing.T) {
+	record, err := requestlog.Read(strings.NewReader(`{"time":"2026-06-10T17:35:06.500Z","msg":"account over its limit","Request":"4291","Account":"payroll","Units":1630,"LeftUnits":9000,"RatePerSecond":200,"LimitPerSecond":240,"DaemonsCounted":59,"Daemons":59,"Rank":2,"ReserveUnits":20000,"PromisedUnits":4100}
+{"time":"2026-06-10T17:35:06.500Z","msg":"request ended","Request":"4291","Status":429,"Reason":"AccountLimit","Offers":0,"Config":21,"Daemon":"d","RetryAfterMillis":2100,"Account":"payroll"}
+`), "4291")
+	require.NoError(t, err)
+	require.Equal(t, outcome.Refused(outcome.CallerLimit, 2100), record.Outcome)
+	text := explain.Render(record, explain.Regulator)
+	require.Contains(t, text, "had 9000 units left and the request counts 1630")
+	require.Contains(t, text, "at its limit 20000 units are kept for ranks more urgent than 2; callers refused before were promised 4100 units")
+	require.Contains(t, text, "may be sent again after 3 seconds")
+}
+
 func TestMissingOrUnfinishedRequest(t *testing.T) {
 	_, err := requestlog.Read(strings.NewReader(log), "none")
 	require.ErrorIs(t, err, requestlog.ErrNotFound)
--- a/internal/serve/command/gatewaystatus.go
+++ b/internal/serve/command/gatewaystatus.go
@@ -97,6 +97,8 @@
 	} {
 		metrics.printLabelled(invocation, each.title, each.name, "account")
 	}
+	metrics.printLabelled(invocation, "refusals that kept units for more urgent ranks:", "teaselmoor_account_reserve_refusals_total", "account")
+	metrics.printLabelled(invocation, "time that refused callers were told to wait, in milliseconds:", "teaselmoor_retry_after_millis", "reason", "quantile")
 	metrics.printLabelled(invocation, "repeats left of the retry budget:", "teaselmoor_retry_budget_left", "service")
 }
 
