--- a/internal/direct/gateway/counters.go
+++ b/internal/direct/gateway/counters.go
@@ -27,9 +27,12 @@
 	gaps    histograms // longest gap between two events of a stream
 	turns   map[prefill.Result]int64
 	waits   histograms // of prompts for a grant, by rank
+
+	retryAfter      histograms       // times that refused callers were told to wait, by reason
+	reserveRefusals map[string]int64 // by account: refusals that kept units for more urgent ranks
 }
 
-// histograms holds histograms in milliseconds, by service or rank.
+// histograms holds histograms in milliseconds, by the value of a label.
 type histograms map[string]*hdrhistogram.Histogram
 
 type endLabels struct {
@@ -39,7 +42,11 @@
 }
 
 func newCounters() *counters {
-	return &counters{ends: make(map[endLabels]int64), latency: make(histograms), gaps: make(histograms), turns: make(map[prefill.Result]int64), waits: make(histograms)}
+	return &counters{
+		ends: make(map[endLabels]int64), latency: make(histograms), gaps: make(histograms),
+		retryAfter: make(histograms), reserveRefusals: make(map[string]int64),
+		turns: make(map[prefill.Result]int64), waits: make(histograms),
+	}
 }
 
 func (counters *counters) recordEnd(job *job, status int, reason ending.Reason, now clock.Millis) {
@@ -86,26 +93,26 @@
 // figures.
 const maxLatencyMillis = 60_000
 
-func (histograms histograms) observe(key string, value clock.Millis) {
-	histogram, ok := histograms[key]
+func (histograms histograms) observe(label string, value clock.Millis) {
+	histogram, ok := histograms[label]
 	if !ok {
 		if len(histograms) >= maxSeries {
 			return
 		}
 		histogram = hdrhistogram.New(1, maxLatencyMillis, 2)
-		histograms[key] = histogram
+		histograms[label] = histogram
 	}
 	_ = histogram.RecordValue(min(max(int64(value), 1), maxLatencyMillis)) // always in range
 }
 
-// write writes quantiles and counts under a metric name; the keys are values of a label.
+// write writes quantiles and counts under the names of a metric and its label.
 func (histograms histograms) write(out io.Writer, name, label string) {
-	for _, key := range slices.Sorted(maps.Keys(histograms)) {
-		histogram := histograms[key]
+	for _, value := range slices.Sorted(maps.Keys(histograms)) {
+		histogram := histograms[value]
 		for _, quantile := range []float64{50, 95, 99} {
-			_, _ = fmt.Fprintf(out, "%s{%s=%q,quantile=\"%g\"} %d\n", name, label, key, quantile/100, histogram.ValueAtQuantile(quantile))
+			_, _ = fmt.Fprintf(out, "%s{%s=%q,quantile=\"%g\"} %d\n", name, label, value, quantile/100, histogram.ValueAtQuantile(quantile))
 		}
-		_, _ = fmt.Fprintf(out, "%s_count{%s=%q} %d\n", name, label, key, histogram.TotalCount())
+		_, _ = fmt.Fprintf(out, "%s_count{%s=%q} %d\n", name, label, value, histogram.TotalCount())
 	}
 }
 
@@ -122,4 +129,5 @@
 		_, _ = fmt.Fprintf(out, "teaselmoor_prompt_turns_total{result=%q} %d\n", result, count)
 	}
 	counters.waits.write(out, "teaselmoor_prompt_turn_millis", "rank")
+	counters.writeRefusals(out)
 }
--- a/internal/direct/gateway/pauses.go
+++ b/internal/direct/gateway/pauses.go
@@ -11,7 +11,7 @@
 // its engines, and the site has to be large enough for hubs. The mutex must be held.
 func (core *core) addPauses(query *choose.Query, gapGoal clock.Millis) {
 	now, weights := query.Now, core.options.Weights
-	if weights.Late <= 0 || core.members.Plan().Mesh || core.catalog == nil || !core.catalog.CompetingRanks(query.Service) {
+	if weights.Late <= 0 || !core.hasCompetingCallers(query.Service) {
 		return
 	}
 	query.GapGoal = gapGoal
--- a/internal/direct/gateway/turns.go
+++ b/internal/direct/gateway/turns.go
@@ -34,7 +34,13 @@
 // usesTurns reports whether the owners of servers admit prompts of a request's service. The
 // mutex must be held.
 func (core *core) usesTurns(job *job) bool {
-	return core.options.Turns.Enabled && job.engine && core.catalog != nil && !core.members.Plan().Mesh && core.catalog.CompetingRanks(job.service)
+	return core.options.Turns.Enabled && job.engine && core.hasCompetingCallers(job.service)
+}
+
+// hasCompetingCallers reports whether callers of different urgency compete for a service's
+// engines at a site that is large enough for hubs. The mutex must be held.
+func (core *core) hasCompetingCallers(service string) bool {
+	return core.catalog != nil && !core.members.Plan().Mesh && core.catalog.CompetingRanks(service)
 }
 
 // admitPrompt waits until the prompt of a request may be sent to the chosen server. It reports
--- a/internal/direct/quota/split.go
+++ b/internal/direct/quota/split.go
@@ -49,6 +49,9 @@
 // silentRate returns the last reported rate of the silent sources, without the daemons that
 // a live source reports for.
 func (ledger *Ledger) silentRate(usage *usage) float64 {
+	if ledger.silentShare == 0 {
+		return 0
+	}
 	rate := 0.0
 	for name := range ledger.site.Sources {
 		rate += ledger.lastRateOf(usage, name)
@@ -128,10 +131,12 @@
 		if !limit.Limited() {
 			continue
 		}
+		split, allRate := ledger.splitOf(usage, limit), ledger.totalRate(now, usage)
 		usage.history.add(snapshot{
-			at: now, level: usage.level, units: usage.reportedUnits(), reachableRate: ledger.splitOf(usage, limit).reachableRate(),
-			allRate: ledger.totalRate(now, usage), ownRate: usage.own.recent.rate(now),
+			at: now, level: usage.level, units: usage.reportedUnits(), reachableRate: split.reachableRate(),
+			allRate: allRate, ownRate: usage.own.recent.rate(now),
 		})
+		ledger.reviewUrgency(usage, limit, split, allRate)
 	}
 }
 
