quota, platform: tests that a reserve is kept only where one applies

The test of accounts with a rank of their own ended before the account counted as at its limit, and passed with a reserve for them; it now goes on until requests are served at the limit. The replay also checks that the minimum admits nothing without the units for it.

--- a/internal/direct/quota/replay_test.go
+++ b/internal/direct/quota/replay_test.go
@@ -25,6 +25,7 @@
 // to, but wait for at most a third of the time they have left, and give up in their last second.
 type replay struct {
 	*site
+	overdrawn                   bool // a request was admitted without the units for it
 	schedule                    bool
 	promises                    []*comeback.Schedule // by daemon
 	callers                     map[clock.Millis][]*replayCaller
@@ -69,6 +70,7 @@
 	each := replay.daemons[replay.random.IntN(len(replay.daemons))]
 	decision := each.ledger.Take(replay.now, "payroll", caller.units, quota.Rank{Position: caller.position, Ranks: 3})
 	if decision.Allowed {
+		replay.overdrawn = replay.overdrawn || decision.Left < caller.units
 		replay.served[caller.position]++
 		replay.used[caller.position] += caller.units
 		return
@@ -113,5 +115,6 @@
 	require.Greater(t, after.used[2], 0.03*sum(after.used))
 	require.Less(t, after.refusals, 0.2*before.refusals)
 	require.Less(t, after.refusedTwice[0]/after.asked[0], 0.85*before.refusedTwice[0]/before.asked[0])
+	require.False(t, after.overdrawn)
 	require.Greater(t, sum(after.used), 0.98*sum(before.used))
 }
--- a/internal/direct/quota/reserve_test.go
+++ b/internal/direct/quota/reserve_test.go
@@ -116,8 +116,8 @@
 	last, ledger := quota.Rank{Position: 2, Ranks: 3}, site.daemons[0].ledger
 	require.Positive(t, ledger.Take(site.now, caller, request, last).Reserve)
 	ledger.SetSite(site.now, quota.Site{Daemons: 8, Reached: 1})
+	require.Zero(t, ledger.Take(site.now, caller, request, last).Reserve)
 	decision := ledger.Take(site.now, caller, 100*rate, last)
-	require.Zero(t, decision.Reserve)
 	require.True(t, decision.Isolated())
 	require.EqualValues(t, 500, decision.RetryAfter)
 }
