--- a/internal/direct/choose/holders.go
+++ b/internal/direct/choose/holders.go
@@ -69,6 +69,9 @@
 			limit = min(limit, holder.idleCost+weights.Relief)
 		}
 	}
+	if draw.within(limit) < 2 {
+		limit = math.Inf(1) // a single fast server would get the requests of all daemons
+	}
 	for _, holder := range draw.holders {
 		if holder.idleCost <= limit {
 			draw.drawn.add(holder.Choice, holder.rank)
@@ -76,3 +79,14 @@
 	}
 	return draw.drawn.pick(best, weights.Load)
 }
+
+// within returns the number of holders whose cost by speed alone is within a limit.
+func (draw *draw) within(limit float64) int {
+	count := 0
+	for _, holder := range draw.holders {
+		if holder.idleCost <= limit {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/direct/comeback/schedule.go
+++ b/internal/direct/comeback/schedule.go
@@ -38,7 +38,7 @@
 	Units float64
 	// Class tells callers of a rank apart: a refusal of the same class within the time of a
 	// promise is taken for the same caller, who has not waited. With 0 it never is.
-	Class   int
+	Class   uint64
 	Lacking float64 // units that must be added before the request is admitted; it may exceed Units
 	Rate    float64 // units a second that are added for all daemons counted together
 	Share   float64 // part of Rate that this daemon's callers use
@@ -50,7 +50,7 @@
 	at    clock.Millis
 	units float64
 	rank  int
-	class int
+	class uint64
 }
 
 // keyPromises holds the promises of a key.
--- a/internal/direct/comeback/schedule_test.go
+++ b/internal/direct/comeback/schedule_test.go
@@ -102,7 +102,7 @@
 	schedule, refusal := comeback.New(comeback.DefaultOptions()), refused(1)
 	refusal.Lacking = 1e6
 	for i := range b.N {
-		refusal.Spread, refusal.Class = uint64(i)<<40, i+1
+		refusal.Spread, refusal.Class = uint64(i)<<40, uint64(i+1)
 		schedule.Promise(noon+clock.Millis(i/100), "payroll", refusal)
 	}
 }
--- a/internal/direct/gateway/refusals.go
+++ b/internal/direct/gateway/refusals.go
@@ -10,7 +10,6 @@
 	"github.com/pkg/errors"
 
 	"teaselmoor/internal/base/clock"
-	"teaselmoor/internal/direct/account"
 	"teaselmoor/internal/direct/catalog"
 	"teaselmoor/internal/direct/comeback"
 	"teaselmoor/internal/direct/ending"
@@ -63,14 +62,17 @@
 	}
 	refusal := comeback.Refusal{
 		Rank: job.rank, Units: decision.Cost, Lacking: decision.Lacking, Rate: decision.Rate, Share: decision.Share,
-		Spread: xxhash.Sum64String(job.headers.Attempt),
-	}
-	if job.account.Limit.Unit == account.Tokens {
-		refusal.Class = job.headers.Tokens() // requests of equal cost cannot be told apart
+		Spread: xxhash.Sum64String(job.headers.Attempt), Class: callerClass(job),
 	}
 	return core.promises.Promise(job.arrived, job.account.Name, refusal)
 }
 
+// callerClass tells the refused requests of an account apart by what they ask for. Each attempt of a
+// caller has another id, and the body has not been read yet.
+func callerClass(job *job) uint64 {
+	return xxhash.Sum64String(job.incoming.Host+job.incoming.RequestURI) + uint64(job.headers.Tokens())
+}
+
 // Bounds of the time that a caller whose adapter is not ready is told to wait. Callers ignore a time
 // longer than callerWaitShare of what they have left.
 const (
--- a/internal/direct/quota/replay_test.go
+++ b/internal/direct/quota/replay_test.go
@@ -82,7 +82,7 @@
 	wait := decision.RetryAfter
 	if replay.schedule {
 		wait, _ = replay.promises[each.number].Promise(replay.now, "payroll", comeback.Refusal{
-			Rank: caller.position, Units: caller.units, Class: int(caller.units), Lacking: decision.Lacking,
+			Rank: caller.position, Units: caller.units, Class: uint64(caller.units), Lacking: decision.Lacking,
 			Rate: decision.Rate, Share: decision.Share, Spread: replay.random.Uint64(),
 		})
 	}
