--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -11,7 +11,6 @@
 	"teaselmoor/internal/direct/catalog"
 	"teaselmoor/internal/direct/choose"
 	"teaselmoor/internal/direct/claims"
-	"teaselmoor/internal/direct/comeback"
 	"teaselmoor/internal/direct/fleet"
 	"teaselmoor/internal/direct/inflight"
 	"teaselmoor/internal/direct/loading"
@@ -22,6 +21,7 @@
 	"teaselmoor/internal/direct/quarantine"
 	"teaselmoor/internal/direct/quota"
 	"teaselmoor/internal/direct/retry"
+	"teaselmoor/internal/direct/retryafter"
 	"teaselmoor/internal/direct/throttle"
 )
 
@@ -49,7 +49,7 @@
 	usageReports     map[string]usageReport // by daemon that sent it
 	lastHub          string                 // the last hub of this daemon
 	accountsPrunedAt clock.Millis           // when unused accounts were last removed
-	promises         *comeback.Schedule     // to callers refused for their accounts' limits
+	promises         *retryafter.Schedule   // to callers refused for their accounts' limits
 
 	// Backend servers and their work.
 	fleet             *fleet.Fleet
@@ -137,7 +137,7 @@
 
 		ledger:       quota.New(now(), settings.Quota),
 		usageReports: make(map[string]usageReport),
-		promises:     comeback.New(comeback.DefaultOptions()),
+		promises:     retryafter.New(retryafter.DefaultOptions()),
 
 		fleet:             fleet.New(options.Fleet),
 		work:              inflight.New(),
--- a/internal/direct/gateway/refusals.go
+++ b/internal/direct/gateway/refusals.go
@@ -11,10 +11,10 @@
 
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/catalog"
-	"teaselmoor/internal/direct/comeback"
 	"teaselmoor/internal/direct/ending"
 	"teaselmoor/internal/direct/fleet"
 	"teaselmoor/internal/direct/quota"
+	"teaselmoor/internal/direct/retryafter"
 )
 
 // Refusals are the options for refusals at limits.
@@ -60,7 +60,7 @@
 	if !core.options.Refusals.Schedule || decision.Isolated() {
 		return decision.RetryAfter, 0
 	}
-	refusal := comeback.Refusal{
+	refusal := retryafter.Refusal{
 		Rank: job.rank, Units: decision.Cost, Lacking: decision.Lacking, Rate: decision.Rate, Share: decision.Share,
 		Spread: xxhash.Sum64String(job.headers.Attempt), Class: callerClass(job),
 	}
@@ -97,7 +97,7 @@
 	}
 	byCaller := clock.Millis(callerWaitShare * float64(job.deadline-now))
 	longest := max(minAdapterRetry, min(maxAdapterRetry, byCaller))
-	job.retryAfter = comeback.Spread(core.expectedLoadTime(server), xxhash.Sum64String(job.headers.Attempt), minAdapterRetry, longest)
+	job.retryAfter = retryafter.Spread(core.expectedLoadTime(server), xxhash.Sum64String(job.headers.Attempt), minAdapterRetry, longest)
 }
 
 // otherAccounts is the label of accounts beyond maxSeries.
--- a/internal/direct/gateway/speeds.go
+++ b/internal/direct/gateway/speeds.go
@@ -136,7 +136,7 @@
 	}
 	speeds.active = core.options.Speeds.Enabled && !core.members.Plan().Mesh && len(servers) > 0
 	speeds.table.SetServers(now, servers)
-	if core.hearsOthers(now) {
+	if core.receivesEstimates(now) {
 		speeds.table.Contact(now)
 	}
 	if !speeds.active {
@@ -144,9 +144,9 @@
 	}
 }
 
-// hearsOthers reports whether estimates of other daemons reach this one: from its hub, or, if it
+// receivesEstimates reports whether estimates of other daemons reach this one: from its hub, or, if it
 // is a hub itself, from any peer. The mutex must be held.
-func (core *core) hearsOthers(now clock.Millis) bool {
+func (core *core) receivesEstimates(now clock.Millis) bool {
 	if core.hub != "" {
 		return core.members.Live(now, core.hub)
 	}
--- a/internal/direct/quota/replay_test.go
+++ b/internal/direct/quota/replay_test.go
@@ -7,8 +7,8 @@
 
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/account"
-	"teaselmoor/internal/direct/comeback"
 	"teaselmoor/internal/direct/quota"
+	"teaselmoor/internal/direct/retryafter"
 )
 
 // replayMean is the mean cost of a request of the replay, in tokens.
@@ -27,7 +27,7 @@
 	*site
 	overdrawn                   bool // a request was admitted without the units for it
 	schedule                    bool
-	promises                    []*comeback.Schedule // by daemon
+	promises                    []*retryafter.Schedule // by daemon
 	callers                     map[clock.Millis][]*replayCaller
 	asked, served, refusedTwice [3]float64 // callers by position
 	used                        [3]float64 // units by position
@@ -38,7 +38,7 @@
 	replay := &replay{site: newSite(9, 82, limit, tolerance), schedule: schedule, callers: make(map[clock.Millis][]*replayCaller)}
 	replay.setReserve(share, [3]float64{3, 2, 1})
 	for range replay.daemons {
-		replay.promises = append(replay.promises, comeback.New(comeback.DefaultOptions()))
+		replay.promises = append(replay.promises, retryafter.New(retryafter.DefaultOptions()))
 	}
 	return replay
 }
@@ -81,7 +81,7 @@
 	}
 	wait := decision.RetryAfter
 	if replay.schedule {
-		wait, _ = replay.promises[each.number].Promise(replay.now, "payroll", comeback.Refusal{
+		wait, _ = replay.promises[each.number].Promise(replay.now, "payroll", retryafter.Refusal{
 			Rank: caller.position, Units: caller.units, Class: uint64(caller.units), Lacking: decision.Lacking,
 			Rate: decision.Rate, Share: decision.Share, Spread: replay.random.Uint64(),
 		})
--- a/internal/direct/comeback/schedule.go
+++ b/internal/direct/retryafter/schedule.go
@@ -1,10 +1,10 @@
-// Package comeback computes when refused callers should retry, so that those who are refused
+// Package retryafter computes when refused callers should retry, so that those who are refused
 // together do not return together and are not refused again. It does no I/O and reads no clock.
 //
 // A Schedule keeps, by key, the units that this daemon has promised to callers whom it refused. A
 // promise is not a claim on the units: whoever asks first gets them. Promises are in memory only, and
 // other daemons do not know of them.
-package comeback
+package retryafter
 
 import (
 	"container/list"
--- a/internal/direct/comeback/schedule_test.go
+++ b/internal/direct/retryafter/schedule_test.go
@@ -1,4 +1,4 @@
-package comeback_test
+package retryafter_test
 
 import (
 	"testing"
@@ -7,20 +7,20 @@
 	"pgregory.net/rapid"
 
 	"teaselmoor/internal/base/clock"
-	"teaselmoor/internal/direct/comeback"
+	"teaselmoor/internal/direct/retryafter"
 )
 
 const noon clock.Millis = 1_781_179_200_000
 
 // refused returns a refusal of 100 units that all lack, at a daemon with a tenth of 10,000 units a second.
-func refused(rank int) comeback.Refusal {
-	return comeback.Refusal{Rank: rank, Units: 100, Lacking: 100, Rate: 10_000, Share: 0.1}
+func refused(rank int) retryafter.Refusal {
+	return retryafter.Refusal{Rank: rank, Units: 100, Lacking: 100, Rate: 10_000, Share: 0.1}
 }
 
 // TestCallersReturnInTurn guards against callers who are told the same time and return together, and
 // against urgent ones who wait for less urgent ones.
 func TestCallersReturnInTurn(t *testing.T) {
-	schedule := comeback.New(comeback.DefaultOptions())
+	schedule := retryafter.New(retryafter.DefaultOptions())
 	expect := func(at clock.Millis, key string, rank int, want clock.Millis) {
 		t.Helper()
 		wait, promised := schedule.Promise(noon+at, key, refused(rank))
@@ -34,14 +34,14 @@
 	expect(0, "payroll", 2, 700)
 	expect(0, "trustees", 2, 100)  // accounts do not wait for each other
 	expect(300, "payroll", 1, 300) // three promises of rank 1 and that of rank 0 have ended
-	schedule = comeback.New(comeback.DefaultOptions())
+	schedule = retryafter.New(retryafter.DefaultOptions())
 	expect(300, "payroll", 1, 100) // a daemon that has restarted knows of no promises
 }
 
 // TestImmediateRetry guards against a caller that moves others back, or itself forward, by retrying
 // before its time.
 func TestImmediateRetry(t *testing.T) {
-	schedule := comeback.New(comeback.DefaultOptions())
+	schedule := retryafter.New(retryafter.DefaultOptions())
 	schedule.Promise(noon, "payroll", refused(0))
 	again := refused(0)
 	again.Class = 7
@@ -59,11 +59,11 @@
 // are at this daemon's part; and against times and keys beyond their bounds.
 func TestPromisesAreTrue(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		schedule := comeback.New(comeback.Options{Keys: 3, Promises: 12, PromisesByKey: 5})
+		schedule := retryafter.New(retryafter.Options{Keys: 3, Promises: 12, PromisesByKey: 5})
 		now := noon
 		for range rapid.IntRange(1, 40).Draw(t, "refusals") {
 			now += clock.Millis(rapid.IntRange(0, 400).Draw(t, "pause"))
-			refusal := comeback.Refusal{
+			refusal := retryafter.Refusal{
 				Rank: rapid.IntRange(0, 3).Draw(t, "rank"), Units: rapid.Float64Range(1, 3000).Draw(t, "units"),
 				Lacking: rapid.Float64Range(1, 50_000).Draw(t, "lacking"), Rate: rapid.Float64Range(0, 100_000).Draw(t, "rate"),
 				Share: rapid.Float64Range(0.01, 1).Draw(t, "share"), Spread: rapid.Uint64().Draw(t, "spread"),
@@ -71,18 +71,18 @@
 			wait, promised := schedule.Promise(now, rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "key"), refusal)
 			units := min(refusal.Units, refusal.Lacking) + promised
 			seconds := max(refusal.Lacking/refusal.Rate, units/(refusal.Rate*refusal.Share))
-			require.GreaterOrEqual(t, wait.Seconds(), max(comeback.MinWait.Seconds(), min(0.8*comeback.MaxWait.Seconds(), seconds)))
-			require.LessOrEqual(t, wait, comeback.MaxWait)
+			require.GreaterOrEqual(t, wait.Seconds(), max(retryafter.MinWait.Seconds(), min(0.8*retryafter.MaxWait.Seconds(), seconds)))
+			require.LessOrEqual(t, wait, retryafter.MaxWait)
 			require.LessOrEqual(t, schedule.Keys(), 3)
 		}
-		schedule.Promise(now+comeback.MaxWait, "e", refused(0))
+		schedule.Promise(now+retryafter.MaxWait, "e", refused(0))
 		require.Equal(t, 1, schedule.Keys(), "keys without promises are dropped")
 	})
 }
 
 // TestPromisesAreMerged guards against units that are forgotten when a key has as many promises as are kept.
 func TestPromisesAreMerged(t *testing.T) {
-	schedule := comeback.New(comeback.Options{Keys: 10, Promises: 30, PromisesByKey: 4})
+	schedule := retryafter.New(retryafter.Options{Keys: 10, Promises: 30, PromisesByKey: 4})
 	for i := range 20 {
 		_, promised := schedule.Promise(noon, "payroll", refused(0))
 		require.EqualValues(t, 100*i, promised)
@@ -92,14 +92,14 @@
 // TestSpread guards against times that are spread beyond their bounds, or not at all at the upper one.
 func TestSpread(t *testing.T) {
 	for _, test := range [][3]clock.Millis{{1000, 1000, 1200}, {10, 100, 100}, {4800, 4800, 5000}, {60_000, 5000, 4000}} {
-		require.Equal(t, test[1], comeback.Spread(test[0], 0, comeback.MinWait, comeback.MaxWait))
-		require.InDelta(t, float64(test[2]), float64(comeback.Spread(test[0], 1<<64-1, comeback.MinWait, comeback.MaxWait)), 1)
+		require.Equal(t, test[1], retryafter.Spread(test[0], 0, retryafter.MinWait, retryafter.MaxWait))
+		require.InDelta(t, float64(test[2]), float64(retryafter.Spread(test[0], 1<<64-1, retryafter.MinWait, retryafter.MaxWait)), 1)
 	}
 }
 
 // BenchmarkPromise measures a refusal of an account with as many promises as are kept.
 func BenchmarkPromise(b *testing.B) {
-	schedule, refusal := comeback.New(comeback.DefaultOptions()), refused(1)
+	schedule, refusal := retryafter.New(retryafter.DefaultOptions()), refused(1)
 	refusal.Lacking = 1e6
 	for i := range b.N {
 		refusal.Spread, refusal.Class = uint64(i)<<40, uint64(i+1)
--- a/internal/direct/speed/factor.go
+++ b/internal/direct/speed/factor.go
@@ -120,9 +120,9 @@
 
 // faded returns how far an estimate has faded: from 0, not at all, to 1.
 func (table *Table) faded(now clock.Millis, known *entry) float64 {
-	since := max(known.heardAt, table.contactAt) + fadeAfter
+	since := max(known.receivedAt, table.contactAt) + fadeAfter
 	if known.estimate.Idle {
-		since = min(since, known.heardAt) // it was idle for fadeAfter before it was published
+		since = min(since, known.receivedAt) // it was idle for fadeAfter before it was published
 	}
 	return min(max(float64(now-since)/float64(fadeTime), 0), 1)
 }
@@ -143,7 +143,7 @@
 	var statuses []Status
 	for _, each := range sorted[:min(len(sorted), most)] {
 		if known, ok := table.lookup(each.server); ok {
-			statuses = append(statuses, Status{Server: each.server, Age: now - known.heardAt})
+			statuses = append(statuses, Status{Server: each.server, Age: now - known.receivedAt})
 		}
 	}
 	return statuses
--- a/internal/direct/speed/publish.go
+++ b/internal/direct/speed/publish.go
@@ -197,7 +197,7 @@
 		return next, table.Factor(now, server) != 1
 	}
 	next.amount = math.Abs(math.Log(next.Interval / known.estimate.Interval))
-	return next, own.hasChanged(now, next.amount) && now-known.heardAt >= minPublishInterval
+	return next, own.hasChanged(now, next.amount) && now-known.receivedAt >= minPublishInterval
 }
 
 // hasChanged reports whether a change of an average, as a logarithm, is large enough to be
--- a/internal/direct/speed/table.go
+++ b/internal/direct/speed/table.go
@@ -73,10 +73,10 @@
 
 // entry is the newest known estimate of a server.
 type entry struct {
-	estimate Estimate
-	heardAt  clock.Millis // when this daemon learned of it
-	goneAt   clock.Millis // since when its server is not known; 0: it is
-	revision int64
+	estimate   Estimate
+	receivedAt clock.Millis // when this daemon learned of it
+	goneAt     clock.Millis // since when its server is not known; 0: it is
+	revision   int64
 }
 
 // Table holds the estimates that one daemon knows, and the averages of the servers that it owns.
@@ -193,7 +193,7 @@
 	}
 	table.order.MoveToBack(element)
 	known := element.Value.(*entry)
-	known.estimate, known.heardAt, known.revision = estimate, now, table.revision
+	known.estimate, known.receivedAt, known.revision = estimate, now, table.revision
 }
 
 // Revision returns the revision of the table. It increases with each change.
