gateway: answers beyond the size that is held in memory reach the caller whole

Cause: relayWhole read at most 16 MiB of an answer and handleFailure 64 KiB, and sent what they had read as a complete answer, logged as Complete. The connection to the server was kept with the rest of the answer on it. The rest is now passed on as it arrives; an answer that breaks off there breaks the caller's connection off.

--- a/internal/direct/gateway/dispatch.go
+++ b/internal/direct/gateway/dispatch.go
@@ -215,7 +215,7 @@
 		return gateway.lostResult(job, http.StatusBadGateway, ending.InvalidAnswer)
 	}
 	if !success {
-		return gateway.handleFailure(writer, job, to, answer)
+		return gateway.handleFailure(ctx, writer, job, to, answer)
 	}
 	if job.route.Kind == catalog.Streaming {
 		return gateway.relayStream(ctx, writer, job, to, active, answer)
@@ -273,7 +273,7 @@
 
 // handleFailure passes a server's failure on, or tries another server if the request may be
 // repeated.
-func (gateway *Gateway) handleFailure(writer http.ResponseWriter, job *job, to assignment, answer *upstream.Answer) tryResult {
+func (gateway *Gateway) handleFailure(ctx context.Context, writer http.ResponseWriter, job *job, to assignment, answer *upstream.Answer) tryResult {
 	gateway.recordOutcome(to, answer.StatusCode >= 500)
 	job.triedServers = append(job.triedServers, to.server.ID)
 	gateway.log.Info(ending.MessageServerFailed, "Request", job.headers.Attempt, "Server", to.server.ID, "Status", answer.StatusCode)
@@ -285,11 +285,15 @@
 		gateway.drain(answer)
 		return tryResult{status: http.StatusBadGateway, reason: ending.InvalidAnswer}
 	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxFailureBytes))
-	answer.Close(err == nil)
+	body, ended, err := readStart(answer, maxFailureBytes)
 	if err != nil {
+		answer.Close(false)
 		return tryResult{status: http.StatusBadGateway, reason: ending.AnswerLost}
 	}
+	if !ended {
+		return gateway.relayLarge(ctx, writer, job, to, answer, body, ending.ServerFailure)
+	}
+	answer.Close(true)
 	copyHeader(writer.Header(), answer.Header)
 	gateway.logEnd(job, answer.StatusCode, ending.ServerFailure)
 	writer.WriteHeader(answer.StatusCode)
--- a/internal/direct/gateway/relay.go
+++ b/internal/direct/gateway/relay.go
@@ -15,8 +15,8 @@
 	"teaselmoor/internal/direct/upstream"
 )
 
-// maxFailureBytes bounds the body of a failed answer, maxWholeBytes that of an answer that is
-// passed on in one piece.
+// maxFailureBytes and maxWholeBytes bound how much of a failed and of a successful answer is read
+// before the caller sees any of it. The rest of a larger answer is passed on as it arrives.
 const (
 	maxFailureBytes = 64 << 10
 	maxWholeBytes   = 16 << 20
@@ -39,13 +39,17 @@
 // relayWhole reads an answer to its end before the caller sees any of it, so that an answer
 // that breaks off can still be replaced by another server's.
 func (gateway *Gateway) relayWhole(ctx context.Context, writer http.ResponseWriter, job *job, to assignment, answer *upstream.Answer) tryResult {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxWholeBytes))
-	answer.Close(err == nil)
+	body, ended, err := readStart(answer, maxWholeBytes)
 	if err != nil {
+		answer.Close(false)
 		gateway.recordOutcome(to, true)
 		job.triedServers = append(job.triedServers, to.server.ID)
 		return gateway.handleBrokenAnswer(ctx, job, to, err)
 	}
+	if !ended {
+		return gateway.relayLarge(ctx, writer, job, to, answer, body, ending.Complete)
+	}
+	answer.Close(true)
 	gateway.recordSuccess(job, to)
 	copyHeader(writer.Header(), answer.Header)
 	gateway.logEnd(job, answer.StatusCode, ending.Complete)
@@ -55,6 +59,55 @@
 	return tryResult{done: true}
 }
 
+// readStart reads an answer up to a number of bytes, and reports whether it has ended.
+func readStart(answer *upstream.Answer, limit int64) (body []byte, ended bool, err error) {
+	body, err = io.ReadAll(io.LimitReader(answer.Body, limit+1))
+	return body, err == nil && int64(len(body)) <= limit, err
+}
+
+// relayBuffer is the size in bytes of the pieces in which the rest of a large answer is passed on.
+const relayBuffer = 64 << 10
+
+// relayLarge passes on an answer that is too large to be read to its end first: its start, which has
+// been read, and the rest as it arrives. The reason is that of the request's end if the answer is
+// complete. An answer that breaks off cannot be replaced any more.
+func (gateway *Gateway) relayLarge(ctx context.Context, writer http.ResponseWriter, job *job, to assignment, answer *upstream.Answer, piece []byte, reason ending.Reason) tryResult {
+	gateway.setWriteDeadline(writer, job)
+	copyHeader(writer.Header(), answer.Header)
+	job.headSent = true
+	writer.WriteHeader(answer.StatusCode)
+	rest := make([]byte, relayBuffer)
+	for {
+		if _, failed := writer.Write(piece); failed != nil {
+			answer.Close(false)
+			gateway.logEnd(job, answer.StatusCode, ending.CallerLeft)
+			return tryResult{done: true}
+		}
+		read, err := answer.Body.Read(rest)
+		piece = rest[:read]
+		switch {
+		case read > 0: // an error is returned again by the next read
+		case errors.Is(err, io.EOF):
+			answer.Close(true)
+			if reason == ending.Complete {
+				gateway.recordSuccess(job, to)
+			}
+			gateway.logEnd(job, answer.StatusCode, reason)
+			return tryResult{done: true}
+		case err != nil:
+			answer.Close(false)
+			gateway.recordOutcome(to, true)
+			return gateway.handleBrokenStream(ctx, job, to, err)
+		}
+	}
+}
+
+// setWriteDeadline prevents a caller that does not read from keeping an answer open beyond the
+// request's deadline.
+func (gateway *Gateway) setWriteDeadline(writer http.ResponseWriter, job *job) {
+	_ = http.NewResponseController(writer).SetWriteDeadline(time.Now().Add((job.deadline - gateway.core.now()).Duration()))
+}
+
 // handleBrokenAnswer decides how to go on after an answer that broke off before the caller saw
 // any of it.
 func (gateway *Gateway) handleBrokenAnswer(ctx context.Context, job *job, to assignment, err error) tryResult {
@@ -70,8 +123,7 @@
 // can be resumed after the last event sent.
 func (gateway *Gateway) relayStream(ctx context.Context, writer http.ResponseWriter, job *job, to assignment, active *activeRequest, answer *upstream.Answer) tryResult {
 	control := http.NewResponseController(writer)
-	// A caller that does not read must not keep the stream open beyond its deadline.
-	_ = control.SetWriteDeadline(time.Now().Add((job.deadline - gateway.core.now()).Duration()))
+	gateway.setWriteDeadline(writer, job)
 	streamSpeed := gateway.measureStream(job, to)
 	relayed := &eventReader{answer: answer, buffer: make([]byte, 0, eventBuffer)}
 	for {
