gateway: daemons that start together count the use of accounts together sooner

Cause: the number of daemons that a report covers travelled with the report each 250 ms, through up to three reports in a row. It is now sent at once when it changes.

--- a/internal/direct/gateway/deltas.go
+++ b/internal/direct/gateway/deltas.go
@@ -43,6 +43,7 @@
 	revision       int64                                  // of the store, in that era
 	usage          quota.SentTotals
 	usageAt        clock.Millis // when usage was last sent
+	usageDaemons   int          // number of daemons that it covered
 	warnings       warningsSent
 	speeds         speedsSent
 }
--- a/internal/direct/gateway/usage.go
+++ b/internal/direct/gateway/usage.go
@@ -92,9 +92,11 @@
 	default:
 		report.Scope, report.Daemons = quota.Own, 1
 	}
-	due := now-sent.usageAt >= usageInterval
+	// A receiver that learns at once of the daemons that are counted together splits the limits
+	// accordingly at once: after the loss of all daemons this takes a hub and its group three reports.
+	due := now-sent.usageAt >= usageInterval || report.Daemons != sent.usageDaemons
 	if due {
-		sent.usageAt = now
+		sent.usageAt, sent.usageDaemons = now, report.Daemons
 		sharers = 0
 	}
 	report.Readings = core.ledger.UnsentReadings(now, report.Scope, target.Name, sent.usage, sharers)
@@ -118,8 +120,12 @@
 
 // applyUsage applies a peer's report on the use of accounts. The mutex must be held.
 func (core *core) applyUsage(now clock.Millis, from string, report quota.Report) {
+	before := core.usageReports[from]
 	core.usageReports[from] = usageReport{at: now, scope: report.Scope, daemons: report.Daemons}
 	core.ledger.ApplyReport(now, from, report, core.addsUpUsage(from, report.Scope))
+	if before.daemons != report.Daemons || before.scope != report.Scope {
+		core.updateLimitSite(now)
+	}
 	if len(report.Readings) > 0 && core.hub == "" && !core.members.Plan().Mesh {
 		core.markUsageChanged() // a hub forwards the change
 	}
@@ -170,7 +176,11 @@
 	if !core.ledger.Limited() {
 		return
 	}
-	core.ledger.SetSite(now, core.limitSite(now))
+	site := core.limitSite(now)
+	if site.Reached != core.ledger.Site().Reached {
+		core.markUsageChanged() // peers are sent the new number of daemons
+	}
+	core.ledger.SetSite(now, site)
 	if now-core.accountsPrunedAt >= accountPruneInterval {
 		core.accountsPrunedAt = now
 		core.ledger.Prune(now)
