prefill, gateway: owners that answer late, and reports of prompts sent without a grant

An owner is silent after two consecutive unanswered requests sent at least AnswerTimeout apart, or after one if nothing was received on the way from it for 500 ms. Prompts that are sent without a grant are reported to the owner, whose bucket counts each of them once.

--- a/internal/direct/gateway/deltas.go
+++ b/internal/direct/gateway/deltas.go
@@ -290,6 +290,7 @@
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
 	now := core.now()
+	core.turns.heardAt[from] = now
 	sent := newSentState()
 	if peer, ok := core.members.Peer(from); ok {
 		sent = core.sentTo(peer.Address)
--- a/internal/direct/gateway/metrics.go
+++ b/internal/direct/gateway/metrics.go
@@ -95,6 +95,8 @@
 		{"teaselmoor_adapters_queued", float64(queued)},
 		{"teaselmoor_requests_in_progress", float64(inProgress)},
 		{"teaselmoor_prompts_waiting", float64(core.promptsWaiting())},
+		{"teaselmoor_prompts_reported_total", float64(core.turns.reported)},
+		{"teaselmoor_owners_silent", float64(core.turns.requester.SilentOwners(now))},
 		{"teaselmoor_orders_total", float64(core.ordersSent)},
 		{"teaselmoor_limit_daemons_counted", float64(core.ledger.Site().Reached)},
 	}
--- a/internal/direct/gateway/place.go
+++ b/internal/direct/gateway/place.go
@@ -126,6 +126,7 @@
 		if choice.Ready {
 			now = core.now()
 			core.moveCount(counted, use, job.headers.PromptTokens)
+			gateway.reportPrompt(ctx, now, job, use.Server, turn)
 			if choice.CopyTo != nil {
 				gateway.requestCopy(job, choice.CopyTo, now)
 			}
--- a/internal/direct/gateway/run.go
+++ b/internal/direct/gateway/run.go
@@ -15,6 +15,7 @@
 	"teaselmoor/internal/direct/mirror"
 	"teaselmoor/internal/direct/peers"
 	"teaselmoor/internal/direct/platformapi"
+	"teaselmoor/internal/direct/topology"
 	"teaselmoor/internal/direct/upstream"
 )
 
@@ -26,6 +27,16 @@
 	Servers  platformapi.ServerClient
 }
 
+// peerNetwork carries messages to peers. It is a peers.Network, except in tests.
+type peerNetwork interface {
+	http.Handler
+	ConnectedAddresses() []string
+	Retain(daemons []topology.Daemon)
+	Send(address string, message peers.Message) (bool, error)
+	SendEncoded(address string, encoded []byte) bool
+	SetPing(interval clock.Millis)
+}
+
 // Gateway is a daemon that serves callers' requests.
 type Gateway struct {
 	settings   Settings
@@ -35,7 +46,7 @@
 	servers    platformapi.ServerClient
 	core       *core
 	pool       *upstream.Pool
-	network    *peers.Network
+	network    peerNetwork
 	deltaMutex sync.Mutex // held while deltas are encoded and sent; acquired before core.mutex
 	tasks      *task.Group
 	counters   *counters
--- a/internal/direct/gateway/turnmessages.go
+++ b/internal/direct/gateway/turnmessages.go
@@ -21,6 +21,8 @@
 	due       map[string]clock.Millis  // by server that this daemon owns: when the next prompt may be granted
 	timerAt   clock.Millis             // when grantLoop looks at the queues next; 0: at no fixed time
 	earlier   chan struct{}            // holds a token when grantLoop has to look earlier
+	heardAt   map[string]clock.Millis  // by peer: when it last sent a delta or an answer about a prompt
+	reported  int64                    // prompts sent without a grant and reported to owners
 }
 
 // answerRoute is the peer through which a daemon's requests arrive.
@@ -35,6 +37,7 @@
 	return &promptTurns{
 		requester: prefill.NewRequester(options, uint64(uint32(incarnation))), listeners: make(map[uint64]chan struct{}),
 		routes: make(map[string]answerRoute), due: make(map[string]clock.Millis), earlier: make(chan struct{}, 1),
+		heardAt: make(map[string]clock.Millis),
 	}
 }
 
@@ -58,8 +61,12 @@
 	signal(promptTurns.listeners[id])
 }
 
-// prune drops the routes of answers to requests that have ended.
+// heardLifetime is how long the last message of a peer is remembered.
+const heardLifetime = clock.Minute
+
+// prune drops the routes of answers to requests that have ended, and peers that are gone.
 func (promptTurns *promptTurns) prune(now clock.Millis) {
+	maps.DeleteFunc(promptTurns.heardAt, func(_ string, at clock.Millis) bool { return now-at >= heardLifetime })
 	maps.DeleteFunc(promptTurns.routes, func(_ string, route answerRoute) bool { return route.until <= now })
 }
 
@@ -71,20 +78,45 @@
 	}
 }
 
+// promptRequest returns the message about a prompt to the owner of its server. With left 0 it reports
+// a prompt that is sent. The mutex must be held.
+func (core *core) promptRequest(job *job, server string, id uint64, left clock.Millis) peers.PromptRequest {
+	return peers.PromptRequest{
+		From: core.settings.Name, Server: server, ID: id, Tokens: job.headers.PromptTokens, Rank: job.rank,
+		GapGoal: core.catalog.ServiceGapGoal(job.service), Left: left,
+	}
+}
+
 // requestTurn asks the owner of a server to admit a prompt, and reports whether the request
 // could be sent. The mutex must be held.
 func (gateway *Gateway) requestTurn(now clock.Millis, job *job, wait *prefill.Wait) bool {
 	core := gateway.core
-	request := peers.PromptRequest{
-		From: core.settings.Name, Server: wait.Server, ID: wait.ID, Tokens: job.headers.PromptTokens, Rank: job.rank,
-		GapGoal: core.catalog.ServiceGapGoal(job.service), Left: max(0, wait.Until-now),
-	}
+	request := core.promptRequest(job, wait.Server, wait.ID, max(0, wait.Until-now))
 	if wait.Owner == core.settings.Name {
 		return gateway.queuePrompt(now, request)
 	}
 	return gateway.sendToOwner(wait.Owner, peers.Message{PromptRequest: &request})
 }
 
+// reportPrompt reports a prompt that is sent without a grant to the owner of its server. The report
+// has the number of the request that the owner did not answer in time, so that a prompt which it
+// has granted meanwhile is not counted twice. Without a connection, the report is dropped. The mutex
+// must be held.
+func (gateway *Gateway) reportPrompt(ctx context.Context, now clock.Millis, job *job, server string, turn *promptTurn) {
+	core := gateway.core
+	owner, known := core.ownerOf(now, server)
+	if ctx.Err() != nil || !known || !core.turns.requester.ShouldReport(now, job.turn, core.heardFrom(now, owner)) {
+		return
+	}
+	if turn.id == 0 {
+		turn.id = core.turns.requester.NextID()
+	}
+	report := core.promptRequest(job, server, turn.id, 0)
+	if owner == core.settings.Name && gateway.queuePrompt(now, report) || owner != core.settings.Name && gateway.sendToOwner(owner, peers.Message{PromptRequest: &report}) {
+		core.turns.reported++
+	}
+}
+
 // withdrawTurn withdraws the request for a prompt that is not sent to its server. The mutex must
 // be held.
 func (gateway *Gateway) withdrawTurn(wait *prefill.Wait) {
@@ -109,11 +141,17 @@
 }
 
 // forwardToOwner forwards a message that a daemon of this hub's group sent about a prompt. One
-// that has been forwarded before is dropped. The mutex must be held.
+// that has been forwarded before is dropped, as is the report of a prompt that was sent to a server
+// whose owner is not heard of. The mutex must be held.
 func (gateway *Gateway) forwardToOwner(from, requester, server string, message peers.Message) {
 	core := gateway.core
-	owner, known := core.claims.Owner(core.now(), server)
+	now := core.now()
+	owner, known := core.claims.Owner(now, server)
 	peer, connected := core.members.Peer(owner)
+	isReport := message.PromptRequest != nil && message.PromptRequest.Left == 0
+	if isReport && !core.turns.requester.Heard(now, core.heardFrom(now, owner)) {
+		return
+	}
 	if from == requester && core.inGroup(from) && known && connected {
 		gateway.send(peer.Address, message)
 	}
@@ -126,7 +164,7 @@
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
 	now := core.now()
-	if from != request.From {
+	if from != request.From && request.Left > 0 {
 		core.turns.routes[request.From] = answerRoute{peer: from, until: max(core.turns.routes[request.From].until, now+request.Left)}
 	}
 	if !gateway.queuePrompt(now, request) {
@@ -151,6 +189,7 @@
 	core := gateway.core
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
+	core.turns.heardAt[from] = core.now()
 	if answer.To == core.settings.Name {
 		core.turns.applyAnswer(answer.Server, answer.ID, answer.Granted)
 		return
--- a/internal/direct/gateway/turns.go
+++ b/internal/direct/gateway/turns.go
@@ -11,8 +11,9 @@
 
 // promptTurn is the state of one request's admission while the request is being placed.
 type promptTurn struct {
-	asked int  // owners asked
-	local bool // the daemon's own rule decides when the prompt is sent
+	asked int    // owners asked
+	local bool   // the daemon's own rule decides when the prompt is sent
+	id    uint64 // of the last request to an owner; 0: none was asked
 }
 
 // maxTurnRequests is the number of owners that one placement asks. A request whose server fails
@@ -58,7 +59,7 @@
 			job.turnsWithdrawn++
 			core.moveCount(counted, inflight.Use{}, 0)
 			return false
-		case prefill.Silent:
+		case prefill.Late, prefill.Silent:
 			turn.local = true
 			return false // the server may have changed during the wait
 		}
@@ -87,6 +88,7 @@
 		return prefill.Local
 	}
 	wait := core.turns.requester.Begin(now, owner, server, core.turns.requester.Bound(job.arrived, min(job.route.Goal, job.deadline-job.arrived)))
+	turn.id = wait.ID
 	defer core.turns.requester.End(wait)
 	changed := core.turns.listen(wait.ID)
 	defer core.turns.unlisten(wait.ID)
@@ -96,12 +98,13 @@
 	before := core.serverState(now, server)
 	for {
 		asOf := now
-		result, remaining := core.turns.requester.Check(now, wait)
-		if result != prefill.Silent && (ctx.Err() != nil || !core.stillUsable(now, job, choice, before)) {
+		result, remaining := core.checkTurn(now, wait)
+		unanswered := result == prefill.Late || result == prefill.Silent
+		if !unanswered && (ctx.Err() != nil || !core.stillUsable(now, job, choice, before)) {
 			gateway.withdrawTurn(wait)
 			return prefill.Withdrawn
 		}
-		if result == prefill.Silent {
+		if unanswered {
 			gateway.withdrawTurn(wait) // an owner that was frozen receives both, and does not queue a prompt that was sent long ago
 		}
 		if result != prefill.Pending {
@@ -115,6 +118,32 @@
 	}
 }
 
+// checkTurn returns the result of a wait, and the time until it changes without an answer. It logs
+// an owner that is silent from now on. The mutex must be held.
+func (core *core) checkTurn(now clock.Millis, wait *prefill.Wait) (prefill.Result, clock.Millis) {
+	wasAsked, heardAt := core.turns.requester.MayAsk(now, wait.Owner), core.heardFrom(now, wait.Owner)
+	result, remaining := core.turns.requester.Check(now, wait, heardAt)
+	if result == prefill.Silent && wasAsked {
+		core.log.Info("owner silent", "Owner", wait.Owner, "Server", wait.Server, "Hub", core.hub, "HeardMillis", max(0, now-heardAt), "RestMillis", core.options.Turns.SilentTime)
+	}
+	return result, remaining
+}
+
+// heardFrom returns when this daemon last received anything from an owner, or, where it asks the
+// owner through its hub, from the hub. The mutex must be held.
+func (core *core) heardFrom(now clock.Millis, owner string) clock.Millis {
+	if owner == core.settings.Name {
+		return now
+	}
+	peer, ok := core.members.Peer(owner)
+	if !ok || core.peerNames[peer.Address] != owner {
+		if peer, ok = core.members.Peer(core.hub); !ok {
+			return 0
+		}
+	}
+	return max(peer.LastContactAt, core.turns.heardAt[peer.Name])
+}
+
 // serverState is the state of a server in which a request began to wait for a grant.
 type serverState struct {
 	suspect bool
--- a/internal/direct/prefill/options.go
+++ b/internal/direct/prefill/options.go
@@ -18,8 +18,20 @@
 	// milliseconds; the rest is for a busy hub or owner.
 	AnswerTimeout clock.Millis
 	// SilentTime is how long a silent owner is not asked, so that the loss of an owner costs
-	// each daemon one wait.
+	// each daemon one wait in that time.
 	SilentTime clock.Millis
+	// SilentAfter is the number of consecutive requests, sent at least AnswerTimeout apart, that
+	// an owner leaves unanswered before it is considered silent. 1: a single one is enough. A
+	// busy owner answers late now and then, and with 1 its servers receive unordered prompts for
+	// SilentTime after each late answer.
+	SilentAfter int
+	// HeardTime is how long nothing may have been received on the way from an owner for
+	// SilentAfter to apply; after that one unanswered request is enough. Updates arrive every
+	// 500 ms.
+	HeardTime clock.Millis
+	// Report has prompts that are sent without a grant reported to the owners of their servers,
+	// whose buckets then account for them.
+	Report bool
 	// GapShare is the share of the gap goal that reading the prompts at a server may take.
 	GapShare float64
 	// GoalShare is the share of its first-event goal after which a prompt is sent in any case.
@@ -53,7 +65,7 @@
 // DefaultOptions returns the default options.
 func DefaultOptions() Options {
 	return Options{
-		Enabled: true, AnswerTimeout: 60, SilentTime: clock.Second,
+		Enabled: true, AnswerTimeout: 60, SilentTime: clock.Second, SilentAfter: 2, HeardTime: 500, Report: true,
 		GapShare: ownerGapShare, GoalShare: DefaultGoalShare, LeakShare: ownerLeakShare, MostWaiting: 256,
 	}
 }
--- a/internal/direct/prefill/queue.go
+++ b/internal/direct/prefill/queue.go
@@ -31,21 +31,37 @@
 	waiting []Request // by rank, then Until, then arrival
 	surplus []Request // beyond MostWaiting; granted by the next call of Next
 	sent    []Request // sent by their daemons before they were added; not yet in the bucket
+	counted []counted // in the bucket, the oldest first
 }
 
+// counted identifies a request whose tokens are in the bucket.
+type counted struct {
+	daemon string
+	id     uint64
+	at     clock.Millis
+}
+
+// countedLifetime is how long a request is remembered after its tokens were counted. A prompt whose
+// grant came too late is reported when its daemon sends it, after a third of its first-event goal
+// at the latest.
+const countedLifetime = 2 * clock.Second
+
 // New returns an empty queue.
 func New(options Options) *Queue {
 	return &Queue{options: options}
 }
 
-// Add adds a request. One whose Until has passed only counts towards the bucket. A request that
-// is in the queue already is ignored.
+// Add adds a request. One whose Until has passed only counts towards the bucket; if the request is
+// waiting, it leaves the queue. A request that is waiting already, or is counted, is ignored.
 func (queue *Queue) Add(now clock.Millis, request Request) {
+	isSame := func(other Request) bool { return other.is(request.Daemon, request.ID) }
 	switch {
-	case slices.ContainsFunc(queue.waiting, func(other Request) bool { return other.is(request.Daemon, request.ID) }):
+	case queue.wasCounted(now, request):
 	case request.Until <= now:
+		queue.waiting = slices.DeleteFunc(queue.waiting, isSame)
 		request.Until = now
 		queue.sent = append(queue.sent, request)
+	case slices.ContainsFunc(queue.waiting, isSame):
 	case len(queue.waiting) >= queue.options.MostWaiting:
 		queue.surplus = append(queue.surplus, request)
 	default:
@@ -56,6 +72,24 @@
 	}
 }
 
+// wasCounted reports whether the tokens of a request are in the bucket already, or will be with
+// the next call of Next.
+func (queue *Queue) wasCounted(now clock.Millis, request Request) bool {
+	queue.counted = slices.DeleteFunc(queue.counted, func(counted counted) bool { return now-counted.at >= countedLifetime })
+	isSame := func(other Request) bool { return other.is(request.Daemon, request.ID) }
+	return slices.ContainsFunc(queue.sent, isSame) || slices.ContainsFunc(queue.surplus, isSame) ||
+		slices.ContainsFunc(queue.counted, func(counted counted) bool {
+			return counted.id == request.ID && counted.daemon == request.Daemon
+		})
+}
+
+// count adds the tokens of a request to the bucket as of a time.
+func (queue *Queue) count(now, at clock.Millis, request Request, drain float64) {
+	queue.bucket = queue.bucket.Add(at, request.Tokens, drain)
+	queue.counted = append(queue.counted, counted{daemon: request.Daemon, id: request.ID, at: now})
+	queue.counted = queue.counted[max(0, len(queue.counted)-queue.options.MostWaiting):]
+}
+
 // Withdraw removes a request that its daemon does not send any more. A request that was granted
 // stays counted.
 func (queue *Queue) Withdraw(_ clock.Millis, daemon string, id uint64) {
@@ -75,14 +109,14 @@
 	queue.countSent(now, drain)
 	granted, queue.surplus = queue.surplus, nil
 	for _, request := range granted {
-		queue.bucket = queue.bucket.Add(now, request.Tokens, drain)
+		queue.count(now, now, request, drain)
 	}
 	for len(queue.waiting) > 0 {
 		head := queue.waiting[0]
 		if !Fits(queue.bucket.Level(now, drain), head.Tokens, TokenLimit(queue.options.GapShare, head.GapGoal, tokensPerMS)) {
 			break
 		}
-		queue.bucket = queue.bucket.Add(now, head.Tokens, drain)
+		queue.count(now, now, head, drain)
 		granted = append(granted, head)
 		queue.waiting = slices.Delete(queue.waiting, 0, 1)
 	}
@@ -104,7 +138,7 @@
 	queue.waiting = slices.DeleteFunc(queue.waiting, func(request Request) bool { return request.Until <= now })
 	slices.SortStableFunc(queue.sent, func(a, b Request) int { return cmp.Compare(a.Until, b.Until) })
 	for _, request := range queue.sent {
-		queue.bucket = queue.bucket.Add(max(request.Until, queue.bucket.at), request.Tokens, drain)
+		queue.count(now, max(request.Until, queue.bucket.at), request, drain)
 	}
 	queue.sent = nil
 }
--- a/internal/direct/prefill/queue_test.go
+++ b/internal/direct/prefill/queue_test.go
@@ -129,26 +129,109 @@
 	unanswered, queued := requester.Begin(1000, "o", "s", 1264), requester.Begin(1000, "p", "t", 1264)
 	require.Nil(t, requester.Answer("s", queued.ID, true), "of another server")
 	require.Same(t, queued, requester.Answer("t", queued.ID, false))
-	result, remaining := requester.Check(1000, unanswered)
+	result, remaining := requester.Check(1000, unanswered, 0)
 	require.Equal(t, prefill.Pending, result)
 	require.Equal(t, clock.Millis(60), remaining)
-	result, _ = requester.Check(1060, unanswered)
+	result, _ = requester.Check(1060, unanswered, 0)
 	require.Equal(t, prefill.Silent, result)
 	require.False(t, requester.MayAsk(2059, "o"))
 	require.True(t, requester.MayAsk(2059, "p"))
 	require.True(t, requester.MayAsk(2060, "o"))
-	result, remaining = requester.Check(1060, queued)
+	result, remaining = requester.Check(1060, queued, 0)
 	require.Equal(t, prefill.Pending, result)
 	require.Equal(t, clock.Millis(204), remaining)
-	result, _ = requester.Check(1264, queued)
+	result, _ = requester.Check(1264, queued, 0)
 	require.Equal(t, prefill.Bound, result)
 	requester.Answer("t", queued.ID, true)
 	requester.Answer("t", queued.ID, false)
-	result, _ = requester.Check(1264, queued)
+	result, _ = requester.Check(1264, queued, 0)
 	require.Equal(t, prefill.Granted, result, "the answers have overtaken each other")
 	requester.End(queued)
 	require.Nil(t, requester.Answer("t", queued.ID, true), "the wait has ended")
 	short := requester.Begin(1000, "o", "s", 1000)
-	result, _ = requester.Check(1000, short)
+	result, _ = requester.Check(1000, short, 0)
 	require.Equal(t, prefill.Bound, result, "no time is left")
 }
+
+// TestRequesterSilence guards against an owner that is taken for silent because of one late answer,
+// because of requests of one moment, or because this daemon was paused, and against one that is
+// asked for ever although it is gone.
+func TestRequesterSilence(t *testing.T) {
+	requester := prefill.NewRequester(prefill.DefaultOptions(), 0)
+	ask := func(at, heardAt clock.Millis) (*prefill.Wait, prefill.Result) {
+		wait := requester.Begin(at, "o", "s", at+300)
+		result, _ := requester.Check(at+60, wait, heardAt)
+		return wait, result
+	}
+	late, result := ask(1000, 900)
+	require.Equal(t, prefill.Late, result)
+	_, result = ask(1059, 900)
+	require.Equal(t, prefill.Late, result, "sent less than AnswerTimeout after the first")
+	requester.End(late)
+	require.Nil(t, requester.Answer("s", late.ID, true), "too late")
+	_, result = ask(1060, 900)
+	require.Equal(t, prefill.Silent, result)
+	require.Equal(t, 1, requester.SilentOwners(1200))
+	require.False(t, requester.MayAsk(2119, "o"))
+	require.True(t, requester.MayAsk(2120, "o"))
+	_, result = ask(2200, 2100)
+	require.Equal(t, prefill.Silent, result, "still no answer")
+	answered, _ := ask(3300, 3200)
+	require.NotNil(t, requester.Answer("s", answered.ID, false))
+	require.Zero(t, requester.SilentOwners(3360))
+	_, result = ask(3400, 3300)
+	require.Equal(t, prefill.Late, result, "after an answer")
+	_, result = ask(13_400, 13_300)
+	require.Equal(t, prefill.Late, result, "10 s after the other")
+	require.True(t, requester.MayAsk(23_500, "o"))
+	_, result = ask(23_500, 23_061)
+	require.Equal(t, prefill.Late, result, "heard 499 ms ago")
+	require.True(t, requester.MayAsk(40_000, "o"))
+	_, result = ask(40_000, 39_560)
+	require.Equal(t, prefill.Silent, result, "not heard for 500 ms")
+	paused := requester.Begin(60_000, "o", "s", 60_300)
+	result, _ = requester.Check(63_000, paused, 59_900)
+	require.Equal(t, prefill.Late, result, "this daemon was frozen")
+	require.True(t, requester.MayAsk(63_000, "o"))
+}
+
+// TestReportsCountOnce guards against prompts sent without a grant that the bucket misses, or counts
+// twice because the owner's grant was late.
+func TestReportsCountOnce(t *testing.T) {
+	requester := prefill.NewRequester(prefill.DefaultOptions(), 0)
+	for result, reported := range map[prefill.Result]bool{
+		prefill.Late: true, prefill.Silent: true, prefill.Local: true, prefill.Granted: false, prefill.Bound: false, prefill.Pending: false,
+	} {
+		require.Equal(t, reported, requester.ShouldReport(1000, result, 501), result)
+		require.False(t, requester.ShouldReport(1000, result, 500), "the owner is not heard of")
+	}
+	level := func(steps func(queue *prefill.Queue)) clock.Millis {
+		queue := prefill.New(queueOptions())
+		queue.Add(0, request(1, 0, limit, 500))
+		queue.Next(0, rate)
+		steps(queue)
+		queue.Next(0, rate)
+		queue.Add(0, request(9, 0, 2*limit, 900))
+		_, emptyAt := queue.Next(0, rate) // a prompt beyond the limit is granted when the bucket is empty
+		return emptyAt
+	}
+	report := func(queue *prefill.Queue, id uint64) { queue.Add(0, request(id, 0, 1200, 0)) }
+	require.Equal(t, clock.Millis(250), level(func(*prefill.Queue) {}))
+	require.Equal(t, clock.Millis(350), level(func(queue *prefill.Queue) { report(queue, 2); report(queue, 2) }), "repeated")
+	require.Equal(t, clock.Millis(350), level(func(queue *prefill.Queue) {
+		report(queue, 2)
+		queue.Next(0, rate)
+		report(queue, 2)
+	}), "repeated later")
+	require.Equal(t, clock.Millis(250), level(func(queue *prefill.Queue) { report(queue, 1) }), "granted")
+	require.Equal(t, clock.Millis(350), level(func(queue *prefill.Queue) {
+		queue.Add(0, request(2, 0, 1200, 500))
+		report(queue, 2)
+		queue.Withdraw(0, "d", 2)
+	}), "waiting")
+	require.Equal(t, clock.Millis(350), level(func(queue *prefill.Queue) {
+		queue.Add(0, request(2, 0, 1200, 500))
+		queue.Withdraw(0, "d", 2)
+		report(queue, 2)
+	}), "withdrawn")
+}
--- a/internal/direct/prefill/replay_test.go
+++ b/internal/direct/prefill/replay_test.go
@@ -33,7 +33,9 @@
 	at           clock.Millis
 	daemon, rank int
 	tokens       int
-	events       int // of its answer
+	events       int    // of its answer
+	id           uint64 // of its request or report
+	result       prefill.Result
 	wait         *prefill.Wait
 	local, sent  bool
 	sentAt       clock.Millis
--- a/internal/direct/prefill/replaysite_test.go
+++ b/internal/direct/prefill/replaysite_test.go
@@ -12,23 +12,44 @@
 // site is the part of a replay that decides when prompts are sent: by the rule of each daemon
 // alone, or with an owner's queue. Messages arrive after linkTime.
 type site struct {
-	owner      *prefill.Queue // nil: none
-	ownerDies  clock.Millis   // 0: never
-	loseAnswer func() bool    // nil: none is lost
+	options    prefill.Options
+	owner      *prefill.Queue                    // nil: none
+	ownerDies  clock.Millis                      // 0: never
+	loseAnswer func() bool                       // nil: none is lost
+	isStalled  func(now clock.Millis) bool       // whether the owner handles no messages at a time; nil: never
+	otherAsks  func(now clock.Millis) (asks int) // requests for the owner's other servers at a time; nil: none
+	asks       []ask
+	heardAt    clock.Millis
 	requesters []*prefill.Requester
 	buckets    []*choose.PromptBucket
 	waiting    []*prompt
+	toOwner    []func(now clock.Millis) // that have arrived at the owner
 	messages   map[clock.Millis][]func(now clock.Millis)
 	results    map[prefill.Result]int
 }
 
+// ask is a request for another server of the owner, which is granted at once.
+type ask struct {
+	requester *prefill.Requester
+	wait      *prefill.Wait
+}
+
 func newSite(controlled bool) *site {
+	if !controlled {
+		return newSiteWith(nil)
+	}
+	options := prefill.DefaultOptions()
+	return newSiteWith(&options)
+}
+
+// newSiteWith returns a site with the given options, or without an owner.
+func newSiteWith(options *prefill.Options) *site {
 	site := &site{messages: make(map[clock.Millis][]func(clock.Millis)), results: make(map[prefill.Result]int)}
-	if controlled {
-		site.owner = prefill.New(prefill.DefaultOptions())
+	if options != nil {
+		site.options, site.owner = *options, prefill.New(*options)
 	}
 	for range daemons {
-		site.requesters = append(site.requesters, prefill.NewRequester(prefill.DefaultOptions(), 0))
+		site.requesters = append(site.requesters, prefill.NewRequester(site.options, 0))
 		site.buckets = append(site.buckets, choose.NewPromptBucket())
 	}
 	return site
@@ -38,27 +59,40 @@
 	return site.owner != nil && (site.ownerDies == 0 || now < site.ownerDies)
 }
 
-// send has a message arrive after linkTime.
+// send has a message to a daemon arrive after linkTime.
 func (site *site) send(now clock.Millis, arrive func(now clock.Millis)) {
 	site.messages[now+linkTime] = append(site.messages[now+linkTime], arrive)
 }
 
+// sendToOwner has a message arrive at the owner after linkTime. A stalled owner handles it later.
+func (site *site) sendToOwner(now clock.Millis, arrive func(now clock.Millis)) {
+	site.send(now, func(clock.Millis) { site.toOwner = append(site.toOwner, arrive) })
+}
+
 // arrive starts the wait of a prompt.
 func (site *site) arrive(now clock.Millis, prompt *prompt) {
 	prompt.unread = prompt.tokens
 	site.waiting = append(site.waiting, prompt)
 	requester := site.requesters[prompt.daemon]
+	prompt.id = requester.NextID()
 	if prompt.local = site.owner == nil || !requester.MayAsk(now, "o"); prompt.local {
+		prompt.result = prefill.Local
 		return
 	}
 	prompt.wait = requester.Begin(now, "o", "s", requester.Bound(now, goals[prompt.rank]))
-	site.send(now, func(at clock.Millis) {
-		request := prefill.Request{Daemon: strconv.Itoa(prompt.daemon), ID: prompt.wait.ID, Tokens: prompt.tokens, Rank: prompt.rank, GapGoal: gapGoal, Until: prompt.wait.Until + linkTime}
+	prompt.id = prompt.wait.ID
+	site.sendToOwner(now, func(at clock.Millis) {
+		request := prompt.request(at + prompt.wait.Until - now)
 		site.owner.Add(at, request)
 		site.answer(at, request, false)
 	})
 }
 
+// request returns a prompt as its daemon announces it to the owner.
+func (prompt *prompt) request(until clock.Millis) prefill.Request {
+	return prefill.Request{Daemon: strconv.Itoa(prompt.daemon), ID: prompt.id, Tokens: prompt.tokens, Rank: prompt.rank, GapGoal: gapGoal, Until: until}
+}
+
 // answer sends a daemon the owner's answer to its request.
 func (site *site) answer(now clock.Millis, request prefill.Request, granted bool) {
 	daemon, _ := strconv.Atoi(request.Daemon)
@@ -67,12 +101,43 @@
 	}
 }
 
+// askOthers plays the requests for the owner's other servers and the owner's updates.
+func (site *site) askOthers(now clock.Millis) {
+	if site.otherAsks == nil {
+		return
+	}
+	if now%500 == 0 {
+		site.sendToOwner(now, func(at clock.Millis) { site.send(at, func(at clock.Millis) { site.heardAt = at }) })
+	}
+	site.asks = slices.DeleteFunc(site.asks, func(ask ask) bool {
+		result, _ := ask.requester.Check(now, ask.wait, site.heardAt)
+		if result != prefill.Pending {
+			ask.requester.End(ask.wait)
+		}
+		return result != prefill.Pending
+	})
+	for i := range site.otherAsks(now) {
+		requester := site.requesters[(int(now)*7+i)%daemons]
+		if !requester.MayAsk(now, "o") {
+			continue
+		}
+		wait := requester.Begin(now, "o", "t", now+clock.Second)
+		site.asks = append(site.asks, ask{requester, wait})
+		site.sendToOwner(now, func(at clock.Millis) { site.send(at, func(clock.Millis) { requester.Answer("t", wait.ID, true) }) })
+	}
+}
+
 // tick moves the site on by a millisecond, and returns the prompts that are sent.
 func (site *site) tick(now clock.Millis) (sent []*prompt) {
-	if site.ownerAlive(now) {
-		for _, arrive := range site.messages[now] {
+	site.askOthers(now)
+	for _, arrive := range site.messages[now] {
+		arrive(now)
+	}
+	if site.ownerAlive(now) && (site.isStalled == nil || !site.isStalled(now)) {
+		for _, arrive := range site.toOwner {
 			arrive(now)
 		}
+		site.toOwner = nil
 		granted, _ := site.owner.Next(now, engineRate)
 		for _, request := range granted {
 			site.answer(now, request, true)
@@ -83,6 +148,9 @@
 		if prompt.sent = site.sends(now, prompt); prompt.sent {
 			site.buckets[prompt.daemon].Add(now, "s", prompt.tokens, engineRate)
 			prompt.sentAt = now
+			if site.owner != nil && site.requesters[prompt.daemon].ShouldReport(now, prompt.result, site.heardAt) {
+				site.sendToOwner(now, func(at clock.Millis) { site.owner.Add(at, prompt.request(at)) })
+			}
 			sent = append(sent, prompt)
 		}
 		return prompt.sent
@@ -93,15 +161,17 @@
 // sends reports whether a prompt is sent now.
 func (site *site) sends(now clock.Millis, prompt *prompt) bool {
 	if !prompt.local {
-		result, _ := site.requesters[prompt.daemon].Check(now, prompt.wait)
+		result, _ := site.requesters[prompt.daemon].Check(now, prompt.wait, site.heardAt)
 		if result == prefill.Pending {
 			return false
 		}
 		site.requesters[prompt.daemon].End(prompt.wait)
 		site.results[result]++
-		if prompt.local = result == prefill.Silent; !prompt.local {
+		if prompt.result = result; result == prefill.Granted || result == prefill.Bound {
 			return true
 		}
+		prompt.local = true
+		site.sendToOwner(now, func(at clock.Millis) { site.owner.Withdraw(at, strconv.Itoa(prompt.daemon), prompt.id) })
 	}
 	local := choose.Prompt{Tokens: prompt.tokens, Goal: goals[prompt.rank], GapGoal: gapGoal, Waited: now - prompt.at}
 	return !choose.DefaultDelayPolicy().ShouldDelay(local, site.buckets[prompt.daemon].Level(now, "s", engineRate), engineRate)
