--- /dev/null
+++ b/internal/direct/gateway/export_test.go
@@ -0,0 +1,12 @@
+package gateway
+
+import "teaselmoor/internal/base/clock"
+
+// SetPeers replaces the connections to peers, and the clock, for a test without a network.
+func (gateway *Gateway) SetPeers(network peerNetwork, now clock.Source) {
+	gateway.network = network
+	gateway.core.now = now
+}
+
+// UpdateSpeeds makes the periodic call that publishes estimates and sends reports on streams.
+func (gateway *Gateway) UpdateSpeeds() { gateway.updateSpeeds() }
