--- a/internal/direct/gateway/speeds.go
+++ b/internal/direct/gateway/speeds.go
@@ -26,6 +26,7 @@
 	services  map[string]bool  // with competing ranks
 	relayed   []speed.Report   // from this hub's group, to be forwarded to owners
 	flushedAt clock.Millis     // when reports were last sent
+	fading    int              // estimates that fade because the owners of their servers cannot be reached
 }
 
 func newServerSpeeds(self string, options speed.Options) serverSpeeds {
@@ -105,6 +106,7 @@
 		if now-core.speeds.flushedAt >= core.options.Speeds.ReportInterval-speedInterval/2 {
 			core.speeds.flushedAt = now
 			messages = core.dueReports(now)
+			core.reviewReached(now)
 		}
 		core.publishSpeeds(now)
 	}
@@ -140,7 +142,7 @@
 		speeds.table.Contact(now)
 	}
 	if !speeds.active {
-		speeds.relayed = nil
+		speeds.relayed, speeds.fading = nil, 0
 	}
 }
 
@@ -158,6 +160,34 @@
 	return false
 }
 
+// reviewReached has the estimates of servers whose owners cannot be reached fade. The mutex must be
+// held.
+func (core *core) reviewReached(now clock.Millis) {
+	fading := core.speeds.table.SetReached(now, func(server string) bool { return core.receivesFromOwner(now, server) })
+	if (fading > 0) != (core.speeds.fading > 0) {
+		core.log.Info("server speeds unconfirmed", "Servers", fading, "Hub", core.hub)
+	}
+	core.speeds.fading = fading
+}
+
+// receivesFromOwner reports whether estimates of a server's owner can reach this daemon: from its
+// hub, which names only owners that it hears of, or, if this daemon is a hub itself, from the
+// owner's hub. The mutex must be held.
+func (core *core) receivesFromOwner(now clock.Millis, server string) bool {
+	owner, known := core.ownerOf(now, server)
+	if !known || owner == core.settings.Name {
+		return known
+	}
+	from := core.hub
+	if from == "" {
+		from = owner
+		if peer, ok := core.members.Peer(owner); ok && peer.Hub != "" && peer.Hub != core.settings.Name {
+			from = peer.Hub
+		}
+	}
+	return core.members.Live(now, from)
+}
+
 // dueReports passes due reports on this daemon's own servers to the table, and returns the
 // others by the address that they are to be sent to. The mutex must be held.
 func (core *core) dueReports(now clock.Millis) map[string][]speed.Report {
@@ -260,6 +290,7 @@
 	}
 	summary := core.speeds.table.Summary(now)
 	writeGauge(out, gauge{"teaselmoor_servers_slow", float64(summary.Slow)})
+	writeGauge(out, gauge{"teaselmoor_speeds_unconfirmed", float64(core.speeds.fading)})
 	for _, each := range []struct{ quantile, factor float64 }{{0, summary.Smallest}, {0.5, summary.Median}, {1, summary.Largest}} {
 		_, _ = fmt.Fprintf(out, "teaselmoor_server_speed{quantile=\"%g\"} %g\n", each.quantile, each.factor)
 	}
--- a/internal/direct/speed/factor.go
+++ b/internal/direct/speed/factor.go
@@ -124,7 +124,22 @@
 	if known.estimate.Idle {
 		since = min(since, known.receivedAt) // it was idle for fadeAfter before it was published
 	}
-	return min(max(float64(now-since)/float64(fadeTime), 0), 1)
+	return max(fadedShare(now, since, fadeTime), table.unreachedShare(now, known))
+}
+
+// unreachedShare returns how far an estimate has faded because its server's owner cannot be reached.
+// While the owner could be, the estimate held without a repetition.
+func (table *Table) unreachedShare(now clock.Millis, known *entry) float64 {
+	if known.unreachedAt == 0 {
+		return 0
+	}
+	fade := table.options.UnreachedFade
+	return fadedShare(now, max(known.receivedAt, known.unreachedAt)+fade, fade)
+}
+
+// fadedShare returns how far an estimate has faded that fades from a time on: from 0 to 1.
+func fadedShare(now, since, fade clock.Millis) float64 {
+	return min(max(float64(now-since)/float64(fade), 0), 1)
 }
 
 // Status describes the estimate of a server.
--- a/internal/direct/speed/table.go
+++ b/internal/direct/speed/table.go
@@ -29,11 +29,15 @@
 	// PublishRate is the number of changed estimates a second that all owners together publish.
 	// An estimate takes 40 bytes, and every daemon receives all of them.
 	PublishRate float64
+	// UnreachedFade is the time after which the estimate of a server whose owner cannot be
+	// reached fades to 1, and the time that this takes. 0: as for other estimates without an
+	// update, which is much later than a slow period usually lasts.
+	UnreachedFade clock.Millis
 }
 
 // DefaultOptions returns the default options.
 func DefaultOptions() Options {
-	return Options{Enabled: true, ReportInterval: 500, GossipInterval: 250, PublishRate: 12}
+	return Options{Enabled: true, ReportInterval: 500, GossipInterval: 250, PublishRate: 12, UnreachedFade: 5 * clock.Second}
 }
 
 // Estimate is the published estimate of a server. Of two, the one of the later process of the
@@ -73,10 +77,11 @@
 
 // entry is the newest known estimate of a server.
 type entry struct {
-	estimate   Estimate
-	receivedAt clock.Millis // when this daemon learned of it
-	goneAt     clock.Millis // since when its server is not known; 0: it is
-	revision   int64
+	estimate    Estimate
+	receivedAt  clock.Millis // when this daemon learned of it
+	goneAt      clock.Millis // since when its server is not known; 0: it is
+	unreachedAt clock.Millis // since when its server's owner cannot be reached; 0: it can
+	revision    int64
 }
 
 // Table holds the estimates that one daemon knows, and the averages of the servers that it owns.
@@ -220,6 +225,31 @@
 	table.contactAt = max(table.contactAt, now)
 }
 
+// SetReached records which servers have owners whose estimates can reach this daemon, and returns
+// the number of estimates that fade because their owners cannot.
+func (table *Table) SetReached(now clock.Millis, reached func(server string) bool) (fading int) {
+	if table.options.UnreachedFade <= 0 {
+		return 0
+	}
+	for server, element := range table.entries {
+		known := element.Value.(*entry)
+		before := known.unreachedAt
+		switch {
+		case reached(server):
+			known.unreachedAt = 0
+		case before == 0:
+			known.unreachedAt = now
+		}
+		if table.unreachedShare(now, known) > 0 {
+			fading++
+		} else if before == known.unreachedAt {
+			continue
+		}
+		table.outOfDate = true
+	}
+	return fading
+}
+
 // ServerCount returns the number of servers whose speed matters.
 func (table *Table) ServerCount() int {
 	return len(table.servers)
