--- a/internal/direct/gateway/export_test.go
+++ b/internal/direct/gateway/export_test.go
@@ -10,3 +10,6 @@
 
 // UpdateSpeeds makes the periodic call that publishes estimates and sends reports on streams.
 func (gateway *Gateway) UpdateSpeeds() { gateway.updateSpeeds() }
+
+// UnconfirmedSpeeds returns the number of estimates that fade because owners cannot be reached.
+func (gateway *Gateway) UnconfirmedSpeeds() int { return gateway.core.speeds.fading }
--- a/internal/direct/gateway/forward_test.go
+++ b/internal/direct/gateway/forward_test.go
@@ -157,3 +157,28 @@
 	}
 	require.Empty(t, site.network.sent, "no owner is known")
 }
+
+// TestUnreachedOwnerSpeedsFade guards against estimates that hold although the hub through which
+// they arrive is cut off, and against ones that fade while nothing has changed.
+func TestUnreachedOwnerSpeedsFade(t *testing.T) {
+	site := newHubSite(t)
+	after := func(length clock.Millis, live ...string) int {
+		for end := site.now + length; site.now < end; site.now += 500 {
+			for _, name := range live {
+				if name == "owner" {
+					site.update(name, "there", "other", topology.Candidate, claims.Claim{Server: "e1", Fence: 7})
+				} else {
+					site.update(name, "there", "", topology.Candidate)
+				}
+			}
+			site.hub.UpdateSpeeds()
+		}
+		return site.hub.UnconfirmedSpeeds()
+	}
+	site.hub.Received("other", peers.Message{Warnings: &peers.Warnings{Speeds: []speed.Estimate{{Server: "e1", Born: 1, Fence: 7, Number: 1, Interval: 40}}}})
+	require.Zero(t, after(20_000, "owner", "other"))
+	require.Zero(t, after(6000, "owner"), "the other hub is silent after 1.5 s")
+	require.Equal(t, 1, after(2000, "owner"))
+	require.Zero(t, after(1000, "owner", "other"))
+	require.Equal(t, 1, after(8000, "other"), "nobody owns the server")
+}
