--- a/internal/direct/prefill/replay_test.go
+++ b/internal/direct/prefill/replay_test.go
@@ -183,3 +183,29 @@
 		require.LessOrEqual(t, asked, 4*10*4, "each of 4 daemons asks in the first 60 ms of each second, in which at most 4 of its prompts arrive")
 	}
 }
+
+// TestReplayBusyOwner guards against an owner that is busy for a tenth of a second now and then
+// and whose servers are sent unordered prompts for much longer, or prompts that it does not know
+// of. An owner that is frozen for 3 s costs daemons one more wait, but must not be flooded with
+// reports when it goes on.
+func TestReplayBusyOwner(t *testing.T) {
+	before := prefill.DefaultOptions()
+	before.SilentAfter, before.Report = 1, false
+	for _, test := range []struct {
+		stall, period       clock.Millis
+		mostLocal, mostLate float64 // as shares of those before
+	}{{100, 1009, 0.5, 0.9}, {250, 1259, 0.8, 1}, {3000, 23_003, 1.1, 1.05}} {
+		var local, lateShare []float64
+		for _, options := range []prefill.Options{before, prefill.DefaultOptions()} {
+			site, prompts := newSiteWith(true, options), bursts(6, 1_000_000, 2)
+			site.stall, site.period = test.stall, test.period
+			replay(site, prompts, 1)
+			requireBounded(t, prompts)
+			ordered := site.results[prefill.Granted] + site.results[prefill.Bound]
+			local, lateShare = append(local, float64(len(prompts)-ordered)), append(lateShare, lateShares(prompts)[either][all])
+			t.Logf("owner busy for %d ms: %d of %d prompts by the daemon's own rule; %s; %v", test.stall, len(prompts)-ordered, len(prompts), lateShares(prompts), site.results)
+		}
+		require.LessOrEqual(t, local[1], test.mostLocal*local[0])
+		require.LessOrEqual(t, lateShare[1], test.mostLate*lateShare[0])
+	}
+}
