--- a/internal/direct/prefill/queue_test.go
+++ b/internal/direct/prefill/queue_test.go
@@ -129,26 +129,90 @@
 	unanswered, queued := requester.Begin(1000, "o", "s", 1264), requester.Begin(1000, "p", "t", 1264)
 	require.Nil(t, requester.Answer("s", queued.ID, true), "of another server")
 	require.Same(t, queued, requester.Answer("t", queued.ID, false))
-	result, remaining := requester.Check(1000, unanswered)
+	result, remaining := requester.Check(1000, unanswered, 0)
 	require.Equal(t, prefill.Pending, result)
 	require.Equal(t, clock.Millis(60), remaining)
-	result, _ = requester.Check(1060, unanswered)
+	result, _ = requester.Check(1060, unanswered, 0)
 	require.Equal(t, prefill.Silent, result)
 	require.False(t, requester.MayAsk(2059, "o"))
 	require.True(t, requester.MayAsk(2059, "p"))
 	require.True(t, requester.MayAsk(2060, "o"))
-	result, remaining = requester.Check(1060, queued)
+	result, remaining = requester.Check(1060, queued, 0)
 	require.Equal(t, prefill.Pending, result)
 	require.Equal(t, clock.Millis(204), remaining)
-	result, _ = requester.Check(1264, queued)
+	result, _ = requester.Check(1264, queued, 0)
 	require.Equal(t, prefill.Bound, result)
 	requester.Answer("t", queued.ID, true)
 	requester.Answer("t", queued.ID, false)
-	result, _ = requester.Check(1264, queued)
+	result, _ = requester.Check(1264, queued, 0)
 	require.Equal(t, prefill.Granted, result, "the answers have overtaken each other")
 	requester.End(queued)
 	require.Nil(t, requester.Answer("t", queued.ID, true), "the wait has ended")
 	short := requester.Begin(1000, "o", "s", 1000)
-	result, _ = requester.Check(1000, short)
+	result, _ = requester.Check(1000, short, 0)
 	require.Equal(t, prefill.Bound, result, "no time is left")
 }
+
+// TestRequesterSilence guards against an owner that is taken for silent because of one late answer,
+// of requests of one moment, or of a pause of this daemon, and against one that is asked for ever
+// although it is gone.
+func TestRequesterSilence(t *testing.T) {
+	requester := prefill.NewRequester(prefill.DefaultOptions(), 0)
+	for _, step := range []struct {
+		at, checkedAt, heardAt clock.Millis
+		answered               bool
+		result                 prefill.Result
+	}{
+		{1000, 1060, 900, false, prefill.Late},
+		{1059, 1119, 900, false, prefill.Late}, // less than AnswerTimeout after the first
+		{1060, 1120, 900, false, prefill.Silent},
+		{2200, 2260, 2100, false, prefill.Silent}, // still no answer
+		{3300, 3360, 3200, true, prefill.Pending},
+		{3400, 3460, 3300, false, prefill.Late},
+		{13_400, 13_460, 13_300, false, prefill.Late}, // 10 s after the other
+		{23_500, 23_560, 23_061, false, prefill.Late}, // heard of 499 ms ago
+		{40_000, 40_060, 39_560, false, prefill.Silent},
+		{60_000, 63_000, 59_900, false, prefill.Late}, // this daemon was frozen
+		{63_000, 63_060, 62_990, false, prefill.Late},
+	} {
+		require.True(t, requester.MayAsk(step.at, "o"))
+		wait := requester.Begin(step.at, "o", "s", step.at+300)
+		if step.answered {
+			requester.Answer("s", wait.ID, false)
+		}
+		result, _ := requester.Check(step.checkedAt, wait, step.heardAt)
+		require.Equal(t, step.result, result, step)
+		require.Equal(t, result != prefill.Silent, requester.MayAsk(step.checkedAt+999, "o"))
+		requester.End(wait)
+		require.Nil(t, requester.Answer("s", wait.ID, true), "too late")
+	}
+}
+
+// TestReportsCountOnce guards against prompts sent without a grant that the bucket misses, or counts
+// twice because the owner's grant was late.
+func TestReportsCountOnce(t *testing.T) {
+	requester := prefill.NewRequester(prefill.DefaultOptions(), 0)
+	require.True(t, requester.ShouldReport(1000, prefill.Local, 501))
+	require.False(t, requester.ShouldReport(1000, prefill.Local, 500), "the owner may be frozen")
+	require.False(t, requester.ShouldReport(1000, prefill.Bound, 1000))
+	const grant, announce, report, withdraw = 'g', 'a', 'r', 'w'
+	for steps, reported := range map[string]clock.Millis{"": 0, "rr": 100, "rgr": 100, "agr": 100, "agwr": 100, "ar": 100, "arw": 100, "awr": 100, "aw": 0} {
+		queue := prefill.New(queueOptions())
+		for _, step := range steps {
+			switch step {
+			case grant:
+				queue.Next(0, rate)
+			case announce:
+				queue.Add(0, request(1, 0, 1200, 500))
+			case report:
+				queue.Add(0, request(1, 0, 1200, 0))
+			case withdraw:
+				queue.Withdraw(0, "d", 1)
+			}
+		}
+		queue.Next(0, rate)
+		queue.Add(0, request(2, 0, 2*limit, 900)) // granted when the bucket is empty
+		_, emptyAt := queue.Next(0, rate)
+		require.Equal(t, reported, emptyAt, steps)
+	}
+}
--- a/internal/direct/prefill/replaysite_test.go
+++ b/internal/direct/prefill/replaysite_test.go
@@ -15,6 +15,9 @@
 	owner      *prefill.Queue // nil: none
 	ownerDies  clock.Millis   // 0: never
 	loseAnswer func() bool    // nil: none is lost
+	period     clock.Millis   // at the beginning of each, the owner handles no messages for the time stall
+	stall      clock.Millis   // 0: it always does, and gets no requests for other servers
+	heardAt    clock.Millis   // when daemons last received an update of the owner
 	requesters []*prefill.Requester
 	buckets    []*choose.PromptBucket
 	waiting    []*prompt
@@ -23,12 +26,16 @@
 }
 
 func newSite(controlled bool) *site {
+	return newSiteWith(controlled, prefill.DefaultOptions())
+}
+
+func newSiteWith(controlled bool, options prefill.Options) *site {
 	site := &site{messages: make(map[clock.Millis][]func(clock.Millis)), results: make(map[prefill.Result]int)}
 	if controlled {
-		site.owner = prefill.New(prefill.DefaultOptions())
+		site.owner = prefill.New(options)
 	}
 	for range daemons {
-		site.requesters = append(site.requesters, prefill.NewRequester(prefill.DefaultOptions(), 0))
+		site.requesters = append(site.requesters, prefill.NewRequester(options, 0))
 		site.buckets = append(site.buckets, choose.NewPromptBucket())
 	}
 	return site
@@ -43,22 +50,64 @@
 	site.messages[now+linkTime] = append(site.messages[now+linkTime], arrive)
 }
 
+// sendToOwner has a message arrive at the owner after linkTime, or when the owner handles messages.
+func (site *site) sendToOwner(now clock.Millis, arrive func(now clock.Millis)) {
+	wait := clock.Millis(0)
+	if at := now + linkTime; site.stalled(at) {
+		wait = site.stall - at%site.period
+	}
+	site.send(now+wait, func(at clock.Millis) {
+		if site.ownerAlive(at) {
+			arrive(at)
+		}
+	})
+}
+
+func (site *site) stalled(now clock.Millis) bool {
+	return site.stall > 0 && now%site.period < site.stall
+}
+
+// askOthers plays the owner's updates, and 333 requests a second for other servers of the owner,
+// which are granted at once.
+func (site *site) askOthers(now clock.Millis) {
+	if now%500 == 0 {
+		site.sendToOwner(now, func(at clock.Millis) { site.send(at, func(at clock.Millis) { site.heardAt = at }) })
+	}
+	requester := site.requesters[int(now/3)%daemons]
+	if now%3 > 0 || !requester.MayAsk(now, "o") {
+		return
+	}
+	wait := requester.Begin(now, "o", "t", now+clock.Second)
+	site.sendToOwner(now, func(at clock.Millis) { site.send(at, func(clock.Millis) { requester.Answer("t", wait.ID, true) }) })
+	site.send(now+60-linkTime, func(at clock.Millis) {
+		requester.Check(at, wait, site.heardAt)
+		requester.End(wait)
+	})
+}
+
 // arrive starts the wait of a prompt.
 func (site *site) arrive(now clock.Millis, prompt *prompt) {
 	prompt.unread = prompt.tokens
 	site.waiting = append(site.waiting, prompt)
 	requester := site.requesters[prompt.daemon]
 	if prompt.local = site.owner == nil || !requester.MayAsk(now, "o"); prompt.local {
+		prompt.result, prompt.id = prefill.Local, requester.NextID()
 		return
 	}
 	prompt.wait = requester.Begin(now, "o", "s", requester.Bound(now, goals[prompt.rank]))
-	site.send(now, func(at clock.Millis) {
-		request := prefill.Request{Daemon: strconv.Itoa(prompt.daemon), ID: prompt.wait.ID, Tokens: prompt.tokens, Rank: prompt.rank, GapGoal: gapGoal, Until: prompt.wait.Until + linkTime}
+	prompt.id = prompt.wait.ID
+	site.sendToOwner(now, func(at clock.Millis) {
+		request := prompt.request(at + prompt.wait.Until - now)
 		site.owner.Add(at, request)
 		site.answer(at, request, false)
 	})
 }
 
+// request returns a prompt as its daemon announces it to the owner.
+func (prompt *prompt) request(until clock.Millis) prefill.Request {
+	return prefill.Request{Daemon: strconv.Itoa(prompt.daemon), ID: prompt.id, Tokens: prompt.tokens, Rank: prompt.rank, GapGoal: gapGoal, Until: until}
+}
+
 // answer sends a daemon the owner's answer to its request.
 func (site *site) answer(now clock.Millis, request prefill.Request, granted bool) {
 	daemon, _ := strconv.Atoi(request.Daemon)
@@ -69,10 +118,13 @@
 
 // tick moves the site on by a millisecond, and returns the prompts that are sent.
 func (site *site) tick(now clock.Millis) (sent []*prompt) {
-	if site.ownerAlive(now) {
-		for _, arrive := range site.messages[now] {
-			arrive(now)
-		}
+	if site.stall > 0 {
+		site.askOthers(now)
+	}
+	for _, arrive := range site.messages[now] {
+		arrive(now)
+	}
+	if site.ownerAlive(now) && !site.stalled(now) {
 		granted, _ := site.owner.Next(now, engineRate)
 		for _, request := range granted {
 			site.answer(now, request, true)
@@ -83,6 +135,9 @@
 		if prompt.sent = site.sends(now, prompt); prompt.sent {
 			site.buckets[prompt.daemon].Add(now, "s", prompt.tokens, engineRate)
 			prompt.sentAt = now
+			if site.owner != nil && site.requesters[prompt.daemon].ShouldReport(now, prompt.result, site.heardAt) {
+				site.sendToOwner(now, func(at clock.Millis) { site.owner.Add(at, prompt.request(at)) })
+			}
 			sent = append(sent, prompt)
 		}
 		return prompt.sent
@@ -93,15 +148,17 @@
 // sends reports whether a prompt is sent now.
 func (site *site) sends(now clock.Millis, prompt *prompt) bool {
 	if !prompt.local {
-		result, _ := site.requesters[prompt.daemon].Check(now, prompt.wait)
+		result, _ := site.requesters[prompt.daemon].Check(now, prompt.wait, site.heardAt)
 		if result == prefill.Pending {
 			return false
 		}
 		site.requesters[prompt.daemon].End(prompt.wait)
 		site.results[result]++
-		if prompt.local = result == prefill.Silent; !prompt.local {
+		prompt.result = result
+		if prompt.local = result == prefill.Late || result == prefill.Silent; !prompt.local {
 			return true
 		}
+		site.sendToOwner(now, func(at clock.Millis) { site.owner.Withdraw(at, strconv.Itoa(prompt.daemon), prompt.id) })
 	}
 	local := choose.Prompt{Tokens: prompt.tokens, Goal: goals[prompt.rank], GapGoal: gapGoal, Waited: now - prompt.at}
 	return !choose.DefaultDelayPolicy().ShouldDelay(local, site.buckets[prompt.daemon].Level(now, "s", engineRate), engineRate)
