--- a/internal/direct/choose/choose.go
+++ b/internal/direct/choose/choose.go
@@ -30,6 +30,7 @@
 	Trouble         float64 // cost of a server whose requests all fail; scaled by its failure rate
 	Suspect         float64 // cost of a server that could not be reached recently
 	Away            float64 // cost of a server in another data centre
+	Nearby          float64 // how much more a server in the own data centre may cost and still be preferred, where locality is active; 0: off
 	Relief          float64 // a copy is made only if its server would be cheaper by more than this
 	Late            float64 // cost of a stream that pauses for longer than its gap goal; scaled by the probability; 0: not counted
 	LateOthers      float64 // share of Late that each stream running at the same server adds
@@ -43,7 +44,7 @@
 	return Weights{
 		ReadTokensPerMS: initialReadRate, Full: 250, Queued: 40,
 		Load: 300, AtHand: 60, Coming: 160, Copy: 150, Crowded: 300, Orderless: 1500, Step: 40,
-		Trouble: 1500, Suspect: 3000, Away: 1, Relief: 100, Shortcut: true, Homes: 3,
+		Trouble: 1500, Suspect: 3000, Away: 1, Nearby: 60, Relief: 100, Shortcut: true, Homes: 3,
 		Late: 800, LateOthers: 0.25,
 	}
 }
@@ -85,6 +86,7 @@
 	Frequent     bool                     // the adapter was requested before, recently: another copy may be worth its load
 	ManyDaemons  bool                     // many daemons place requests by the same, somewhat stale load counts
 	WaitingAt    string                   // the server at which the request waits for the adapter; empty: none
+	PreferLocal  bool                     // prefer servers in DataCentre, by Weights.Nearby
 	Short        *LoadAverage             // of the service, for a request that ends before other daemons' counts show it; nil: counts are used
 
 	// Inputs of pause-aware placement. Without them all engines count as equal.
@@ -128,7 +130,7 @@
 		return Choice{}, false
 	}
 	best := Choice{}
-	draw := draw{bySpeed: query.Speed != nil}
+	draw, local := draw{bySpeed: query.Speed != nil}, weights.localHolders(query)
 	for _, member := range servers.Holders(query.Adapter) {
 		if !query.canRun(member) {
 			continue
@@ -139,6 +141,7 @@
 		}
 		if query.ManyDaemons {
 			draw.add(&holder)
+			local.add(&holder)
 		}
 	}
 	if best.Member == nil {
@@ -146,7 +149,7 @@
 	}
 	lowest := best
 	if query.ManyDaemons {
-		best = draw.pick(best, weights)
+		best = local.prefer(draw.pick(best, weights), weights)
 	}
 	return best, weights.isCheapest(query, lowest, best)
 }
@@ -160,7 +163,8 @@
 		copies, preferred = rankServers(usable, query, adapterHash)
 	}
 	best, other, waiting, spare := Choice{}, Choice{}, Choice{}, Choice{}
-	draw := draw{bySpeed: query.Speed != nil}
+	places := weights.copyPlaces(query, servers)
+	draw, local := draw{bySpeed: query.Speed != nil}, weights.localHolders(query)
 	for _, member := range usable {
 		if query.excludes(member) {
 			continue
@@ -172,6 +176,7 @@
 			}
 			if query.ManyDaemons {
 				draw.add(&holder)
+				local.add(&holder)
 			}
 			continue
 		}
@@ -179,7 +184,7 @@
 		cost += tieBreaker(query, member)
 		position := preferred.position(rank(adapterHash, member), weights.Homes)
 		crowding := weights.crowdingCost(query, member, work)
-		loaded := cost + weights.Step*float64(position) + crowding
+		loaded := cost + weights.Step*float64(position) + crowding + places.cost(member)
 		if spare.Member == nil || loaded < spare.Cost {
 			spare = Choice{Member: member, Cost: loaded}
 		}
@@ -200,7 +205,7 @@
 		return other, other.Member != nil
 	}
 	if query.ManyDaemons {
-		best = draw.pick(best, weights)
+		best = local.prefer(draw.pick(best, weights), weights)
 	}
 	if query.Frequent && spare.Member != nil && best.base > spare.Cost+weights.Relief {
 		best.CopyTo = weights.copyTarget(query, usable, spare.Member)
--- a/internal/direct/choose/copytargets.go
+++ b/internal/direct/choose/copytargets.go
@@ -1,9 +1,6 @@
 package choose
 
 import (
-	"cmp"
-	"slices"
-
 	"teaselmoor/internal/direct/fleet"
 	"teaselmoor/internal/direct/inflight"
 )
@@ -14,6 +11,7 @@
 func (weights Weights) CopyTargets(query Query, adapterHash uint64, servers *fleet.Fleet, work *inflight.Tracker, limit int) []*fleet.Member {
 	usable := servers.Usable(query.Service)
 	_, preferred := rankServers(usable, query, adapterHash)
+	places := weights.copyPlaces(query, servers)
 	var candidates []Choice
 	for _, member := range usable {
 		if _, has := member.Slot(query.Adapter); has || !weights.canLoad(query, member) {
@@ -27,12 +25,7 @@
 		}
 		candidates = append(candidates, Choice{Member: member, Cost: cost})
 	}
-	slices.SortStableFunc(candidates, func(a, b Choice) int { return cmp.Compare(a.Cost, b.Cost) })
-	var chosen []*fleet.Member
-	for _, candidate := range candidates[:min(limit, len(candidates))] {
-		chosen = append(chosen, candidate.Member)
-	}
-	return chosen
+	return places.cheapest(candidates, limit)
 }
 
 // canLoad reports whether a server can be ordered to load an adapter now.
--- a/internal/direct/choose/lateness_replay_test.go
+++ b/internal/direct/choose/lateness_replay_test.go
@@ -20,6 +20,7 @@
 	requests, latePause, lateFirst int // lateFirst: late by the first event only
 	loads, copies                  int // from the weight store; copies: while another server had the adapter
 	busiest                        float64
+	local                          int // sent to a server in the daemon's data centre
 	servedSlow, loadsSlow          int // at the slowest third of the servers
 }
 
@@ -47,6 +48,7 @@
 		sum.lateFirst += site.lateFirst
 		sum.loads += site.loads
 		sum.copies += site.copies
+		sum.local += site.local
 		for i, engine := range site.engines {
 			sum.busiest = max(sum.busiest, float64(engine.served)*siteServers/float64(site.requests))
 			if i%3 == 0 {
--- a/internal/direct/choose/short.go
+++ b/internal/direct/choose/short.go
@@ -97,7 +97,7 @@
 // variance of random arrivals. Servers are drawn by their average load instead, and of two drawn
 // servers the one with fewer requests of this daemon is taken.
 func (weights Weights) chooseShort(query Query, servers *fleet.Fleet, work *inflight.Tracker) (Choice, bool) {
-	candidates := healthiest(query.shortCandidates(servers, work))
+	candidates := weights.preferLocalShort(query, healthiest(query.shortCandidates(servers, work)))
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
--- a/internal/direct/choose/short_test.go
+++ b/internal/direct/choose/short_test.go
@@ -58,6 +58,7 @@
 type shortReplay struct {
 	requests, late int
 	times          []float64
+	local          int            // requests to a server in the daemon's data centre
 	counts         map[string]int // requests by server
 }
 
--- a/internal/direct/choose/site_test.go
+++ b/internal/direct/choose/site_test.go
@@ -55,6 +55,8 @@
 	pauses    bool                                     // pause-aware placement is active
 	known     func(now float64, server string) float64 // the speed that daemons assume
 	change    func(now float64)                        // changes true speeds
+	places    int                                      // data centres; their waves are apart by equal parts of the period
+	nearby    bool                                     // servers in the own data centre are preferred
 	siteResult
 }
 
@@ -69,7 +71,7 @@
 	random := rand.New(rand.NewPCG(seed, 7))
 	site := &site{
 		span: span, weights: weights, random: random, zipf: rand.NewZipf(random, 1.2, 1, siteAdapters-1),
-		byID: make(map[string]*siteEngine), servers: fleet.New(fleet.DefaultOptions()), requested: make(map[string]float64), pauses: pauses,
+		byID: make(map[string]*siteEngine), servers: fleet.New(fleet.DefaultOptions()), requested: make(map[string]float64), pauses: pauses, places: 1,
 	}
 	for i := range siteServers {
 		engine := &siteEngine{id: fmt.Sprint("s", i), speed: siteSpeeds[i%len(siteSpeeds)]}
@@ -87,6 +89,7 @@
 	query := choose.Query{
 		Now: clock.Millis(site.now), Service: service, Attempt: request.attempt, Adapter: request.adapter, Prompt: request.prompt,
 		AdapterSlots: siteAdapterSlots, ManyDaemons: true, WaitingAt: waitingAt,
+		DataCentre: site.dataCentre(request.daemon), PreferLocal: site.nearby,
 	}
 	site.addPauses(&query)
 	return query
@@ -104,6 +107,14 @@
 	query.Interval = func(server string) float64 { return siteStep * siteEventSteps / site.known(site.now, server) }
 }
 
+// dataCentre returns the data centre of the daemon or engine with an index. It is empty for all if there is only one.
+func (site *site) dataCentre(index int) string {
+	if site.places == 1 {
+		return ""
+	}
+	return fmt.Sprint("dc", index%site.places)
+}
+
 // load has an engine load an adapter.
 func (site *site) load(engine *siteEngine, adapter platformapi.Adapter) {
 	took := float64(siteLoad)
@@ -140,6 +151,9 @@
 	engine := site.byID[choice.Member.ID]
 	if slot := engine.slot(request.adapter); choice.Ready && slot != nil && slot.readyAt <= site.now {
 		engine.send(request)
+		if choice.Member.DataCentre == query.DataCentre {
+			site.local++
+		}
 		if choice.CopyTo != nil {
 			site.load(site.byID[choice.CopyTo.ID], request.adapter)
 		}
@@ -151,11 +165,19 @@
 
 // arrive places the requests that arrive within a tick.
 func (site *site) arrive(work *inflight.Tracker) {
-	expected := siteRequests * siteTick / 1000 * (1 + siteWave*math.Sin(2*math.Pi*site.now/sitePeriod))
+	for place := range site.places {
+		site.arriveAt(place, work)
+	}
+}
+
+// arriveAt places those of the requests that arrive at one data centre.
+func (site *site) arriveAt(place int, work *inflight.Tracker) {
+	phase, places := float64(place)/float64(site.places), float64(site.places)
+	expected := siteRequests * siteTick / 1000 / places * (1 + siteWave*math.Sin(2*math.Pi*(site.now/sitePeriod+phase)))
 	for expected > 0 {
 		if site.random.Float64() < expected {
 			request := &siteRequest{
-				attempt: site.random.Uint64(), daemon: site.random.IntN(siteDaemons), arrived: site.now,
+				attempt: site.random.Uint64(), daemon: place + site.places*site.random.IntN((siteDaemons+site.places-1)/site.places), arrived: site.now,
 				adapter: platformapi.Adapter{Model: "m", Name: fmt.Sprint("a", site.zipf.Uint64())},
 				prompt:  200 + int(min(4500, 1260*site.random.ExpFloat64())), events: 20 + site.random.IntN(41),
 			}
@@ -177,7 +199,7 @@
 	backlog := func(server string) clock.Millis {
 		return clock.Millis(float64(work.Load(server).Reading) / site.weights.ReadTokensPerMS)
 	}
-	for _, engine := range site.engines {
+	for i, engine := range site.engines {
 		if backlog(engine.id) < goal {
 			continue
 		}
@@ -200,7 +222,7 @@
 				}
 				demand.Backlog += backlog(holder.id)
 			}
-			query := site.query(&siteRequest{adapter: request.adapter, prompt: work.Load(engine.id).Reading / max(1, work.Load(engine.id).Runs)}, "")
+			query := site.query(&siteRequest{daemon: i, adapter: request.adapter, prompt: work.Load(engine.id).Reading / max(1, work.Load(engine.id).Runs)}, "")
 			count := loading.CopiesNeeded(demand, goal)
 			if count == 0 {
 				continue
--- a/internal/direct/gateway/copies.go
+++ b/internal/direct/gateway/copies.go
@@ -83,6 +83,7 @@
 		HasOwner: func(server string) bool { _, ok := core.ownerOf(now, server); return ok },
 	}
 	core.addPausesForCopies(&query, busy)
+	core.addLocality(&query)
 	targets := core.weights().CopyTargets(query, adapterHash(adapter), core.fleet, core.work, count)
 	core.copiesRequested[adapter] = requestedCopies{count: core.demand(now, adapter).Loading + len(targets), at: now}
 	for _, target := range targets {
--- a/internal/direct/gateway/counters.go
+++ b/internal/direct/gateway/counters.go
@@ -23,8 +23,9 @@
 type counters struct {
 	mutex   sync.Mutex // guards the maps
 	ends    map[endLabels]int64
-	latency histograms // until the answer's first event, or until its end if it is not a stream
-	gaps    histograms // longest gap between two events of a stream
+	sent    map[sentLabels]int64 // requests sent to servers
+	latency histograms           // until the answer's first event, or until its end if it is not a stream
+	gaps    histograms           // longest gap between two events of a stream
 	turns   map[prefill.Result]int64
 	waits   histograms // of prompts for a grant, by rank
 
@@ -43,7 +44,7 @@
 
 func newCounters() *counters {
 	return &counters{
-		ends: make(map[endLabels]int64), latency: make(histograms), gaps: make(histograms),
+		ends: make(map[endLabels]int64), sent: make(map[sentLabels]int64), latency: make(histograms), gaps: make(histograms),
 		retryAfter: make(histograms), reserveRefusals: make(map[string]int64),
 		turns: make(map[prefill.Result]int64), waits: make(histograms),
 	}
@@ -123,6 +124,7 @@
 	for labels, count := range counters.ends {
 		_, _ = fmt.Fprintf(out, "teaselmoor_requests_total{service=%q,status=\"%d\",reason=%q} %d\n", labels.Service, labels.Status, labels.Reason, count)
 	}
+	counters.writeSent(out)
 	counters.latency.write(out, "teaselmoor_latency_millis", "service")
 	counters.gaps.write(out, "teaselmoor_stream_gap_millis", "service")
 	for result, count := range counters.turns {
--- a/internal/direct/gateway/metrics.go
+++ b/internal/direct/gateway/metrics.go
@@ -21,6 +21,7 @@
 	writer.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	gateway.counters.write(writer)
 	gateway.core.writeGauges(writer)
+	gateway.writePeerTraffic(writer)
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
 	writeGauge(writer, gauge{"teaselmoor_heap_bytes", float64(memory.HeapInuse)})
--- a/internal/direct/gateway/place.go
+++ b/internal/direct/gateway/place.go
@@ -195,6 +195,7 @@
 		Short:        core.shortLoads(job),
 	}
 	core.addPauses(&query, job.route.GapGoal)
+	core.addLocality(&query)
 	return query
 }
 
--- a/internal/direct/peers/network.go
+++ b/internal/direct/peers/network.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -67,9 +68,10 @@
 	self    string
 	handler Handler
 	group   *task.Group
-	ping    atomic.Int64     // ping interval in milliseconds; pings detect dead connections
-	mutex   sync.Mutex       // guards peers
-	peers   map[string]*peer // by address
+	ping    atomic.Int64       // ping interval in milliseconds; pings detect dead connections
+	mutex   sync.Mutex         // guards peers and traffic
+	peers   map[string]*peer   // by address
+	traffic map[string]Traffic // by data centre; empty name: unknown
 }
 
 // maxUnansweredPings is the number of unanswered pings after which a connection is closed;
@@ -91,6 +93,7 @@
 // peer is a daemon that a connection is kept or attempted to.
 type peer struct {
 	daemon          topology.Daemon
+	dataCentre      string             // empty for a seed until it is discovered
 	stop            context.CancelFunc // stops the goroutine that maintains the connection
 	queue           chan []byte        // nil while not connected
 	closeConnection context.CancelFunc // closes the current connection; nil while not connected
@@ -98,7 +101,7 @@
 
 // New returns a network without peers for the daemon self. Its goroutines belong to group.
 func New(options Options, self string, handler Handler, group *task.Group) *Network {
-	network := &Network{options: options, self: self, handler: handler, group: group, peers: make(map[string]*peer)}
+	network := &Network{options: options, self: self, handler: handler, group: group, peers: make(map[string]*peer), traffic: make(map[string]Traffic)}
 	network.SetPing(options.Ping)
 	return network
 }
@@ -110,11 +113,15 @@
 func (network *Network) Add(daemon topology.Daemon) {
 	network.mutex.Lock()
 	defer network.mutex.Unlock()
-	if _, known := network.peers[daemon.Address]; known || daemon.Name == network.self {
+	if daemon.Name == network.self {
+		return
+	}
+	if known, ok := network.peers[daemon.Address]; ok {
+		known.dataCentre = cmp.Or(daemon.DataCentre, known.dataCentre)
 		return
 	}
 	stopped, stop := context.WithCancel(network.group.Context())
-	added := &peer{daemon: daemon, stop: stop}
+	added := &peer{daemon: daemon, dataCentre: daemon.DataCentre, stop: stop}
 	network.peers[daemon.Address] = added
 	network.group.Go("peer "+daemon.Address, func(context.Context) error {
 		defer stop()
@@ -245,7 +252,7 @@
 	defer network.setQueue(to, nil, nil)
 	network.group.Go("pongs "+to.daemon.Address, func(context.Context) error { return network.readPongs(conn, cancel) })
 	network.handler.Connected(to.daemon.Address)
-	network.write(ctx, conn, queue)
+	network.write(ctx, to, conn, queue)
 	_ = conn.Close()
 	return true
 }
@@ -277,7 +284,7 @@
 }
 
 // write sends pings and queued messages until the connection fails or is closed.
-func (network *Network) write(ctx context.Context, conn *websocket.Conn, queue chan []byte) {
+func (network *Network) write(ctx context.Context, to *peer, conn *websocket.Conn, queue chan []byte) {
 	ping := time.NewTimer(network.pingInterval())
 	defer ping.Stop()
 	for {
@@ -298,6 +305,7 @@
 		if err != nil {
 			return
 		}
+		network.recordSent(to, len(encoded))
 	}
 }
 
@@ -326,7 +334,7 @@
 // read passes the messages of a connection to the handler. It drops messages before the first
 // Update, which names the sender.
 func (network *Network) read(conn *websocket.Conn) error {
-	from := ""
+	from, dataCentre := "", ""
 	for {
 		_, encoded, err := conn.ReadMessage()
 		if err != nil {
@@ -337,8 +345,9 @@
 			return errors.Wrap(errInvalidMessage, err.Error())
 		}
 		if message.Update != nil {
-			from = message.Update.Name
+			from, dataCentre = message.Update.Name, message.Update.DataCentre
 		}
+		network.recordReceived(dataCentre, len(encoded))
 		if from != "" {
 			network.handler.Received(from, message)
 		}
