--- a/internal/direct/choose/short_test.go
+++ b/internal/direct/choose/short_test.go
@@ -71,10 +71,32 @@
 	return shortReplay.times[int(share*float64(len(shortReplay.times)-1))]
 }
 
+// shortSite describes a replay of short requests. The servers are in different data centres.
+type shortSite struct {
+	count     int       // servers
+	perSecond float64   // requests, on average
+	slowdowns []float64 // factors by which the first servers are slower
+	short     bool      // servers are drawn
+	nearby    bool      // servers in the own data centre are preferred
+	wave      float64   // amplitude of the demand; the waves of data centres are apart by equal parts of the period
+	noCounts  bool      // no counts of other daemons arrive
+}
+
 // replayShort has daemons place requests that arrive in pairs at the given rate, by counts that
 // are shortLag old. The first servers are slower by the given factors.
 func replayShort(t *testing.T, short bool, count int, perSecond float64, slowdowns ...float64) *shortReplay {
 	t.Helper()
+	return shortSite{short: short, count: count, perSecond: perSecond, slowdowns: slowdowns}.replay(t)
+}
+
+// demand returns the demand at a data centre relative to its mean.
+func (shortSite shortSite) demand(now clock.Millis, place int) float64 {
+	return 1 + shortSite.wave*math.Sin(2*math.Pi*(float64(now)/sitePeriod+float64(place)/float64(shortSite.count)))
+}
+
+func (shortSite shortSite) replay(t *testing.T) *shortReplay {
+	t.Helper()
+	count, slowdowns := shortSite.count, shortSite.slowdowns
 	servers := fleet.New(fleet.DefaultOptions())
 	var plain []*plainServer
 	for i := range count {
@@ -83,13 +105,13 @@
 			server.slowdown = slowdowns[i]
 		}
 		plain = append(plain, server)
-		servers.Put(platformapi.Server{ID: server.id, Service: shortService, Slots: shortSlots}, int64(i+1))
+		servers.Put(platformapi.Server{ID: server.id, Service: shortService, Slots: shortSlots, DataCentre: fmt.Sprint("dc", i)}, int64(i+1))
 	}
 	var trackers []*inflight.Tracker
 	var averages []*choose.LoadAverage // nil elements: counts are used
 	for range shortDaemons {
 		trackers = append(trackers, inflight.New())
-		if short {
+		if shortSite.short {
 			averages = append(averages, choose.NewLoadAverage())
 		} else {
 			averages = append(averages, nil)
@@ -114,7 +136,7 @@
 			ending.tracker.End(ending.use, 0)
 			return true
 		})
-		if now%shortReport == 0 {
+		if now%shortReport == 0 && !shortSite.noCounts {
 			sums := make(map[string]inflight.Sum)
 			for _, server := range plain {
 				sums[server.id] = inflight.Sum{Load: inflight.Load{Runs: server.inProgress(float64(now))}}
@@ -124,12 +146,16 @@
 				tracker.SetHubSums(reports[now])
 			}
 		}
-		for ; next <= float64(now); next += random.ExpFloat64() * 2 * 1000 / perSecond {
+		for ; next <= float64(now); next += random.ExpFloat64() * 2 * 1000 / (shortSite.perSecond * (1 + shortSite.wave)) {
 			for range 2 {
 				daemon := random.IntN(shortDaemons)
+				if shortSite.wave > 0 && random.Float64()*(1+shortSite.wave) > shortSite.demand(now, daemon%count) {
+					continue
+				}
 				tracker := trackers[daemon]
 				choice, ok := weights.Choose(choose.Query{
 					Now: shortStart + now, Service: shortService, Attempt: xxhash.Sum64String(fmt.Sprint(random.Uint64())), ManyDaemons: true, Short: averages[daemon],
+					DataCentre: fmt.Sprint("dc", daemon%count), PreferLocal: shortSite.nearby,
 				}, 0, servers, tracker)
 				require.True(t, ok)
 				server := plain[slices.IndexFunc(plain, func(server *plainServer) bool { return server.id == choice.Member.ID })]
@@ -142,6 +168,9 @@
 				}
 				result.requests++
 				result.counts[server.id]++
+				if choice.Member.DataCentre == fmt.Sprint("dc", daemon%count) {
+					result.local++
+				}
 				result.times = append(result.times, end-float64(now))
 				if end-float64(now) > float64(shortGoal) {
 					result.late++
