--- a/internal/direct/choose/lateness_replay_test.go
+++ b/internal/direct/choose/lateness_replay_test.go
@@ -27,9 +27,9 @@
 // String formats the result for the log of a test.
 func (siteResult siteResult) String() string {
 	share := func(count, of int) float64 { return float64(count) / float64(of) }
-	return fmt.Sprintf("late by a pause %.3f, by the first event only %.3f of %d; %d loads, %d of them copies; busiest server %.2f x mean; slowest third: %.2f of requests, %.2f of loads",
+	return fmt.Sprintf("late by a pause %.3f, by the first event only %.3f of %d; %d loads, %d of them copies; busiest server %.2f x mean; slowest third: %.2f of requests, %.2f of loads; %.3f local",
 		share(siteResult.latePause, siteResult.requests), share(siteResult.lateFirst, siteResult.requests), siteResult.requests,
-		siteResult.loads, siteResult.copies, siteResult.busiest, share(siteResult.servedSlow, siteResult.requests), share(siteResult.loadsSlow, siteResult.loads))
+		siteResult.loads, siteResult.copies, siteResult.busiest, share(siteResult.servedSlow, siteResult.requests), share(siteResult.loadsSlow, siteResult.loads), share(siteResult.local, siteResult.requests))
 }
 
 // replaySite runs the simulation with requests for span milliseconds; prepare changes what daemons believe of the servers.
--- a/internal/direct/peers/network_test.go
+++ b/internal/direct/peers/network_test.go
@@ -115,3 +115,28 @@
 	group.Stop()
 	group.Reap(func(task.End) {})
 }
+
+// TestTrafficByDataCentre guards against bytes being counted for the wrong data centre: of a
+// sender, and of a peer that was dialled as a seed before its data centre was known.
+func TestTrafficByDataCentre(t *testing.T) {
+	group := task.New(t.Context())
+	receiver := peers.New(peers.DefaultOptions(), "receiver", newRecordingHandler(), group)
+	server := httptest.NewServer(receiver)
+	t.Cleanup(server.Close)
+	address := server.Listener.Addr().String()
+	sender := peers.New(peers.DefaultOptions(), "sender", ignoringHandler{}, group)
+	update := peers.Message{Update: &peers.Update{}}
+	update.Update.Name, update.Update.DataCentre = "sender", "here"
+	encoded, err := peers.Encode(update)
+	require.NoError(t, err)
+	size := int64(len(encoded))
+	sender.Add(topology.Daemon{Address: address})
+	require.Eventually(t, func() bool { return sender.SendEncoded(address, encoded) }, 20*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return sender.Traffic()[""].Sent == size }, 20*time.Second, time.Millisecond)
+	sender.Add(topology.Daemon{Name: "receiver", Address: address, DataCentre: "there"})
+	require.True(t, sender.SendEncoded(address, encoded))
+	require.Eventually(t, func() bool { return receiver.Traffic()["here"].Received == 2*size }, 20*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return sender.Traffic()["there"].Sent == size }, 20*time.Second, time.Millisecond)
+	group.Stop()
+	group.Reap(func(task.End) {})
+}
