--- a/internal/direct/choose/lateness_replay_test.go
+++ b/internal/direct/choose/lateness_replay_test.go
@@ -20,15 +20,16 @@
 	requests, latePause, lateFirst int // lateFirst: late by the first event only
 	loads, copies                  int // from the weight store; copies: while another server had the adapter
 	busiest                        float64
+	local                          int // sent to a server in the daemon's data centre
 	servedSlow, loadsSlow          int // at the slowest third of the servers
 }
 
 // String formats the result for the log of a test.
 func (siteResult siteResult) String() string {
 	share := func(count, of int) float64 { return float64(count) / float64(of) }
-	return fmt.Sprintf("late by a pause %.3f, by the first event only %.3f of %d; %d loads, %d of them copies; busiest server %.2f x mean; slowest third: %.2f of requests, %.2f of loads",
+	return fmt.Sprintf("late by a pause %.3f, by the first event only %.3f of %d; %d loads, %d of them copies; busiest server %.2f x mean; slowest third: %.2f of requests, %.2f of loads; %.3f local",
 		share(siteResult.latePause, siteResult.requests), share(siteResult.lateFirst, siteResult.requests), siteResult.requests,
-		siteResult.loads, siteResult.copies, siteResult.busiest, share(siteResult.servedSlow, siteResult.requests), share(siteResult.loadsSlow, siteResult.loads))
+		siteResult.loads, siteResult.copies, siteResult.busiest, share(siteResult.servedSlow, siteResult.requests), share(siteResult.loadsSlow, siteResult.loads), share(siteResult.local, siteResult.requests))
 }
 
 // replaySite runs the simulation with requests for span milliseconds; prepare changes what daemons believe of the servers.
@@ -47,6 +48,7 @@
 		sum.lateFirst += site.lateFirst
 		sum.loads += site.loads
 		sum.copies += site.copies
+		sum.local += site.local
 		for i, engine := range site.engines {
 			sum.busiest = max(sum.busiest, float64(engine.served)*siteServers/float64(site.requests))
 			if i%3 == 0 {
--- a/internal/direct/choose/site_test.go
+++ b/internal/direct/choose/site_test.go
@@ -22,6 +22,7 @@
 	siteWave     = 0.55   // amplitude of the demand
 	sitePeriod   = 13_000 // of the wave, in milliseconds
 	siteAdapters = 10_000
+	sitePlaces   = 4 // data centres of engines
 
 	// Each engine is slow for this share of the time, for 600 ms at a time. The speeds that
 	// daemons know do not show it.
@@ -55,6 +56,8 @@
 	pauses    bool                                     // pause-aware placement is active
 	known     func(now float64, server string) float64 // the speed that daemons assume
 	change    func(now float64)                        // changes true speeds
+	places    int                                      // data centres of daemons, whose waves are apart by equal parts of the period; 1: not those of engines
+	nearby    bool                                     // servers in the own data centre are preferred
 	siteResult
 }
 
@@ -69,7 +72,7 @@
 	random := rand.New(rand.NewPCG(seed, 7))
 	site := &site{
 		span: span, weights: weights, random: random, zipf: rand.NewZipf(random, 1.2, 1, siteAdapters-1),
-		byID: make(map[string]*siteEngine), servers: fleet.New(fleet.DefaultOptions()), requested: make(map[string]float64), pauses: pauses,
+		byID: make(map[string]*siteEngine), servers: fleet.New(fleet.DefaultOptions()), requested: make(map[string]float64), pauses: pauses, places: 1,
 	}
 	for i := range siteServers {
 		engine := &siteEngine{id: fmt.Sprint("s", i), speed: siteSpeeds[i%len(siteSpeeds)]}
@@ -77,7 +80,7 @@
 		engine.slow = func(now float64) bool { return math.Mod(now+offset, sitePeriodSlow) < siteSlowShare*sitePeriodSlow }
 		site.engines = append(site.engines, engine)
 		site.byID[engine.id] = engine
-		site.servers.Put(platformapi.Server{ID: engine.id, Service: service, Slots: siteSlots, Models: []platformapi.Holding{{Model: "m"}}}, int64(i+1))
+		site.servers.Put(platformapi.Server{ID: engine.id, Service: service, Slots: siteSlots, DataCentre: fmt.Sprint("dc", i%sitePlaces), Models: []platformapi.Holding{{Model: "m"}}}, int64(i+1))
 	}
 	site.known = func(_ float64, server string) float64 { return site.byID[server].speed }
 	return site
@@ -86,7 +89,10 @@
 func (site *site) query(request *siteRequest, waitingAt string) choose.Query {
 	query := choose.Query{
 		Now: clock.Millis(site.now), Service: service, Attempt: request.attempt, Adapter: request.adapter, Prompt: request.prompt,
-		AdapterSlots: siteAdapterSlots, ManyDaemons: true, WaitingAt: waitingAt,
+		AdapterSlots: siteAdapterSlots, ManyDaemons: true, WaitingAt: waitingAt, PreferLocal: site.nearby,
+	}
+	if site.places > 1 {
+		query.DataCentre = fmt.Sprint("dc", request.daemon%sitePlaces)
 	}
 	site.addPauses(&query)
 	return query
@@ -140,6 +146,9 @@
 	engine := site.byID[choice.Member.ID]
 	if slot := engine.slot(request.adapter); choice.Ready && slot != nil && slot.readyAt <= site.now {
 		engine.send(request)
+		if choice.Member.DataCentre == query.DataCentre {
+			site.local++
+		}
 		if choice.CopyTo != nil {
 			site.load(site.byID[choice.CopyTo.ID], request.adapter)
 		}
@@ -149,13 +158,14 @@
 	site.load(engine, request.adapter)
 }
 
-// arrive places the requests that arrive within a tick.
-func (site *site) arrive(work *inflight.Tracker) {
-	expected := siteRequests * siteTick / 1000 * (1 + siteWave*math.Sin(2*math.Pi*site.now/sitePeriod))
+// arrive places the requests that arrive at a data centre within a tick.
+func (site *site) arrive(place int, work *inflight.Tracker) {
+	phase, places := float64(place)/float64(site.places), float64(site.places)
+	expected := siteRequests * siteTick / 1000 / places * (1 + siteWave*math.Sin(2*math.Pi*(site.now/sitePeriod+phase)))
 	for expected > 0 {
 		if site.random.Float64() < expected {
 			request := &siteRequest{
-				attempt: site.random.Uint64(), daemon: site.random.IntN(siteDaemons), arrived: site.now,
+				attempt: site.random.Uint64(), daemon: place + site.places*site.random.IntN((siteDaemons+site.places-1)/site.places), arrived: site.now,
 				adapter: platformapi.Adapter{Model: "m", Name: fmt.Sprint("a", site.zipf.Uint64())},
 				prompt:  200 + int(min(4500, 1260*site.random.ExpFloat64())), events: 20 + site.random.IntN(41),
 			}
@@ -177,7 +187,7 @@
 	backlog := func(server string) clock.Millis {
 		return clock.Millis(float64(work.Load(server).Reading) / site.weights.ReadTokensPerMS)
 	}
-	for _, engine := range site.engines {
+	for i, engine := range site.engines {
 		if backlog(engine.id) < goal {
 			continue
 		}
@@ -200,7 +210,7 @@
 				}
 				demand.Backlog += backlog(holder.id)
 			}
-			query := site.query(&siteRequest{adapter: request.adapter, prompt: work.Load(engine.id).Reading / max(1, work.Load(engine.id).Runs)}, "")
+			query := site.query(&siteRequest{daemon: i, adapter: request.adapter, prompt: work.Load(engine.id).Reading / max(1, work.Load(engine.id).Runs)}, "")
 			count := loading.CopiesNeeded(demand, goal)
 			if count == 0 {
 				continue
@@ -267,7 +277,9 @@
 		}
 	}
 	if site.now <= site.span {
-		site.arrive(work)
+		for place := range site.places {
+			site.arrive(place, work)
+		}
 	}
 }
 
--- a/internal/direct/peers/network_test.go
+++ b/internal/direct/peers/network_test.go
@@ -72,13 +72,15 @@
 }
 
 // TestRetain checks that connections to daemons that are no longer wanted are closed, and that
-// others stay open.
+// others stay open. Bytes sent to a peer that was dialled as a seed count for its data centre when
+// that is known.
 func TestRetain(t *testing.T) {
 	group := task.New(t.Context())
 	first, second := newRecordingHandler(), newRecordingHandler()
 	one := topology.Daemon{Name: "one", Address: served(t, group, first)}
-	two := topology.Daemon{Name: "two", Address: served(t, group, second)}
+	two := topology.Daemon{Name: "two", Address: served(t, group, second), DataCentre: "there"}
 	network := peers.New(peers.DefaultOptions(), "self", ignoringHandler{}, group)
+	network.Add(topology.Daemon{Address: two.Address})
 	network.Retain([]topology.Daemon{one, two})
 	require.Eventually(t, func() bool { return len(network.ConnectedAddresses()) == 2 }, 20*time.Second, time.Millisecond)
 	network.Retain([]topology.Daemon{two})
@@ -92,6 +94,7 @@
 	require.NoError(t, err)
 	require.True(t, sent)
 	require.Equal(t, "self", (<-second.received).Update.Name)
+	require.Eventually(t, func() bool { return network.Traffic()["there"].Sent > 0 }, 20*time.Second, time.Millisecond)
 	group.Stop()
 	group.Reap(func(task.End) {})
 }
