--- a/internal/direct/gateway/run.go
+++ b/internal/direct/gateway/run.go
@@ -35,6 +35,7 @@
 	Send(address string, message peers.Message) (bool, error)
 	SendEncoded(address string, encoded []byte) bool
 	SetPing(interval clock.Millis)
+	Traffic() map[string]peers.Traffic
 }
 
 // Gateway is a daemon that serves callers' requests.
