--- a/internal/direct/choose/choose.go
+++ b/internal/direct/choose/choose.go
@@ -33,6 +33,7 @@
 	Relief          float64 // a copy is made only if its server would be cheaper by more than this
 	Late            float64 // cost of a stream that pauses for longer than its gap goal; scaled by the probability; 0: not counted
 	LateOthers      float64 // share of Late that each stream running at the same server adds
+	Completion      float64 // cost of an answer that is cut off by its deadline, as a multiple of Late; scaled by the probability; 0: not counted
 	Shortcut        bool    // skip the other servers if none can be cheaper than the best holder of the adapter
 	Homes           int     // positions of the rendezvous order that Step distinguishes; 4 at most
 }
@@ -44,7 +45,7 @@
 		ReadTokensPerMS: initialReadRate, Full: 250, Queued: 40,
 		Load: 300, AtHand: 60, Coming: 160, Copy: 150, Crowded: 300, Orderless: 1500, Step: 40,
 		Trouble: 1500, Suspect: 3000, Away: 1, Relief: 100, Shortcut: true, Homes: 3,
-		Late: 800, LateOthers: 0.25,
+		Late: 800, LateOthers: 0.25, Completion: 1,
 	}
 }
 
@@ -91,6 +92,11 @@
 	GapGoal  clock.Millis                // longest pause of a stream on time; 0: pauses are not counted
 	Speed    func(server string) float64 // speed of a server relative to the median, between 0.2 and 4; nil: 1
 	Interval func(server string) float64 // milliseconds between two events of a stream; 0: unknown; nil: all unknown
+
+	// Inputs for avoiding servers at which the answer would be cut off by its deadline. They need Interval.
+	Output      int          // maximum number of output tokens that the caller states; 0: unknown
+	EventTokens float64      // tokens of Output for each event of an answer; 0: unknown
+	Left        clock.Millis // time until the deadline
 }
 
 // excludes reports whether a server must not be sent the request, whatever its cost.
--- a/internal/direct/choose/holders.go
+++ b/internal/direct/choose/holders.go
@@ -26,12 +26,13 @@
 	if query.Speed == nil && !weights.countsLateness(query) {
 		return holder
 	}
-	holder.idleCost = weights.readingTime(query.Prompt, speed)
+	idleReading := weights.readingTime(query.Prompt, speed)
+	holder.idleCost = idleReading + weights.completionCost(query, member, idleReading)
 	holder.usable = load.Runs < max(1, member.Slots) && !member.Suspect(query.Now)
 	if weights.countsLateness(query) {
 		interval := query.interval(member)
 		holder.Cost += weights.lateness(query, interval+reading, load.Runs)
-		holder.idleCost += weights.lateness(query, interval+holder.idleCost, 0)
+		holder.idleCost += weights.lateness(query, interval+idleReading, 0)
 	}
 	return holder
 }
--- a/internal/direct/choose/lateness_replay_test.go
+++ b/internal/direct/choose/lateness_replay_test.go
@@ -18,6 +18,7 @@
 // siteResult sums up a replay.
 type siteResult struct {
 	requests, latePause, lateFirst int // lateFirst: late by the first event only
+	cut                            int // by the deadline
 	loads, copies                  int // from the weight store; copies: while another server had the adapter
 	busiest                        float64
 	servedSlow, loadsSlow          int // at the slowest third of the servers
@@ -45,6 +46,7 @@
 		sum.requests += site.requests
 		sum.latePause += site.latePause
 		sum.lateFirst += site.lateFirst
+		sum.cut += site.cut
 		sum.loads += site.loads
 		sum.copies += site.copies
 		for i, engine := range site.engines {
--- a/internal/direct/choose/site_test.go
+++ b/internal/direct/choose/site_test.go
@@ -55,6 +55,8 @@
 	pauses    bool                                     // pause-aware placement is active
 	known     func(now float64, server string) float64 // the speed that daemons assume
 	change    func(now float64)                        // changes true speeds
+	answers   func(request *siteRequest)               // draws the length and the deadline of an answer; nil: without deadlines
+	perEvent  choose.EventTokens
 	siteResult
 }
 
@@ -87,6 +89,7 @@
 	query := choose.Query{
 		Now: clock.Millis(site.now), Service: service, Attempt: request.attempt, Adapter: request.adapter, Prompt: request.prompt,
 		AdapterSlots: siteAdapterSlots, ManyDaemons: true, WaitingAt: waitingAt,
+		Output: request.output, EventTokens: site.perEvent.PerEvent(), Left: clock.Millis(request.deadline - site.now),
 	}
 	site.addPauses(&query)
 	return query
@@ -160,6 +163,9 @@
 				prompt:  200 + int(min(4500, 1260*site.random.ExpFloat64())), events: 20 + site.random.IntN(41),
 			}
 			request.tokens = float64(request.prompt)
+			if site.answers != nil {
+				site.answers(request)
+			}
 			key := fmt.Sprint(request.daemon, request.adapter.Name)
 			last, before := site.requested[key]
 			site.requested[key] = site.now
@@ -222,7 +228,10 @@
 	for _, engine := range site.engines {
 		before := engine.now
 		for _, request := range engine.run(site.now) {
-			if request.pause > gapGoal {
+			site.observe(request)
+			if request.cut {
+				site.cut++
+			} else if request.pause > gapGoal {
 				site.latePause++
 			} else if request.first > siteGoal {
 				site.lateFirst++
