--- a/internal/direct/choose/completion.go
+++ b/internal/direct/choose/completion.go
@@ -13,10 +13,10 @@
 	// pauseFactor is how much longer than the time between two events while an engine reads no
 	// prompt the mean time is, as decoding steps in which it reads prompts as well take longer.
 	pauseFactor = 1.3
-	// The cost rises further by this share of it for each multiple of the time left beyond lostEnd,
-	// and by maxExcess in all. If all engines are too slow, the fastest one is chosen, unless it is
-	// much busier: the answer may be shorter than stated.
-	excessSlope, maxExcess = 0.25, 1.0
+	// Beyond lostEnd the cost rises further by excessSlope for each multiple of the time left, and by
+	// maxExcess in all, so that the fastest engine is chosen if all are too slow: the answer may be
+	// shorter than stated. With maxExcess it still costs less than a server that cannot be reached.
+	excessSlope, maxExcess = 1.0, 2.0
 )
 
 // ExpectedEnd returns the expected time in milliseconds until a server has read this many prompt
--- a/internal/direct/choose/completion_replay_test.go
+++ b/internal/direct/choose/completion_replay_test.go
@@ -49,5 +49,11 @@
 	slowed := replayDeadlines(t, "slowed, before", 7000, 0, slowDown)
 	old := replayDeadlines(t, "slowed, speeds 3 s old", 7000, choose.DefaultWeights().Completion, slowDown)
 	require.Greater(t, before.cut, before.requests/100, "the load is too low for this test")
-	_, _, _ = after, slowed, old
+	require.Less(t, after.cut, before.cut/2)
+	require.Less(t, old.cut, slowed.cut)
+	late := func(result siteResult) float64 { return float64(result.latePause + result.lateFirst) }
+	require.Less(t, late(after), 1.03*late(before))
+	require.Less(t, late(old), 1.1*late(slowed))
+	require.Less(t, float64(after.loads), 1.08*float64(before.loads))
+	require.Less(t, after.busiest, 1.2*before.busiest)
 }
--- a/internal/direct/choose/cost.go
+++ b/internal/direct/choose/cost.go
@@ -48,8 +48,7 @@
 }
 
 // baseCost is the cost of a server without the costs of loading the adapter and of late streams. It
-// includes that of an answer that does not end in time.
-// It also returns the time for reading all prompts there, the request's own included.
+// includes the cost of an answer that may be cut off. It also returns the time for reading all prompts there, the request's own included.
 func (weights Weights) baseCost(query Query, servers *fleet.Fleet, member *fleet.Member, load inflight.Load, speed float64) (cost, reading float64) {
 	reading = weights.readingTime(load.Reading+query.Prompt, speed)
 	cost = reading + weights.Full*float64(load.Runs)/float64(max(1, member.Slots))
--- a/internal/direct/gateway/counters.go
+++ b/internal/direct/gateway/counters.go
@@ -27,6 +27,7 @@
 	gaps    histograms // longest gap between two events of a stream
 	turns   map[prefill.Result]int64
 	waits   histograms // of prompts for a grant, by rank
+	cut     int64      // streams that were cut off by their deadlines
 
 	retryAfter      histograms       // times that refused callers were told to wait, by reason
 	reserveRefusals map[string]int64 // by account: refusals that kept units for more urgent ranks
@@ -57,6 +58,9 @@
 		labels.Service = "other"
 	}
 	counters.ends[labels]++
+	if job.isCut(now, reason) {
+		counters.cut++
+	}
 	if status/100 != 2 {
 		return
 	}
@@ -130,4 +134,5 @@
 	}
 	counters.waits.write(out, "teaselmoor_prompt_turn_millis", "rank")
 	counters.writeRefusals(out)
+	_, _ = fmt.Fprintf(out, "teaselmoor_streams_cut_total{cause=\"deadline\"} %d\n", counters.cut)
 }
--- a/internal/direct/gateway/handler.go
+++ b/internal/direct/gateway/handler.go
@@ -46,6 +46,7 @@
 	lastEventID  string       // of the last complete event sent to the caller
 	firstEventAt clock.Millis // when the head of a streamed answer was sent; 0: not yet
 	longestGap   clock.Millis // longest time between two events of the answer as they arrived
+	events       int          // of a streamed answer that have arrived
 	retryAfter   clock.Millis // sent to a refused caller
 
 	// Prefill admission control in the last placement.
--- a/internal/direct/gateway/relay.go
+++ b/internal/direct/gateway/relay.go
@@ -91,6 +91,7 @@
 				return tryResult{done: true}
 			}
 			_ = control.Flush() // a failure shows at the next write
+			job.events += bytes.Count(event, eventEnd)
 			job.lastEventID = relayed.lastID
 			job.lastEventAt = now
 			continue
@@ -118,6 +119,7 @@
 func (gateway *Gateway) finishStream(writer http.ResponseWriter, job *job, to assignment, answer *upstream.Answer) tryResult {
 	answer.Close(true)
 	gateway.recordSuccess(job, to)
+	gateway.core.observeEventTokens(job)
 	if !job.headSent {
 		gateway.sendHead(writer, job, answer)
 	}
