--- a/internal/direct/choose/completion.go
+++ b/internal/direct/choose/completion.go
@@ -26,13 +26,14 @@
 	return query.expectedEnd(member, weights.readingTime(tokens, speedOf(query.Speed, member)))
 }
 
-// expectedEnd is ExpectedEnd for a server that reads for this many milliseconds.
-func (query Query) expectedEnd(member *fleet.Member, reading float64) float64 {
-	if query.Output <= 0 || !(query.EventTokens > 0) {
+// expectedEnd is ExpectedEnd for a server that reads for this many milliseconds. It is called for
+// each server of a placement; a copy of the query would take longer than the calculation.
+func (query *Query) expectedEnd(member *fleet.Member, reading float64) float64 {
+	if query.Output <= 0 || !(query.EventTokens > 0) || query.Interval == nil {
 		return 0
 	}
-	interval := query.interval(member)
-	if interval == 0 {
+	interval := query.Interval(member.ID)
+	if !(interval > 0) {
 		return 0
 	}
 	return reading + float64(query.Output)/query.EventTokens*interval*pauseFactor
@@ -41,12 +42,15 @@
 // completionCost returns the cost of an answer that may be cut off by its deadline at a server that
 // reads for this many milliseconds before it begins. It is part of all costs that are compared,
 // those of loads included: the answer is lost, whichever server would have been cheaper.
-func (weights Weights) completionCost(query Query, member *fleet.Member, reading float64) float64 {
-	if weights.Completion <= 0 || query.Left <= 0 {
+func (weights *Weights) completionCost(query *Query, member *fleet.Member, reading float64) float64 {
+	if weights.Completion <= 0 || query.Left <= 0 || query.Output <= 0 {
 		return 0
 	}
 	share := query.expectedEnd(member, reading) / float64(query.Left)
-	probability := min(max((share-safeEnd)/(lostEnd-safeEnd), 0), 1)
+	if share <= safeEnd {
+		return 0
+	}
+	probability := min((share-safeEnd)/(lostEnd-safeEnd), 1)
 	excess := min(max(share-lostEnd, 0)*excessSlope, maxExcess)
 	return weights.Completion * weights.Late * (probability + excess)
 }
--- a/internal/direct/choose/cost.go
+++ b/internal/direct/choose/cost.go
@@ -62,7 +62,7 @@
 	if member.DataCentre != query.DataCentre {
 		cost += weights.Away
 	}
-	return cost + weights.completionCost(query, member, reading), reading
+	return cost + weights.completionCost(&query, member, reading), reading
 }
 
 // queueTime is the expected time until the next slot of a full server becomes free.
--- a/internal/direct/choose/holders.go
+++ b/internal/direct/choose/holders.go
@@ -27,7 +27,7 @@
 		return holder
 	}
 	idleReading := weights.readingTime(query.Prompt, speed)
-	holder.idleCost = idleReading + weights.completionCost(query, member, idleReading)
+	holder.idleCost = idleReading + weights.completionCost(&query, member, idleReading)
 	holder.usable = load.Runs < max(1, member.Slots) && !member.Suspect(query.Now)
 	if weights.countsLateness(query) {
 		interval := query.interval(member)
