--- a/internal/direct/choose/completion_replay_test.go
+++ b/internal/direct/choose/completion_replay_test.go
@@ -8,46 +8,29 @@
 	"teaselmoor/internal/direct/choose"
 )
 
-// observe has the site estimate the tokens of an event.
-func (site *site) observe(request *siteRequest) {
-	if !request.cut {
-		site.perEvent.Observe(request.output, request.sent)
-	}
-}
-
-// addDeadlines has callers ask for answers of 1 to 150 events, 43 on average, within 8 or 12 s.
+// withDeadlines has callers ask for answers of 1 to 150 events, 43 on average, within 8 or 12 s.
 // They state up to half more tokens than an answer gets.
-func addDeadlines(site *site) {
-	const tokensPerEvent, longest, mean = 4, 150, 43.5
-	site.answers = func(request *siteRequest) {
-		request.events = int(min(longest, 1+mean*site.random.ExpFloat64()))
-		request.sent = request.events
-		request.output = int(tokensPerEvent * float64(request.events) * (1 + site.random.Float64()/2))
-		request.deadline = site.now + []float64{8000, 12_000}[site.random.IntN(2)]
-	}
-}
-
-// replayDeadlines runs the replay with deadlines, and without or with the cost of cut answers.
-func replayDeadlines(t *testing.T, name string, span, completion float64, prepare func(site *site)) siteResult {
-	sum := replaySite(t, name, 2, span, true, func(site *site) {
-		addDeadlines(site)
+func withDeadlines(completion float64, prepare func(site *site)) func(site *site) {
+	return func(site *site) {
 		site.weights.Completion = completion
-		if prepare != nil {
-			prepare(site)
+		site.answers = func(request *siteRequest) {
+			request.events = int(min(150, 1+43.5*site.random.ExpFloat64()))
+			request.sent, request.output = request.events, int(4*float64(request.events)*(1+site.random.Float64()/2))
+			request.deadline = site.now + []float64{8000, 12_000}[site.random.IntN(2)]
 		}
-	})
-	t.Logf("%-22s cut off %d (%.4f)", name, sum.cut, float64(sum.cut)/float64(sum.requests))
-	return sum
+		prepare(site)
+	}
 }
 
 // TestFewerAnswersAreCutOff guards against long answers that are sent to servers too slow for
-// them, and against the cure being worse: late streams, more loads.
+// them, and against the cure being worse: late streams, more loads, crowded servers.
 func TestFewerAnswersAreCutOff(t *testing.T) {
 	t.Parallel()
-	before := replayDeadlines(t, "before", sitePeriod, 0, nil)
-	after := replayDeadlines(t, "after", sitePeriod, choose.DefaultWeights().Completion, nil)
-	slowed := replayDeadlines(t, "slowed, before", 7000, 0, slowDown)
-	old := replayDeadlines(t, "slowed, speeds 3 s old", 7000, choose.DefaultWeights().Completion, slowDown)
+	completion, unchanged := choose.DefaultWeights().Completion, func(*site) {}
+	before := replaySite(t, "before", 2, sitePeriod, true, withDeadlines(0, unchanged))
+	after := replaySite(t, "after", 2, sitePeriod, true, withDeadlines(completion, unchanged))
+	slowed := replaySite(t, "slowed, before", 2, 7000, true, withDeadlines(0, slowDown))
+	old := replaySite(t, "slowed, speeds 3 s old", 2, 7000, true, withDeadlines(completion, slowDown))
 	require.Greater(t, before.cut, before.requests/100, "the load is too low for this test")
 	require.Less(t, after.cut, before.cut/2)
 	require.Less(t, old.cut, slowed.cut)
--- a/internal/direct/choose/lateness_replay_test.go
+++ b/internal/direct/choose/lateness_replay_test.go
@@ -18,8 +18,7 @@
 // siteResult sums up a replay.
 type siteResult struct {
 	requests, latePause, lateFirst int // lateFirst: late by the first event only
-	cut                            int // by the deadline
-	loads, copies                  int // from the weight store; copies: while another server had the adapter
+	loads, copies, cut             int // loads: from the weight store; copies: while another server had the adapter; cut: off by deadlines
 	busiest                        float64
 	servedSlow, loadsSlow          int // at the slowest third of the servers
 }
@@ -27,8 +26,8 @@
 // String formats the result for the log of a test.
 func (siteResult siteResult) String() string {
 	share := func(count, of int) float64 { return float64(count) / float64(of) }
-	return fmt.Sprintf("late by a pause %.3f, by the first event only %.3f of %d; %d loads, %d of them copies; busiest server %.2f x mean; slowest third: %.2f of requests, %.2f of loads",
-		share(siteResult.latePause, siteResult.requests), share(siteResult.lateFirst, siteResult.requests), siteResult.requests,
+	return fmt.Sprintf("%d cut off, late by a pause %.3f, by the first event only %.3f of %d; %d loads, %d of them copies; busiest server %.2f x mean; slowest third: %.2f of requests, %.2f of loads",
+		siteResult.cut, share(siteResult.latePause, siteResult.requests), share(siteResult.lateFirst, siteResult.requests), siteResult.requests,
 		siteResult.loads, siteResult.copies, siteResult.busiest, share(siteResult.servedSlow, siteResult.requests), share(siteResult.loadsSlow, siteResult.loads))
 }
 
--- a/internal/direct/choose/site_test.go
+++ b/internal/direct/choose/site_test.go
@@ -228,10 +228,12 @@
 	for _, engine := range site.engines {
 		before := engine.now
 		for _, request := range engine.run(site.now) {
-			site.observe(request)
 			if request.cut {
 				site.cut++
-			} else if request.pause > gapGoal {
+				continue
+			}
+			site.perEvent.Observe(request.output, request.sent)
+			if request.pause > gapGoal {
 				site.latePause++
 			} else if request.first > siteGoal {
 				site.lateFirst++
