--- a/internal/direct/prefill/options.go
+++ b/internal/direct/prefill/options.go
@@ -40,6 +40,10 @@
 	LeakShare float64
 	// MostWaiting bounds the prompts that wait at a server. Further ones are granted at once.
 	MostWaiting int
+	// FairAccounts has an owner share the read time of a server evenly among the accounts whose
+	// prompts wait there, within each rank. Off, the prompts of a rank are granted by the time at
+	// which their daemons send them in any case, then by arrival.
+	FairAccounts bool
 }
 
 // Shares for a daemon that knows only its own prompts, which package choose uses. They leave room
@@ -66,6 +70,6 @@
 func DefaultOptions() Options {
 	return Options{
 		Enabled: true, AnswerTimeout: 60, SilentTime: clock.Second, SilentAfter: 2, HeardTime: 500, Report: true,
-		GapShare: ownerGapShare, GoalShare: DefaultGoalShare, LeakShare: ownerLeakShare, MostWaiting: 256,
+		GapShare: ownerGapShare, GoalShare: DefaultGoalShare, LeakShare: ownerLeakShare, MostWaiting: 256, FairAccounts: true,
 	}
 }
--- a/internal/direct/prefill/queue.go
+++ b/internal/direct/prefill/queue.go
@@ -14,6 +14,7 @@
 	ID      uint64 // unique among the requests of the daemon
 	Tokens  int
 	Rank    int          // 0 is the most urgent
+	Account uint64       // hash of the name of the caller's account; 0: none
 	GapGoal clock.Millis // longest pause allowed for streams on this server
 	Until   clock.Millis // when the daemon sends it in any case
 }
@@ -26,12 +27,15 @@
 // Queue orders the prompts for one server, and grants them at a rate at which the server's
 // streams meet their gap goal. Its owner keeps it while it owns the server.
 type Queue struct {
-	options Options
-	bucket  Bucket
-	waiting []Request // by rank, then Until, then arrival
-	surplus []Request // beyond MostWaiting; granted by the next call of Next
-	sent    []Request // sent by their daemons before they were added; not yet in the bucket
-	counted []counted // in the bucket, the oldest first
+	options   Options
+	bucket    Bucket
+	waiting   []Request // by rank, then Until, then arrival
+	surplus   []Request // beyond MostWaiting; granted by the next call of Next
+	sent      []Request // sent by their daemons before they were added; not yet in the bucket
+	counted   []counted // in the bucket, the oldest first
+	fair      *FairOrder
+	wasEmpty  bool  // when Next returned last
+	overtaken int64 // prompts granted before others of their rank that come first in waiting
 }
 
 // counted identifies a request whose tokens are in the bucket.
@@ -48,7 +52,11 @@
 
 // New returns an empty queue.
 func New(options Options) *Queue {
-	return &Queue{options: options}
+	most := 0
+	if options.FairAccounts {
+		most = options.MostWaiting
+	}
+	return &Queue{options: options, fair: NewFairOrder(most)}
 }
 
 // Add adds a request. One whose Until has passed only counts towards the bucket; if the request is
@@ -83,8 +91,9 @@
 		})
 }
 
-// count adds the tokens of a request to the bucket as of a time.
+// count adds the tokens of a request to the bucket as of a time, and charges them to its account.
 func (queue *Queue) count(now, at clock.Millis, request Request, drain float64) {
+	queue.fair.Charge(request)
 	queue.bucket = queue.bucket.Add(at, request.Tokens, drain)
 	queue.counted = append(queue.counted, counted{daemon: request.Daemon, id: request.ID, at: now})
 	queue.counted = queue.counted[max(0, len(queue.counted)-queue.options.MostWaiting):]
@@ -101,26 +110,51 @@
 	return len(queue.waiting)
 }
 
+// WaitingByAccount returns the number of requests in the queue by account.
+func (queue *Queue) WaitingByAccount() map[uint64]int {
+	counts := make(map[uint64]int)
+	for _, request := range queue.waiting {
+		counts[request.Account]++
+	}
+	return counts
+}
+
+// Overtaken returns how many requests were granted before one of another account and the same rank
+// that would have gone first without FairAccounts.
+func (queue *Queue) Overtaken() int64 {
+	return queue.overtaken
+}
+
 // Next returns the requests that may be sent now, and when to call it again unless requests are
 // added or withdrawn before; 0: no request is waiting. Requests whose Until has passed leave the
 // queue without a grant, as their daemons have sent them.
 func (queue *Queue) Next(now clock.Millis, tokensPerMS float64) (granted []Request, wakeAt clock.Millis) {
 	drain := queue.options.LeakShare * tokensPerMS
+	if queue.wasEmpty && queue.bucket.Level(now, drain) <= 0 {
+		queue.fair.Reset()
+	}
 	queue.countSent(now, drain)
 	granted, queue.surplus = queue.surplus, nil
 	for _, request := range granted {
 		queue.count(now, now, request, drain)
 	}
 	for len(queue.waiting) > 0 {
-		head := queue.waiting[0]
+		first := queue.fair.First(queue.waiting)
+		head := queue.waiting[first]
 		if !Fits(queue.bucket.Level(now, drain), head.Tokens, TokenLimit(queue.options.GapShare, head.GapGoal, tokensPerMS)) {
+			wakeAt = queue.wakeAt(now, head, tokensPerMS)
 			break
 		}
+		if first > 0 {
+			queue.overtaken++
+		}
+		queue.fair.Advance(queue.waiting[first:first+1], head.Rank)
 		queue.count(now, now, head, drain)
 		granted = append(granted, head)
-		queue.waiting = slices.Delete(queue.waiting, 0, 1)
+		queue.waiting = slices.Delete(queue.waiting, first, first+1)
 	}
-	return granted, queue.wakeAt(now, tokensPerMS)
+	queue.wasEmpty = len(queue.waiting) == 0
+	return granted, wakeAt
 }
 
 // countSent removes the requests whose Until has passed, and adds their tokens to the bucket as
@@ -129,6 +163,7 @@
 func (queue *Queue) countSent(now clock.Millis, drain float64) {
 	for _, request := range queue.waiting {
 		if request.Until <= now {
+			queue.fair.Advance(queue.waiting, request.Rank)
 			queue.sent = append(queue.sent, request)
 		}
 	}
@@ -143,12 +178,10 @@
 	queue.sent = nil
 }
 
-// wakeAt returns the earlier of the time at which the first request fits and the first Until.
-func (queue *Queue) wakeAt(now clock.Millis, tokensPerMS float64) clock.Millis {
-	if len(queue.waiting) == 0 {
-		return 0
-	}
-	head, at := queue.waiting[0], queue.waiting[0].Until
+// wakeAt returns the earlier of the time at which the head, which goes first, fits and the first
+// Until.
+func (queue *Queue) wakeAt(now clock.Millis, head Request, tokensPerMS float64) clock.Millis {
+	at := head.Until
 	for _, request := range queue.waiting {
 		at = min(at, request.Until)
 	}
