--- a/internal/direct/peers/message_test.go
+++ b/internal/direct/peers/message_test.go
@@ -79,7 +79,7 @@
 			Readings: []quota.Reading{{Account: "payroll", Number: 2, Total: 1630, Recent: 800}},
 		}}},
 		{AdapterRequest: &peers.AdapterRequest{Server: "s", Adapter: adapter, Version: 2, Rank: 1, Left: 300, Absent: true}},
-		{PromptRequest: &peers.PromptRequest{From: "d", Server: "s", ID: 1 << 40, Tokens: 4700, Rank: 2, GapGoal: 300, Left: 264}},
+		{PromptRequest: &peers.PromptRequest{From: "d", Server: "s", ID: 1 << 40, Tokens: 4700, Rank: 2, GapGoal: 300, Left: 264, Account: 1 << 63}},
 		{PromptAnswer: &peers.PromptAnswer{To: "d", Server: "s", ID: 1 << 40, Granted: true}},
 		{PromptWithdrawal: &peers.PromptWithdrawal{From: "d", Server: "s", ID: 1 << 40}},
 		{Streams: []speed.Report{{Server: "s", Born: 1, Interval: 37.9, Events: 12}, {Server: "t", Interval: 0.5, Events: 4}}},
--- a/internal/direct/peers/wireturns.go
+++ b/internal/direct/peers/wireturns.go
@@ -11,6 +11,7 @@
 	Rank         int          // urgency; 0 is the most urgent
 	GapGoal      clock.Millis // longest pause allowed for streams on the server
 	Left         clock.Millis // until the prompt is sent in any case; 0: it has been sent
+	Account      uint64       // hash of the name of the caller's account; 0: none
 }
 
 // PromptAnswer answers a PromptRequest of the daemon To. An answer that is not granted shows that
@@ -35,6 +36,7 @@
 		ID            uint64
 		Tokens, Rank  int
 		GapGoal, Left int64
+		Account       uint64
 	}
 	wirePromptAnswer struct {
 		_          struct{} `cbor:",toarray"`
@@ -54,7 +56,7 @@
 	if request := message.PromptRequest; request != nil {
 		wireMessage.Turn = &wirePromptRequest{
 			From: request.From, Server: request.Server, ID: request.ID, Tokens: request.Tokens, Rank: request.Rank,
-			GapGoal: int64(request.GapGoal), Left: int64(request.Left),
+			GapGoal: int64(request.GapGoal), Left: int64(request.Left), Account: request.Account,
 		}
 	}
 	if answer := message.PromptAnswer; answer != nil {
@@ -70,7 +72,7 @@
 	if request := wire.Turn; request != nil {
 		message.PromptRequest = &PromptRequest{
 			From: request.From, Server: request.Server, ID: request.ID, Tokens: request.Tokens, Rank: request.Rank,
-			GapGoal: clock.Millis(request.GapGoal), Left: clock.Millis(request.Left),
+			GapGoal: clock.Millis(request.GapGoal), Left: clock.Millis(request.Left), Account: request.Account,
 		}
 	}
 	if answer := wire.TurnAnswer; answer != nil {
--- /dev/null
+++ b/internal/direct/prefill/fair_test.go
@@ -0,0 +1,172 @@
+package prefill_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/direct/prefill"
+)
+
+// accountPrompts returns 6 prompts a second of 16 accounts with short answers, so that reading
+// prompts is what takes the engine's time. Account 0 sends a multiple of what each other sends, in
+// bursts.
+func accountPrompts(hotLoad float64, hotBurst int) (prompts []*prompt) {
+	random := rand.New(rand.NewPCG(9, 2))
+	for account := range uint64(16) {
+		load, burst := 1.0, 1
+		if account == 0 {
+			load, burst = hotLoad, hotBurst
+		}
+		for now := 0.0; now < 2_000_000; now += random.ExpFloat64() * 16_000 / 6 / load * float64(burst) {
+			for range burst {
+				prompt := newPrompt(random, now+30*random.Float64(), []int{0, 0, 0, 0, 0, 1, 1, 1, 2}[random.IntN(9)])
+				prompt.account, prompt.events = account, prompt.events/3
+				prompts = append(prompts, prompt)
+			}
+		}
+	}
+	return sorted(prompts)
+}
+
+// accountShares returns the shares of prompts that waited until their bound and that were late, of
+// account 0 and of the others, and the largest distance of one of the others from their mean.
+func accountShares(prompts []*prompt) (hot, others, spread [2]float64) {
+	var count [16]float64
+	var shares [16][2]float64
+	for _, prompt := range prompts {
+		count[prompt.account]++
+	}
+	for _, prompt := range prompts {
+		isLate := prompt.first > float64(goals[prompt.rank]) || prompt.pause > float64(gapGoal)
+		for kind, counts := range []bool{prompt.result == prefill.Bound, isLate} {
+			if counts {
+				shares[prompt.account][kind] += 1 / count[prompt.account]
+			}
+		}
+	}
+	for kind := range 2 {
+		for _, share := range shares[1:] {
+			others[kind] += share[kind] / 15
+		}
+		for _, share := range shares[1:] {
+			spread[kind] = max(spread[kind], math.Abs(share[kind]-others[kind]))
+		}
+	}
+	return shares[0], others, spread
+}
+
+// TestReplayAccounts guards against an account that makes the prompts of all others wait until their
+// bounds, also if owners change, and against a fair order that makes prompts late or that some of the
+// accounts pay for, with or without a hot account.
+func TestReplayAccounts(t *testing.T) {
+	for _, test := range []struct {
+		hotLoad  float64
+		hotBurst int
+		term     clock.Millis
+		change   float64 // at most, of the share of others that wait until their bound
+	}{{6, 4, 0, -0.005}, {6, 4, 10_000, -0.005}, {6, 1, 0, 0.002}, {1, 1, 0, 0.002}} {
+		var before [2]float64
+		for _, fair := range []bool{false, true} {
+			options := prefill.DefaultOptions()
+			options.FairAccounts = fair
+			site, prompts := newSiteWith(true, options), accountPrompts(test.hotLoad, test.hotBurst)
+			site.term = test.term
+			replay(site, prompts, 1)
+			requireBounded(t, prompts)
+			hot, others, spread := accountShares(prompts)
+			t.Logf("%v, fair %v: bound and late: account 0 %.3f, others %.3f, spread %.3f; %s; %v", test, fair, hot, others, spread, lateShares(prompts), site.results)
+			if !fair {
+				before = others
+				continue
+			}
+			require.Less(t, others[0], before[0]+test.change)
+			require.Less(t, others[1], before[1]+0.005)
+			require.Less(t, max(spread[0], spread[1]), 0.1)
+		}
+	}
+}
+
+func accountRequest(id, account uint64, tokens int, until clock.Millis) prefill.Request {
+	request := request(id, 1, tokens, until)
+	request.Account = account
+	return request
+}
+
+// TestFairOrder guards against prompts of an account that go before those of one that has sent less,
+// and against an account that pays for withdrawn prompts, is paid for idle time, or is remembered
+// when the engine has been idle.
+func TestFairOrder(t *testing.T) {
+	queue, now := prefill.New(queueOptions()), clock.Millis(0)
+	add := func(requests ...prefill.Request) {
+		for _, request := range requests {
+			queue.Add(now, request)
+		}
+	}
+	grant := func(count int) (order []uint64) {
+		for len(order) < count {
+			granted, wakeAt := queue.Next(now, rate)
+			order, now = append(order, ids(granted)...), max(now, wakeAt)
+		}
+		return order
+	}
+	add(accountRequest(1, 1, limit, 9000))
+	require.Equal(t, []uint64{1}, grant(1))
+	add(accountRequest(2, 1, 600, 9000), accountRequest(3, 1, 600, 9001), accountRequest(4, 2, 900, 9100), accountRequest(5, 2, 900, 9200), accountRequest(6, 3, 600, 9300), request(7, 0, 600, 9500))
+	queue.Withdraw(now, "d", 5)
+	add(accountRequest(8, 2, 900, 9200))
+	require.Equal(t, []uint64{7, 4, 6, 8, 2, 3}, grant(6), "rank 0; then starts 0, 0, 900, 3000, 3600")
+	require.Equal(t, int64(3), queue.Overtaken())
+	add(accountRequest(9, 1, 600, 9000), accountRequest(10, 4, 600, 9000), accountRequest(11, 4, 600, 9000), accountRequest(12, 2, 600, 9500))
+	require.Equal(t, []uint64{10, 12, 9, 11}, grant(4), "the virtual time is 3600, as is the start of 10 and 12; 9 and 11 start at 4200")
+	now += 1000
+	granted, _ := queue.Next(now, rate)
+	require.Empty(t, granted)
+	add(accountRequest(13, 5, limit, 9900), accountRequest(14, 1, 600, 9000), accountRequest(15, 6, 600, 9100))
+	require.Equal(t, []uint64{14, 15, 13}, grant(3), "without virtual times")
+}
+
+// TestFairOrderOff guards against another order, or other times, with the option off or without
+// accounts.
+func TestFairOrderOff(t *testing.T) {
+	before := queueOptions()
+	before.FairAccounts = false
+	random := rand.New(rand.NewPCG(3, 3))
+	plain, off, one := prefill.New(before), prefill.New(before), prefill.New(queueOptions())
+	for id := range uint64(5000) {
+		now := clock.Millis(100 * id)
+		added := request(id, random.IntN(3), random.IntN(2500), now+clock.Millis(random.IntN(700)))
+		plain.Add(now, added)
+		one.Add(now, added)
+		added.Account = random.Uint64N(5)
+		off.Add(now, added)
+		plain.Withdraw(now, "d", id/3)
+		granted, wakeAt := plain.Next(now, rate)
+		for _, queue := range []*prefill.Queue{off, one} {
+			queue.Withdraw(now, "d", id/3)
+			other, otherWakeAt := queue.Next(now, rate)
+			require.Equal(t, ids(granted), ids(other))
+			require.Equal(t, wakeAt, otherWakeAt)
+			require.Zero(t, queue.Overtaken())
+		}
+	}
+}
+
+// TestFairOrderAccounts guards against state that grows with the number of accounts, and against
+// accounts that come once and make others lose their order.
+func TestFairOrderAccounts(t *testing.T) {
+	order := prefill.NewFairOrder(256)
+	order.Charge(accountRequest(0, 1, 100_000, 0))
+	for id := range uint64(10_000) {
+		once := accountRequest(id, id+2, 500, clock.Millis(id))
+		waiting := []prefill.Request{accountRequest(0, 1, 10, 0), once, accountRequest(id, id+3, 500, clock.Millis(id))}
+		require.Equal(t, 1, order.First(waiting))
+		order.Advance(slices.Clone(waiting[:1]), 0) // of another rank
+		order.Charge(once)
+		require.LessOrEqual(t, order.Accounts(), 256)
+	}
+}
--- a/internal/direct/prefill/replay_test.go
+++ b/internal/direct/prefill/replay_test.go
@@ -32,6 +32,7 @@
 type prompt struct {
 	at           clock.Millis
 	daemon, rank int
+	account      uint64
 	tokens       int
 	events       int    // of its answer
 	id           uint64 // of its request or report
--- a/internal/direct/prefill/replaysite_test.go
+++ b/internal/direct/prefill/replaysite_test.go
@@ -12,12 +12,14 @@
 // site is the part of a replay that decides when prompts are sent: by the rule of each daemon
 // alone, or with an owner's queue. Messages arrive after linkTime.
 type site struct {
+	options    prefill.Options
 	owner      *prefill.Queue // nil: none
 	ownerDies  clock.Millis   // 0: never
 	loseAnswer func() bool    // nil: none is lost
 	period     clock.Millis   // at the beginning of each, the owner handles no messages for the time stall
 	stall      clock.Millis   // 0: it always does, and gets no requests for other servers
 	heardAt    clock.Millis   // when daemons last received an update of the owner
+	term       clock.Millis   // after which another daemon owns the engine; 0: the owner does not change
 	requesters []*prefill.Requester
 	buckets    []*choose.PromptBucket
 	waiting    []*prompt
@@ -30,7 +32,7 @@
 }
 
 func newSiteWith(controlled bool, options prefill.Options) *site {
-	site := &site{messages: make(map[clock.Millis][]func(clock.Millis)), results: make(map[prefill.Result]int)}
+	site := &site{options: options, messages: make(map[clock.Millis][]func(clock.Millis)), results: make(map[prefill.Result]int)}
 	if controlled {
 		site.owner = prefill.New(options)
 	}
@@ -105,7 +107,7 @@
 
 // request returns a prompt as its daemon announces it to the owner.
 func (prompt *prompt) request(until clock.Millis) prefill.Request {
-	return prefill.Request{Daemon: strconv.Itoa(prompt.daemon), ID: prompt.id, Tokens: prompt.tokens, Rank: prompt.rank, GapGoal: gapGoal, Until: until}
+	return prefill.Request{Daemon: strconv.Itoa(prompt.daemon), ID: prompt.id, Tokens: prompt.tokens, Rank: prompt.rank, Account: prompt.account, GapGoal: gapGoal, Until: until}
 }
 
 // answer sends a daemon the owner's answer to its request.
@@ -124,6 +126,9 @@
 	for _, arrive := range site.messages[now] {
 		arrive(now)
 	}
+	if site.term > 0 && now%site.term == 0 {
+		site.owner = prefill.New(site.options)
+	}
 	if site.ownerAlive(now) && !site.stalled(now) {
 		granted, _ := site.owner.Next(now, engineRate)
 		for _, request := range granted {
