--- a/internal/direct/account/account.go
+++ b/internal/direct/account/account.go
@@ -6,7 +6,9 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 )
 
@@ -70,6 +72,15 @@
 	Limit   Limit
 }
 
+// HashOf returns the hash of an account's name, which stands for the account in messages about
+// prompts. It is 0 for an empty name only.
+func HashOf(name string) uint64 {
+	if name == "" {
+		return 0
+	}
+	return max(1, xxhash.Sum64String(name))
+}
+
 // Entry is an account with its keys, as listed in a configuration.
 type Entry struct {
 	Account
@@ -129,6 +140,18 @@
 	return account, ok
 }
 
+// NamesOf returns the names of the listed accounts among those with the given hashes. It looks at
+// all accounts.
+func (directory *Directory) NamesOf(hashes []uint64) map[uint64]string {
+	names := make(map[uint64]string)
+	for name := range directory.byName {
+		if hash := HashOf(name); slices.Contains(hashes, hash) {
+			names[hash] = name
+		}
+	}
+	return names
+}
+
 // Limited reports whether any account has a limit.
 func (directory *Directory) Limited() bool {
 	return directory != nil && directory.limited
--- a/internal/direct/gateway/forward_test.go
+++ b/internal/direct/gateway/forward_test.go
@@ -101,7 +101,7 @@
 // hub has forwarded them: two hubs with different views could otherwise send them to and fro.
 func TestHubForwardsOnce(t *testing.T) {
 	site := newHubSite(t)
-	request := peers.Message{PromptRequest: &peers.PromptRequest{From: "m1", Server: "e1", ID: 3, Tokens: 900, Rank: 1, GapGoal: 300, Left: 250}}
+	request := peers.Message{PromptRequest: &peers.PromptRequest{From: "m1", Server: "e1", ID: 3, Tokens: 900, Rank: 1, GapGoal: 300, Left: 250, Account: 9}}
 	report := peers.Message{PromptRequest: &peers.PromptRequest{From: "m1", Server: "e1", ID: 4, Tokens: 900, GapGoal: 300}}
 	withdrawal := peers.Message{PromptWithdrawal: &peers.PromptWithdrawal{From: "m1", Server: "e1", ID: 3}}
 	streams := peers.Message{Streams: []speed.Report{{Server: "e1", Born: 1, Interval: 40, Events: 20}}}
--- a/internal/direct/gateway/metrics.go
+++ b/internal/direct/gateway/metrics.go
@@ -21,6 +21,7 @@
 	writer.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	gateway.counters.write(writer)
 	gateway.core.writeGauges(writer)
+	gateway.core.writePromptAccounts(writer)
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
 	writeGauge(writer, gauge{"teaselmoor_heap_bytes", float64(memory.HeapInuse)})
@@ -95,6 +96,7 @@
 		{"teaselmoor_adapters_queued", float64(queued)},
 		{"teaselmoor_requests_in_progress", float64(inProgress)},
 		{"teaselmoor_prompts_waiting", float64(core.promptsWaiting())},
+		{"teaselmoor_prompts_overtaken_total", float64(core.turns.overtaken)},
 		{"teaselmoor_prompts_reported_total", float64(core.turns.reported)},
 		{"teaselmoor_owners_silent", float64(core.turns.requester.SilentOwners(now))},
 		{"teaselmoor_orders_total", float64(core.ordersSent)},
--- a/internal/direct/gateway/turnmessages.go
+++ b/internal/direct/gateway/turnmessages.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/direct/account"
 	"teaselmoor/internal/direct/peers"
 	"teaselmoor/internal/direct/prefill"
 )
@@ -23,6 +24,7 @@
 	earlier   chan struct{}            // holds a token when grantLoop has to look earlier
 	heardAt   map[string]clock.Millis  // by peer: when it last sent a delta or an answer about a prompt
 	reported  int64                    // prompts sent without a grant and reported to owners
+	overtaken int64                    // prompts granted at this owner before earlier ones of another account
 }
 
 // answerRoute is the peer through which a daemon's requests arrive.
@@ -83,7 +85,7 @@
 func (core *core) promptRequest(job *job, server string, id uint64, left clock.Millis) peers.PromptRequest {
 	return peers.PromptRequest{
 		From: core.settings.Name, Server: server, ID: id, Tokens: job.headers.PromptTokens, Rank: job.rank,
-		GapGoal: core.catalog.ServiceGapGoal(job.service), Left: left,
+		GapGoal: core.catalog.ServiceGapGoal(job.service), Left: left, Account: account.HashOf(job.account.Name),
 	}
 }
 
@@ -209,6 +211,7 @@
 	}
 	added := prefill.Request{
 		Daemon: request.From, ID: request.ID, Tokens: request.Tokens, Rank: request.Rank, GapGoal: request.GapGoal, Until: now + request.Left,
+		Account: request.Account,
 	}
 	worker.prompts.Add(now, added)
 	granted := gateway.grantPrompts(now, request.Server, worker)
@@ -234,7 +237,9 @@
 // queue again when the next one may be. The mutex must be held.
 func (gateway *Gateway) grantPrompts(now clock.Millis, server string, worker *orderWorker) []prefill.Request {
 	turns := gateway.core.turns
+	before := worker.prompts.Overtaken()
 	granted, at := worker.prompts.Next(now, gateway.core.tokensPerMS(now, server))
+	turns.overtaken += worker.prompts.Overtaken() - before
 	for _, request := range granted {
 		gateway.answerPrompt(server, request, true)
 	}
--- a/internal/serve/command/gateway_test.go
+++ b/internal/serve/command/gateway_test.go
@@ -21,6 +21,9 @@
 teaselmoor_retry_budget_left{service="records"} 6.5
 teaselmoor_account_rate{account="payroll"} 900
 teaselmoor_account_limit{account="payroll"} 1200
+teaselmoor_account_prompts_waiting{account="payroll"} 2
+teaselmoor_account_prompts_waiting{account="records"} 11
+teaselmoor_prompts_overtaken_total 7
 teaselmoor_servers_slow 1
 teaselmoor_server_speed{quantile="0"} 0.5
 teaselmoor_server_speed{quantile="0.5"} 1
@@ -41,7 +44,7 @@
 	for _, want := range []string{
 		"configuration version 21", "has not answered for 1.5s", "6 peers; 13 servers, of which this gateway gives orders to 2",
 		"records  200  Complete  12", "records  0.99  80", "engines  0.99  310", "records  6.5", "payroll  900", "payroll  1200",
-		"0.50 to 1.60, median 1.00; 1 slow ones", "e2  0.5  76.4  2.5s",
+		"0.50 to 1.60, median 1.00; 1 slow ones", "e2  0.5  76.4  2.5s", "7 prompts overtaken since its start\n  records  11\n  payroll  2\n",
 	} {
 		require.Contains(t, got.out, want)
 	}
--- a/internal/serve/command/gatewaystatus.go
+++ b/internal/serve/command/gatewaystatus.go
@@ -98,12 +98,31 @@
 	} {
 		metrics.printLabelled(invocation, each.title, each.name, "account")
 	}
+	metrics.printPromptAccounts(invocation)
 	metrics.printSpeeds(invocation)
 	metrics.printLabelled(invocation, "refusals that kept units for more urgent ranks:", "teaselmoor_account_reserve_refusals_total", "account")
 	metrics.printLabelled(invocation, "time that refused callers were told to wait, in milliseconds:", "teaselmoor_retry_after_millis", "reason", "quantile")
 	metrics.printLabelled(invocation, "repeats left of the retry budget:", "teaselmoor_retry_budget_left", "service")
 }
 
+// printPromptAccounts prints the accounts whose prompts wait at the gateway, those with the most
+// prompts first.
+func (metrics gatewayMetrics) printPromptAccounts(invocation *cli.Context) {
+	waiting := metrics.byLabel("teaselmoor_account_prompts_waiting", "account")
+	if len(waiting) == 0 {
+		return
+	}
+	writeLine(invocation, "\naccounts whose prompts wait at this gateway as an owner, and how many; %d prompts overtaken since its start",
+		int64(metrics.value("teaselmoor_prompts_overtaken_total")))
+	table := newTable(invocation)
+	for _, account := range slices.SortedFunc(maps.Keys(waiting), func(a, b string) int {
+		return cmp.Or(cmp.Compare(waiting[b], waiting[a]), cmp.Compare(a, b))
+	}) {
+		table.row(account, waiting[account])
+	}
+	table.flush()
+}
+
 // printSpeeds prints the speeds of servers, if the gateway estimates them, and the slowest servers
 // with the ages of their estimates.
 func (metrics gatewayMetrics) printSpeeds(invocation *cli.Context) {
