--- a/internal/direct/prefill/fair_test.go
+++ b/internal/direct/prefill/fair_test.go
@@ -36,18 +36,11 @@
 // accountShares returns the shares of prompts that waited until their bound and that were late, of
 // account 0 and of the others, and the largest distance of one of the others from their mean.
 func accountShares(prompts []*prompt) (hot, others, spread [2]float64) {
-	var count [16]float64
 	var shares [16][2]float64
-	for _, prompt := range prompts {
-		count[prompt.account]++
-	}
-	for _, prompt := range prompts {
-		isLate := prompt.first > float64(goals[prompt.rank]) || prompt.pause > float64(gapGoal)
-		for kind, counts := range []bool{prompt.result == prefill.Bound, isLate} {
-			if counts {
-				shares[prompt.account][kind] += 1 / count[prompt.account]
-			}
-		}
+	for account := range uint64(16) {
+		own := slices.DeleteFunc(slices.Clone(prompts), func(prompt *prompt) bool { return prompt.account != account })
+		bound := slices.DeleteFunc(slices.Clone(own), func(prompt *prompt) bool { return prompt.result != prefill.Bound })
+		shares[account] = [2]float64{float64(len(bound)) / float64(len(own)), lateShares(own)[either][all]}
 	}
 	for kind := range 2 {
 		for _, share := range shares[1:] {
@@ -128,6 +121,16 @@
 	require.Empty(t, granted)
 	add(accountRequest(13, 5, limit, 9900), accountRequest(14, 1, 600, 9000), accountRequest(15, 6, 600, 9100))
 	require.Equal(t, []uint64{14, 15, 13}, grant(3), "without virtual times")
+	add(accountRequest(16, 5, 600, 9000), accountRequest(17, 6, 2*limit, 9100))
+	require.Equal(t, []uint64{17, 16}, grant(2), "17 starts at 600 and waits until the bucket is empty")
+	add(accountRequest(18, 7, 600, now+50), accountRequest(19, 6, 600, now+100))
+	for range 2 {
+		now += 50
+		granted, _ = queue.Next(now, rate)
+		require.Empty(t, granted)
+	}
+	add(accountRequest(20, 7, 600, 8000), accountRequest(21, 8, 600, 9000))
+	require.Equal(t, []uint64{20, 21}, grant(2), "the prompt that was sent at its bound started later than 20")
 }
 
 // TestFairOrderOff guards against another order, or other times, with the option off or without
@@ -156,17 +159,21 @@
 	}
 }
 
-// TestFairOrderAccounts guards against state that grows with the number of accounts, and against
-// accounts that come once and make others lose their order.
+// TestFairOrderAccounts guards against state that grows with the number of accounts, against accounts
+// that come once and make others lose their order, and against one that stays first as it does not
+// state the size of its prompts.
 func TestFairOrderAccounts(t *testing.T) {
 	order := prefill.NewFairOrder(256)
-	order.Charge(accountRequest(0, 1, 100_000, 0))
+	hot := accountRequest(0, 1, 100_000, 0)
+	order.Charge(hot)
 	for id := range uint64(10_000) {
-		once := accountRequest(id, id+2, 500, clock.Millis(id))
-		waiting := []prefill.Request{accountRequest(0, 1, 10, 0), once, accountRequest(id, id+3, 500, clock.Millis(id))}
-		require.Equal(t, 1, order.First(waiting))
-		order.Advance(slices.Clone(waiting[:1]), 0) // of another rank
+		once, next := accountRequest(id, id+2, 0, 0), accountRequest(id, id+3, 500, 0)
+		require.Equal(t, 1, order.First([]prefill.Request{hot, once, next}))
 		order.Charge(once)
+		require.True(t, id >= 255 || order.First([]prefill.Request{once, next}) == 1)
 		require.LessOrEqual(t, order.Accounts(), 256)
 	}
+	order.Advance([]prefill.Request{hot}, hot.Rank)
+	order.Charge(accountRequest(0, 0, 1, 0))
+	require.Equal(t, 1, order.Accounts(), "the others have no effect any more")
 }
