--- a/internal/direct/prefill/fair_test.go
+++ b/internal/direct/prefill/fair_test.go
@@ -11,9 +11,8 @@
 	"teaselmoor/internal/direct/prefill"
 )
 
-// accountPrompts returns 6 prompts a second of 16 accounts with short answers, so that reading
-// prompts is what takes the engine's time. Account 0 sends a multiple of what each other sends, in
-// bursts.
+// accountPrompts returns 6 prompts a second of 16 accounts, with short answers, so that the time to read prompts
+// counts. Account 0 sends a multiple of what each other sends, in bursts.
 func accountPrompts(hotLoad float64, hotBurst int) (prompts []*prompt) {
 	random := rand.New(rand.NewPCG(9, 2))
 	for account := range uint64(16) {
@@ -44,9 +43,8 @@
 	return shares, others
 }
 
-// TestReplayAccounts guards against an account that makes the prompts of all others wait until their
-// bounds, also if owners change, and against a fair order that makes prompts late or that some of the
-// accounts pay for, with or without a hot account.
+// TestReplayAccounts guards against an account that makes the prompts of all others wait until their bounds, also
+// if owners change, and against a fair order that makes prompts late or that one of the other accounts pays for.
 func TestReplayAccounts(t *testing.T) {
 	for _, test := range []struct {
 		hotLoad  float64
@@ -74,14 +72,11 @@
 }
 
 func accountRequest(id, account uint64, tokens int, until clock.Millis) prefill.Request {
-	request := request(id, 1, tokens, until)
-	request.Account = account
-	return request
+	return prefill.Request{Daemon: "d", ID: id, Account: account, Rank: 1, Tokens: tokens, GapGoal: gapGoal, Until: until}
 }
 
-// TestFairOrder guards against prompts of an account that go before those of one that has sent less,
-// and against an account that pays for withdrawn prompts, is paid for idle time, or is remembered
-// when the engine has been idle.
+// TestFairOrder guards against prompts of an account that go before those of one that has sent less, and against an
+// account that pays for withdrawn prompts, is paid for idle time, or is remembered when the engine has been idle.
 func TestFairOrder(t *testing.T) {
 	queue, now := prefill.New(queueOptions()), clock.Millis(0)
 	grant := func(added ...prefill.Request) (order []uint64) {
@@ -104,15 +99,12 @@
 	now += 1000
 	order = grant(accountRequest(13, 5, limit, 9900), accountRequest(14, 1, 600, 9000), accountRequest(15, 6, 600, 9100))
 	require.Equal(t, []uint64{14, 15, 13}, order, "without virtual times")
-	order = grant(accountRequest(16, 5, 600, 9000), accountRequest(17, 6, 2*limit, 9100))
-	require.Equal(t, []uint64{17, 16}, order, "17 starts at 600 and waits until the bucket is empty")
+	require.Equal(t, []uint64{17, 16}, grant(accountRequest(16, 5, 600, 9000), accountRequest(17, 6, 2*limit, 9100)), "17 starts at 600 and waits until the bucket is empty")
 	require.Empty(t, grant(accountRequest(18, 7, 600, now+50), accountRequest(19, 6, 600, now+100)))
-	order = grant(accountRequest(20, 7, 600, 8000), accountRequest(21, 8, 600, 9000))
-	require.Equal(t, []uint64{20, 21}, order, "the prompt that was sent at its bound started later than 20")
+	require.Equal(t, []uint64{20, 21}, grant(accountRequest(20, 7, 600, 8000), accountRequest(21, 8, 600, 9000)), "the prompt that was sent at its bound started later than 20")
 }
 
-// TestFairOrderOff guards against another order, or other times, with the option off or without
-// accounts.
+// TestFairOrderOff guards against another order, or other times, with the option off or without accounts.
 func TestFairOrderOff(t *testing.T) {
 	options, random := queueOptions(), rand.New(rand.NewPCG(3, 3))
 	options.FairAccounts = false
@@ -134,9 +126,8 @@
 	require.Zero(t, off.Overtaken()+one.Overtaken())
 }
 
-// TestFairOrderAccounts guards against state that grows with the number of accounts, against accounts
-// that come once and make others lose their order, and against one that stays first as it does not
-// state the size of its prompts.
+// TestFairOrderAccounts guards against state that grows with the number of accounts, against accounts that come once
+// and make others lose their order, and against one that stays first as it does not state the size of its prompts.
 func TestFairOrderAccounts(t *testing.T) {
 	order := prefill.NewFairOrder(256)
 	hot := accountRequest(0, 1, 100_000, 0)
