--- a/internal/direct/retryafter/schedule.go
+++ b/internal/direct/retryafter/schedule.go
@@ -43,6 +43,8 @@
 	Rate    float64 // units a second that are added for all daemons counted together
 	Share   float64 // part of Rate that this daemon's callers use
 	Spread  uint64  // differs between callers
+	// Longest bounds the time that the caller is told to wait; 0: MaxWait.
+	Longest clock.Millis
 }
 
 // promise is a time at which a refused caller was told to return.
@@ -95,7 +97,11 @@
 	if wait > 0 {
 		return wait, promised
 	}
-	wait = Spread(refusal.expected(promised), refusal.Spread, MinWait, MaxWait)
+	longest := MaxWait
+	if refusal.Longest > 0 {
+		longest = min(longest, refusal.Longest)
+	}
+	wait = Spread(refusal.expected(promised), refusal.Spread, MinWait, longest)
 	schedule.add(known, promise{at: now + wait, units: refusal.Units, rank: refusal.Rank, class: refusal.Class})
 	return wait, promised
 }
--- /dev/null
+++ b/internal/direct/shed/replay_test.go
@@ -0,0 +1,239 @@
+package shed_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/require"
+
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/direct/choose"
+	"teaselmoor/internal/direct/fleet"
+	"teaselmoor/internal/direct/inflight"
+	"teaselmoor/internal/direct/platformapi"
+	"teaselmoor/internal/direct/retryafter"
+	"teaselmoor/internal/direct/shed"
+)
+
+// Parameters of a plain service with short requests at a site of many daemons.
+const (
+	daemons      = 82
+	servers      = 2
+	slots        = 6
+	queue        = 24
+	work         = 30.0 // mean milliseconds in a slot
+	travel       = 3.0  // milliseconds to a server and back
+	goal         = 150 * clock.Millisecond
+	reportEvery  = 50 * clock.Millisecond
+	defaultRetry = 500 * clock.Millisecond // told to callers whom all servers declined
+	overload     = 8 * clock.Second        // when the rate rises from 0.6 of the capacity
+	settled      = 2 * clock.Second        // after that
+	span         = 16 * clock.Second       // of the overload, all of it counted
+	start        = 1000 * clock.Second
+	capacity     = servers * slots * 1000 / work // requests per second
+)
+
+// replay is a service and the daemons that send requests to it.
+type replay struct {
+	options   shed.Options
+	rate      float64 // arrivals in multiples of the capacity
+	deviation float64 // of the logarithm of the work
+	timeError float64 // factor by which daemons measure times wrongly
+
+	random   *rand.Rand
+	now      clock.Millis
+	due      map[clock.Millis][]func()
+	fleet    *fleet.Fleet
+	free     map[string][]float64 // when each slot becomes free, by server
+	progress map[string]int       // requests at each server
+	daemons  []*daemon
+
+	onTime, late, refused, declined, refusals int
+	shares                                    []float64 // refused by the first daemon once settled
+}
+
+type daemon struct {
+	work              *inflight.Tracker
+	average           *choose.LoadAverage
+	service           *shed.Service
+	promises          *retryafter.Schedule
+	arrivals, refused float64
+}
+
+func run(enabled bool, rate, deviation, timeError float64) *replay {
+	options := shed.DefaultOptions()
+	options.Enabled = enabled
+	replay := &replay{
+		options: options, rate: rate, deviation: deviation, timeError: timeError, random: rand.New(rand.NewPCG(7, 1)), due: make(map[clock.Millis][]func()),
+		fleet: fleet.New(fleet.DefaultOptions()), free: make(map[string][]float64), progress: make(map[string]int),
+	}
+	for i := range servers {
+		id := fmt.Sprint("p", i)
+		replay.free[id] = make([]float64, slots)
+		replay.fleet.Put(platformapi.Server{ID: id, Service: "records", Slots: slots}, int64(i+1))
+	}
+	for range daemons {
+		replay.daemons = append(replay.daemons, &daemon{inflight.New(), choose.NewLoadAverage(), shed.New(options, goal), retryafter.New(retryafter.DefaultOptions()), 0, 0})
+	}
+	next := 0.0
+	for ; replay.now < overload+span; replay.now++ {
+		for _, do := range replay.due[replay.now] {
+			do()
+		}
+		delete(replay.due, replay.now)
+		if replay.now%reportEvery == 0 {
+			replay.report()
+		}
+		for ; next <= float64(replay.now); next += replay.random.ExpFloat64() * 1000 / (rate * capacity) {
+			if replay.now < overload && replay.random.Float64() > 0.6/rate {
+				continue
+			}
+			replay.request(false)
+		}
+	}
+	return replay
+}
+
+func (replay *replay) after(wait clock.Millis, do func()) {
+	replay.due[replay.now+wait] = append(replay.due[replay.now+wait], do)
+}
+
+// report gives all daemons the present counts, which arrive late.
+func (replay *replay) report() {
+	sums := make(map[string]inflight.Sum)
+	for id, runs := range replay.progress {
+		sums[id] = inflight.Sum{Load: inflight.Load{Runs: runs}}
+	}
+	replay.after(choose.CountsAge, func() {
+		for _, daemon := range replay.daemons {
+			daemon.work.SetHubSums(sums)
+			daemon.service.Observe(start+replay.now, shed.NewView(replay.fleet.Usable("records"), daemon.work))
+		}
+		if replay.now > overload+settled {
+			replay.shares = append(replay.shares, replay.daemons[0].service.Share())
+		}
+	})
+}
+
+// request has a daemon decide on a request. A caller that is refused retries once.
+func (replay *replay) request(retried bool) {
+	daemon, hash := replay.daemons[replay.random.IntN(daemons)], replay.random.Uint64()
+	daemon.service.Arrived(0)
+	decision := daemon.service.Decide(start+replay.now, shed.NewView(replay.fleet.Usable("records"), daemon.work), shed.Request{Hash: hash})
+	wait, count := defaultRetry, &replay.declined
+	if replay.now > overload+settled {
+		daemon.arrivals++
+	}
+	if decision.Refused {
+		if replay.refusals++; replay.now > overload+settled {
+			daemon.refused++
+		}
+		wait, _ = daemon.promises.Promise(start+replay.now, "records", decision.Refusal(0, hash, 1.0/daemons))
+		count = &replay.refused
+	} else if replay.send(daemon, hash) {
+		return
+	}
+	if !retried {
+		replay.after(wait, func() { replay.request(true) })
+	} else if replay.now >= overload {
+		*count++
+	}
+}
+
+// send sends a request to a server, and reports false if all servers decline it.
+func (replay *replay) send(daemon *daemon, hash uint64) bool {
+	query := choose.Query{Now: start + replay.now, Service: "records", Attempt: xxhash.Sum64String(fmt.Sprint(hash)), ManyDaemons: true, Short: daemon.average}
+	for {
+		choice, ok := choose.DefaultWeights().Choose(query, 0, replay.fleet, daemon.work)
+		if !ok {
+			return false
+		}
+		id, free := choice.Member.ID, replay.free[choice.Member.ID]
+		if replay.progress[id] >= slots+queue {
+			query.Tried = append(query.Tried, id)
+			continue
+		}
+		began := replay.now
+		slot := slices.Index(free, slices.Min(free))
+		free[slot] = max(float64(began), free[slot]) + work*math.Exp(replay.deviation*replay.random.NormFloat64()-replay.deviation*replay.deviation/2)
+		took := free[slot] - float64(began) + travel
+		replay.progress[id]++
+		daemon.work.Begin(inflight.Use{Server: id}, 0)
+		replay.after(clock.Millis(math.Ceil(took-travel)), func() { replay.progress[id]-- })
+		replay.after(clock.Millis(math.Ceil(took)), func() {
+			daemon.work.End(inflight.Use{Server: id}, 0)
+			daemon.service.RecordAnswer(clock.Millis(took * replay.timeError))
+			switch {
+			case began < overload:
+			case took <= float64(goal):
+				replay.onTime++
+			default:
+				replay.late++
+			}
+		})
+		return true
+	}
+}
+
+// perCapacity returns a count as a share of what the servers can answer.
+func (replay *replay) perCapacity(count int) float64 {
+	return float64(count) / span.Seconds() / capacity
+}
+
+// swing returns the 5th and 95th percentile of the share that the first daemon refuses.
+func (replay *replay) swing() (low, high float64) {
+	shares := slices.Sorted(slices.Values(replay.shares))
+	return shares[len(shares)/20], shares[len(shares)*19/20]
+}
+
+// spread returns the standard deviation, over the daemons, of the share that they refuse.
+func (replay *replay) spread() float64 {
+	sum, squares := 0.0, 0.0
+	for _, daemon := range replay.daemons {
+		share := daemon.refused / max(1, daemon.arrivals)
+		sum += share
+		squares += share * share
+	}
+	return math.Sqrt(max(0, squares/daemons-sum*sum/daemons/daemons))
+}
+
+func (replay *replay) String() string {
+	low, high := replay.swing()
+	return fmt.Sprintf("on time %.3f, late %.3f, refused %.3f, declined %.3f; share %.2f to %.2f; spread %.3f",
+		replay.perCapacity(replay.onTime), replay.perCapacity(replay.late), replay.perCapacity(replay.refused), replay.perCapacity(replay.declined), low, high, replay.spread())
+}
+
+// TestReplay guards against refusals without overload, against an overload that makes all answers
+// late or leaves servers idle, against a share that oscillates as the counts are late, and against
+// daemons that refuse much more than others.
+func TestReplay(t *testing.T) {
+	for _, deviation := range []float64{0, 0.5} {
+		for _, rate := range []float64{0.8, 1.2, 1.5, 3} {
+			before, after := run(false, rate, deviation, 1), run(true, rate, deviation, 1)
+			t.Logf("rate %.1f, work varies by %.1f\nbefore: %v\nafter:  %v", rate, deviation, before, after)
+			if rate < 1 {
+				require.Zero(t, after.refusals)
+				continue
+			}
+			require.GreaterOrEqual(t, after.perCapacity(after.onTime), 0.8)
+			low, high := after.swing()
+			require.Less(t, high-low, 0.45, "an oscillating share swings between 0 and 0.9")
+			require.Less(t, after.spread(), 0.15)
+		}
+	}
+}
+
+// TestWrongSlotTime guards against an estimate of the time in a slot that is wrong by a factor of 2
+// and makes an overload worse than it is without load shedding.
+func TestWrongSlotTime(t *testing.T) {
+	before := run(false, 1.5, 0.5, 1)
+	for _, factor := range []float64{0.5, 2} {
+		after := run(true, 1.5, 0.5, factor)
+		t.Logf("times wrong by %g: %v", factor, after)
+		require.GreaterOrEqual(t, after.onTime, before.onTime*95/100)
+	}
+}
