--- a/internal/decide/outcome/reason.go
+++ b/internal/decide/outcome/reason.go
@@ -54,6 +54,7 @@
 	CrashesEngines      Reason = "CrashesEngines"
 	EnginesLimited      Reason = "EnginesLimited"
 	EnginesRest         Reason = "EnginesRest"
+	ServiceOverloaded   Reason = "ServiceOverloaded"
 )
 
 var sentences = map[Reason]string{
@@ -102,6 +103,7 @@
 	AnswerLate:          "The time allowed ran out after the request was sent and before its answer was complete.",
 	EnginesLimited:      "Each server that could take the request had named how many it takes in a second, and had got as many.",
 	EnginesRest:         "Each server that could take the request had turned this daemon away of late and asked it for rest.",
+	ServiceOverloaded:   "The service had more requests in progress than it could answer in time, so this one was refused at once.",
 	CrashesEngines:      "Engines have ended while they ran requests with the same content, so this one was not run.",
 	InvalidAnswer:       "What came back was not an answer of the server to this request, and it was discarded.",
 }
--- a/internal/direct/catalog/catalog.go
+++ b/internal/direct/catalog/catalog.go
@@ -135,7 +135,8 @@
 	routes     map[string][]*Route // by host, longest prefix first
 	minGapGoal clock.Millis        // shortest gap goal of all routes; 0: none has one
 	competing  map[string]competition
-	keyRanks   []int // ranks of the routes that need a key, ascending
+	plainGoals map[string]clock.Millis // by plain service
+	keyRanks   []int                   // ranks of the routes that need a key, ascending
 }
 
 // New returns a catalog. Accounts may be nil.
@@ -163,6 +164,7 @@
 		slices.SortStableFunc(hostRoutes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
 	catalog.competing = competitions(catalog.Services, routes)
+	catalog.plainGoals = plainGoals(catalog.Services, routes)
 	return catalog
 }
 
--- a/internal/direct/ending/ending.go
+++ b/internal/direct/ending/ending.go
@@ -17,6 +17,7 @@
 	MessageAnswerBroken     = "answer broken"
 	MessageStreamBroken     = "stream broken"
 	MessageAccountOverLimit = "account over its limit"
+	MessageRequestShed      = "request shed"
 	MessageRequestEnded     = "request ended"
 )
 
@@ -47,6 +48,7 @@
 	NoServer         Reason = "NoServer"        // no server of the service can take the request
 	ServersLimited   Reason = "ServersLimited"  // the rate limits of the servers that could take it are used up
 	ServersPaused    Reason = "ServersRest"     // the servers that could take it asked this daemon to pause
+	Overloaded       Reason = "Overloaded"      // the service has more requests than it can answer in time
 	AdapterNotReady  Reason = "AdapterNotReady" // its adapter was not loaded in time
 	Quarantined      Reason = "CrashesServers"  // servers crashed while they ran requests with the same content
 	RetryBudgetSpent Reason = "RetryBudget"     // the budget for retries is used up
@@ -69,6 +71,7 @@
 	StreamBroken: outcome.Truncated, UnknownKey: outcome.Unauthorized, StaleAccounts: outcome.OldConfiguration,
 	AccountLimit: outcome.CallerLimit, Quarantined: outcome.CrashesEngines,
 	ServersLimited: outcome.EnginesLimited, ServersPaused: outcome.EnginesRest,
+	Overloaded: outcome.ServiceOverloaded,
 }
 
 // Reasons returns all reasons, in no particular order.
--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -58,6 +58,7 @@
 	readRate          *choose.ReadRate                     // of engines
 	slotTime          choose.SlotTime                      // of engines
 	loadAverage       *choose.LoadAverage                  // of plain services' servers
+	shedding          loadShedding                         // at plain services
 	loadRate          *loading.LoadRate                    // of adapter loads from the weight store
 	promptBuckets     *choose.PromptBucket                 // prompt tokens recently sent to each server by all daemons of a mesh
 	requestedAt       map[platformapi.Adapter]clock.Millis // when callers last requested an adapter here
@@ -146,6 +147,7 @@
 		loadRate:          loading.NewLoadRate(),
 		promptBuckets:     choose.NewPromptBucket(),
 		loadAverage:       choose.NewLoadAverage(),
+		shedding:          newLoadShedding(),
 		requestedAt:       make(map[platformapi.Adapter]clock.Millis),
 		reportRequestedAt: make(map[string]clock.Millis),
 		lostRequests:      make(map[string]*serverLosses),
--- a/internal/direct/gateway/deltas.go
+++ b/internal/direct/gateway/deltas.go
@@ -314,6 +314,7 @@
 	if delta.Sums != nil {
 		core.applySums(now, from, delta.Sums)
 	}
+	core.observeOverload(now)
 	if delta.Store != nil {
 		core.applyStoreUpdate(now, delta.Store)
 	}
--- a/internal/direct/gateway/gossip.go
+++ b/internal/direct/gateway/gossip.go
@@ -162,6 +162,7 @@
 	known := func(server string) bool { _, ok := core.fleet.Member(server); return ok }
 	core.promptBuckets.Retain(known)
 	core.loadAverage.Retain(known)
+	core.pruneShedding()
 	maps.DeleteFunc(core.reportRequestedAt, func(server string, _ clock.Millis) bool { _, ok := core.fleet.Member(server); return !ok })
 	core.mutex.Unlock()
 	gateway.updateConnections()
--- a/internal/direct/gateway/metrics.go
+++ b/internal/direct/gateway/metrics.go
@@ -44,6 +44,7 @@
 		writeGauge(out, each)
 	}
 	core.writeSpeeds(out, now)
+	core.writeShedding(out)
 	for _, status := range core.ledger.Statuses(now, maxSeries) {
 		writeUse(out, status)
 	}
--- a/internal/direct/gateway/place.go
+++ b/internal/direct/gateway/place.go
@@ -97,6 +97,9 @@
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
 	started := core.now()
+	if refused := core.shedRequest(started, job); refused != nil {
+		return assignment{}, refused
+	}
 	frequent := core.markRequested(started, job)
 	maxWait := core.maxAdapterWait(started, job)
 	lastRequest := clock.Millis(0)
--- a/internal/direct/gateway/relay.go
+++ b/internal/direct/gateway/relay.go
@@ -47,6 +47,7 @@
 		return gateway.handleBrokenAnswer(ctx, job, to, err)
 	}
 	gateway.recordSuccess(job, to)
+	gateway.core.recordPlainAnswer(job, to)
 	copyHeader(writer.Header(), answer.Header)
 	gateway.logEnd(job, answer.StatusCode, ending.Complete)
 	job.headSent = true
--- a/internal/direct/gateway/settings.go
+++ b/internal/direct/gateway/settings.go
@@ -22,6 +22,7 @@
 	"teaselmoor/internal/direct/quarantine"
 	"teaselmoor/internal/direct/quota"
 	"teaselmoor/internal/direct/retry"
+	"teaselmoor/internal/direct/shed"
 	"teaselmoor/internal/direct/speed"
 	"teaselmoor/internal/direct/upstream"
 )
@@ -113,6 +114,7 @@
 	Quarantine quarantine.Options
 	Refusals   Refusals
 	Speeds     speed.Options
+	Shed       shed.Options
 
 	// Short has requests with a short goal to plain services placed without the load counts of
 	// other daemons at a site with hubs.
@@ -180,7 +182,7 @@
 		Fleet: fleet.DefaultOptions(), Weights: choose.DefaultWeights(), Hold: choose.DefaultDelayPolicy(), Turns: prefill.DefaultOptions(), Loading: loading.DefaultOptions(),
 		Mirror: mirror.DefaultOptions(), Peers: peers.DefaultOptions(), Membership: membership.DefaultOptions(), Tenure: claims.DefaultOptions(settings.Lease, settings.Fenced),
 		Upstream: upstream.DefaultOptions(), Quarantine: quarantine.DefaultOptions(),
-		Speeds: speed.DefaultOptions(), Refusals: DefaultRefusals(),
+		Speeds: speed.DefaultOptions(), Refusals: DefaultRefusals(), Shed: shed.DefaultOptions(),
 
 		Short: true, TellInterval: 100, ReadingInterval: 20, HubInterval: 50, WorkPause: 30, UpdateInterval: 500, VersionGrace: 2500,
 		LoadPatience: 0.8, WantInterval: 400,
--- a/internal/direct/requestlog/requestlog.go
+++ b/internal/direct/requestlog/requestlog.go
@@ -46,6 +46,10 @@
 	ReserveUnits   float64
 	PromisedUnits  float64
 
+	// Fields of the message that the request was shed.
+	LoadTenths   int
+	TargetTenths int
+
 	// Fields of the message that the request ended.
 	Daemon           string
 	Reason           ending.Reason
@@ -94,6 +98,7 @@
 	reasonKnown bool // the reason of the ending is known
 	notReady    line // the last line whose message is MessageAdapterNotReady
 	overLimit   line // the last line whose message is MessageAccountOverLimit
+	shed        line // the last line whose message is MessageRequestShed
 }
 
 // apply adds the facts of a line to the record.
@@ -106,6 +111,8 @@
 		reader.notReady = line
 	case ending.MessageAccountOverLimit:
 		reader.overLimit = line
+	case ending.MessageRequestShed:
+		reader.shed = line
 	case ending.MessageRequestSent:
 		reader.record.Attempts = append(reader.record.Attempts, outcome.Attempt{
 			Engine: ident.EngineID(line.Server), At: clock.Millis(line.Time.UnixMilli()), Dispatched: true,
@@ -177,6 +184,9 @@
 	if line.Reason == ending.AccountLimit {
 		record.Detail = reader.overLimit.limitDetail()
 	}
+	if line.Reason == ending.Overloaded {
+		record.Detail = reader.shed.shedDetail()
+	}
 	attempts := record.Attempts
 	if len(attempts) > 0 && attempts[len(attempts)-1].Outcome.Kind == "" {
 		attempts[len(attempts)-1].Outcome = record.Outcome
@@ -196,6 +206,12 @@
 	return text
 }
 
+// shedDetail says how loaded the service of a request was that was shed.
+func (line line) shedDetail() string {
+	return fmt.Sprintf("the servers of %s had %.1f requests in progress for each slot; above %.1f, requests are refused so that others are answered in time",
+		line.Service, float64(line.LoadTenths)/10, float64(line.TargetTenths)/10)
+}
+
 // result returns the record, or an error if the log does not show how the request ended.
 func (reader *reader) result() (outcome.Record, error) {
 	switch {
--- a/internal/direct/shed/control.go
+++ b/internal/direct/shed/control.go
@@ -35,10 +35,10 @@
 // The rule d(ln q)/dt = -(dN/dt + (N - wanted)/settleTime) / (C responseTime) makes the response of
 // the loop independent of A, which no daemon knows.
 func (service *Service) Observe(now clock.Millis, view View) {
-	elapsed := now - service.at
-	if service.at > 0 && elapsed < observeInterval {
+	if !service.Due(now) {
 		return
 	}
+	elapsed := now - service.at
 	if view.Others != service.view.Others {
 		service.changedAt = now
 	}
--- a/internal/direct/shed/shed.go
+++ b/internal/direct/shed/shed.go
@@ -48,15 +48,18 @@
 	FreeSlot bool // a server has fewer requests than slots
 }
 
-// NewView returns the view of the given servers by the counts of a daemon.
-func NewView(servers []*fleet.Member, work *inflight.Tracker) View {
+// NewView returns the view of the given servers by the counts of a daemon. Blocked reports whether a
+// server takes no requests of this daemon now, so that its free slots do not count; nil: none.
+func NewView(now clock.Millis, servers []*fleet.Member, work *inflight.Tracker, blocked func(server string) bool) View {
 	view := View{}
 	for _, server := range servers {
 		runs, slots := work.Load(server.ID).Runs, max(1, server.Slots)
 		view.Requests += runs
 		view.Others += runs - work.Own().Loads[server.ID].Runs
 		view.Slots += slots
-		view.FreeSlot = view.FreeSlot || runs < slots
+		if runs < slots && server.PausedFor(now) == 0 && (blocked == nil || !blocked(server.ID)) {
+			view.FreeSlot = true
+		}
 	}
 	return view
 }
@@ -137,6 +140,11 @@
 // slots taken raises the share to 0.03 at times.
 const minShare = 0.1
 
+// Due reports whether Observe would use counts now.
+func (service *Service) Due(now clock.Millis) bool {
+	return service.at == 0 || now-service.at >= observeInterval
+}
+
 // Share returns the share of all requests that are refused.
 func (service *Service) Share() float64 {
 	if share := 1 - math.Exp(service.logPass); share >= minShare {
@@ -155,7 +163,7 @@
 func (service *Service) Decide(now clock.Millis, view View, request Request) Decision {
 	target := service.Target()
 	decision := Decision{Load: view.load(), Target: target, SlotMillis: service.slotTime.estimate(), Slots: view.Slots}
-	if !service.options.Enabled || target == 0 || view.Slots != service.view.Slots || view.FreeSlot || !service.current(now) {
+	if !service.options.Enabled || target == 0 || view.Slots == 0 || view.FreeSlot || !service.current(now) {
 		return decision
 	}
 	decision.Share = service.ranks.shareOf(request.Rank, service.Share(), service.options.MaxShare)
