--- a/internal/direct/requestlog/requestlog_test.go
+++ b/internal/direct/requestlog/requestlog_test.go
@@ -72,6 +72,16 @@
 	require.Contains(t, text, "may be sent again after 3 seconds")
 }
 
+// TestShed checks that the detail of a request that was shed states the load and its target.
+func TestShed(t *testing.T) {
+	record, err := requestlog.Read(strings.NewReader(`{"time":"2026-06-10T17:35:06.500Z","msg":"request shed","Request":"4292","Service":"quotes","LoadTenths":41,"TargetTenths":25,"Rank":1,"RetryAfterMillis":180}
+{"time":"2026-06-10T17:35:06.500Z","msg":"request ended","Request":"4292","Status":503,"Reason":"Overloaded","Offers":0,"Config":21,"Daemon":"d","RetryAfterMillis":180,"Service":"quotes"}
+`), "4292")
+	require.NoError(t, err)
+	require.Equal(t, outcome.Refused(outcome.ServiceOverloaded, 180), record.Outcome)
+	require.Contains(t, explain.Render(record, explain.Regulator), "quotes had 4.1 requests in progress for each slot; above 2.5")
+}
+
 func TestMissingOrUnfinishedRequest(t *testing.T) {
 	_, err := requestlog.Read(strings.NewReader(log), "none")
 	require.ErrorIs(t, err, requestlog.ErrNotFound)
