--- a/internal/serve/command/gatewaystatus.go
+++ b/internal/serve/command/gatewaystatus.go
@@ -101,6 +101,13 @@
 	metrics.printSpeeds(invocation)
 	metrics.printLabelled(invocation, "refusals that kept units for more urgent ranks:", "teaselmoor_account_reserve_refusals_total", "account")
 	metrics.printLabelled(invocation, "time that refused callers were told to wait, in milliseconds:", "teaselmoor_retry_after_millis", "reason", "quantile")
+	for _, each := range []struct{ title, name string }{
+		{"requests that were refused as their plain service was overloaded:", "teaselmoor_requests_shed_total"},
+		{"requests in progress for each slot of plain services:", "teaselmoor_plain_load"},
+		{"the loads above which requests are refused:", "teaselmoor_plain_load_target"},
+	} {
+		metrics.printLabelled(invocation, each.title, each.name, "service")
+	}
 	metrics.printLabelled(invocation, "repeats left of the retry budget:", "teaselmoor_retry_budget_left", "service")
 }
 
