--- a/internal/direct/shed/replay_test.go
+++ b/internal/direct/shed/replay_test.go
@@ -21,18 +21,16 @@
 
 // Parameters of a plain service with short requests at a site of many daemons.
 const (
-	daemons      = 82
-	slots, queue = 6, 24
-	work         = 30.0 // mean milliseconds in a slot
-	travel       = 3.0  // milliseconds to a server and back
-	goal         = 150 * clock.Millisecond
-	reportEvery  = 50 * clock.Millisecond
-	defaultRetry = 500 * clock.Millisecond // told to callers whom all servers declined
-	overload     = 8 * clock.Second        // when the rate rises from 0.6 of the capacity
-	span         = 16 * clock.Second       // of the overload, all of it counted
-	start        = 1000 * clock.Second
-	capacity     = 2 * slots * 1000 / work // of two servers, in requests per second
-	unit         = 1000 / capacity / float64(span)
+	daemons, slots, queue = 82, 6, 24
+	work, travel          = 30.0, 3.0 // mean milliseconds in a slot, and to a server and back
+	goal                  = 150 * clock.Millisecond
+	reportEvery           = 50 * clock.Millisecond
+	defaultRetry          = 500 * clock.Millisecond // told to callers whom all servers declined
+	overload              = 8 * clock.Second        // when the rate rises from 0.6 of the capacity
+	span                  = 16 * clock.Second       // of the overload, all of it counted
+	start                 = 1000 * clock.Second
+	capacity              = 2 * slots * 1000 / work // of two servers, in requests per second
+	unit                  = 1000 / capacity / float64(span)
 )
 
 // replay is a service and the daemons that send requests to it.
