--- a/internal/direct/gateway/metrics.go
+++ b/internal/direct/gateway/metrics.go
@@ -46,6 +46,7 @@
 	}
 	core.writeSpeeds(out, now)
 	core.writeEventTokens(out)
+	core.writeShedding(out)
 	for _, status := range core.ledger.Statuses(now, maxSeries) {
 		writeUse(out, status)
 	}
--- a/internal/direct/gateway/relay.go
+++ b/internal/direct/gateway/relay.go
@@ -51,6 +51,7 @@
 	}
 	answer.Close(true)
 	gateway.recordSuccess(job, to)
+	gateway.core.recordPlainAnswer(job, to)
 	copyHeader(writer.Header(), answer.Header)
 	gateway.logEnd(job, answer.StatusCode, ending.Complete)
 	job.headSent = true
