choose: the highest known speed bounds what other servers can cost

A request whose adapter has a holder considered all servers unless no server at four times the median speed could be cheaper. The bound is now the highest factor in the speed table, which keeps it when it computes factors.

--- a/internal/direct/choose/choose.go
+++ b/internal/direct/choose/choose.go
@@ -91,6 +91,10 @@
 	GapGoal  clock.Millis                // longest pause of a stream on time; 0: pauses are not counted
 	Speed    func(server string) float64 // speed of a server relative to the median, between 0.2 and 4; nil: 1
 	Interval func(server string) float64 // milliseconds between two events of a stream; 0: unknown; nil: all unknown
+
+	// FastestSpeed is at least the highest value that Speed returns, or 0 if that is unknown. With a
+	// lower one, most requests are placed without considering all servers.
+	FastestSpeed float64
 }
 
 // excludes reports whether a server must not be sent the request, whatever its cost.
--- a/internal/direct/choose/lateness.go
+++ b/internal/direct/choose/lateness.go
@@ -38,10 +38,14 @@
 
 // maxSpeed returns the highest speed factor that a server may have.
 func (query Query) maxSpeed() float64 {
-	if query.Speed == nil {
+	switch {
+	case query.Speed == nil:
 		return 1
+	case query.FastestSpeed > 0:
+		return min(max(query.FastestSpeed, 1), maxSpeed) // servers without a valid speed count as 1
+	default:
+		return maxSpeed
 	}
-	return maxSpeed
 }
 
 // interval returns the time between two events of a server's streams while it reads no prompt,
--- a/internal/direct/gateway/pauses.go
+++ b/internal/direct/gateway/pauses.go
@@ -16,6 +16,7 @@
 	}
 	query.GapGoal = gapGoal
 	query.Speed = func(server string) float64 { return core.speedFactor(now, server) }
+	query.FastestSpeed = core.fastestSpeed(now)
 	query.Interval = func(server string) float64 { return core.eventInterval(now, server) }
 }
 
--- a/internal/direct/gateway/speeds.go
+++ b/internal/direct/gateway/speeds.go
@@ -47,6 +47,15 @@
 	return core.speeds.table.Factor(now, server)
 }
 
+// fastestSpeed returns the highest value that speedFactor returns for any server. The mutex must be
+// held.
+func (core *core) fastestSpeed(now clock.Millis) float64 {
+	if !core.speeds.active {
+		return 1
+	}
+	return core.speeds.table.Fastest(now)
+}
+
 // eventInterval returns the time between two events of a stream at a server, in milliseconds. It
 // is 0 where it is not known. The mutex must be held.
 func (core *core) eventInterval(now clock.Millis, server string) float64 {
--- a/internal/direct/speed/factor.go
+++ b/internal/direct/speed/factor.go
@@ -51,6 +51,12 @@
 	return 0
 }
 
+// Fastest returns the highest factor of all servers, which is at least 1.
+func (table *Table) Fastest(now clock.Millis) float64 {
+	table.refresh(now)
+	return max(table.fastest, 1)
+}
+
 // indexOf returns the index of a server's value. Callers ask for the factor and the interval of a
 // server, and go through all servers in order: both are found without a look-up in the map.
 func (table *Table) indexOf(server string) (int, bool) {
@@ -78,7 +84,7 @@
 
 // compute computes the factors of all servers.
 func (table *Table) compute(now clock.Millis) {
-	table.valuesAt, table.outOfDate, table.slowCount = now, false, 0
+	table.valuesAt, table.outOfDate, table.slowCount, table.fastest = now, false, 0, 1
 	for _, indexes := range table.services {
 		intervals := table.sortBuffer[:0]
 		for _, at := range indexes {
@@ -96,6 +102,7 @@
 				median := (intervals[(len(intervals)-1)/2] + intervals[len(intervals)/2]) / 2
 				value.known = true
 				value.factor, value.interval = table.factorOf(now, known, median, enough)
+				table.fastest = max(table.fastest, value.factor)
 			}
 		}
 	}
--- a/internal/direct/speed/table.go
+++ b/internal/direct/speed/table.go
@@ -97,6 +97,7 @@
 	valuesAt   clock.Millis   // when values were computed; 0: not yet
 	outOfDate  bool           // something has changed since
 	slowCount  int
+	fastest    float64 // highest factor; 0: not computed yet
 	sortBuffer []float64
 }
 
--- a/internal/direct/speed/table_test.go
+++ b/internal/direct/speed/table_test.go
@@ -64,6 +64,8 @@
 	require.Zero(t, table.Interval(now, "s7"))
 	require.Equal(t, 1.0, table.Factor(now, "unknown"))
 	require.Equal(t, speed.Summary{Smallest: 0.2, Median: 1, Largest: 4, Slow: 2}, table.Summary(now))
+	require.InDelta(t, 4, table.Fastest(now), 0.01)
+	require.Equal(t, 1.0, newTable(serversOf(8, 1)).Fastest(now), "nothing is known")
 	slowest := table.Slowest(now, 2)
 	require.Equal(t, []string{"s5", "s2"}, []string{slowest[0].Server, slowest[1].Server})
 	for _, wrong := range []float64{0, -3} {
