gateway: causes of late streams are counted and logged; the metrics page is written without a mutex

A stream is late by its first event, by a pause, or by both. With each event, a daemon notes the prompts and the speed that it knows of the server, as only the next event shows whether the pause between them is the longest.

The metrics were written to the collector under the mutexes of the core and of the counters, so that a collector that did not read stopped the daemon. They are now read and formatted before anything is sent.

--- a/internal/direct/gateway/counters.go
+++ b/internal/direct/gateway/counters.go
@@ -12,6 +12,7 @@
 
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/ending"
+	"teaselmoor/internal/direct/late"
 	"teaselmoor/internal/direct/prefill"
 )
 
@@ -28,11 +29,14 @@
 	turns   map[prefill.Result]int64
 	waits   histograms // of prompts for a grant, by rank
 
+	late        *late.Counts
+	pauseTokens histograms // prompt tokens in prefill when the longest pause of a stream began, by whether it was late by that pause
+
 	retryAfter      histograms       // times that refused callers were told to wait, by reason
 	reserveRefusals map[string]int64 // by account: refusals that kept units for more urgent ranks
 }
 
-// histograms holds histograms in milliseconds, by the value of a label.
+// histograms holds histograms, by the value of a label.
 type histograms map[string]*hdrhistogram.Histogram
 
 type endLabels struct {
@@ -46,6 +50,7 @@
 		ends: make(map[endLabels]int64), latency: make(histograms), gaps: make(histograms),
 		retryAfter: make(histograms), reserveRefusals: make(map[string]int64),
 		turns: make(map[prefill.Result]int64), waits: make(histograms),
+		late: late.NewCounts(), pauseTokens: make(histograms),
 	}
 }
 
@@ -57,13 +62,16 @@
 		labels.Service = "other"
 	}
 	counters.ends[labels]++
+	if job.stream.FirstAt > 0 {
+		counters.recordStream(job)
+	}
 	if status/100 != 2 {
 		return
 	}
 	at := now
-	if job.firstEventAt > 0 {
-		at = job.firstEventAt
-		counters.gaps.observe(job.service, job.longestGap)
+	if job.stream.FirstAt > 0 {
+		at = job.stream.FirstAt
+		counters.gaps.observe(job.service, job.stream.LongestPause)
 	}
 	counters.latency.observe(job.service, at-job.arrived)
 }
@@ -89,20 +97,26 @@
 	}
 }
 
-// maxLatencyMillis is the highest latency that a histogram distinguishes, with two significant
-// figures.
-const maxLatencyMillis = 60_000
+// maxRecorded is the highest value that a histogram distinguishes, in milliseconds or tokens, with two
+// significant figures.
+const maxRecorded = 60_000
 
+// observe records a time.
 func (histograms histograms) observe(label string, value clock.Millis) {
+	histograms.record(label, max(int64(value), 1))
+}
+
+// record records a value.
+func (histograms histograms) record(label string, value int64) {
 	histogram, ok := histograms[label]
 	if !ok {
 		if len(histograms) >= maxSeries {
 			return
 		}
-		histogram = hdrhistogram.New(1, maxLatencyMillis, 2)
+		histogram = hdrhistogram.New(1, maxRecorded, 2)
 		histograms[label] = histogram
 	}
-	_ = histogram.RecordValue(min(max(int64(value), 1), maxLatencyMillis)) // always in range
+	_ = histogram.RecordValue(min(max(value, 0), maxRecorded)) // always in range
 }
 
 // write writes quantiles and counts under the names of a metric and its label.
@@ -129,5 +143,6 @@
 		_, _ = fmt.Fprintf(out, "teaselmoor_prompt_turns_total{result=%q} %d\n", result, count)
 	}
 	counters.waits.write(out, "teaselmoor_prompt_turn_millis", "rank")
+	counters.writeStreams(out)
 	counters.writeRefusals(out)
 }
--- a/internal/direct/gateway/handler.go
+++ b/internal/direct/gateway/handler.go
@@ -12,6 +12,7 @@
 	"teaselmoor/internal/direct/catalog"
 	"teaselmoor/internal/direct/content"
 	"teaselmoor/internal/direct/ending"
+	"teaselmoor/internal/direct/late"
 	"teaselmoor/internal/direct/platformapi"
 	"teaselmoor/internal/direct/prefill"
 )
@@ -44,8 +45,7 @@
 	headSent     bool         // the head of an answer has been sent to the caller
 	lastEventAt  clock.Millis // when the caller was last sent something; initially the arrival
 	lastEventID  string       // of the last complete event sent to the caller
-	firstEventAt clock.Millis // when the head of a streamed answer was sent; 0: not yet
-	longestGap   clock.Millis // longest time between two events of the answer as they arrived
+	stream       late.Stream  // course of a streamed answer
 	retryAfter   clock.Millis // sent to a refused caller
 
 	// Prefill admission control in the last placement.
@@ -177,9 +177,7 @@
 	if job.account.Name != "" {
 		line = append(line, "Account", job.account.Name)
 	}
-	if job.firstEventAt > 0 {
-		line = append(line, "FirstMillis", job.firstEventAt-job.arrived, "GapMillis", job.longestGap)
-	}
+	line = append(line, job.endStream(now, reason)...)
 	gateway.log.Info(ending.MessageRequestEnded, line...)
 	gateway.counters.recordEnd(job, status, reason, now)
 }
--- a/internal/direct/gateway/metrics.go
+++ b/internal/direct/gateway/metrics.go
@@ -1,10 +1,14 @@
 package gateway
 
 import (
+	"bytes"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"runtime"
+	"slices"
+	"time"
 
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/quota"
@@ -16,18 +20,31 @@
 	value float64
 }
 
-// serveMetrics writes counters and gauges in the Prometheus text format.
+// collectorTimeout bounds the time in which a collector has to read the metrics, so that collectors
+// that do not read hold no connections and pages for longer.
+const collectorTimeout = 30 * time.Second
+
+// serveMetrics serves counters and gauges in the Prometheus text format. No mutex is held while the
+// collector reads: with one that did not read, no request was placed, as none was logged as ended.
 func (gateway *Gateway) serveMetrics(writer http.ResponseWriter, _ *http.Request) {
+	var page bytes.Buffer
+	gateway.writeMetrics(&page)
 	writer.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	gateway.counters.write(writer)
-	gateway.core.writeGauges(writer)
+	_ = http.NewResponseController(writer).SetWriteDeadline(time.Now().Add(collectorTimeout)) // the server always supports it
+	_, _ = writer.Write(page.Bytes())                                                         // the collector may have disconnected
+}
+
+// writeMetrics writes the metrics to memory: it holds the mutex of the counters meanwhile.
+func (gateway *Gateway) writeMetrics(page *bytes.Buffer) {
+	gateway.counters.write(page)
+	gateway.core.writeGauges(page)
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
-	writeGauge(writer, gauge{"teaselmoor_heap_bytes", float64(memory.HeapInuse)})
-	writeGauge(writer, gauge{"teaselmoor_goroutines", float64(runtime.NumGoroutine())})
-	writeGauge(writer, gauge{"teaselmoor_server_connections_opened_total", float64(gateway.pool.Opened())})
+	writeGauge(page, gauge{"teaselmoor_heap_bytes", float64(memory.HeapInuse)})
+	writeGauge(page, gauge{"teaselmoor_goroutines", float64(runtime.NumGoroutine())})
+	writeGauge(page, gauge{"teaselmoor_server_connections_opened_total", float64(gateway.pool.Opened())})
 	if gateway.options.Dropped != nil {
-		writeGauge(writer, gauge{"teaselmoor_log_lines_dropped_total", float64(gateway.options.Dropped())})
+		writeGauge(page, gauge{"teaselmoor_log_lines_dropped_total", float64(gateway.options.Dropped())})
 	}
 }
 
@@ -35,21 +52,41 @@
 	_, _ = fmt.Fprintf(out, "%s %g\n", gauge.name, gauge.value) // the collector may have disconnected
 }
 
-// writeGauges writes gauges of this daemon's state, accounts and retry budgets.
-func (core *core) writeGauges(out io.Writer) {
+// coreMetrics are the metrics of a daemon's state at one time.
+type coreMetrics struct {
+	gauges   []gauge
+	speeds   speedMetrics
+	accounts []quota.Status
+	budgets  map[string]float64 // by service
+}
+
+// readMetrics reads the metrics of this daemon's state, accounts and retry budgets.
+func (core *core) readMetrics() coreMetrics {
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
 	now := core.now()
-	for _, each := range core.gauges(now) {
+	metrics := coreMetrics{
+		gauges: core.gauges(now), speeds: core.readSpeedMetrics(now),
+		accounts: core.ledger.Statuses(now, maxSeries), budgets: make(map[string]float64, len(core.budgets)),
+	}
+	for service, budget := range core.budgets {
+		metrics.budgets[service] = budget.Remaining(now, core.budgetDaemons())
+	}
+	return metrics
+}
+
+// writeGauges writes the metrics of this daemon's state.
+func (core *core) writeGauges(out io.Writer) {
+	metrics := core.readMetrics()
+	for _, each := range metrics.gauges {
 		writeGauge(out, each)
 	}
-	core.writeSpeeds(out, now)
-	for _, status := range core.ledger.Statuses(now, maxSeries) {
+	metrics.speeds.write(out)
+	for _, status := range metrics.accounts {
 		writeUse(out, status)
 	}
-	for service := range core.budgets {
-		left := core.budgets[service].Remaining(now, core.budgetDaemons())
-		_, _ = fmt.Fprintf(out, "teaselmoor_retry_budget_left{service=%q} %g\n", service, left)
+	for _, service := range slices.Sorted(maps.Keys(metrics.budgets)) {
+		_, _ = fmt.Fprintf(out, "teaselmoor_retry_budget_left{service=%q} %g\n", service, metrics.budgets[service])
 	}
 }
 
--- a/internal/direct/gateway/relay.go
+++ b/internal/direct/gateway/relay.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"teaselmoor/internal/direct/ending"
+	"teaselmoor/internal/direct/late"
 	"teaselmoor/internal/direct/upstream"
 )
 
@@ -82,8 +83,6 @@
 			if !job.headSent {
 				gateway.sendHead(writer, job, answer)
 				active.recordFirstEvent()
-			} else {
-				job.longestGap = max(job.longestGap, now-job.lastEventAt)
 			}
 			if _, failed := writer.Write(event); failed != nil {
 				answer.Close(false)
@@ -93,6 +92,7 @@
 			_ = control.Flush() // a failure shows at the next write
 			job.lastEventID = relayed.lastID
 			job.lastEventAt = now
+			job.stream.Event(now, gateway.core.conditions(now, job, to))
 			continue
 		}
 		if errors.Is(err, io.EOF) {
@@ -109,7 +109,6 @@
 // refusal sent in its place does not carry the server's signature.
 func (gateway *Gateway) sendHead(writer http.ResponseWriter, job *job, answer *upstream.Answer) {
 	job.headSent = true
-	job.firstEventAt = gateway.core.now()
 	copyHeader(writer.Header(), answer.Header)
 	writer.WriteHeader(answer.StatusCode)
 }
@@ -120,6 +119,7 @@
 	gateway.recordSuccess(job, to)
 	if !job.headSent {
 		gateway.sendHead(writer, job, answer)
+		job.stream.Event(gateway.core.now(), late.Conditions{}) // an answer without events has begun when it has ended
 	}
 	gateway.logEnd(job, answer.StatusCode, ending.Complete)
 	return tryResult{done: true}
--- a/internal/direct/gateway/speeds.go
+++ b/internal/direct/gateway/speeds.go
@@ -2,8 +2,6 @@
 
 import (
 	"bytes"
-	"fmt"
-	"io"
 	"math"
 
 	"teaselmoor/internal/base/clock"
@@ -258,23 +256,3 @@
 		sent.speeds.revision = core.speeds.table.Revision()
 	}
 }
-
-// maxSlowServers is the number of servers that are listed in the metrics by name.
-const maxSlowServers = 20
-
-// writeSpeeds writes the metrics of server speeds, if they are estimated. The mutex must be held.
-func (core *core) writeSpeeds(out io.Writer, now clock.Millis) {
-	if !core.speeds.active {
-		return
-	}
-	summary := core.speeds.table.Summary(now)
-	writeGauge(out, gauge{"teaselmoor_servers_slow", float64(summary.Slow)})
-	for _, each := range []struct{ quantile, factor float64 }{{0, summary.Smallest}, {0.5, summary.Median}, {1, summary.Largest}} {
-		_, _ = fmt.Fprintf(out, "teaselmoor_server_speed{quantile=\"%g\"} %g\n", each.quantile, each.factor)
-	}
-	for _, status := range core.speeds.table.Slowest(now, maxSlowServers) {
-		_, _ = fmt.Fprintf(out, "teaselmoor_slowest_server_speed{server=%q} %.2f\n", status.Server, core.speedFactor(now, status.Server))
-		_, _ = fmt.Fprintf(out, "teaselmoor_slowest_server_interval_millis{server=%q} %.1f\n", status.Server, core.eventInterval(now, status.Server))
-		_, _ = fmt.Fprintf(out, "teaselmoor_slowest_server_age_millis{server=%q} %d\n", status.Server, status.Age)
-	}
-}
