--- a/internal/decide/outcome/outcome.go
+++ b/internal/decide/outcome/outcome.go
@@ -100,7 +100,9 @@
 	Target        string
 	// Detail says what was wrong with a malformed request. It contains neither the API
 	// key nor any part of the body.
-	Detail     string `json:",omitempty"`
+	Detail string `json:",omitempty"`
+	// Lateness is a sentence that says why an answer was late, if its cause is known.
+	Lateness   string `json:",omitempty"`
 	Rule       string
 	Class      string
 	Repeatable bool
--- a/internal/direct/requestlog/requestlog.go
+++ b/internal/direct/requestlog/requestlog.go
@@ -17,6 +17,7 @@
 	"teaselmoor/internal/base/ident"
 	"teaselmoor/internal/decide/outcome"
 	"teaselmoor/internal/direct/ending"
+	"teaselmoor/internal/direct/late"
 )
 
 // line is a log line about a request. Each message has some of the fields.
@@ -35,6 +36,11 @@
 	Loading        int
 	Queued         int
 
+	// Fields of the message that the request was sent.
+	WaitedMillis clock.Millis
+	HeldMillis   clock.Millis
+	TurnMillis   clock.Millis
+
 	// Fields of the message that an account is over its limit.
 	Account        string
 	Units          float64
@@ -58,6 +64,15 @@
 	Millis           clock.Millis
 	LeftMillis       clock.Millis
 	RetryAfterMillis clock.Millis
+
+	// Fields of the same message for streams; the goals are those of late ones.
+	FirstMillis          clock.Millis
+	GoalMillis           clock.Millis
+	GapMillis            clock.Millis
+	GapGoalMillis        clock.Millis
+	PauseTokens          int
+	PauseSpeedHundredths int // 0: unknown
+	Late                 late.Cause
 }
 
 // maxLineLength bounds a line, in bytes. A gateway's lines are below 1 KiB.
@@ -94,6 +109,7 @@
 	reasonKnown bool // the reason of the ending is known
 	notReady    line // the last line whose message is MessageAdapterNotReady
 	overLimit   line // the last line whose message is MessageAccountOverLimit
+	waits       firstWaits
 }
 
 // apply adds the facts of a line to the record.
@@ -107,6 +123,7 @@
 	case ending.MessageAccountOverLimit:
 		reader.overLimit = line
 	case ending.MessageRequestSent:
+		reader.waits.addSent(line)
 		reader.record.Attempts = append(reader.record.Attempts, outcome.Attempt{
 			Engine: ident.EngineID(line.Server), At: clock.Millis(line.Time.UnixMilli()), Dispatched: true,
 		})
@@ -117,6 +134,7 @@
 	case ending.MessageServerFailed:
 		reader.endAttempt(line, true, outcome.Outcome{Kind: outcome.Answered, Reason: outcome.ServerFailed})
 	case ending.MessageAnswerBroken, ending.MessageStreamBroken:
+		reader.waits.begun = reader.waits.begun || line.Message == ending.MessageStreamBroken
 		reader.endAttempt(line, true, outcome.MayHaveRun(outcome.Truncated))
 	case ending.MessageRequestEnded:
 		reader.end(line)
@@ -177,6 +195,7 @@
 	if line.Reason == ending.AccountLimit {
 		record.Detail = reader.overLimit.limitDetail()
 	}
+	record.Lateness = line.lateness(reader.waits)
 	attempts := record.Attempts
 	if len(attempts) > 0 && attempts[len(attempts)-1].Outcome.Kind == "" {
 		attempts[len(attempts)-1].Outcome = record.Outcome
--- a/internal/serve/command/gateway_test.go
+++ b/internal/serve/command/gateway_test.go
@@ -13,6 +13,11 @@
 const gatewayMetrics = `teaselmoor_requests_total{service="records",status="200",reason="Complete"} 12
 teaselmoor_latency_millis{service="records",quantile="0.99"} 80
 teaselmoor_stream_gap_millis{service="engines",quantile="0.99"} 310
+teaselmoor_streams_total{service="engines",rank="0"} 60
+teaselmoor_streams_total{service="engines",rank="1"} 40
+teaselmoor_late_streams_total{service="engines",rank="0",cause="pause"} 3
+teaselmoor_late_streams_total{service="engines",rank="1",cause="pause"} 4
+teaselmoor_late_streams_total{service="engines",rank="1",cause="first"} 1
 teaselmoor_config_version 21
 teaselmoor_store_away_millis 1500
 teaselmoor_peers 6
@@ -41,6 +46,7 @@
 	for _, want := range []string{
 		"configuration version 21", "has not answered for 1.5s", "6 peers; 13 servers, of which this gateway gives orders to 2",
 		"records  200  Complete  12", "records  0.99  80", "engines  0.99  310", "records  6.5", "payroll  900", "payroll  1200",
+		"engines  first  1  0.010", "engines  pause  7  0.070",
 		"0.50 to 1.60, median 1.00; 1 slow ones", "e2  0.5  76.4  2.5s",
 	} {
 		require.Contains(t, got.out, want)
--- a/internal/serve/command/gatewaystatus.go
+++ b/internal/serve/command/gatewaystatus.go
@@ -91,6 +91,7 @@
 	metrics.printLabelled(invocation, "requests ended:", "teaselmoor_requests_total", "service", "status", "reason")
 	metrics.printLabelled(invocation, "latency to the first byte, in milliseconds:", "teaselmoor_latency_millis", "service", "quantile")
 	metrics.printLabelled(invocation, "longest gap between events of a stream, in milliseconds:", "teaselmoor_stream_gap_millis", "service", "quantile")
+	metrics.printLateStreams(invocation)
 	for _, each := range []struct{ title, name string }{
 		{"units a second that accounts use:", "teaselmoor_account_rate"},
 		{"their limits:", "teaselmoor_account_limit"},
@@ -104,6 +105,31 @@
 	metrics.printLabelled(invocation, "repeats left of the retry budget:", "teaselmoor_retry_budget_left", "service")
 }
 
+// printLateStreams prints how many streams of each service were late, by cause.
+func (metrics gatewayMetrics) printLateStreams(invocation *cli.Context) {
+	streams := metrics.sums("teaselmoor_streams_total", "service")
+	late := metrics.sums("teaselmoor_late_streams_total", "service", "cause")
+	writeLine(invocation, "\nlate streams: by their first event, by a pause, or by both; their number and their share of the service's")
+	table := newTable(invocation)
+	for _, labels := range slices.SortedFunc(maps.Keys(late), func(a, b [2]string) int { return slices.Compare(a[:], b[:]) }) {
+		table.row(labels[0], labels[1], late[labels], fmt.Sprintf("%.3f", late[labels]/max(1, streams[[2]string{labels[0]}])))
+	}
+	table.flush()
+}
+
+// sums returns the sums of a metric's series by at most two of their labels.
+func (metrics gatewayMetrics) sums(name string, labels ...string) map[[2]string]float64 {
+	sums := make(map[[2]string]float64)
+	for _, metric := range metrics[name].GetMetric() {
+		var values [2]string
+		for i, label := range labels {
+			values[i] = labelValue(metric, label)
+		}
+		sums[values] += metric.GetUntyped().GetValue()
+	}
+	return sums
+}
+
 // printSpeeds prints the speeds of servers, if the gateway estimates them, and the slowest servers
 // with the ages of their estimates.
 func (metrics gatewayMetrics) printSpeeds(invocation *cli.Context) {
--- a/internal/serve/explain/explain.go
+++ b/internal/serve/explain/explain.go
@@ -38,7 +38,7 @@
 
 // Render returns the explanation of a record in paragraphs of plain text.
 func Render(record outcome.Record, audience Audience) string {
-	paragraphs := []string{describeRequest(record), describeExecution(record), describeNextStep(record)}
+	paragraphs := []string{describeRequest(record), record.Lateness, describeExecution(record), describeNextStep(record)}
 	if audience != Member {
 		paragraphs = append(paragraphs, describeRule(record), describeRepeatability(record))
 	}
