--- a/internal/direct/choose/bench_test.go
+++ b/internal/direct/choose/bench_test.go
@@ -17,7 +17,7 @@
 				weights := choose.DefaultWeights()
 				asked := query("r")
 				if speeds != "" {
-					asked.ManyDaemons = true
+					asked.ManyDaemons, asked.FastestSpeed = true, 1.6
 					addSpeeds(&asked, count, func(i int) float64 { return siteSpeeds[i%len(siteSpeeds)] })
 				}
 				b.Run("miss", func(b *testing.B) {
--- a/internal/direct/choose/fastest_test.go
+++ b/internal/direct/choose/fastest_test.go
@@ -1,15 +1,12 @@
 package choose_test
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"teaselmoor/internal/direct/choose"
-	"teaselmoor/internal/direct/fleet"
-	"teaselmoor/internal/direct/inflight"
 )
 
 // TestFastestSpeedDoesNotChangeChoice guards against the highest known speed leaving out a server
@@ -32,27 +29,3 @@
 		require.Equal(t, describe(want, found), describe(got, same), speeds)
 	}
 }
-
-// BenchmarkChooseByFastestSpeed measures placements of prompts of the usual sizes for an adapter with
-// three holders of different speeds, at a site of 1,500 servers, without and with the highest speed.
-func BenchmarkChooseByFastestSpeed(b *testing.B) {
-	for name, fastest := range map[string]float64{"unknown": 0, "known": 1.6} {
-		b.Run(name, func(b *testing.B) {
-			servers, work := newFleet(1500)
-			for i := range 3 {
-				setTable(servers, fmt.Sprint("s", i), 1, fleet.Slot{Adapter: adapter, Version: 1})
-				for range 4 * i {
-					work.Begin(inflight.Use{Server: fmt.Sprint("s", i), Adapter: adapter}, 0)
-				}
-			}
-			asked := query("r")
-			asked.ManyDaemons, asked.Frequent, asked.FastestSpeed = true, true, fastest
-			addSpeeds(&asked, 1500, func(i int) float64 { return siteSpeeds[i%len(siteSpeeds)] })
-			weights := choose.DefaultWeights().WithObserved(siteRate, siteLoad, siteRecentLoad)
-			for i := 0; b.Loop(); i++ {
-				asked.Prompt = []int{200, 650, 1460, 2400, 4700}[i%5]
-				weights.Choose(asked, hash, servers, work)
-			}
-		})
-	}
-}
--- a/internal/direct/late/late_test.go
+++ b/internal/direct/late/late_test.go
@@ -103,13 +103,14 @@
 				}
 				streams++
 				counts[cause]++
-				if pause {
-					tokens[1] += each.seen.Conditions.PromptTokens
-					if each.seen.Conditions.PromptTokens == 0 {
-						unexplained++
-					}
-				} else {
-					tokens[0] += each.seen.Conditions.PromptTokens
+				known := each.seen.Conditions.PromptTokens
+				if !pause {
+					tokens[0] += known
+					continue
+				}
+				tokens[1] += known
+				if known == 0 {
+					unexplained++
 				}
 			}
 		}
