--- a/internal/direct/choose/choose.go
+++ b/internal/direct/choose/choose.go
@@ -99,6 +99,10 @@
 	Output      int          // maximum number of output tokens that the caller states; 0: unknown
 	EventTokens float64      // tokens of Output for each event of an answer; 0: unknown
 	Left        clock.Millis // time until the deadline
+
+	// FastestSpeed is at least the highest value that Speed returns, or 0 if that is unknown. With a
+	// lower one, most requests are placed without considering all servers.
+	FastestSpeed float64
 }
 
 // excludes reports whether a server must not be sent the request, whatever its cost.
