gateway: the prompt of a stream that continues on another server is counted as read there

Cause: relayStream recorded the first event of an answer only together with its head, which the first server had sent. At the second server the prompt stayed counted as in prefill until the stream ended, by which other requests avoided it.

--- a/internal/direct/gateway/relay.go
+++ b/internal/direct/gateway/relay.go
@@ -133,9 +133,11 @@
 		if len(event) > 0 {
 			now := gateway.core.now()
 			streamSpeed.record(now, event)
+			if active.firstEventAt == 0 {
+				active.recordFirstEvent()
+			}
 			if !job.headSent {
 				gateway.sendHead(writer, job, answer)
-				active.recordFirstEvent()
 			}
 			if _, failed := writer.Write(event); failed != nil {
 				answer.Close(false)
