Revert "merge: answers that complete in time"

Ruled out: an estimate by the past answers of a route, as one in thirty is that long, a cost of some 20 ms on slow engines.

--- a/internal/direct/choose/choose.go
+++ b/internal/direct/choose/choose.go
@@ -34,7 +34,6 @@
 	Relief          float64 // a copy is made only if its server would be cheaper by more than this
 	Late            float64 // cost of a stream that pauses for longer than its gap goal; scaled by the probability; 0: not counted
 	LateOthers      float64 // share of Late that each stream running at the same server adds
-	Completion      float64 // cost of an answer that is cut off by its deadline, as a multiple of Late; scaled by the probability; 0: not counted
 	Shortcut        bool    // skip the other servers if none can be cheaper than the best holder of the adapter
 	Homes           int     // positions of the rendezvous order that Step distinguishes; 4 at most
 }
@@ -46,7 +45,7 @@
 		ReadTokensPerMS: initialReadRate, Full: 250, Queued: 40,
 		Load: 300, AtHand: 60, Coming: 160, Copy: 150, Crowded: 300, Orderless: 1500, Step: 40,
 		Trouble: 1500, Suspect: 3000, Away: 1, Nearby: 60, Relief: 100, Shortcut: true, Homes: 3,
-		Late: 800, LateOthers: 0.25, Completion: 1,
+		Late: 800, LateOthers: 0.25,
 	}
 }
 
@@ -95,11 +94,6 @@
 	Speed    func(server string) float64 // speed of a server relative to the median, between 0.2 and 4; nil: 1
 	Interval func(server string) float64 // milliseconds between two events of a stream; 0: unknown; nil: all unknown
 
-	// Inputs for avoiding servers at which the answer would be cut off by its deadline. They need Interval.
-	Output      int          // maximum number of output tokens that the caller states; 0: unknown
-	EventTokens float64      // tokens of Output for each event of an answer; 0: unknown
-	Left        clock.Millis // time until the deadline
-
 	// FastestSpeed is at least the highest value that Speed returns, or 0 if that is unknown. With a
 	// lower one, most requests are placed without considering all servers.
 	FastestSpeed float64
--- a/internal/direct/choose/cost.go
+++ b/internal/direct/choose/cost.go
@@ -47,8 +47,8 @@
 	return float64(rank(query.Attempt, member)>>32) / (1 << 32)
 }
 
-// baseCost is the cost of a server without the costs of loading the adapter and of late streams. It
-// includes the cost of an answer that may be cut off. It also returns the time for reading all prompts there, the request's own included.
+// baseCost is the cost of a server without the costs of loading the adapter and of late streams.
+// It also returns the time for reading all prompts there, the request's own included.
 func (weights Weights) baseCost(query Query, servers *fleet.Fleet, member *fleet.Member, load inflight.Load, speed float64) (cost, reading float64) {
 	reading = weights.readingTime(load.Reading+query.Prompt, speed)
 	cost = reading + weights.Full*float64(load.Runs)/float64(max(1, member.Slots))
@@ -62,7 +62,7 @@
 	if member.DataCentre != query.DataCentre {
 		cost += weights.Away
 	}
-	return cost + weights.completionCost(&query, member, reading), reading
+	return cost, reading
 }
 
 // queueTime is the expected time until the next slot of a full server becomes free.
--- a/internal/direct/choose/engines_test.go
+++ b/internal/direct/choose/engines_test.go
@@ -32,14 +32,10 @@
 	tokens    float64 // of the prompt, still to be read
 	prompt    int
 	events    int // still to be sent
-	sent      int // in all
 	steps     int // since the last event
 	lastEvent float64
 	pause     float64 // longest so far
 	first     float64 // time to the first event
-	output    int     // tokens that the caller states; 0: none
-	deadline  float64 // 0: none
-	cut       bool    // by the deadline
 }
 
 // siteSlot is an adapter slot of an engine.
@@ -188,8 +184,7 @@
 			stream.steps, stream.lastEvent = 0, siteEngine.now
 			stream.events--
 		}
-		stream.cut = stream.events > 0 && stream.deadline > 0 && siteEngine.now > stream.deadline
-		if stream.events > 0 && !stream.cut {
+		if stream.events > 0 {
 			left = append(left, stream)
 			continue
 		}
--- a/internal/direct/choose/holders.go
+++ b/internal/direct/choose/holders.go
@@ -26,13 +26,12 @@
 	if query.Speed == nil && !weights.countsLateness(query) {
 		return holder
 	}
-	idleReading := weights.readingTime(query.Prompt, speed)
-	holder.idleCost = idleReading + weights.completionCost(&query, member, idleReading)
+	holder.idleCost = weights.readingTime(query.Prompt, speed)
 	holder.usable = load.Runs < max(1, member.Slots) && !member.Suspect(query.Now)
 	if weights.countsLateness(query) {
 		interval := query.interval(member)
 		holder.Cost += weights.lateness(query, interval+reading, load.Runs)
-		holder.idleCost += weights.lateness(query, interval+idleReading, 0)
+		holder.idleCost += weights.lateness(query, interval+holder.idleCost, 0)
 	}
 	return holder
 }
--- a/internal/direct/choose/lateness_replay_test.go
+++ b/internal/direct/choose/lateness_replay_test.go
@@ -18,7 +18,7 @@
 // siteResult sums up a replay.
 type siteResult struct {
 	requests, latePause, lateFirst int // lateFirst: late by the first event only
-	loads, copies, cut             int // loads: from the weight store; copies: while another server had the adapter; cut: off by deadlines
+	loads, copies                  int // from the weight store; copies: while another server had the adapter
 	busiest                        float64
 	local                          int // sent to a server in the daemon's data centre
 	servedSlow, loadsSlow          int // at the slowest third of the servers
@@ -27,8 +27,8 @@
 // String formats the result for the log of a test.
 func (siteResult siteResult) String() string {
 	share := func(count, of int) float64 { return float64(count) / float64(of) }
-	return fmt.Sprintf("%d cut off, late by a pause %.3f, by the first event only %.3f of %d; %d loads, %d of them copies; busiest server %.2f x mean; slowest third: %.2f of requests, %.2f of loads; %.3f local",
-		siteResult.cut, share(siteResult.latePause, siteResult.requests), share(siteResult.lateFirst, siteResult.requests), siteResult.requests,
+	return fmt.Sprintf("late by a pause %.3f, by the first event only %.3f of %d; %d loads, %d of them copies; busiest server %.2f x mean; slowest third: %.2f of requests, %.2f of loads; %.3f local",
+		share(siteResult.latePause, siteResult.requests), share(siteResult.lateFirst, siteResult.requests), siteResult.requests,
 		siteResult.loads, siteResult.copies, siteResult.busiest, share(siteResult.servedSlow, siteResult.requests), share(siteResult.loadsSlow, siteResult.loads), share(siteResult.local, siteResult.requests))
 }
 
@@ -46,7 +46,6 @@
 		sum.requests += site.requests
 		sum.latePause += site.latePause
 		sum.lateFirst += site.lateFirst
-		sum.cut += site.cut
 		sum.loads += site.loads
 		sum.copies += site.copies
 		sum.local += site.local
--- a/internal/direct/choose/site_test.go
+++ b/internal/direct/choose/site_test.go
@@ -58,8 +58,6 @@
 	change    func(now float64)                        // changes true speeds
 	places    int                                      // data centres of daemons, whose waves are apart by equal parts of the period; 1: not those of engines
 	nearby    bool                                     // servers in the own data centre are preferred
-	answers   func(request *siteRequest)               // draws the length and the deadline of an answer; nil: without deadlines
-	perEvent  choose.EventTokens
 	siteResult
 }
 
@@ -92,7 +90,6 @@
 	query := choose.Query{
 		Now: clock.Millis(site.now), Service: service, Attempt: request.attempt, Adapter: request.adapter, Prompt: request.prompt,
 		AdapterSlots: siteAdapterSlots, ManyDaemons: true, WaitingAt: waitingAt, PreferLocal: site.nearby,
-		Output: request.output, EventTokens: site.perEvent.PerEvent(), Left: clock.Millis(request.deadline - site.now),
 	}
 	if site.places > 1 {
 		query.DataCentre = fmt.Sprint("dc", request.daemon%sitePlaces)
@@ -173,9 +170,6 @@
 				prompt:  200 + int(min(4500, 1260*site.random.ExpFloat64())), events: 20 + site.random.IntN(41),
 			}
 			request.tokens = float64(request.prompt)
-			if site.answers != nil {
-				site.answers(request)
-			}
 			key := fmt.Sprint(request.daemon, request.adapter.Name)
 			last, before := site.requested[key]
 			site.requested[key] = site.now
@@ -238,11 +232,6 @@
 	for _, engine := range site.engines {
 		before := engine.now
 		for _, request := range engine.run(site.now) {
-			if request.cut {
-				site.cut++
-				continue
-			}
-			site.perEvent.Observe(request.output, request.sent)
 			if request.pause > gapGoal {
 				site.latePause++
 			} else if request.first > siteGoal {
--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -69,7 +69,6 @@
 	turns             *promptTurns                         // prompts that wait to be admitted at engines
 	holdingsChanged   chan struct{}                        // closed and replaced when holdings change
 	speeds            serverSpeeds                         // of engines
-	eventTokens       map[string]*choose.EventTokens       // by service
 
 	// Ownership of servers, and the servers that this daemon owns.
 	claims                 *claims.Registry
@@ -157,7 +156,6 @@
 		turns:             newPromptTurns(options.Turns, int64(wall())),
 		holdingsChanged:   make(chan struct{}),
 		speeds:            newServerSpeeds(settings.Name, options.Speeds),
-		eventTokens:       make(map[string]*choose.EventTokens),
 
 		claims:                 claims.New(options.Tenure, settings.Name, now(), wall),
 		orderWorkers:           make(map[string]*orderWorker),
--- a/internal/direct/gateway/counters.go
+++ b/internal/direct/gateway/counters.go
@@ -29,7 +29,6 @@
 	gaps    histograms           // longest gap between two events of a stream
 	turns   map[prefill.Result]int64
 	waits   histograms // of prompts for a grant, by rank
-	cut     int64      // streams that were cut off by their deadlines
 
 	late        *late.Counts
 	pauseTokens histograms // prompt tokens in prefill when the longest pause of a stream began, by whether it was late by that pause
@@ -64,9 +63,6 @@
 		labels.Service = "other"
 	}
 	counters.ends[labels]++
-	if job.isCut(now, reason) {
-		counters.cut++
-	}
 	if job.stream.FirstAt > 0 {
 		counters.recordStream(job)
 	}
@@ -151,5 +147,4 @@
 	counters.waits.write(out, "teaselmoor_prompt_turn_millis", "rank")
 	counters.writeStreams(out)
 	counters.writeRefusals(out)
-	_, _ = fmt.Fprintf(out, "teaselmoor_streams_cut_total{cause=\"deadline\"} %d\n", counters.cut)
 }
--- a/internal/direct/gateway/handler.go
+++ b/internal/direct/gateway/handler.go
@@ -45,7 +45,6 @@
 	headSent     bool         // the head of an answer has been sent to the caller
 	lastEventAt  clock.Millis // when the caller was last sent something; initially the arrival
 	lastEventID  string       // of the last complete event sent to the caller
-	events       int          // of a streamed answer that have arrived
 	stream       late.Stream  // course of a streamed answer
 	retryAfter   clock.Millis // sent to a refused caller
 
--- a/internal/direct/gateway/metrics.go
+++ b/internal/direct/gateway/metrics.go
@@ -74,7 +74,6 @@
 	for service, budget := range core.budgets {
 		metrics.budgets[service] = budget.Remaining(now, core.budgetDaemons())
 	}
-	core.writeEventTokens(&metrics.services)
 	core.writeShedding(&metrics.services)
 	return metrics
 }
--- a/internal/direct/gateway/place.go
+++ b/internal/direct/gateway/place.go
@@ -22,7 +22,6 @@
 	use     inflight.Use
 	version int
 	cost    float64
-	end     clock.Millis // expected time until the answer has ended; 0: unknown
 	alone   bool         // no other prompt was being read there
 	at      clock.Millis // when the server was chosen
 }
@@ -201,7 +200,6 @@
 	}
 	core.addPauses(&query, job.route.GapGoal)
 	core.addLocality(&query)
-	core.addCompletion(&query, job)
 	return query
 }
 
@@ -216,7 +214,7 @@
 	if worker, ok := core.orderWorkers[use.Server]; ok {
 		worker.planner.RecordUse(now, job.adapter, 1)
 	}
-	result := assignment{server: choice.Member.Server, use: use, cost: choice.Cost, end: core.expectedEnd(now, job, choice.Member), alone: core.work.Load(use.Server).Reading == job.headers.PromptTokens, at: now}
+	result := assignment{server: choice.Member.Server, use: use, cost: choice.Cost, alone: core.work.Load(use.Server).Reading == job.headers.PromptTokens, at: now}
 	if slot, ok := choice.Member.Slot(job.adapter); ok && core.newestVersion(job.adapter) > 0 && slot.Version >= core.newestVersion(job.adapter) {
 		result.version = core.newestVersion(job.adapter)
 	}
--- a/internal/direct/gateway/relay.go
+++ b/internal/direct/gateway/relay.go
@@ -145,7 +145,6 @@
 				return tryResult{done: true}
 			}
 			_ = control.Flush() // a failure shows at the next write
-			job.events += bytes.Count(event, eventEnd)
 			job.lastEventID = relayed.lastID
 			job.lastEventAt = now
 			job.stream.Event(now, gateway.core.conditions(now, job, to))
@@ -173,7 +172,6 @@
 func (gateway *Gateway) finishStream(writer http.ResponseWriter, job *job, to assignment, answer *upstream.Answer) tryResult {
 	answer.Close(true)
 	gateway.recordSuccess(job, to)
-	gateway.core.observeEventTokens(job)
 	if !job.headSent {
 		gateway.sendHead(writer, job, answer)
 		job.stream.Event(gateway.core.now(), late.Conditions{}) // an answer without events has begun when it has ended
