speed: estimates of removed servers do not count as unreached

The estimate of a removed server is kept for a minute, in which nobody owns the server. It counted as fading, so that each removal logged "server speeds unconfirmed" and kept teaselmoor_speeds_unconfirmed above 0 for longer than the 30 s of its alarm.

--- a/internal/direct/speed/table.go
+++ b/internal/direct/speed/table.go
@@ -227,7 +227,8 @@
 }
 
 // SetReached records which servers have owners whose estimates can reach this daemon, and returns
-// the number of estimates that fade because their owners cannot.
+// the number of estimates that fade because their owners cannot. Servers that this daemon does not
+// know do not count: nobody owns a server that was removed, but its estimate is kept for goneLifetime.
 func (table *Table) SetReached(now clock.Millis, reached func(server string) bool) (fading int) {
 	if table.options.UnreachedFade <= 0 {
 		return 0
@@ -235,8 +236,9 @@
 	for server, element := range table.entries {
 		known := element.Value.(*entry)
 		before := known.unreachedAt
+		_, present := table.servers[server]
 		switch {
-		case reached(server):
+		case !present || reached(server):
 			known.unreachedAt = 0
 		case before == 0:
 			known.unreachedAt = now
--- a/internal/direct/speed/unreached_test.go
+++ b/internal/direct/speed/unreached_test.go
@@ -42,3 +42,17 @@
 		require.InDelta(t, before, table.Factor(now+200, "s0"), 0.01)
 	}
 }
+
+// TestRemovedServerIsNotUnreached guards against the removal of a server looking like owners that cannot
+// be reached, as long as its estimate is kept.
+func TestRemovedServerIsNotUnreached(t *testing.T) {
+	table, servers := speed.New(speed.DefaultOptions()), serversOf(4, 1)
+	table.SetServers(start, servers)
+	for _, server := range servers {
+		table.Merge(start, []speed.Estimate{{Server: server.ID, Born: 1, Fence: 1, Number: 1, Interval: usualInterval}})
+	}
+	for now := start; now < start+clock.Minute; now += 500 {
+		table.SetServers(now, servers[1:])
+		require.Zero(t, table.SetReached(now, func(server string) bool { return server != servers[0].ID }))
+	}
+}
