--- a/internal/direct/late/late_test.go
+++ b/internal/direct/late/late_test.go
@@ -117,16 +117,20 @@
 // against streams that are not counted because of the bound.
 func TestSeriesAreBounded(t *testing.T) {
 	counts := late.NewCounts()
-	for i := range 500 {
-		counts.Add(fmt.Sprint("s", i%50), i%25-1, late.Both)
+	for i := range 600 {
+		counts.Add(fmt.Sprint("s", i%50), i/50-1, late.Both)
 	}
-	streams, series := int64(0), 0
+	streams, series, others := int64(0), 0, 0
 	for _, count := range counts.All() {
 		streams += count.Streams
 		series += len(count.Late)
+		if count.Service == late.Other {
+			others++
+		}
 		require.Equal(t, count.Streams, count.Late[late.Both])
 		require.Less(t, count.Rank, late.MaxRanks)
 	}
-	require.EqualValues(t, 500, streams)
+	require.EqualValues(t, 600, streams)
 	require.LessOrEqual(t, series, late.MaxSeries)
+	require.Greater(t, others, 1, "the bound is not reached")
 }
