--- a/internal/direct/prefill/options.go
+++ b/internal/direct/prefill/options.go
@@ -13,9 +13,9 @@
 	// Enabled activates admission control on sites with hubs, for services whose callers
 	// compete (catalog.CompetingRanks).
 	Enabled bool
-	// AnswerTimeout is the time after which an owner that has not answered a request at all is
-	// considered silent. A request and its answer cross four links at most, which takes a few
-	// milliseconds; the rest is for a busy hub or owner.
+	// AnswerTimeout is the time after which a prompt does not wait any longer for an owner that has
+	// not answered its request at all. A request and its answer cross four links at most, which
+	// takes a few milliseconds; the rest is for a busy hub or owner.
 	AnswerTimeout clock.Millis
 	// SilentTime is how long a silent owner is not asked, so that the loss of an owner costs
 	// each daemon one wait in that time.
