gateway: a large answer of an idempotent request may take all of the request's time

Cause: the first server of an idempotent request gets half of the remaining time, so that a second one can be tried. The bound stayed in place after the start of an answer that is too large to be held in memory had been sent to the caller, when no second server can answer: the answer broke off with time left. TestLargeAnswerTime failed before the change (unexpected EOF) and passes after it.

--- a/internal/direct/gateway/dispatch.go
+++ b/internal/direct/gateway/dispatch.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -112,14 +113,27 @@
 	return left
 }
 
-// tryContext bounds one try of a request with the given time left. If the try may use all of
-// it, only the request's own deadline applies: with two timers that expire within a millisecond
-// of each other, the try's could fire first, and a late answer would be recorded as a lost one.
+// tryContext bounds one try of a request with the given time left, until the bound is lifted by
+// keepTry. If the try may use all of it, only the request's own deadline applies: with two timers that
+// expire within a millisecond of each other, the try's could fire first, and a late answer would be
+// recorded as a lost one.
 func (job *job) tryContext(ctx context.Context, left clock.Millis) (context.Context, context.CancelFunc) {
-	if timeout := job.tryTime(left); timeout < left {
-		return context.WithTimeout(ctx, timeout.Duration())
+	ctx, cancel := context.WithCancel(ctx)
+	job.tryTimer = nil
+	timeout := job.tryTime(left)
+	if timeout >= left {
+		return ctx, cancel
+	}
+	timer := time.AfterFunc(timeout.Duration(), cancel)
+	job.tryTimer = timer
+	return ctx, func() { timer.Stop(); cancel() }
+}
+
+// keepTry lets the present try use all of the request's time, as no other one can follow.
+func (job *job) keepTry() {
+	if job.tryTimer != nil {
+		job.tryTimer.Stop()
 	}
-	return context.WithCancel(ctx)
 }
 
 // urgencyBase is the urgency sent for a route of rank 0; the rank is added to it. Engines
--- a/internal/direct/gateway/handler.go
+++ b/internal/direct/gateway/handler.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -42,6 +43,7 @@
 	timesSent    int          // times that the request was sent to a server
 	waited       clock.Millis // total wait for an adapter or for other prompts
 	holdTime     clock.Millis // part of waited in which the engine was reading (prefilling) other prompts
+	tryTimer     *time.Timer  // ends the present try; nil: only the deadline does
 	headSent     bool         // the head of an answer has been sent to the caller
 	lastEventAt  clock.Millis // when the caller was last sent something; initially the arrival
 	lastEventID  string       // of the last complete event sent to the caller
--- a/internal/direct/gateway/relay.go
+++ b/internal/direct/gateway/relay.go
@@ -74,6 +74,7 @@
 // been read, and the rest as it arrives. The reason is that of the request's end if the answer is
 // complete. An answer that breaks off cannot be replaced any more.
 func (gateway *Gateway) relayLarge(ctx context.Context, writer http.ResponseWriter, job *job, to assignment, answer *upstream.Answer, piece []byte, reason ending.Reason) tryResult {
+	job.keepTry()
 	gateway.setWriteDeadline(writer, job)
 	copyHeader(writer.Header(), answer.Header)
 	job.headSent = true
