gateway: a server has not failed when a caller leaves during a large answer

Cause: relayLarge recorded every answer that broke off as a failure of its server, also when the caller had left or the request's time was up, by which other requests avoided the server. Streams already make the difference.

--- a/internal/direct/gateway/relay.go
+++ b/internal/direct/gateway/relay.go
@@ -99,7 +99,7 @@
 			return tryResult{done: true}
 		case err != nil:
 			answer.Close(false)
-			gateway.recordOutcome(to, true)
+			gateway.recordOutcome(to, ctx.Err() == nil) // the server has not failed if the caller left or the time is up
 			return gateway.handleBrokenStream(ctx, job, to, err)
 		}
 	}
