shed: servers that come or go are not taken for counts that have arrived

Cause: the requests of other daemons also change when a server is no longer counted. A daemon whose counts had stopped refused requests again for up to 1 s whenever a server was lost or came back. Two comments are worded more clearly.

--- a/internal/direct/gateway/shed.go
+++ b/internal/direct/gateway/shed.go
@@ -19,12 +19,12 @@
 
 // loadShedding is the state of load shedding at plain services.
 type loadShedding struct {
-	services map[string]*shed.Service // with requests of late
+	services map[string]*shed.Service // that requests have arrived for
 	refused  map[string]int64         // requests, by service
 	promises *retryafter.Schedule     // to refused callers, by service
 }
 
-// Bounds of the promises to refused callers: as many services as have a metric, and as many promises
+// Bounds of the promises to refused callers: as many services as a metric distinguishes, and as many promises
 // as are made within some seconds.
 const (
 	shedPromises          = 2000
--- a/internal/direct/shed/control.go
+++ b/internal/direct/shed/control.go
@@ -40,7 +40,7 @@
 		return
 	}
 	elapsed := now - service.at
-	if view.Others != service.view.Others {
+	if view.Others != service.view.Others && view.Slots == service.view.Slots { // otherwise other servers are counted
 		service.changedAt = now
 	}
 	target := service.Target()
--- a/internal/direct/shed/shed_test.go
+++ b/internal/direct/shed/shed_test.go
@@ -41,6 +41,12 @@
 		service.Observe(now, view)
 	}
 	require.Zero(t, shareOf(service, now, view, 0))
+	view.Others, view.Requests, view.Slots = view.Others/2, view.Requests/2, view.Slots/2 // a server is lost: no counts have arrived
+	for range 10 {
+		now += 50
+		service.Observe(now, view)
+		require.Zero(t, shareOf(service, now, view, 0))
+	}
 	service, now, view = overloaded(0)
 	now += 3000
 	view.Others++
