--- a/internal/direct/shed/control.go
+++ b/internal/direct/shed/control.go
@@ -9,8 +9,8 @@
 // Constants of the control rule. Counts are about 100 ms old when they arrive and up to 50 ms older
 // when they are used, which a share that depends on the load alone turns into oscillation.
 const (
-	// responseTime is the time in which the share follows a change of the load. With half of it
-	// the share swings nearly twice as far.
+	// responseTime is the time in which the share follows a change of the load. It is above the
+	// age of the counts, as a faster response oscillates.
 	responseTime = 250 * clock.Millisecond
 	settleTime   = 500 * clock.Millisecond // in which a load off its target is corrected
 	// band is the share of the target by which the load exceeds it when MaxShare is refused. A
@@ -21,8 +21,7 @@
 	restLoad = 1.1
 	// surgeError is the error, as a share of the target, beyond which corrections are faster, up
 	// to surgeGain times for each further target load, as full queues hide how many more requests
-	// arrive. Without it, 0.89 instead of 0.94 of the capacity was answered on time in the 16 s
-	// after a step to three times the capacity.
+	// arrive.
 	surgeError = 0.4
 	surgeGain  = 2
 	// observeInterval is the shortest time between two observations.
