--- /dev/null
+++ b/internal/direct/retry/site_test.go
@@ -0,0 +1,87 @@
+package retry_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/direct/retry"
+)
+
+// daemon is a daemon of a site that sends a service as many retries as it may.
+type daemon struct {
+	budget    *retry.Budget
+	allowance *retry.Allowance
+}
+
+func start(now clock.Millis, daemons int, firstStart bool) *daemon {
+	started := &daemon{budget: retry.New(limits), allowance: retry.NewAllowance(limits, now, 1, firstStart)}
+	started.allowance.RecordDaemons(now, daemons)
+	return started
+}
+
+// sendAll sends retries until none is left, and returns their number.
+func (daemon *daemon) sendAll(now clock.Millis) int {
+	sent := 0
+	for send(daemon.budget, now, daemon.allowance.Share(now)) {
+		sent++
+	}
+	return sent
+}
+
+// TestRestartDoesNotRenewAllowance guards against daemons that use their share of the fixed allowance
+// again after each restart, while the retries of their former processes are in the window.
+func TestRestartDoesNotRenewAllowance(t *testing.T) {
+	const daemons = 9
+	sent := 0
+	for range daemons {
+		sent += start(0, daemons, true).sendAll(20_000)
+	}
+	for restart := clock.Millis(21_000); restart < 30_000; restart += 3000 {
+		for range daemons {
+			sent += start(restart, daemons, false).sendAll(restart + 500)
+		}
+	}
+	require.LessOrEqual(t, sent, int(limits.Extra))
+}
+
+// TestLeavingDaemonsKeepTheirShares guards against daemons that take over the shares of others that
+// leave, while those still retry and their retries are in the window.
+func TestLeavingDaemonsKeepTheirShares(t *testing.T) {
+	const daemons = 9
+	var site []*daemon
+	for range daemons {
+		site = append(site, start(0, daemons, true))
+	}
+	for _, daemon := range site[:3] {
+		daemon.allowance.RecordDaemons(20_000, 3)
+	}
+	sent := 0
+	for _, daemon := range site {
+		sent += daemon.sendAll(20_100)
+	}
+	require.LessOrEqual(t, sent, int(limits.Extra))
+}
+
+// TestRetriesCountWhenSent guards against retries that wait for seconds before they are sent, and arrive
+// together with those of the next window.
+func TestRetriesCountWhenSent(t *testing.T) {
+	budget := retry.New(limits)
+	const share = 6
+	var waiting []*retry.Retry
+	for range share {
+		reserved, ok := budget.Reserve(20_000, share)
+		require.True(t, ok)
+		waiting = append(waiting, reserved)
+	}
+	_, ok := budget.Reserve(29_000, share)
+	require.False(t, ok, "the retries that wait are counted")
+	for _, reserved := range waiting {
+		reserved.Sent(29_500)
+	}
+	_, ok = budget.Reserve(32_000, share)
+	require.False(t, ok, "the window contains retries that waited until 29.5 s")
+	_, ok = budget.Reserve(41_000, share)
+	require.True(t, ok)
+}
