--- a/internal/direct/retry/budget.go
+++ b/internal/direct/retry/budget.go
@@ -51,7 +51,6 @@
 func (budget *Budget) Remaining(now clock.Millis, share float64) float64 {
 	budget.requests.advance(now)
 	budget.retries.advance(now)
-	// The newest bucket is not counted: a sliding window may end before it.
-	requests := budget.requests.sum() - *budget.requests.bucket()
+	requests := budget.requests.sum() - *budget.requests.oldest() // the oldest bucket began before the window
 	return budget.limits.Ratio*float64(requests) + share - float64(budget.retries.sum())
 }
--- a/internal/direct/retry/site_test.go
+++ b/internal/direct/retry/site_test.go
@@ -46,6 +46,17 @@
 	require.LessOrEqual(t, sent, int(limits.Extra))
 }
 
+// TestRestartedDaemonRetries: a daemon that has just restarted retries by the ratio of its requests,
+// and has its share of the allowance after a window.
+func TestRestartedDaemonRetries(t *testing.T) {
+	restarted := start(50_000, 9, false)
+	for i := range clock.Millis(50) {
+		restarted.budget.RecordRequest(50_000 + 10*i)
+	}
+	require.Equal(t, 10, restarted.sendAll(50_500))
+	require.Equal(t, 6, start(50_000, 9, false).sendAll(50_000+limits.Window))
+}
+
 // TestLeavingDaemonsKeepTheirShares guards against daemons that take over the shares of others that
 // leave, while those still retry and their retries are in the window.
 func TestLeavingDaemonsKeepTheirShares(t *testing.T) {
--- a/internal/direct/retry/window.go
+++ b/internal/direct/retry/window.go
@@ -32,6 +32,11 @@
 	return &window.counts[window.newest%(bucketCount+1)]
 }
 
+// oldest returns the bucket that a window which ends now covers only in part.
+func (window *window) oldest() *int {
+	return &window.counts[(window.newest+1)%(bucketCount+1)]
+}
+
 // sum returns the sum of all buckets.
 func (window *window) sum() int {
 	total := 0
