retry: the shares of daemons that leave are not used by others (BUDGET)

While daemons leave, the others divided the fixed allowance by the number of those that stay, although the retries of the leaving ones are in the window and they go on retrying until they end. Evidence: TestLeavingDaemonsKeepTheirShares, 90 retries where 54 are allowed, before; at most 54 now. The allowance is divided by the highest number of daemons known in the window. The test as committed before recorded the number of daemons once in 20 s; it now does so before the daemons leave, as a daemon does ten times a second. It fails in this form too without the fix (90).

--- a/internal/direct/retry/allowance.go
+++ b/internal/direct/retry/allowance.go
@@ -7,7 +7,8 @@
 	limits  Limits
 	usable  clock.Millis // when the share may be used
 	least   int          // daemons that share the allowance at least
-	daemons int
+	daemons window       // highest number of daemons known
+	current int          // last number of daemons recorded
 }
 
 // NewAllowance returns the share of a daemon that starts now. Least is the minimum number of
@@ -15,7 +16,7 @@
 // use more than its share. FirstStart reports that the site has never run before: otherwise the
 // former process of this daemon may just have used its share, which is usable again after a window.
 func NewAllowance(limits Limits, now clock.Millis, least int, firstStart bool) *Allowance {
-	allowance := &Allowance{limits: limits, usable: now + limits.Window, least: least}
+	allowance := &Allowance{limits: limits, usable: now + limits.Window, least: least, daemons: newWindow(limits.Window)}
 	if firstStart {
 		allowance.usable = now
 	}
@@ -28,15 +29,20 @@
 	allowance.limits = limits
 }
 
-// RecordDaemons records the number of daemons that share the allowance.
-func (allowance *Allowance) RecordDaemons(_ clock.Millis, daemons int) {
-	allowance.daemons = daemons
+// RecordDaemons records the number of daemons that share the allowance. It must be called several
+// times in a window.
+func (allowance *Allowance) RecordDaemons(now clock.Millis, daemons int) {
+	allowance.daemons.advance(now)
+	*allowance.daemons.bucket() = max(*allowance.daemons.bucket(), daemons)
+	allowance.current = daemons
 }
 
-// Share returns this daemon's share.
+// Share returns this daemon's share. It is that of the highest number of daemons in the window: those
+// that have left may have used theirs, or still do so until they end.
 func (allowance *Allowance) Share(now clock.Millis) float64 {
 	if now < allowance.usable {
 		return 0
 	}
-	return allowance.limits.Extra / float64(max(1, allowance.least, allowance.daemons))
+	allowance.daemons.advance(now)
+	return allowance.limits.Extra / float64(max(1, allowance.least, allowance.current, allowance.daemons.max()))
 }
--- a/internal/direct/retry/site_test.go
+++ b/internal/direct/retry/site_test.go
@@ -65,6 +65,9 @@
 	for range daemons {
 		site = append(site, start(0, daemons, true))
 	}
+	for _, daemon := range site {
+		daemon.allowance.RecordDaemons(19_900, daemons)
+	}
 	for _, daemon := range site[:3] {
 		daemon.allowance.RecordDaemons(20_000, 3)
 	}
--- a/internal/direct/retry/window.go
+++ b/internal/direct/retry/window.go
@@ -1,6 +1,10 @@
 package retry
 
-import "teaselmoor/internal/base/clock"
+import (
+	"slices"
+
+	"teaselmoor/internal/base/clock"
+)
 
 // bucketCount is the number of buckets that a window is divided into. One more is kept, so
 // that the buckets cover every sliding window.
@@ -45,3 +49,8 @@
 	}
 	return total
 }
+
+// max returns the highest value of all buckets.
+func (window *window) max() int {
+	return slices.Max(window.counts[:])
+}
