retry: a retry counts in the window in which it is sent (BUDGET)

A retry was counted when it was decided, before its server was chosen. It may then wait seconds for its adapter or its turn, so that the retries of two windows could reach servers within one. A retry is reserved when it is decided, counts against the budget from then on, and is recorded in the window of its sending. One that reaches no server, or is given up, no longer uses the budget (TestRetryThatReachesNoServerIsNotCounted).

--- a/internal/direct/retry/budget.go
+++ b/internal/direct/retry/budget.go
@@ -16,7 +16,8 @@
 type Budget struct {
 	limits   Limits
 	requests window
-	retries  window
+	retries  window // that were sent
+	reserved int    // retries that are allowed and not sent yet
 }
 
 // New returns an unused budget.
@@ -43,8 +44,8 @@
 	if budget.Remaining(now, share) < 1 {
 		return nil, false
 	}
-	*budget.retries.bucket()++
-	return &Retry{}, true
+	budget.reserved++
+	return &Retry{budget: budget, state: waiting}, true
 }
 
 // Remaining returns how many retries are left.
@@ -52,5 +53,5 @@
 	budget.requests.advance(now)
 	budget.retries.advance(now)
 	requests := budget.requests.sum() - *budget.requests.oldest() // the oldest bucket began before the window
-	return budget.limits.Ratio*float64(requests) + share - float64(budget.retries.sum())
+	return budget.limits.Ratio*float64(requests) + share - float64(budget.retries.sum()+budget.reserved)
 }
--- a/internal/direct/retry/site_test.go
+++ b/internal/direct/retry/site_test.go
@@ -99,3 +99,22 @@
 	_, ok = budget.Reserve(41_000, share)
 	require.True(t, ok)
 }
+
+// TestRetryThatReachesNoServerIsNotCounted: a retry is not lost if no byte of it reached a server, or if
+// it is given up.
+func TestRetryThatReachesNoServerIsNotCounted(t *testing.T) {
+	budget := retry.New(limits)
+	reserved, ok := budget.Reserve(20_000, 1)
+	require.True(t, ok)
+	reserved.Sent(20_000)
+	reserved.NotSent(20_400)
+	_, ok = budget.Reserve(20_400, 1)
+	require.False(t, ok, "it is still to be sent")
+	reserved.Release()
+	again, ok := budget.Reserve(20_400, 1)
+	require.True(t, ok)
+	again.Sent(20_500)
+	again.Release()
+	_, ok = budget.Reserve(21_000, 1)
+	require.False(t, ok)
+}
--- a/internal/direct/retry/window.go
+++ b/internal/direct/retry/window.go
@@ -36,6 +36,15 @@
 	return &window.counts[window.newest%(bucketCount+1)]
 }
 
+// remove removes one from the bucket of a time, if it is still in the window.
+func (window *window) remove(at clock.Millis) {
+	number := int64(at / window.width)
+	count := &window.counts[number%(bucketCount+1)]
+	if window.newest-number <= bucketCount && *count > 0 {
+		*count--
+	}
+}
+
 // oldest returns the bucket that a window which ends now covers only in part.
 func (window *window) oldest() *int {
 	return &window.counts[(window.newest+1)%(bucketCount+1)]
