--- a/internal/direct/upstream/pool.go
+++ b/internal/direct/upstream/pool.go
@@ -147,7 +147,7 @@
 // roundTrip writes a request to a connection and reads the head of its response.
 func (pool *Pool) roundTrip(ctx context.Context, used *conn, request *http.Request, encoded []byte, matches Matches) (*Answer, error) {
 	answer := &Answer{pool: pool, conn: used}
-	answer.stop = context.AfterFunc(ctx, func() { _ = used.Conn.Close() })
+	answer.stop = context.AfterFunc(ctx, used.reset)
 	if err := answer.writeRequest(encoded, pool.options.InlineBytes); err != nil {
 		answer.discard()
 		return nil, err
@@ -198,16 +198,29 @@
 	return nil
 }
 
-// discard closes the connection of a failed exchange.
+// discard resets the connection of a failed exchange.
 func (answer *Answer) discard() {
 	answer.stop()
+	answer.conn.reset()
 	answer.pool.closeConn(answer.conn)
 }
 
+// reset closes a connection without sending what is still to be sent, which could otherwise reach the
+// server after the request was sent to another one.
+func (conn *conn) reset() {
+	if tcp, ok := conn.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // the connection is closed in any case
+	}
+	_ = conn.Conn.Close()
+}
+
 // Close keeps the connection for reuse if the whole response was read and the
 // connection is still usable, and closes it otherwise.
 func (answer *Answer) Close(whole bool) {
 	stopped := answer.stop()
+	if !whole {
+		answer.conn.reset()
+	}
 	if !stopped || !whole || answer.Response.Close || answer.writePending() || answer.conn.reader.Buffered() > 0 {
 		answer.pool.closeConn(answer.conn)
 		return
--- a/internal/direct/upstream/pool_test.go
+++ b/internal/direct/upstream/pool_test.go
@@ -1,6 +1,7 @@
 package upstream_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -195,3 +196,30 @@
 		require.EqualValues(t, i+1, pool.Opened())
 	}
 }
+
+// TestAbandonedRequestIsNotDelivered guards against requests whose bytes are delivered after they were
+// given up, when another server has answered them already.
+func TestAbandonedRequestIsNotDelivered(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	const size = 4 << 20 // more than the server's kernel buffers
+	ctx, cancel := context.WithCancel(t.Context())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://server/", bytes.NewReader(make([]byte, size)))
+	require.NoError(t, err)
+	failed := make(chan error, 1)
+	go func() {
+		_, err := upstream.New(upstream.DefaultOptions()).Send(ctx, listener.Addr().String(), request, accept)
+		failed <- err
+	}()
+	server, err := listener.Accept()
+	require.NoError(t, err)
+	first := make([]byte, 1)
+	_, err = server.Read(first)
+	require.NoError(t, err)
+	cancel()
+	require.Error(t, <-failed)
+	received, err := io.Copy(io.Discard, server)
+	require.Less(t, received, int64(size))
+	require.Error(t, err, "the connection is reset")
+}
