--- a/internal/integration/faultproxy/faultproxy.go
+++ b/internal/integration/faultproxy/faultproxy.go
@@ -47,11 +47,13 @@
 // Proxy forwards connections to one target.
 type Proxy struct {
 	target     string
-	listener   net.Listener
+	address    string
 	ctx        context.Context
 	goroutines sync.WaitGroup
 
-	mutex       sync.Mutex // guards faults, changed, connections
+	mutex       sync.Mutex // guards the fields below
+	listener    net.Listener
+	blackhole   *blackhole // replaces the listener while connection attempts get no answer; nil: it does not
 	faults      Faults
 	changed     chan struct{} // closed and replaced at each change of faults
 	connections map[*connection]struct{}
@@ -74,14 +76,16 @@
 		return nil, errors.Wrap(err, "listen")
 	}
 	proxy := &Proxy{
-		target: target, listener: listener, ctx: ctx, changed: make(chan struct{}), connections: map[*connection]struct{}{},
+		target: target, address: listener.Addr().String(), ctx: ctx, listener: listener, changed: make(chan struct{}), connections: map[*connection]struct{}{},
 	}
 	proxy.goroutines.Add(2)
-	go func() { defer proxy.goroutines.Done(); proxy.accept() }()
+	go func() { defer proxy.goroutines.Done(); proxy.accept(listener) }()
 	go func() {
 		defer proxy.goroutines.Done()
 		<-ctx.Done()
-		_ = listener.Close()
+		proxy.mutex.Lock()
+		proxy.stopListening()
+		proxy.mutex.Unlock()
 		proxy.CloseConnections()
 	}()
 	return proxy, nil
@@ -89,7 +93,7 @@
 
 // Address returns the address at which the proxy listens.
 func (proxy *Proxy) Address() string {
-	return proxy.listener.Addr().String()
+	return proxy.address
 }
 
 // Wait returns once the context has ended and all connections are closed.
@@ -121,9 +125,10 @@
 	return proxy.faults, proxy.changed
 }
 
-func (proxy *Proxy) accept() {
+// accept forwards the connections of a listener until it is closed.
+func (proxy *Proxy) accept(listener net.Listener) {
 	for {
-		client, err := proxy.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
