gateway: requests go by way of a peer while a daemon reaches no server (RECOVER)

Cause: a daemon had only its own way to servers, and nothing took failed connections to all of them together: each request tried four servers, 400 ms each. Ruled out: that the way is found too late (there was none); backoffs of servers, which only lengthen the wait.

--- a/internal/decide/outcome/reason.go
+++ b/internal/decide/outcome/reason.go
@@ -55,6 +55,7 @@
 	EnginesLimited      Reason = "EnginesLimited"
 	EnginesRest         Reason = "EnginesRest"
 	ServiceOverloaded   Reason = "ServiceOverloaded"
+	EnginesUnreachable  Reason = "EnginesUnreachable"
 )
 
 var sentences = map[Reason]string{
@@ -104,6 +105,7 @@
 	EnginesLimited:      "Each server that could take the request had named how many it takes in a second, and had got as many.",
 	EnginesRest:         "Each server that could take the request had turned this daemon away of late and asked it for rest.",
 	ServiceOverloaded:   "The service had more requests in progress than it could answer in time, so this one was refused at once.",
+	EnginesUnreachable:  "The process had lost its links to all engines and services, and reached no other process that had not.",
 	CrashesEngines:      "Engines have ended while they ran requests with the same content, so this one was not run.",
 	InvalidAnswer:       "What came back was not an answer of the server to this request, and it was discarded.",
 }
--- a/internal/direct/ending/ending.go
+++ b/internal/direct/ending/ending.go
@@ -9,6 +9,8 @@
 // Messages of log lines about a request.
 const (
 	MessageRequestSent      = "request sent"
+	MessageRequestProxied   = "request sent to peer"
+	MessagePeerUnusable     = "peer did not take request"
 	MessageAdapterRequested = "adapter asked for"
 	MessageAdapterNotReady  = "adapter not ready"
 	MessageServerDeclined   = "server declined"
@@ -26,6 +28,8 @@
 	MessageServerEnded    = "server ended"
 	MessageServerLeaving  = "server leaving"
 	MessageServerPaused   = "server rests"
+	MessageCutOff         = "no server reached"
+	MessageReached        = "servers reached again"
 	MessageLimitAnnounced = "server limit named"
 	MessageLimitLifted    = "server limit lifted"
 	MessageContentRefused = "content refused"
@@ -37,26 +41,27 @@
 // Reasons for the end of a request.
 const (
 	Complete         Reason = "Complete"
-	ServerFailure    Reason = "ServerFailure"   // the server's failure was passed on
-	NoConfiguration  Reason = "NotReady"        // the daemon has no configuration yet
-	NoRoute          Reason = "NoRoute"         // no route matches
-	BadRequest       Reason = "BadRequest"      // headers or body cannot be read
-	UnknownKey       Reason = "UnknownKey"      // the key is not in the configuration
-	StaleAccounts    Reason = "AccountsOld"     // the key is unknown, but the configuration may be stale
-	AccountLimit     Reason = "AccountLimit"    // the account's limit is used up
-	TooLarge         Reason = "TooLarge"        // the body exceeds the limit
-	NoServer         Reason = "NoServer"        // no server of the service can take the request
-	ServersLimited   Reason = "ServersLimited"  // the rate limits of the servers that could take it are used up
-	ServersPaused    Reason = "ServersRest"     // the servers that could take it asked this daemon to pause
-	Overloaded       Reason = "Overloaded"      // the service has more requests than it can answer in time
-	AdapterNotReady  Reason = "AdapterNotReady" // its adapter was not loaded in time
-	Quarantined      Reason = "CrashesServers"  // servers crashed while they ran requests with the same content
-	RetryBudgetSpent Reason = "RetryBudget"     // the budget for retries is used up
-	TriesUsed        Reason = "TriesUsed"       // servers declined it in every try
-	Deadline         Reason = "Deadline"        // the deadline passed before it was sent
-	Timeout          Reason = "Timeout"         // the deadline passed after it was sent
-	AnswerLost       Reason = "AnswerLost"      // it was sent, and no complete answer came
-	InvalidAnswer    Reason = "InvalidAnswer"   // the answer is not a valid one of the server
+	ServerFailure    Reason = "ServerFailure"      // the server's failure was passed on
+	NoConfiguration  Reason = "NotReady"           // the daemon has no configuration yet
+	NoRoute          Reason = "NoRoute"            // no route matches
+	BadRequest       Reason = "BadRequest"         // headers or body cannot be read
+	UnknownKey       Reason = "UnknownKey"         // the key is not in the configuration
+	StaleAccounts    Reason = "AccountsOld"        // the key is unknown, but the configuration may be stale
+	AccountLimit     Reason = "AccountLimit"       // the account's limit is used up
+	TooLarge         Reason = "TooLarge"           // the body exceeds the limit
+	NoServer         Reason = "NoServer"           // no server of the service can take the request
+	ServersLimited   Reason = "ServersLimited"     // the rate limits of the servers that could take it are used up
+	ServersPaused    Reason = "ServersRest"        // the servers that could take it asked this daemon to pause
+	Unreachable      Reason = "ServersUnreachable" // this daemon reaches no server, and no peer that does
+	Overloaded       Reason = "Overloaded"         // the service has more requests than it can answer in time
+	AdapterNotReady  Reason = "AdapterNotReady"    // its adapter was not loaded in time
+	Quarantined      Reason = "CrashesServers"     // servers crashed while they ran requests with the same content
+	RetryBudgetSpent Reason = "RetryBudget"        // the budget for retries is used up
+	TriesUsed        Reason = "TriesUsed"          // servers declined it in every try
+	Deadline         Reason = "Deadline"           // the deadline passed before it was sent
+	Timeout          Reason = "Timeout"            // the deadline passed after it was sent
+	AnswerLost       Reason = "AnswerLost"         // it was sent, and no complete answer came
+	InvalidAnswer    Reason = "InvalidAnswer"      // the answer is not a valid one of the server
 	CallerLeft       Reason = "CallerLeft"
 	StreamBroken     Reason = "StreamBroken" // a stream broke off and could not be resumed
 )
@@ -71,7 +76,7 @@
 	StreamBroken: outcome.Truncated, UnknownKey: outcome.Unauthorized, StaleAccounts: outcome.OldConfiguration,
 	AccountLimit: outcome.CallerLimit, Quarantined: outcome.CrashesEngines,
 	ServersLimited: outcome.EnginesLimited, ServersPaused: outcome.EnginesRest,
-	Overloaded: outcome.ServiceOverloaded,
+	Overloaded: outcome.ServiceOverloaded, Unreachable: outcome.EnginesUnreachable,
 }
 
 // Reasons returns all reasons, in no particular order.
--- a/internal/direct/gateway/accounts.go
+++ b/internal/direct/gateway/accounts.go
@@ -29,6 +29,9 @@
 	if job.account.HasRank {
 		job.rank = job.account.Rank
 	}
+	if job.entry != "" {
+		return 0, "" // the daemon that received the request has charged it
+	}
 	return gateway.chargeAccount(job, competingRank(config, job))
 }
 
--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"sync"
 
@@ -20,6 +21,7 @@
 	"teaselmoor/internal/direct/prefill"
 	"teaselmoor/internal/direct/quarantine"
 	"teaselmoor/internal/direct/quota"
+	"teaselmoor/internal/direct/reach"
 	"teaselmoor/internal/direct/retry"
 	"teaselmoor/internal/direct/retryafter"
 	"teaselmoor/internal/direct/throttle"
@@ -37,6 +39,7 @@
 	log      *slog.Logger
 
 	incarnation int64      // wall clock at the start, in milliseconds
+	random      *rand.Rand // guarded by mutex
 	mutex       sync.Mutex // guards the fields below
 
 	// State read from the store.
@@ -67,6 +70,9 @@
 	quarantine        *quarantine.List                     // contents that servers have crashed on
 	lostRequests      map[string]*serverLosses             // by server, recent ones
 	serverLimits      *throttle.Limits                     // request rates that servers have announced
+	links             *reach.Monitor                       // whether this daemon reaches any server
+	linksProbed       chan struct{}                        // closed at the end of the round of probes that is running
+	proxies           *proxies                             // peers that take requests while it reaches none
 	turns             *promptTurns                         // prompts that wait to be admitted at engines
 	holdingsChanged   chan struct{}                        // closed and replaced when holdings change
 	speeds            serverSpeeds                         // of engines
@@ -155,6 +161,8 @@
 		lostRequests:      make(map[string]*serverLosses),
 		quarantine:        quarantine.New(options.Quarantine, settings.Name),
 		serverLimits:      throttle.New(settings.Name),
+		links:             reach.New(options.Links),
+		proxies:           newProxies(),
 		turns:             newPromptTurns(options.Turns, int64(wall())),
 		holdingsChanged:   make(chan struct{}),
 		speeds:            newServerSpeeds(settings.Name, options.Speeds),
@@ -180,6 +188,7 @@
 		usageChanged: make(chan struct{}, 1),
 		deltaDue:     make(chan struct{}, 1),
 	}
+	core.random = rand.New(rand.NewPCG(uint64(core.incarnation), xxhash.Sum64String(settings.Name)))
 	core.ledger.SetReserveShare(options.Refusals.ReserveShare)
 	core.lastHubAt = now()
 	core.members = membership.New(options.Membership, core.self(), core.lastHubAt, core.incarnation, core.hasOtherSeeds())
--- a/internal/direct/gateway/counters.go
+++ b/internal/direct/gateway/counters.go
@@ -30,6 +30,8 @@
 	turns   map[prefill.Result]int64
 	waits   histograms // of prompts for a grant, by rank
 
+	proxied map[proxyResult]int64 // requests sent to peers or received from them
+
 	late        *late.Counts
 	pauseTokens histograms // prompt tokens in prefill when the longest pause of a stream began, by whether it was late by that pause
 
@@ -51,7 +53,8 @@
 		ends: make(map[endLabels]int64), sent: make(map[sentLabels]int64), latency: make(histograms), gaps: make(histograms),
 		retryAfter: make(histograms), reserveRefusals: make(map[string]int64),
 		turns: make(map[prefill.Result]int64), waits: make(histograms),
-		late: late.NewCounts(), pauseTokens: make(histograms),
+		proxied: make(map[proxyResult]int64),
+		late:    late.NewCounts(), pauseTokens: make(histograms),
 	}
 }
 
@@ -77,6 +80,24 @@
 	counters.latency.observe(job.service, at-job.arrived)
 }
 
+// proxyResult is what became of a request that was sent to a peer, or that a peer has sent.
+type proxyResult string
+
+// Results of requests that are sent to peers.
+const (
+	proxyAnswered proxyResult = "answered" // by a server
+	proxyRefused  proxyResult = "refused"  // by the peer, for a reason that holds for other peers too
+	proxyUnusable proxyResult = "unusable" // the peer did not take it, or gave no answer
+	proxyReceived proxyResult = "received" // from a peer
+)
+
+// recordProxied counts a request that was sent to a peer, or that a peer has sent.
+func (counters *counters) recordProxied(result proxyResult) {
+	counters.mutex.Lock()
+	defer counters.mutex.Unlock()
+	counters.proxied[result]++
+}
+
 // maxRankSeries is the number of ranks that a metric distinguishes; the last one stands for all
 // further ones.
 const maxRankSeries = 10
@@ -144,6 +165,9 @@
 	for result, count := range counters.turns {
 		_, _ = fmt.Fprintf(out, "teaselmoor_prompt_turns_total{result=%q} %d\n", result, count)
 	}
+	for result, count := range counters.proxied {
+		_, _ = fmt.Fprintf(out, "teaselmoor_proxied_requests_total{result=%q} %d\n", result, count)
+	}
 	counters.waits.write(out, "teaselmoor_prompt_turn_millis", "rank")
 	counters.writeStreams(out)
 	counters.writeRefusals(out)
--- a/internal/direct/gateway/dispatch.go
+++ b/internal/direct/gateway/dispatch.go
@@ -41,6 +41,12 @@
 			result.retry = false
 			result.reason = ending.RetryBudgetSpent
 		}
+		if !result.retry && result.reason == ending.NoServer && gateway.confirmCutOff(ctx, job) {
+			if job.entry == "" {
+				continue // a peer may reach a server
+			}
+			result.reason = ending.Unreachable
+		}
 		if !result.retry || job.timesSent >= gateway.options.MostSends {
 			gateway.failRequest(writer, job, result)
 			return
@@ -63,6 +69,9 @@
 
 // try places a request and sends it to one server.
 func (gateway *Gateway) try(ctx context.Context, writer http.ResponseWriter, job *job) tryResult {
+	if gateway.needsPeer(job) {
+		return gateway.tryPeer(ctx, writer, job)
+	}
 	assigned, failed := gateway.place(ctx, job)
 	gateway.counters.recordTurn(job)
 	if failed != nil {
@@ -178,6 +187,10 @@
 	now := core.now()
 	if failed != nil && failed.Dial {
 		core.fleet.MarkUnreachable(now, to.server.ID)
+		if job.incoming.Context().Err() == nil {
+			core.links.ConnectFailed(now, to.server.ID)
+			job.connectFailed = true
+		}
 	} else {
 		core.fleet.RecordAnswer(now, to.server.ID, true)
 	}
@@ -197,7 +210,7 @@
 	if ctx.Err() != nil {
 		return tryResult{status: http.StatusGatewayTimeout, reason: ending.Timeout}
 	}
-	gateway.recordLoss(job, to.server, err)
+	gateway.recordLoss(job, to, err)
 	return gateway.lostResult(job, http.StatusBadGateway, ending.AnswerLost)
 }
 
--- a/internal/direct/gateway/handler.go
+++ b/internal/direct/gateway/handler.go
@@ -23,6 +23,7 @@
 type job struct {
 	headers        platformapi.RequestHeaders
 	incoming       *http.Request
+	entry          string // the daemon that received the request from its caller, if it is another one
 	body           []byte
 	content        content.ID
 	configVersion  int64 // version of the configuration that the request is served with
@@ -39,18 +40,20 @@
 	arrived        clock.Millis
 	deadline       clock.Millis // by the caller's and the route's time limits, and maxTimeout
 
-	triedServers []string     // servers that are not tried again
-	mayHaveRun   int          // number of servers that may have run the request
-	timesSent    int          // times that the request was sent to a server
-	retry        *retry.Retry // the last retry that the budget allowed; nil: none
-	waited       clock.Millis // total wait for an adapter or for other prompts
-	holdTime     clock.Millis // part of waited in which the engine was reading (prefilling) other prompts
-	tryTimer     *time.Timer  // ends the present try; nil: only the deadline does
-	headSent     bool         // the head of an answer has been sent to the caller
-	lastEventAt  clock.Millis // when the caller was last sent something; initially the arrival
-	lastEventID  string       // of the last complete event sent to the caller
-	stream       late.Stream  // course of a streamed answer
-	retryAfter   clock.Millis // sent to a refused caller
+	triedServers  []string     // servers that are not tried again
+	mayHaveRun    int          // number of servers that may have run the request
+	connectFailed bool         // a server could not be connected to
+	peersTried    int          // number of peers that the request was sent to
+	timesSent     int          // times that the request was sent to a server
+	retry         *retry.Retry // the last retry that the budget allowed; nil: none
+	waited        clock.Millis // total wait for an adapter or for other prompts
+	holdTime      clock.Millis // part of waited in which the engine was reading (prefilling) other prompts
+	tryTimer      *time.Timer  // ends the present try; nil: only the deadline does
+	headSent      bool         // the head of an answer has been sent to the caller
+	lastEventAt   clock.Millis // when the caller was last sent something; initially the arrival
+	lastEventID   string       // of the last complete event sent to the caller
+	stream        late.Stream  // course of a streamed answer
+	retryAfter    clock.Millis // sent to a refused caller
 
 	// Prefill admission control in the last placement.
 	turn           prefill.Result // how the prompt came to be sent; empty: without admission control
@@ -72,7 +75,15 @@
 		gateway.refuse(writer, &job{incoming: request, arrived: core.now()}, http.StatusServiceUnavailable, ending.NoConfiguration)
 		return
 	}
-	job, status, reason := gateway.accept(writer, request, config)
+	gateway.serveRequest(writer, request, config, entry{})
+}
+
+// serveRequest serves a request with a configuration.
+func (gateway *Gateway) serveRequest(writer http.ResponseWriter, request *http.Request, config *catalog.Catalog, from entry) {
+	if from.daemon != "" {
+		writer.Header().Set(proxiedHeader, answeredByServer)
+	}
+	job, status, reason := gateway.accept(writer, request, config, from)
 	defer gateway.refundIfNotRun(job)
 	if status != 0 {
 		gateway.refuse(writer, job, status, reason)
@@ -83,10 +94,10 @@
 
 // accept finds the route of a request, admits the caller and reads the body. If the request is
 // refused, accept returns the status and reason to answer with; otherwise the status is 0.
-func (gateway *Gateway) accept(writer http.ResponseWriter, request *http.Request, config *catalog.Catalog) (*job, int, ending.Reason) {
+func (gateway *Gateway) accept(writer http.ResponseWriter, request *http.Request, config *catalog.Catalog, from entry) (*job, int, ending.Reason) {
 	core := gateway.core
 	now := core.now()
-	job := &job{incoming: request, arrived: now, lastEventAt: now, configVersion: config.Version}
+	job := &job{incoming: request, arrived: now, lastEventAt: now, configVersion: config.Version, entry: from.daemon, mayHaveRun: from.runs}
 	headers, err := gateway.protocol.ParseRequest(request)
 	job.headers = headers
 	if err != nil || strings.HasPrefix(request.RequestURI, "//") {
@@ -156,6 +167,9 @@
 		job.retryAfter = gateway.options.RetryAfter
 	}
 	gateway.protocol.SetRefusalHeaders(writer.Header(), job.retryAfter)
+	if job.entry != "" {
+		writer.Header().Set(proxiedHeader, string(reason))
+	}
 	gateway.counters.recordRetryAfter(reason, job.retryAfter)
 	gateway.logEnd(job, status, reason)
 	http.Error(writer, string(reason), status)
@@ -178,6 +192,9 @@
 		line = append(line, "Route", job.route.Name, "Service", job.service, "Adapter", job.adapter.Name, "LeftMillis", job.deadline-now,
 			"Kind", job.route.Kind.String(), "Repeatable", job.route.Repeatable())
 	}
+	if job.entry != "" {
+		line = append(line, "Entry", job.entry)
+	}
 	if job.account.Name != "" {
 		line = append(line, "Account", job.account.Name)
 	}
--- a/internal/direct/gateway/late.go
+++ b/internal/direct/gateway/late.go
@@ -14,7 +14,7 @@
 // conditions returns what this daemon knows of the engine that a stream comes from. It is called for
 // each event, as only the next one shows whether the pause between them is the longest.
 func (core *core) conditions(now clock.Millis, job *job, to assignment) late.Conditions {
-	if !job.engine {
+	if !job.engine || to.peer != "" {
 		return late.Conditions{}
 	}
 	core.mutex.Lock()
--- a/internal/direct/gateway/losses.go
+++ b/internal/direct/gateway/losses.go
@@ -55,8 +55,9 @@
 
 // recordLoss records that a server closed the connection before its answer was complete, and
 // starts a probe of the server.
-func (gateway *Gateway) recordLoss(job *job, server platformapi.Server, err error) {
-	if !upstream.ClosedByServer(err) {
+func (gateway *Gateway) recordLoss(job *job, to assignment, err error) {
+	server := to.server
+	if to.peer != "" || !upstream.ClosedByServer(err) {
 		return
 	}
 	core := gateway.core
--- a/internal/direct/gateway/metrics.go
+++ b/internal/direct/gateway/metrics.go
@@ -49,6 +49,14 @@
 	}
 }
 
+// boolGauge is the value of a gauge that is 1 for true.
+func boolGauge(value bool) float64 {
+	if value {
+		return 1
+	}
+	return 0
+}
+
 func writeGauge(out io.Writer, gauge gauge) {
 	_, _ = fmt.Fprintf(out, "%s %g\n", gauge.name, gauge.value) // the collector may have disconnected
 }
@@ -104,6 +112,15 @@
 	}
 }
 
+// ownRequests is the number of this daemon's requests at servers. The mutex must be held.
+func (core *core) ownRequests() int {
+	count := 0
+	for _, load := range core.work.Own().Loads {
+		count += load.Runs
+	}
+	return count
+}
+
 // gauges returns the gauges without labels. The mutex must be held.
 func (core *core) gauges(now clock.Millis) []gauge {
 	version := int64(0)
@@ -116,11 +133,8 @@
 	}
 	loading, queued := core.incomingAdapters()
 	plainLowest, plainHighest := core.loadAverage.Range()
-	inProgress := 0
-	for _, load := range core.work.Own().Loads {
-		inProgress += load.Runs
-	}
 	return []gauge{
+		{"teaselmoor_cut_off", boolGauge(core.links.CutOff())},
 		{"teaselmoor_servers_limited", float64(core.serverLimits.LimitedCount())},
 		{"teaselmoor_servers_resting", float64(core.pausedServers(now))},
 		{"teaselmoor_contents_refused", float64(core.quarantine.RefusedCount(now))},
@@ -134,7 +148,7 @@
 		{"teaselmoor_plain_load_highest", plainHighest},
 		{"teaselmoor_adapters_loading", float64(loading)},
 		{"teaselmoor_adapters_queued", float64(queued)},
-		{"teaselmoor_requests_in_progress", float64(inProgress)},
+		{"teaselmoor_requests_in_progress", float64(core.ownRequests())},
 		{"teaselmoor_prompts_waiting", float64(core.promptsWaiting())},
 		{"teaselmoor_prompts_reported_total", float64(core.turns.reported)},
 		{"teaselmoor_owners_silent", float64(core.turns.requester.SilentOwners(now))},
--- a/internal/direct/gateway/place.go
+++ b/internal/direct/gateway/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,6 +23,7 @@
 	use     inflight.Use
 	version int
 	cost    float64
+	peer    string       // the peer that the request is sent to in place of a server; empty: none
 	alone   bool         // no other prompt was being read there
 	at      clock.Millis // when the server was chosen
 }
@@ -113,6 +115,11 @@
 			job.waited += now - started
 			return assignment{}, refused
 		}
+		if core.needsPeer(job) {
+			core.moveCount(counted, inflight.Use{}, 0)
+			job.waited += now - started
+			return assignment{}, &tryResult{retry: true, status: http.StatusServiceUnavailable, reason: ending.Unreachable}
+		}
 		choice, ok := core.choose(core.query(now, job, counted.use.Server, frequent), job.adapterHash)
 		if !ok {
 			core.moveCount(counted, inflight.Use{}, 0)
--- a/internal/direct/gateway/relay.go
+++ b/internal/direct/gateway/relay.go
@@ -134,7 +134,7 @@
 		if len(event) > 0 {
 			now := gateway.core.now()
 			streamSpeed.record(now, event)
-			if active.firstEventAt == 0 {
+			if active != nil && active.firstEventAt == 0 {
 				active.recordFirstEvent()
 			}
 			if !job.headSent {
@@ -186,7 +186,7 @@
 func (gateway *Gateway) handleBrokenStream(ctx context.Context, job *job, to assignment, err error) tryResult {
 	if job.headSent && job.incoming.Context().Err() == nil && ctx.Err() == nil {
 		gateway.log.Info(ending.MessageStreamBroken, "Request", job.headers.Attempt, "After", job.lastEventID, "Error", err.Error())
-		gateway.recordLoss(job, to.server, err)
+		gateway.recordLoss(job, to, err)
 		result := gateway.lostResult(job, http.StatusBadGateway, ending.StreamBroken)
 		result.retry = result.retry && job.lastEventID != ""
 		return result
--- a/internal/direct/gateway/run.go
+++ b/internal/direct/gateway/run.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -40,25 +41,28 @@
 
 // Gateway is a daemon that serves callers' requests.
 type Gateway struct {
-	settings   Settings
-	options    Options
-	store      platformapi.Store
-	protocol   platformapi.Protocol
-	servers    platformapi.ServerClient
-	core       *core
-	pool       *upstream.Pool
-	network    peerNetwork
-	deltaMutex sync.Mutex // held while deltas are encoded and sent; acquired before core.mutex
-	tasks      *task.Group
-	counters   *counters
-	log        *slog.Logger
+	settings Settings
+	options  Options
+	store    platformapi.Store
+	protocol platformapi.Protocol
+	servers  platformapi.ServerClient
+	core     *core
+	pool     *upstream.Pool // connections to servers
+	peerPool *upstream.Pool // connections to peers for requests of this daemon's callers
+	// proxiedRequests is the number of requests of peers' callers in progress.
+	proxiedRequests atomic.Int64
+	network         peerNetwork
+	deltaMutex      sync.Mutex // held while deltas are encoded and sent; acquired before core.mutex
+	tasks           *task.Group
+	counters        *counters
+	log             *slog.Logger
 }
 
 // New returns a daemon whose goroutines end when the context does.
 func New(ctx context.Context, settings Settings, options Options, platform Platform, log *slog.Logger) *Gateway {
 	gateway := &Gateway{
 		settings: settings, options: options, store: platform.Store, protocol: platform.Protocol, servers: platform.Servers,
-		pool: upstream.New(options.Upstream), tasks: task.New(ctx), counters: newCounters(), log: log,
+		pool: upstream.New(options.Upstream), peerPool: upstream.New(options.Upstream), tasks: task.New(ctx), counters: newCounters(), log: log,
 	}
 	gateway.core = newCore(settings, options, platform.Decoder, clock.Monotonic(), clock.System, log)
 	gateway.network = peers.New(options.Peers, settings.Name, gateway, gateway.tasks)
@@ -127,7 +131,7 @@
 	gateway.serve("ready", opened.ready, &http.Server{Handler: http.HandlerFunc(gateway.serveReady), ReadHeaderTimeout: headerTimeout})
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peers.Path, gateway.network)
-	gateway.serve("peers", opened.peers, &http.Server{Handler: peerMux, ReadHeaderTimeout: headerTimeout})
+	gateway.serve("peers", opened.peers, &http.Server{Handler: gateway.handlePeerConnections(peerMux), ReadHeaderTimeout: headerTimeout})
 	gateway.serve("metrics", opened.metrics, &http.Server{Handler: http.HandlerFunc(gateway.serveMetrics), ReadHeaderTimeout: headerTimeout})
 	reader := mirror.New(gateway.options.Mirror, gateway.store, gateway.core.decoder.Prefix(), gateway.core)
 	gateway.tasks.Go("mirror", reader.Run)
@@ -140,7 +144,8 @@
 	gateway.every("updates", gateway.options.UpdateInterval, gateway.sendDueUpdates)
 	gateway.every("ticks", tickInterval, func() { gateway.tick(gateway.core.now()) })
 	gateway.every("speeds", speedInterval, gateway.updateSpeeds)
-	gateway.every("sweep", sweepInterval, gateway.pool.CloseExpired)
+	gateway.every("links", linkCheckInterval, gateway.checkLinks)
+	gateway.every("sweep", sweepInterval, gateway.closeExpired)
 }
 
 func (gateway *Gateway) serve(name string, listener net.Listener, server *http.Server) {
@@ -158,6 +163,12 @@
 // sweepInterval is the time between two removals of expired connections.
 const sweepInterval = clock.Second
 
+// closeExpired closes connections that have been idle for too long.
+func (gateway *Gateway) closeExpired() {
+	gateway.pool.CloseExpired()
+	gateway.peerPool.CloseExpired()
+}
+
 // tickInterval is the time between two calls of tick. It is well below the gap between ticks
 // that is treated as a pause of the process.
 const tickInterval = 100 * clock.Millisecond
@@ -230,5 +241,6 @@
 	if err := callers.Shutdown(ctx); err != nil {
 		gateway.log.Warn("requests cut off by the end of the grace span", "Error", err.Error())
 	}
+	gateway.awaitProxied(ctx)
 	return nil
 }
--- a/internal/direct/gateway/settings.go
+++ b/internal/direct/gateway/settings.go
@@ -21,6 +21,7 @@
 	"teaselmoor/internal/direct/prefill"
 	"teaselmoor/internal/direct/quarantine"
 	"teaselmoor/internal/direct/quota"
+	"teaselmoor/internal/direct/reach"
 	"teaselmoor/internal/direct/retry"
 	"teaselmoor/internal/direct/shed"
 	"teaselmoor/internal/direct/speed"
@@ -32,6 +33,7 @@
 	Name           string
 	DataCentre     string
 	Region         string
+	Regions        map[string]string // by data centre
 	CallerAddress  string
 	ReadyAddress   string
 	PeerAddress    string
@@ -114,6 +116,7 @@
 	Tenure     claims.Options
 	Upstream   upstream.Options
 	Quarantine quarantine.Options
+	Links      reach.Options
 	Refusals   Refusals
 	Speeds     speed.Options
 	Shed       shed.Options
@@ -183,7 +186,7 @@
 	return Options{
 		Fleet: fleet.DefaultOptions(), Weights: choose.DefaultWeights(), Hold: choose.DefaultDelayPolicy(), Turns: prefill.DefaultOptions(), Loading: loading.DefaultOptions(),
 		Mirror: mirror.DefaultOptions(), Peers: peers.DefaultOptions(), Membership: membership.DefaultOptions(), Tenure: claims.DefaultOptions(settings.Lease, settings.Fenced),
-		Upstream: upstream.DefaultOptions(), Quarantine: quarantine.DefaultOptions(),
+		Upstream: upstream.DefaultOptions(), Quarantine: quarantine.DefaultOptions(), Links: reach.DefaultOptions(),
 		Speeds: speed.DefaultOptions(), Refusals: DefaultRefusals(), Shed: shed.DefaultOptions(),
 
 		Short: true, TellInterval: 100, ReadingInterval: 20, HubInterval: 50, WorkPause: 30, UpdateInterval: 500, VersionGrace: 2500,
--- a/internal/direct/gateway/speeds.go
+++ b/internal/direct/gateway/speeds.go
@@ -74,7 +74,7 @@
 // measureStream returns the measurement of a stream, or nil if it is not needed.
 func (gateway *Gateway) measureStream(job *job, to assignment) *streamSpeed {
 	core := gateway.core
-	if !job.engine {
+	if !job.engine || to.peer != "" {
 		return nil
 	}
 	core.mutex.Lock()
--- a/internal/direct/membership/membership.go
+++ b/internal/direct/membership/membership.go
@@ -122,6 +122,20 @@
 	return names
 }
 
+// AliveDaemons returns the other daemons that are neither leaving nor gone, in order of name, without
+// peers that are silent.
+func (membership *Membership) AliveDaemons(now clock.Millis) []topology.Daemon {
+	var daemons []topology.Daemon
+	for name, entry := range membership.entries {
+		peer, reports := membership.peers[name]
+		if entry.State == Alive && (!reports || membership.live(now, peer)) {
+			daemons = append(daemons, entry.Daemon)
+		}
+	}
+	slices.SortFunc(daemons, func(a, b topology.Daemon) int { return cmp.Compare(a.Name, b.Name) })
+	return daemons
+}
+
 // DaemonCount returns the number of daemons of the site that are neither leaving nor gone.
 // It always counts this one.
 func (membership *Membership) DaemonCount() int {
--- a/internal/direct/platformapi/platformapi.go
+++ b/internal/direct/platformapi/platformapi.go
@@ -38,7 +38,7 @@
 
 // ForwardHeaders holds the values that a daemon adds to a request that it forwards.
 type ForwardHeaders struct {
-	Server      string // the only server that may run the request
+	Server      string // the only server that may run the request; empty: the request is sent to a peer
 	TimeLeft    clock.Millis
 	Version     int // required version of the adapter; 0: any
 	Urgency     int // 0 to 9, 0 is the most urgent; negative: the engine's default
--- a/internal/direct/retry/budget.go
+++ b/internal/direct/retry/budget.go
@@ -38,6 +38,12 @@
 	*budget.requests.bucket()++
 }
 
+// ReturnRequest takes back a request that was counted at a time, as another daemon counts it.
+func (budget *Budget) ReturnRequest(now, countedAt clock.Millis) {
+	budget.requests.advance(now)
+	budget.requests.remove(countedAt)
+}
+
 // Reserve reserves a retry and reports whether the budget had one left. Share is this daemon's
 // share of the fixed allowance. The caller must release the retry when its request has ended.
 func (budget *Budget) Reserve(now clock.Millis, share float64) (*Retry, bool) {
--- a/internal/direct/retry/site_test.go
+++ b/internal/direct/retry/site_test.go
@@ -118,3 +118,18 @@
 	_, ok = budget.Reserve(21_000, 1)
 	require.False(t, ok)
 }
+
+// TestReturnedRequestIsNotCounted: a request that another daemon serves allows no retries here.
+func TestReturnedRequestIsNotCounted(t *testing.T) {
+	budget := retry.New(limits)
+	for i := range clock.Millis(10) {
+		budget.RecordRequest(20_000 + i)
+	}
+	require.InDelta(t, 2.0, budget.Remaining(20_100, 0), 1e-9)
+	for i := range clock.Millis(5) {
+		budget.ReturnRequest(21_500, 20_000+i)
+	}
+	require.InDelta(t, 1.0, budget.Remaining(21_600, 0), 1e-9)
+	budget.ReturnRequest(40_000, 20_005)
+	require.Zero(t, budget.Remaining(40_000, 0), "the request has left the window")
+}
--- a/internal/direct/upstream/pool.go
+++ b/internal/direct/upstream/pool.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -59,17 +60,20 @@
 
 // Pool keeps idle connections to backend servers for reuse.
 type Pool struct {
-	options Options
-	dialer  net.Dialer
-	mutex   sync.Mutex // guards idle, opened, open
-	idle    map[string][]*conn
-	open    map[string]int // by address: connections in use or idle
-	opened  int64
+	options  Options
+	dialer   net.Dialer
+	started  time.Time
+	lastRead atomic.Int64 // when a byte last arrived, in nanoseconds after started; 0: never
+	lastDial atomic.Int64 // when a connection was last opened
+	mutex    sync.Mutex   // guards idle, opened, open
+	idle     map[string][]*conn
+	open     map[string]int // by address: connections in use or idle
+	opened   int64
 }
 
 // New returns an empty pool.
 func New(options Options) *Pool {
-	pool := &Pool{options: options, idle: make(map[string][]*conn), open: make(map[string]int)}
+	pool := &Pool{options: options, started: time.Now(), idle: make(map[string][]*conn), open: make(map[string]int)}
 	pool.dialer = net.Dialer{
 		Timeout: options.DialTimeout.Duration(),
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -322,11 +326,12 @@
 	if err != nil {
 		return nil, err
 	}
+	pool.lastDial.Store(int64(time.Since(pool.started)))
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	pool.opened++
 	pool.open[address]++
-	return &conn{Conn: dialed, address: address, reader: bufio.NewReaderSize(dialed, pool.options.BufferBytes)}, nil
+	return &conn{Conn: dialed, address: address, reader: bufio.NewReaderSize(activityReader{dialed, pool}, pool.options.BufferBytes)}, nil
 }
 
 // CloseExpired closes idle connections that have expired.
