gateway: owners that reach no server hand their servers over (RECOVER)

What callers saw: requests for adapters that were not loaded yet waited and were refused at all daemons, where the server's owner had lost its links. Cause: an owner that could not send orders went on to claim its servers, and kept its place in the order in which daemons claim them. An owner that is cut off asks peers whether they reach servers, and if so gives up its own and reports that it claims none. Releasing alone was not enough: a server whose first choice was a cut-off daemon was claimed by nobody. The connection that an idle owner opens to two servers each second finds the cut without requests.

--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -71,6 +71,7 @@
 	lostRequests      map[string]*serverLosses             // by server, recent ones
 	serverLimits      *throttle.Limits                     // request rates that servers have announced
 	links             *reach.Monitor                       // whether this daemon reaches any server
+	handedOver        bool                                 // this daemon has given up its servers as it reaches none
 	linksProbed       chan struct{}                        // closed at the end of the round of probes that is running
 	proxies           *proxies                             // peers that take requests while it reaches none
 	turns             *promptTurns                         // prompts that wait to be admitted at engines
--- a/internal/direct/gateway/cutoff.go
+++ b/internal/direct/gateway/cutoff.go
@@ -57,23 +57,33 @@
 		}
 		targets = gateway.core.applyProbes(reached, probed)
 	}
+	if gateway.core.isCutOff() {
+		gateway.handOverServers(ctx)
+	}
 }
 
 // reachesAny connects to servers at the same time, and reports whether any connection opened.
 func (gateway *Gateway) reachesAny(ctx context.Context, targets []platformapi.Server) bool {
-	reached := make(chan bool, len(targets))
-	for _, target := range targets {
-		gateway.tasks.Go("probe "+target.ID, func(ctx context.Context) error {
-			reached <- gateway.pool.Check(ctx, target.Address) == upstream.Listening
+	return gateway.any(ctx, len(targets), func(ctx context.Context, i int) bool {
+		return gateway.pool.Check(ctx, targets[i].Address) == upstream.Listening
+	})
+}
+
+// any makes a number of attempts at the same time, and reports whether one succeeded, as soon as it has.
+func (gateway *Gateway) any(ctx context.Context, count int, attempt func(ctx context.Context, i int) bool) bool {
+	succeeded := make(chan bool, count)
+	for i := range count {
+		gateway.tasks.Go("attempt", func(context.Context) error {
+			succeeded <- attempt(ctx, i)
 			return nil
 		})
 	}
-	for range targets {
+	for range count {
 		select {
 		case <-ctx.Done():
 			return false
-		case opened := <-reached:
-			if opened {
+		case ok := <-succeeded:
+			if ok {
 				return true
 			}
 		}
@@ -81,6 +91,13 @@
 	return false
 }
 
+// isCutOff reports whether this daemon reaches no server.
+func (core *core) isCutOff() bool {
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	return core.links.CutOff()
+}
+
 // dueProbes returns the servers to probe now.
 func (core *core) dueProbes(activity upstream.Activity) []platformapi.Server {
 	core.mutex.Lock()
@@ -88,7 +105,7 @@
 	now := core.now()
 	view := reach.View{
 		LastRead: now - activity.SinceRead, LastOpened: now - activity.SinceOpened,
-		Waiting: core.ownRequests() > 0, Servers: len(core.fleet.Members()),
+		Waiting: core.ownRequests() > 0, Owner: len(core.orderWorkers) > 0, Servers: len(core.fleet.Members()),
 	}
 	count := core.links.Due(now, view)
 	if count > 0 {
@@ -122,6 +139,7 @@
 			message = ending.MessageCutOff
 		}
 		core.log.Info(message, "Probed", len(probed), "Servers", len(core.fleet.Members()), "Peers", len(core.members.AliveDaemons(core.now())))
+		core.handedOver = false
 		core.wakeWaitingRequests()
 	}
 	if !core.links.Probing() {
--- a/internal/direct/gateway/dispatch.go
+++ b/internal/direct/gateway/dispatch.go
@@ -188,7 +188,7 @@
 	if failed != nil && failed.Dial {
 		core.fleet.MarkUnreachable(now, to.server.ID)
 		if job.incoming.Context().Err() == nil {
-			core.links.ConnectFailed(now, to.server.ID)
+			core.links.ConnectFailed(now)
 			job.connectFailed = true
 		}
 	} else {
--- a/internal/direct/gateway/orders.go
+++ b/internal/direct/gateway/orders.go
@@ -40,7 +40,7 @@
 		return false
 	}
 	core.dropOrderWorkers()
-	if core.members.Role() != topology.Candidate {
+	if core.members.Role() != topology.Candidate || core.links.CutOff() {
 		return false
 	}
 	var servers []string
@@ -201,6 +201,7 @@
 	}
 	if result == platformapi.Unknown {
 		core.fleet.MarkUnreachable(now, target.ID)
+		core.links.ConnectFailed(now)
 	}
 	worker.planner.HandleResult(now, order, result, core.traffic())
 	gateway.publishTable(target.ID, worker)
--- a/internal/direct/gateway/run.go
+++ b/internal/direct/gateway/run.go
@@ -131,6 +131,7 @@
 	gateway.serve("ready", opened.ready, &http.Server{Handler: http.HandlerFunc(gateway.serveReady), ReadHeaderTimeout: headerTimeout})
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peers.Path, gateway.network)
+	peerMux.HandleFunc(linksPath, gateway.serveLinks)
 	gateway.serve("peers", opened.peers, &http.Server{Handler: gateway.handlePeerConnections(peerMux), ReadHeaderTimeout: headerTimeout})
 	gateway.serve("metrics", opened.metrics, &http.Server{Handler: http.HandlerFunc(gateway.serveMetrics), ReadHeaderTimeout: headerTimeout})
 	reader := mirror.New(gateway.options.Mirror, gateway.store, gateway.core.decoder.Prefix(), gateway.core)
--- a/internal/direct/gateway/updates.go
+++ b/internal/direct/gateway/updates.go
@@ -131,6 +131,9 @@
 // update returns an update without membership changes. The mutex must be held.
 func (core *core) update(now clock.Millis, audience audience) *peers.Update {
 	update := &peers.Update{Status: core.members.Status()}
+	if core.handedOver && update.Role == topology.Candidate {
+		update.Role = topology.Retired // so that others claim the servers that this daemon would
+	}
 	update.Interval = core.updateInterval(audience)
 	update.WantsConnection = audience.wants
 	update.Era, update.Revision = core.store.era, core.store.revision
