--- a/internal/direct/choose/choose.go
+++ b/internal/direct/choose/choose.go
@@ -99,8 +99,8 @@
 	FastestSpeed float64
 }
 
-// excludes reports whether a server must not be sent the request, whatever its cost.
-func (query Query) excludes(member *fleet.Member) bool {
+// Excludes reports whether a server must not be sent the request, whatever its cost.
+func (query Query) Excludes(member *fleet.Member) bool {
 	return slices.Contains(query.Tried, member.ID) || member.PausedFor(query.Now) > 0 || query.Blocked != nil && query.Blocked(member.ID)
 }
 
@@ -170,7 +170,7 @@
 	places := weights.copyPlaces(query, servers)
 	draw, local := draw{bySpeed: query.Speed != nil}, weights.localHolders(query)
 	for _, member := range usable {
-		if query.excludes(member) {
+		if query.Excludes(member) {
 			continue
 		}
 		if ready(member, query) {
--- a/internal/direct/choose/lateness.go
+++ b/internal/direct/choose/lateness.go
@@ -90,5 +90,5 @@
 
 // canRun reports whether a server may be sent the request and can run it at once.
 func (query Query) canRun(member *fleet.Member) bool {
-	return member.Service == query.Service && !member.Draining && ready(member, query) && !query.excludes(member)
+	return member.Service == query.Service && !member.Draining && ready(member, query) && !query.Excludes(member)
 }
--- a/internal/direct/choose/short.go
+++ b/internal/direct/choose/short.go
@@ -129,7 +129,7 @@
 	candidates := make([]shortCandidate, 0, len(usable))
 	for _, member := range usable {
 		load := query.Short.Observe(query.Now, member.ID, float64(work.Load(member.ID).Runs)/float64(max(1, member.Slots)))
-		if !query.excludes(member) {
+		if !query.Excludes(member) {
 			candidates = append(candidates, shortCandidate{member: member, load: load, failing: servers.FailureRate(query.Now, member), suspect: member.Suspect(query.Now)})
 		}
 	}
--- a/internal/direct/ending/ending.go
+++ b/internal/direct/ending/ending.go
@@ -25,14 +25,16 @@
 
 // Messages of log lines about a server and its requests.
 const (
-	MessageServerEnded    = "server ended"
-	MessageServerLeaving  = "server leaving"
-	MessageServerPaused   = "server rests"
-	MessageCutOff         = "no server reached"
-	MessageReached        = "servers reached again"
-	MessageLimitAnnounced = "server limit named"
-	MessageLimitLifted    = "server limit lifted"
-	MessageContentRefused = "content refused"
+	MessageServerEnded      = "server ended"
+	MessageServerLeaving    = "server leaving"
+	MessageServerPaused     = "server rests"
+	MessageBrittleAnnounced = "servers brittle"
+	MessageBrittleLifted    = "servers no longer brittle"
+	MessageCutOff           = "no server reached"
+	MessageReached          = "servers reached again"
+	MessageLimitAnnounced   = "server limit named"
+	MessageLimitLifted      = "server limit lifted"
+	MessageContentRefused   = "content refused"
 )
 
 // Reason is the reason why a request ended.
@@ -53,6 +55,7 @@
 	ServersLimited   Reason = "ServersLimited"     // the rate limits of the servers that could take it are used up
 	ServersPaused    Reason = "ServersRest"        // the servers that could take it asked this daemon to pause
 	Unreachable      Reason = "ServersUnreachable" // this daemon reaches no server, and no peer that does
+	ServersFull      Reason = "ServersFull"        // the servers that could take it are brittle and have no room
 	Overloaded       Reason = "Overloaded"         // the service has more requests than it can answer in time
 	AdapterNotReady  Reason = "AdapterNotReady"    // its adapter was not loaded in time
 	Quarantined      Reason = "CrashesServers"     // servers crashed while they ran requests with the same content
@@ -76,7 +79,7 @@
 	StreamBroken: outcome.Truncated, UnknownKey: outcome.Unauthorized, StaleAccounts: outcome.OldConfiguration,
 	AccountLimit: outcome.CallerLimit, Quarantined: outcome.CrashesEngines,
 	ServersLimited: outcome.EnginesLimited, ServersPaused: outcome.EnginesRest,
-	Overloaded: outcome.ServiceOverloaded, Unreachable: outcome.EnginesUnreachable,
+	Overloaded: outcome.ServiceOverloaded, Unreachable: outcome.EnginesUnreachable, ServersFull: outcome.QueueFull,
 }
 
 // Reasons returns all reasons, in no particular order.
--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/direct/brittle"
 	"teaselmoor/internal/direct/catalog"
 	"teaselmoor/internal/direct/choose"
 	"teaselmoor/internal/direct/claims"
@@ -70,6 +71,7 @@
 	quarantine        *quarantine.List                     // contents that servers have crashed on
 	lostRequests      map[string]*serverLosses             // by server, recent ones
 	serverLimits      *throttle.Limits                     // request rates that servers have announced
+	brittle           *brittle.Servers                     // servers that must not turn many requests away
 	links             *reach.Monitor                       // whether this daemon reaches any server
 	handedOver        bool                                 // this daemon has given up its servers as it reaches none
 	linksProbed       chan struct{}                        // closed at the end of the round of probes that is running
@@ -162,6 +164,7 @@
 		lostRequests:      make(map[string]*serverLosses),
 		quarantine:        quarantine.New(options.Quarantine, settings.Name),
 		serverLimits:      throttle.New(settings.Name),
+		brittle:           brittle.New(),
 		links:             reach.New(options.Links),
 		proxies:           newProxies(),
 		turns:             newPromptTurns(options.Turns, int64(wall())),
--- a/internal/direct/gateway/dispatch.go
+++ b/internal/direct/gateway/dispatch.go
@@ -226,6 +226,7 @@
 	gateway.handleLimit(to, answer.StatusCode, headers)
 	gateway.handleLeaving(to.server, headers.Leaving, "request "+job.headers.Attempt)
 	gateway.core.recordPause(to.server.ID, headers.Pause)
+	gateway.core.recordBrittle(job, to, answer.StatusCode, headers)
 	if headers.NotRun {
 		gateway.drain(answer)
 		return gateway.handleNotRun(job, to, answer.StatusCode, headers)
--- a/internal/direct/gateway/gossip.go
+++ b/internal/direct/gateway/gossip.go
@@ -161,6 +161,7 @@
 	}
 	core.serverLimits.Retain(func(server string) bool { _, ok := core.fleet.Member(server); return ok })
 	known := func(server string) bool { _, ok := core.fleet.Member(server); return ok }
+	core.brittle.Retain(known)
 	core.promptBuckets.Retain(known)
 	core.loadAverage.Retain(known)
 	core.pruneShedding()
--- a/internal/direct/gateway/metrics.go
+++ b/internal/direct/gateway/metrics.go
@@ -135,6 +135,7 @@
 	plainLowest, plainHighest := core.loadAverage.Range()
 	return []gauge{
 		{"teaselmoor_cut_off", boolGauge(core.links.CutOff())},
+		{"teaselmoor_services_brittle", float64(core.brittle.Count())},
 		{"teaselmoor_servers_limited", float64(core.serverLimits.LimitedCount())},
 		{"teaselmoor_servers_resting", float64(core.pausedServers(now))},
 		{"teaselmoor_contents_refused", float64(core.quarantine.RefusedCount(now))},
--- a/internal/direct/gateway/place.go
+++ b/internal/direct/gateway/place.go
@@ -123,6 +123,9 @@
 		choice, ok := core.choose(core.query(now, job, counted.use.Server, frequent), job.adapterHash)
 		if !ok {
 			core.moveCount(counted, inflight.Use{}, 0)
+			if gateway.waitForRoom(ctx, started, job) {
+				continue
+			}
 			return assignment{}, core.noServerResult(now, job)
 		}
 		use := inflight.Use{Server: choice.Member.ID, Adapter: job.adapter}
@@ -198,7 +201,7 @@
 		Prompt:       job.headers.PromptTokens,
 		AdapterSlots: job.adapterSlots,
 		Tried:        job.triedServers,
-		Blocked:      core.overLimit(now, waiting),
+		Blocked:      core.blocked(now, waiting),
 		HasOwner:     func(server string) bool { _, ok := core.ownerOf(now, server); return ok },
 		Frequent:     frequent,
 		ManyDaemons:  !core.members.Plan().Mesh,
--- a/internal/direct/gateway/unplaced.go
+++ b/internal/direct/gateway/unplaced.go
@@ -19,6 +19,10 @@
 			result.reason = ending.ServersLimited
 		}
 	}
+	if core.hasFullServer(now, job) {
+		result.reason = ending.ServersFull
+		return result
+	}
 	left := core.shortestPause(now, job)
 	if left == 0 || result.reason != ending.NoServer {
 		return result
--- a/internal/direct/platformapi/platformapi.go
+++ b/internal/direct/platformapi/platformapi.go
@@ -59,6 +59,10 @@
 	Leaving bool   // the server announces that it will end soon
 	// Pause is how long the server asks this daemon to send no requests; 0: not stated.
 	Pause clock.Millis
+	// HasBrittle is true if the server ends when it has to turn away more than Brittle requests a second for
+	// want of room.
+	HasBrittle bool
+	Brittle    int
 	// HasLimit is true if the server takes no more than Limit requests a second from all daemons
 	// together.
 	HasLimit bool
