--- a/internal/integration/faultproxy/unreachable.go
+++ b/internal/integration/faultproxy/unreachable.go
@@ -28,11 +28,11 @@
 	}
 	switch to {
 	case Unanswered:
-		opened, err := newBlackhole(proxy.address)
+		opened, err := retryInUse(func() (*blackhole, error) { return newBlackhole(proxy.address) })
 		proxy.blackhole = opened
 		return err
 	case Reachable:
-		listener, err := net.Listen("tcp", proxy.address)
+		listener, err := retryInUse(func() (net.Listener, error) { return net.Listen("tcp", proxy.address) })
 		if err != nil {
 			return errors.Wrap(err, "listen again")
 		}
@@ -43,6 +43,26 @@
 	return nil
 }
 
+// Retries of opening a socket at an address that was just closed. A process that is being started holds
+// the closed socket until it has loaded its program.
+const (
+	inUseRetries  = 200
+	inUseInterval = 5 * time.Millisecond
+)
+
+// retryInUse opens a socket, and tries again while its address is in use.
+func retryInUse[Socket any](open func() (Socket, error)) (Socket, error) {
+	opened, err := open()
+	for range inUseRetries {
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			break
+		}
+		time.Sleep(inUseInterval)
+		opened, err = open()
+	}
+	return opened, err
+}
+
 // stopListening closes the listener or the blackhole. The mutex must be held.
 func (proxy *Proxy) stopListening() {
 	if proxy.listener != nil {
