--- a/internal/direct/gateway/brittle.go
+++ b/internal/direct/gateway/brittle.go
@@ -58,8 +58,8 @@
 	return func(server string) bool { return overLimit(server) || full(server) }
 }
 
-// roomWaitShare is the share of a request's remaining time that it waits for room at a brittle server. The
-// rest is for the answer.
+// roomWaitShare is the largest share of a request's remaining time that it waits for room at a brittle
+// server. The rest is for the answer.
 const roomWaitShare = 0.5
 
 // roomCheckInterval is how often a waiting request looks for room. A place becomes free whenever a request
@@ -67,12 +67,12 @@
 const roomCheckInterval = 10 * clock.Millisecond
 
 // waitForRoom waits a moment for room at the brittle servers of a request's service. It reports false if a
-// request that has been placed since started must not wait any longer, or waits for another reason. The
-// mutex must be held; it is released during the wait.
-func (gateway *Gateway) waitForRoom(ctx context.Context, started clock.Millis, job *job) bool {
+// request that has been placed since started, and whose caller waits for patience, must not wait any longer,
+// or if it is not room that is missing. The mutex must be held; it is released during the wait.
+func (gateway *Gateway) waitForRoom(ctx context.Context, started, patience clock.Millis, job *job) bool {
 	core := gateway.core
 	now := core.now()
-	longest := clock.Millis(roomWaitShare * float64(job.deadline-started))
+	longest := min(patience, clock.Millis(roomWaitShare*float64(job.deadline-started)))
 	if ctx.Err() != nil || now-started >= longest || !core.hasFullServer(now, job) {
 		return false
 	}
--- a/internal/direct/gateway/cutoff.go
+++ b/internal/direct/gateway/cutoff.go
@@ -64,13 +64,13 @@
 
 // reachesAny connects to servers at the same time, and reports whether any connection opened.
 func (gateway *Gateway) reachesAny(ctx context.Context, targets []platformapi.Server) bool {
-	return gateway.any(ctx, len(targets), func(ctx context.Context, i int) bool {
+	return gateway.anySucceeds(ctx, len(targets), func(ctx context.Context, i int) bool {
 		return gateway.pool.Check(ctx, targets[i].Address) == upstream.Listening
 	})
 }
 
-// any makes a number of attempts at the same time, and reports whether one succeeded, as soon as it has.
-func (gateway *Gateway) any(ctx context.Context, count int, attempt func(ctx context.Context, i int) bool) bool {
+// anySucceeds makes a number of attempts at the same time, and reports whether one succeeded, as soon as it has.
+func (gateway *Gateway) anySucceeds(ctx context.Context, count int, attempt func(ctx context.Context, i int) bool) bool {
 	succeeded := make(chan bool, count)
 	for i := range count {
 		gateway.tasks.Go("attempt", func(context.Context) error {
--- a/internal/direct/gateway/handover.go
+++ b/internal/direct/gateway/handover.go
@@ -84,7 +84,7 @@
 func (gateway *Gateway) anyReachesServers(ctx context.Context, peers []topology.Daemon) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerQuestionTimeout)
 	defer cancel()
-	return gateway.any(ctx, len(peers), func(ctx context.Context, i int) bool {
+	return gateway.anySucceeds(ctx, len(peers), func(ctx context.Context, i int) bool {
 		return gateway.peerReachesServers(ctx, peers[i].Address)
 	})
 }
--- a/internal/direct/gateway/place.go
+++ b/internal/direct/gateway/place.go
@@ -123,7 +123,7 @@
 		choice, ok := core.choose(core.query(now, job, counted.use.Server, frequent), job.adapterHash)
 		if !ok {
 			core.moveCount(counted, inflight.Use{}, 0)
-			if gateway.waitForRoom(ctx, started, job) {
+			if gateway.waitForRoom(ctx, started, maxWait, job) {
 				continue
 			}
 			return assignment{}, core.noServerResult(now, job)
--- a/internal/direct/upstream/pool_test.go
+++ b/internal/direct/upstream/pool_test.go
@@ -203,7 +203,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer func() { _ = listener.Close() }()
-	const size = 4 << 20 // more than the server's kernel buffers
+	const size = 64 << 20 // more than the buffers of both kernels take
 	ctx, cancel := context.WithCancel(t.Context())
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://server/", bytes.NewReader(make([]byte, size)))
 	require.NoError(t, err)
