requestlog: a request that went by way of a peer is explained by what its caller received

Logs of several daemons read together have two endings of such a request, and the later line decided: the peer's, which says CallerLeft where the caller got 504. The entry's counts now, in any order, and the record says by way of which daemon the request went.

--- a/internal/direct/requestlog/requestlog.go
+++ b/internal/direct/requestlog/requestlog.go
@@ -52,12 +52,16 @@
 	ReserveUnits   float64
 	PromisedUnits  float64
 
+	// Field of the message that the request was sent to a peer.
+	Peer string
+
 	// Fields of the message that the request was shed.
 	LoadTenths   int
 	TargetTenths int
 
 	// Fields of the message that the request ended.
 	Daemon           string
+	Entry            string // the daemon that sent the request to this one; empty: a caller did
 	Reason           ending.Reason
 	Offers           int
 	Config           uint64
@@ -114,6 +118,7 @@
 	notReady    line // the last line whose message is MessageAdapterNotReady
 	overLimit   line // the last line whose message is MessageAccountOverLimit
 	shed        line // the last line whose message is MessageRequestShed
+	proxied     line // the last line whose message is MessageRequestProxied
 	waits       firstWaits
 }
 
@@ -129,6 +134,8 @@
 		reader.overLimit = line
 	case ending.MessageRequestShed:
 		reader.shed = line
+	case ending.MessageRequestProxied:
+		reader.proxied = line
 	case ending.MessageRequestSent:
 		reader.waits.addSent(line)
 		reader.record.Attempts = append(reader.record.Attempts, outcome.Attempt{
@@ -144,7 +151,9 @@
 		reader.waits.begun = reader.waits.begun || line.Message == ending.MessageStreamBroken
 		reader.endAttempt(line, true, outcome.MayHaveRun(outcome.Truncated))
 	case ending.MessageRequestEnded:
-		reader.end(line)
+		if line.Entry == "" || !reader.ended { // what the caller received counts, wherever in the log it stands
+			reader.end(line)
+		}
 	}
 }
 
@@ -205,6 +214,9 @@
 	if line.Reason == ending.Overloaded {
 		record.Detail = reader.shed.shedDetail()
 	}
+	if record.Detail == "" && reader.proxied.Peer != "" && line.Entry == "" {
+		record.Detail = fmt.Sprintf("daemon %s reached no server, and sent the request to daemon %s", line.Daemon, reader.proxied.Peer)
+	}
 	record.Lateness = line.lateness(reader.waits)
 	attempts := record.Attempts
 	if len(attempts) > 0 && attempts[len(attempts)-1].Outcome.Kind == "" {
--- a/internal/direct/requestlog/requestlog_test.go
+++ b/internal/direct/requestlog/requestlog_test.go
@@ -115,3 +115,23 @@
 	require.Contains(t, text, `The caller is not named by the record; rule "r1" was applied. The request was treated as streaming.`)
 	require.Contains(t, text, "at server i-62: the request was sent; it ended as Answered")
 }
+
+// TestProxied guards against a record of a request that went by way of a peer which shows the peer's ending
+// in place of what the caller received, in whichever order the lines of the two daemons stand.
+func TestProxied(t *testing.T) {
+	entry := `{"time":"2026-06-10T17:35:06.500Z","msg":"request sent to peer","Request":"4293","Peer":"b","LeftMillis":900}
+{"time":"2026-06-10T17:35:06.900Z","msg":"request ended","Request":"4293","Status":504,"Reason":"Timeout","Offers":1,"Config":21,"Daemon":"a","Service":"quotes"}
+`
+	proxy := `{"time":"2026-06-10T17:35:06.510Z","msg":"request sent","Request":"4293","Server":"i-7"}
+{"time":"2026-06-10T17:35:06.910Z","msg":"request ended","Request":"4293","Status":0,"Reason":"CallerLeft","Offers":1,"Config":21,"Daemon":"b","Entry":"a","Service":"quotes"}
+`
+	for _, log := range []string{entry + proxy, proxy + entry} {
+		record, err := requestlog.Read(strings.NewReader(log), "4293")
+		require.NoError(t, err)
+		require.EqualValues(t, "a", record.Daemon)
+		require.Equal(t, outcome.MayHaveRun(outcome.AnswerLate), record.Outcome)
+		require.Len(t, record.Attempts, 1)
+		require.EqualValues(t, "i-7", record.Attempts[0].Engine)
+		require.Equal(t, "daemon a reached no server, and sent the request to daemon b", record.Detail)
+	}
+}
