--- a/internal/direct/gateway/store.go
+++ b/internal/direct/gateway/store.go
@@ -139,13 +139,16 @@
 		former, draining = before.Server, before.Draining
 	}
 	restarted := known && before.StartedAt != server.StartedAt
+	if known && before.Software != server.Software {
+		core.log.Info("server software changed", "Server", server.ID, "Before", before.Software, "Now", server.Software, "Revision", revision)
+	}
 	newlyDraining := server.Draining && (!known || !before.Draining)
 	if !core.fleet.Put(server, revision) {
 		return
 	}
 	switch {
 	case !known:
-		core.log.Info("server discovered", "Server", server.ID, "Service", server.Service, "Address", server.Address, "Draining", server.Draining, "Revision", revision)
+		core.log.Info("server discovered", "Server", server.ID, "Service", server.Service, "Address", server.Address, "Software", server.Software, "Draining", server.Draining, "Revision", revision)
 	case restarted:
 		if !draining {
 			core.handleRestart(former)
--- a/internal/direct/platformapi/platformapi.go
+++ b/internal/direct/platformapi/platformapi.go
@@ -21,6 +21,7 @@
 	MaxOutputTokens int    // maximum number of output tokens
 	Parts           []Part
 	LastEventID     string // id of the event after which a stream is to be resumed
+	Resumes         string // id of the caller's attempt that brought the first event of that stream; empty: not stated
 	AccountKey      string // identifies the caller's account; empty: none
 }
 
@@ -155,6 +156,7 @@
 	Service    string
 	Address    string
 	DataCentre string
+	Software   string // version of its software, without an order; empty: unknown
 	Slots      int
 	Draining   bool
 	LeavesIn   clock.Millis // time until the server ends; 0: not announced
