--- a/internal/decide/outcome/reason.go
+++ b/internal/decide/outcome/reason.go
@@ -56,6 +56,8 @@
 	EnginesRest         Reason = "EnginesRest"
 	ServiceOverloaded   Reason = "ServiceOverloaded"
 	EnginesUnreachable  Reason = "EnginesUnreachable"
+	StreamUnknown       Reason = "StreamUnknown"
+	NoSoftwareVersion   Reason = "NoSoftwareVersion"
 )
 
 var sentences = map[Reason]string{
@@ -106,6 +108,8 @@
 	EnginesRest:         "Each server that could take the request had turned this daemon away of late and asked it for rest.",
 	ServiceOverloaded:   "The service had more requests in progress than it could answer in time, so this one was refused at once.",
 	EnginesUnreachable:  "The process had lost its links to all engines and services, and reached no other process that had not.",
+	StreamUnknown:       "The caller asked for the rest of a stream, and no process knew which software version had begun it.",
+	NoSoftwareVersion:   "The caller asked for the rest of a stream, and no engine in service ran the software version that had begun it.",
 	CrashesEngines:      "Engines have ended while they ran requests with the same content, so this one was not run.",
 	InvalidAnswer:       "What came back was not an answer of the server to this request, and it was discarded.",
 }
--- a/internal/direct/choose/choose.go
+++ b/internal/direct/choose/choose.go
@@ -74,20 +74,21 @@
 type Query struct {
 	Now          clock.Millis
 	Service      string
-	DataCentre   string                   // data centre of this daemon
-	Attempt      uint64                   // hash of the request's id
-	Adapter      platformapi.Adapter      // empty name: the base model; model empty as well: a plain service
-	Version      int                      // minimum version of the adapter
-	Prompt       int                      // tokens
-	AdapterSlots int                      // adapter slots of each server
-	Tried        []string                 // servers that were sent the request before
-	Blocked      func(server string) bool // whether a server must not be sent requests now; nil: no server
-	HasOwner     func(server string) bool // whether a server has an owner; nil: all servers do
-	Frequent     bool                     // the adapter was requested before, recently: another copy may be worth its load
-	ManyDaemons  bool                     // many daemons place requests by the same, somewhat stale load counts
-	WaitingAt    string                   // the server at which the request waits for the adapter; empty: none
-	PreferLocal  bool                     // prefer servers in DataCentre, by Weights.Nearby
-	Short        *LoadAverage             // of the service, for a request that ends before other daemons' counts show it; nil: counts are used
+	DataCentre   string                        // data centre of this daemon
+	Attempt      uint64                        // hash of the request's id
+	Adapter      platformapi.Adapter           // empty name: the base model; model empty as well: a plain service
+	Version      int                           // minimum version of the adapter
+	Prompt       int                           // tokens
+	AdapterSlots int                           // adapter slots of each server
+	Tried        []string                      // servers that were sent the request before
+	Blocked      func(server string) bool      // whether a server must not be sent requests now; nil: no server
+	Fits         func(platformapi.Server) bool // whether a stream may go on at a server; nil: the request begins anew
+	HasOwner     func(server string) bool      // whether a server has an owner; nil: all servers do
+	Frequent     bool                          // the adapter was requested before, recently: another copy may be worth its load
+	ManyDaemons  bool                          // many daemons place requests by the same, somewhat stale load counts
+	WaitingAt    string                        // the server at which the request waits for the adapter; empty: none
+	PreferLocal  bool                          // prefer servers in DataCentre, by Weights.Nearby
+	Short        *LoadAverage                  // of the service, for a request that ends before other daemons' counts show it; nil: counts are used
 
 	// Inputs of pause-aware placement. Without them all engines count as equal.
 	GapGoal  clock.Millis                // longest pause of a stream on time; 0: pauses are not counted
@@ -101,6 +102,9 @@
 
 // Excludes reports whether a server must not be sent the request, whatever its cost.
 func (query Query) Excludes(member *fleet.Member) bool {
+	if query.Fits != nil && !query.Fits(member.Server) {
+		return true
+	}
 	return slices.Contains(query.Tried, member.ID) || member.PausedFor(query.Now) > 0 || query.Blocked != nil && query.Blocked(member.ID)
 }
 
--- a/internal/direct/ending/ending.go
+++ b/internal/direct/ending/ending.go
@@ -18,6 +18,7 @@
 	MessageNoAnswer         = "no answer"
 	MessageAnswerBroken     = "answer broken"
 	MessageStreamBroken     = "stream broken"
+	MessageStreamTakenUp    = "stream taken up"
 	MessageAccountOverLimit = "account over its limit"
 	MessageRequestShed      = "request shed"
 	MessageRequestEnded     = "request ended"
@@ -42,31 +43,33 @@
 
 // Reasons for the end of a request.
 const (
-	Complete         Reason = "Complete"
-	ServerFailure    Reason = "ServerFailure"      // the server's failure was passed on
-	NoConfiguration  Reason = "NotReady"           // the daemon has no configuration yet
-	NoRoute          Reason = "NoRoute"            // no route matches
-	BadRequest       Reason = "BadRequest"         // headers or body cannot be read
-	UnknownKey       Reason = "UnknownKey"         // the key is not in the configuration
-	StaleAccounts    Reason = "AccountsOld"        // the key is unknown, but the configuration may be stale
-	AccountLimit     Reason = "AccountLimit"       // the account's limit is used up
-	TooLarge         Reason = "TooLarge"           // the body exceeds the limit
-	NoServer         Reason = "NoServer"           // no server of the service can take the request
-	ServersLimited   Reason = "ServersLimited"     // the rate limits of the servers that could take it are used up
-	ServersPaused    Reason = "ServersRest"        // the servers that could take it asked this daemon to pause
-	Unreachable      Reason = "ServersUnreachable" // this daemon reaches no server, and no peer that does
-	ServersFull      Reason = "ServersFull"        // the servers that could take it are brittle and have no room
-	Overloaded       Reason = "Overloaded"         // the service has more requests than it can answer in time
-	AdapterNotReady  Reason = "AdapterNotReady"    // its adapter was not loaded in time
-	Quarantined      Reason = "CrashesServers"     // servers crashed while they ran requests with the same content
-	RetryBudgetSpent Reason = "RetryBudget"        // the budget for retries is used up
-	TriesUsed        Reason = "TriesUsed"          // servers declined it in every try
-	Deadline         Reason = "Deadline"           // the deadline passed before it was sent
-	Timeout          Reason = "Timeout"            // the deadline passed after it was sent
-	AnswerLost       Reason = "AnswerLost"         // it was sent, and no complete answer came
-	InvalidAnswer    Reason = "InvalidAnswer"      // the answer is not a valid one of the server
-	CallerLeft       Reason = "CallerLeft"
-	StreamBroken     Reason = "StreamBroken" // a stream broke off and could not be resumed
+	Complete          Reason = "Complete"
+	ServerFailure     Reason = "ServerFailure"      // the server's failure was passed on
+	NoConfiguration   Reason = "NotReady"           // the daemon has no configuration yet
+	NoRoute           Reason = "NoRoute"            // no route matches
+	BadRequest        Reason = "BadRequest"         // headers or body cannot be read
+	UnknownKey        Reason = "UnknownKey"         // the key is not in the configuration
+	StaleAccounts     Reason = "AccountsOld"        // the key is unknown, but the configuration may be stale
+	AccountLimit      Reason = "AccountLimit"       // the account's limit is used up
+	TooLarge          Reason = "TooLarge"           // the body exceeds the limit
+	NoServer          Reason = "NoServer"           // no server of the service can take the request
+	ServersLimited    Reason = "ServersLimited"     // the rate limits of the servers that could take it are used up
+	ServersPaused     Reason = "ServersRest"        // the servers that could take it asked this daemon to pause
+	Unreachable       Reason = "ServersUnreachable" // this daemon reaches no server, and no peer that does
+	ServersFull       Reason = "ServersFull"        // the servers that could take it are brittle and have no room
+	Overloaded        Reason = "Overloaded"         // the service has more requests than it can answer in time
+	AdapterNotReady   Reason = "AdapterNotReady"    // its adapter was not loaded in time
+	Quarantined       Reason = "CrashesServers"     // servers crashed while they ran requests with the same content
+	RetryBudgetSpent  Reason = "RetryBudget"        // the budget for retries is used up
+	TriesUsed         Reason = "TriesUsed"          // servers declined it in every try
+	Deadline          Reason = "Deadline"           // the deadline passed before it was sent
+	Timeout           Reason = "Timeout"            // the deadline passed after it was sent
+	AnswerLost        Reason = "AnswerLost"         // it was sent, and no complete answer came
+	InvalidAnswer     Reason = "InvalidAnswer"      // the answer is not a valid one of the server
+	CallerLeft        Reason = "CallerLeft"
+	StreamUnknown     Reason = "StreamUnknown"     // a stream is to go on, and what began it is not known
+	NoSoftwareVersion Reason = "NoSoftwareVersion" // a stream is to go on, and no server of its software version can take it
+	StreamBroken      Reason = "StreamBroken"      // a stream broke off and could not be resumed
 )
 
 // outcomeReasons maps each reason to the one that the caller's outcome shows.
@@ -80,6 +83,7 @@
 	AccountLimit: outcome.CallerLimit, Quarantined: outcome.CrashesEngines,
 	ServersLimited: outcome.EnginesLimited, ServersPaused: outcome.EnginesRest,
 	Overloaded: outcome.ServiceOverloaded, Unreachable: outcome.EnginesUnreachable, ServersFull: outcome.QueueFull,
+	StreamUnknown: outcome.StreamUnknown, NoSoftwareVersion: outcome.NoSoftwareVersion,
 }
 
 // Reasons returns all reasons, in no particular order.
--- a/internal/direct/fleet/fleet.go
+++ b/internal/direct/fleet/fleet.go
@@ -165,6 +165,7 @@
 		fleet.members[server.ID] = member
 		fleet.sorted = nil
 	}
+	member.updateSoftware(&server)
 	if member.StartedAt != server.StartedAt {
 		clear(member.recent) // the server has restarted
 	}
--- a/internal/direct/fleet/member.go
+++ b/internal/direct/fleet/member.go
@@ -47,6 +47,11 @@
 	reportRead      bool
 	reportStartedAt int64 // start of the process that reported
 
+	// SoftwareChanged is true if the entries of the present process have stated several software versions.
+	SoftwareChanged bool
+	// SeenAt is when the last entry of the server was applied, as far as the caller of Put has set it.
+	SeenAt clock.Millis
+
 	modelLoading bool            // a base model is being loaded
 	onDisk       map[string]bool // base models that it has held, including before restarts
 
@@ -142,6 +147,19 @@
 	}
 }
 
+// updateSoftware updates what is known of the server's software version from its next entry. An entry that states
+// none says nothing about the process that an earlier one named.
+func (member *Member) updateSoftware(entry *platformapi.Server) {
+	if member.ID == "" || member.StartedAt != entry.StartedAt {
+		member.SoftwareChanged = false
+		return
+	}
+	if entry.Software == "" {
+		entry.Software = member.Software
+	}
+	member.SoftwareChanged = member.SoftwareChanged || member.Software != "" && member.Software != entry.Software
+}
+
 // trimRecent keeps the given number of recently held adapters and drops older ones. It does so
 // only once there are twice as many.
 func (member *Member) trimRecent(limit int) {
--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -75,6 +75,7 @@
 	links             *reach.Monitor                       // whether this daemon reaches any server
 	handedOver        bool                                 // this daemon has given up its servers as it reaches none
 	linksProbed       chan struct{}                        // closed at the end of the round of probes that is running
+	origins           *origins                             // of streams
 	proxies           *proxies                             // peers that take requests while it reaches none
 	turns             *promptTurns                         // prompts that wait to be admitted at engines
 	holdingsChanged   chan struct{}                        // closed and replaced when holdings change
@@ -166,6 +167,7 @@
 		serverLimits:      throttle.New(settings.Name),
 		brittle:           brittle.New(),
 		links:             reach.New(options.Links),
+		origins:           newOrigins(now(), settings.FirstStart),
 		proxies:           newProxies(),
 		turns:             newPromptTurns(options.Turns, int64(wall())),
 		holdingsChanged:   make(chan struct{}),
--- a/internal/direct/gateway/counters.go
+++ b/internal/direct/gateway/counters.go
@@ -32,6 +32,8 @@
 
 	proxied map[proxyResult]int64 // requests sent to peers or received from them
 
+	origins map[originSource]int64 // streams taken up, by how their origin was found out
+
 	late        *late.Counts
 	pauseTokens histograms // prompt tokens in prefill when the longest pause of a stream began, by whether it was late by that pause
 
@@ -53,8 +55,8 @@
 		ends: make(map[endLabels]int64), sent: make(map[sentLabels]int64), latency: make(histograms), gaps: make(histograms),
 		retryAfter: make(histograms), reserveRefusals: make(map[string]int64),
 		turns: make(map[prefill.Result]int64), waits: make(histograms),
-		proxied: make(map[proxyResult]int64),
-		late:    late.NewCounts(), pauseTokens: make(histograms),
+		proxied: make(map[proxyResult]int64), origins: make(map[originSource]int64),
+		late: late.NewCounts(), pauseTokens: make(histograms),
 	}
 }
 
@@ -98,6 +100,13 @@
 	counters.proxied[result]++
 }
 
+// recordOrigin counts a stream that is taken up.
+func (counters *counters) recordOrigin(source originSource) {
+	counters.mutex.Lock()
+	defer counters.mutex.Unlock()
+	counters.origins[source]++
+}
+
 // maxRankSeries is the number of ranks that a metric distinguishes; the last one stands for all
 // further ones.
 const maxRankSeries = 10
@@ -165,6 +174,9 @@
 	for result, count := range counters.turns {
 		_, _ = fmt.Fprintf(out, "teaselmoor_prompt_turns_total{result=%q} %d\n", result, count)
 	}
+	for source, count := range counters.origins {
+		_, _ = fmt.Fprintf(out, "teaselmoor_streams_taken_up_total{source=%q} %d\n", source, count)
+	}
 	for result, count := range counters.proxied {
 		_, _ = fmt.Fprintf(out, "teaselmoor_proxied_requests_total{result=%q} %d\n", result, count)
 	}
--- a/internal/direct/gateway/deltas.go
+++ b/internal/direct/gateway/deltas.go
@@ -46,6 +46,7 @@
 	usageDaemons   int          // number of daemons that it covered
 	warnings       warningsSent
 	speeds         speedsSent
+	begun          int64 // number of the records of streams sent
 }
 
 // sentTo returns the record of what the peer at an address has been sent. The mutex must be
--- a/internal/direct/gateway/dispatch.go
+++ b/internal/direct/gateway/dispatch.go
@@ -65,6 +65,9 @@
 
 // try places a request and sends it to one server.
 func (gateway *Gateway) try(ctx context.Context, writer http.ResponseWriter, job *job) tryResult {
+	if failed := gateway.findOrigin(ctx, job); failed != nil {
+		return *failed
+	}
 	if gateway.needsPeer(job) {
 		return gateway.tryPeer(ctx, writer, job)
 	}
--- a/internal/direct/gateway/gossip.go
+++ b/internal/direct/gateway/gossip.go
@@ -30,6 +30,12 @@
 		gateway.handlePull(from, *message.Pull)
 	case message.Warnings != nil:
 		gateway.handleWarnings(from, message.Warnings)
+	case message.OriginQuery != nil:
+		gateway.handleOriginQuery(from, message.OriginQuery)
+	case message.OriginAnswer != nil:
+		gateway.core.handleOriginAnswer(from, message.OriginAnswer)
+	case len(message.Begun) > 0:
+		gateway.core.applyBegun(from, message.Begun)
 	case len(message.Streams) > 0:
 		gateway.core.applyStreams(from, message.Streams)
 	case message.Items != nil:
@@ -147,6 +153,7 @@
 	})
 	core.updateModelTurns(now)
 	core.turns.prune(now)
+	core.updateOrigins(now)
 	for _, id := range core.fleet.Tick(now) {
 		core.log.Info("server gone", "Server", id, "Cause", "its entry did not come back")
 	}
--- a/internal/direct/gateway/handler.go
+++ b/internal/direct/gateway/handler.go
@@ -17,6 +17,7 @@
 	"teaselmoor/internal/direct/platformapi"
 	"teaselmoor/internal/direct/prefill"
 	"teaselmoor/internal/direct/retry"
+	"teaselmoor/internal/direct/software"
 )
 
 // job is the state of a caller's request in this daemon.
@@ -40,18 +41,21 @@
 	arrived        clock.Millis
 	deadline       clock.Millis // by the caller's and the route's time limits, and maxTimeout
 
-	triedServers  []string     // servers that are not tried again
-	mayHaveRun    int          // number of servers that may have run the request
-	connectFailed bool         // a server could not be connected to
-	peersTried    int          // number of peers that the request was sent to
-	timesSent     int          // times that the request was sent to a server
-	retry         *retry.Retry // the last retry that the budget allowed; nil: none
-	waited        clock.Millis // total wait for an adapter or for other prompts
-	holdTime      clock.Millis // part of waited in which the engine was reading (prefilling) other prompts
-	tryTimer      *time.Timer  // ends the present try; nil: only the deadline does
-	headSent      bool         // the head of an answer has been sent to the caller
-	lastEventAt   clock.Millis // when the caller was last sent something; initially the arrival
-	lastEventID   string       // of the last complete event sent to the caller
+	triedServers  []string        // servers that are not tried again
+	mayHaveRun    int             // number of servers that may have run the request
+	connectFailed bool            // a server could not be connected to
+	peersTried    int             // number of peers that the request was sent to
+	timesSent     int             // times that the request was sent to a server
+	retry         *retry.Retry    // the last retry that the budget allowed; nil: none
+	waited        clock.Millis    // total wait for an adapter or for other prompts
+	holdTime      clock.Millis    // part of waited in which the engine was reading (prefilling) other prompts
+	tryTimer      *time.Timer     // ends the present try; nil: only the deadline does
+	headSent      bool            // the head of an answer has been sent to the caller
+	lastEventAt   clock.Millis    // when the caller was last sent something; initially the arrival
+	lastEventID   string          // of the last complete event sent to the caller
+	continues     bool            // an event of the stream was sent to the caller, by this attempt or an earlier one
+	origin        software.Origin // of the stream, if originKnown
+	originKnown   bool
 	stream        late.Stream  // course of a streamed answer
 	retryAfter    clock.Millis // sent to a refused caller
 
@@ -112,7 +116,9 @@
 	if status, reason := gateway.admit(job, config); status != 0 {
 		return job, status, reason
 	}
-	job.service = route.Service(headers.Attempt)
+	job.continues = continuesStream(route, headers)
+	job.origin, job.originKnown = from.origin, from.originKnown
+	job.service = route.Service(job.streamAttempt())
 	job.deadline = deadlineOf(job)
 	service := config.Services[job.service]
 	job.engine = service != nil && service.Engine != nil
--- a/internal/direct/gateway/metrics.go
+++ b/internal/direct/gateway/metrics.go
@@ -134,6 +134,8 @@
 	loading, queued := core.incomingAdapters()
 	plainLowest, plainHighest := core.loadAverage.Range()
 	return []gauge{
+		{"teaselmoor_streams_recorded", float64(core.origins.records.Count())},
+		{"teaselmoor_software_versions_mixed", boolGauge(core.origins.history.Several(now))},
 		{"teaselmoor_cut_off", boolGauge(core.links.CutOff())},
 		{"teaselmoor_services_brittle", float64(core.brittle.Count())},
 		{"teaselmoor_servers_limited", float64(core.serverLimits.LimitedCount())},
--- /dev/null
+++ b/internal/direct/gateway/originmessages.go
@@ -0,0 +1,296 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/direct/peers"
+	"teaselmoor/internal/direct/software"
+	"teaselmoor/internal/direct/topology"
+)
+
+const (
+	// maxOriginQueries bounds the queries in progress, as callers may name attempts that never were.
+	maxOriginQueries = 256
+	// originWait is how long peers are waited for that are asked what began a stream. It is longer than a round trip between
+	// regions by way of a hub.
+	originWait = 300 * clock.Millisecond
+	// relayedOriginWait is how long a hub waits for other hubs, before it answers.
+	relayedOriginWait = 200 * clock.Millisecond
+)
+
+// originQuery is a question to several peers what began a stream.
+type originQuery struct {
+	pending  map[string]bool          // peers that have not answered
+	inferred map[software.Origin]bool // what peers infer that have not recorded the stream
+	found    *software.Origin         // what a peer has recorded
+	done     chan struct{}            // closed when the answer is known
+}
+
+// answer returns what the peers have answered. Peers that infer different origins know less than they assume.
+func (originQuery *originQuery) answer() (software.Origin, originSource) {
+	if originQuery.found != nil {
+		return *originQuery.found, originAnswered
+	}
+	if len(originQuery.inferred) == 1 {
+		for origin := range originQuery.inferred {
+			return origin, originInferred
+		}
+	}
+	return software.Origin{}, originUnknown
+}
+
+// apply applies a peer's answer.
+func (originQuery *originQuery) apply(peer string, answer *peers.OriginAnswer) {
+	if !originQuery.pending[peer] {
+		return
+	}
+	delete(originQuery.pending, peer)
+	switch {
+	case answer.Found:
+		originQuery.found = &answer.Origin
+		clear(originQuery.pending)
+	case answer.Inferred:
+		originQuery.inferred[answer.Origin] = true
+	}
+	if len(originQuery.pending) == 0 {
+		close(originQuery.done)
+	}
+}
+
+// askOrigin asks peers what began the stream that a request continues. The mutex must be held; it is released during
+// the wait.
+func (gateway *Gateway) askOrigin(ctx context.Context, job *job) (software.Origin, originSource) {
+	ctx, cancel := context.WithTimeout(ctx, originWait.Duration())
+	defer cancel()
+	return gateway.queryPeers(ctx, peers.OriginQuery{Key: software.KeyOf(job.streamAttempt()), Service: job.service})
+}
+
+// queryPeers asks all linked peers, and returns what they and this daemon know. The mutex must be held; it is released
+// during the wait.
+func (gateway *Gateway) queryPeers(ctx context.Context, message peers.OriginQuery) (software.Origin, originSource) {
+	core := gateway.core
+	query := &originQuery{pending: make(map[string]bool), inferred: make(map[software.Origin]bool), done: make(chan struct{})}
+	if inferred, ok := core.inferredOrigin(core.now(), message.Service); ok {
+		query.inferred[inferred] = true
+	}
+	if len(core.origins.queries) >= maxOriginQueries {
+		return query.answer()
+	}
+	core.origins.lastID++
+	message.ID = core.origins.lastID
+	for _, peer := range core.members.Plan().Links {
+		if gateway.send(peer.Address, peers.Message{OriginQuery: &message}) {
+			query.pending[peer.Name] = true
+		}
+	}
+	if len(query.pending) == 0 {
+		return query.answer()
+	}
+	core.origins.queries[message.ID] = query
+	core.mutex.Unlock()
+	select {
+	case <-query.done:
+	case <-ctx.Done():
+	}
+	core.mutex.Lock()
+	delete(core.origins.queries, message.ID)
+	return query.answer()
+}
+
+// handleOriginAnswer applies a peer's answer to a query of this daemon.
+func (core *core) handleOriginAnswer(from string, answer *peers.OriginAnswer) {
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	if query, ok := core.origins.queries[answer.ID]; ok {
+		query.apply(from, answer)
+	}
+}
+
+// handleOriginQuery answers a peer's query. A hub that does not know asks the other hubs first.
+func (gateway *Gateway) handleOriginQuery(from string, query *peers.OriginQuery) {
+	core := gateway.core
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	origin, found := core.origins.records.Find(query.Key)
+	plan := core.members.Plan()
+	switch {
+	case found:
+		gateway.answerOrigin(from, query.ID, origin, originRecorded)
+	case query.Relayed || plan.Mesh || plan.Role != topology.Candidate:
+		gateway.answerOriginInferred(from, query)
+	default:
+		gateway.tasks.Go("relay origin query", func(ctx context.Context) error {
+			gateway.relayOriginQuery(ctx, from, query)
+			return nil
+		})
+	}
+}
+
+// answerOriginInferred answers a query with what this daemon infers, which may be nothing. The mutex must be held.
+func (gateway *Gateway) answerOriginInferred(from string, query *peers.OriginQuery) {
+	origin, ok := gateway.core.inferredOrigin(gateway.core.now(), query.Service)
+	source := originUnknown
+	if ok {
+		source = originInferred
+	}
+	gateway.answerOrigin(from, query.ID, origin, source)
+}
+
+// relayOriginQuery asks the other hubs, and answers a query with what they know.
+func (gateway *Gateway) relayOriginQuery(ctx context.Context, from string, query *peers.OriginQuery) {
+	ctx, cancel := context.WithTimeout(ctx, relayedOriginWait.Duration())
+	defer cancel()
+	core := gateway.core
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	origin, source := gateway.queryPeers(ctx, peers.OriginQuery{Key: query.Key, Service: query.Service, Relayed: true})
+	gateway.answerOrigin(from, query.ID, origin, source)
+}
+
+// answerOrigin answers a peer's query. The mutex must be held.
+func (gateway *Gateway) answerOrigin(to string, id uint64, origin software.Origin, source originSource) {
+	peer, ok := gateway.core.members.Peer(to)
+	if !ok {
+		return // the peer stops waiting by itself
+	}
+	gateway.send(peer.Address, peers.Message{OriginAnswer: &peers.OriginAnswer{
+		ID: id, Origin: origin, Inferred: source == originInferred, Found: source == originRecorded || source == originAnswered,
+	}})
+}
+
+// applyBegun records the streams that a peer has begun, or that it relays. A hub relays those of its data centre.
+func (core *core) applyBegun(from string, begun []software.Begun) {
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	now := core.now()
+	peer, known := core.members.Peer(from)
+	plan := core.members.Plan()
+	relays := known && !plan.Mesh && plan.Role == topology.Candidate && peer.DataCentre == core.settings.DataCentre && peer.Role != topology.Candidate
+	for _, group := range begun {
+		for _, key := range group.Keys {
+			if core.origins.records.Put(now, key, group.Origin) && relays {
+				core.origins.records.Log(now, key, "")
+			}
+		}
+	}
+}
+
+const (
+	// begunInterval is the time between two messages on streams that have begun, at a site with one daemon in each data
+	// centre. It grows with their number, as one hub of a data centre receives the messages of all.
+	begunInterval = 20 * clock.Millisecond
+	// maxBegunInterval bounds it: of a daemon that is killed, the streams of the last interval are unknown.
+	maxBegunInterval = 500 * clock.Millisecond
+	// meshBegunInterval is the interval in a mesh.
+	meshBegunInterval = 50 * clock.Millisecond
+	// maxBegun bounds the streams in a message.
+	maxBegun = 4096
+)
+
+// sendBegunLoop tells the daemons that keep records for others which streams have begun, until the context ends.
+func (gateway *Gateway) sendBegunLoop(ctx context.Context) error {
+	timer := time.NewTimer(meshBegunInterval.Duration())
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+			gateway.sendBegun()
+			timer.Reset(gateway.core.begunInterval().Duration())
+		}
+	}
+}
+
+// begunInterval returns the time until the next message on streams that have begun.
+func (core *core) begunInterval() clock.Millis {
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	if core.members.Plan().Mesh {
+		return meshBegunInterval
+	}
+	near := 1
+	for _, daemon := range core.members.AliveDaemons(core.now()) {
+		if daemon.DataCentre == core.settings.DataCentre {
+			near++
+		}
+	}
+	return min(begunInterval*clock.Millis(near), maxBegunInterval)
+}
+
+// sendBegun sends peers the streams that they have not been told of. While each service has had one version only,
+// a stream may go on anywhere and nothing is sent.
+func (gateway *Gateway) sendBegun() {
+	core := gateway.core
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	if !core.origins.history.Several(core.now()) {
+		return
+	}
+	for _, peer := range core.recordKeepers() {
+		sent := core.sentTo(peer.Address)
+		begun, next := core.origins.records.Since(sent.begun, maxBegun)
+		if len(begun) > 0 && gateway.send(peer.Address, peers.Message{Begun: begun}) {
+			sent.begun = next
+		}
+	}
+}
+
+// recordKeepers returns the daemons that keep this daemon's records: in a mesh all others, otherwise the candidates of
+// its data centre. A candidate also has one of the next data centre keep them, so that they outlast a data centre. The
+// mutex must be held.
+func (core *core) recordKeepers() []topology.Daemon {
+	plan := core.members.Plan()
+	if plan.Mesh || plan.Role != topology.Candidate {
+		return plan.Links
+	}
+	next := core.nextDataCentre(plan.Links)
+	rank := 0 // of this daemon among the candidates of its data centre, so that each uses another keeper
+	var keepers, remote []topology.Daemon
+	for _, daemon := range plan.Links {
+		switch daemon.DataCentre {
+		case core.settings.DataCentre:
+			keepers = append(keepers, daemon)
+			if daemon.Name < core.settings.Name {
+				rank++
+			}
+		case next:
+			remote = append(remote, daemon)
+		}
+	}
+	if len(remote) > 0 {
+		keepers = append(keepers, remote[rank%len(remote)])
+	}
+	return keepers
+}
+
+// nextDataCentre returns the data centre of other daemons that follows this daemon's in the order of names, in the
+// same region if it has another one. It is empty if there is none. The mutex must be held.
+func (core *core) nextDataCentre(daemons []topology.Daemon) string {
+	var near, far []string
+	for _, daemon := range daemons {
+		switch {
+		case daemon.DataCentre == core.settings.DataCentre:
+		case core.settings.Regions[daemon.DataCentre] == core.settings.Region:
+			near = append(near, daemon.DataCentre)
+		default:
+			far = append(far, daemon.DataCentre)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return ""
+	}
+	slices.Sort(near)
+	for _, dataCentre := range near {
+		if dataCentre > core.settings.DataCentre {
+			return dataCentre
+		}
+	}
+	return near[0]
+}
--- /dev/null
+++ b/internal/direct/gateway/origins.go
@@ -0,0 +1,242 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/direct/catalog"
+	"teaselmoor/internal/direct/ending"
+	"teaselmoor/internal/direct/platformapi"
+	"teaselmoor/internal/direct/software"
+	"teaselmoor/internal/direct/upstream"
+)
+
+// origins is what a daemon knows of the servers that have begun streams.
+type origins struct {
+	records *software.Records
+	history *software.History
+	seenAt  clock.Millis            // when the history last saw all servers
+	queries map[uint64]*originQuery // to peers, by number
+	lastID  uint64                  // of a query
+}
+
+func newOrigins(now clock.Millis, firstStart bool) *origins {
+	return &origins{
+		records: software.NewRecords(now), history: software.NewHistory(now, firstStart), queries: make(map[uint64]*originQuery),
+	}
+}
+
+// streamAttempt returns the caller's attempt that brought the first event of the stream.
+func (job *job) streamAttempt() string {
+	return cmp.Or(job.headers.Resumes, job.headers.Attempt)
+}
+
+// continuesStream reports whether a caller takes up a stream that an earlier attempt has begun.
+func continuesStream(route *catalog.Route, headers platformapi.RequestHeaders) bool {
+	return route.Kind == catalog.Streaming && (headers.LastEventID != "" || headers.Resumes != "")
+}
+
+// originSource is how the origin of a stream was found out.
+type originSource string
+
+// Sources of origins.
+const (
+	originRecorded originSource = "recorded" // by this daemon, which began the stream or was told of it
+	originAnswered originSource = "answered" // by a peer, which has recorded it
+	originInferred originSource = "inferred" // the service has had no other version for as long as streams last
+	originUnknown  originSource = "unknown"
+)
+
+// findOrigin finds out what began the stream that a request continues. If that is not known, it returns the
+// result of the try instead.
+func (gateway *Gateway) findOrigin(ctx context.Context, job *job) *tryResult {
+	if !job.continues {
+		return nil
+	}
+	core := gateway.core
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	if recorded, ok := core.origins.records.Find(software.KeyOf(job.streamAttempt())); ok {
+		if !job.originKnown {
+			gateway.recordOriginFound(job, recorded, originRecorded)
+		}
+		job.origin, job.originKnown = recorded, true
+		return nil
+	}
+	if job.originKnown {
+		return nil
+	}
+	origin, source := gateway.askOrigin(ctx, job)
+	gateway.recordOriginFound(job, origin, source)
+	if source == originUnknown {
+		return &tryResult{status: http.StatusServiceUnavailable, reason: ending.StreamUnknown}
+	}
+	job.origin, job.originKnown = origin, true
+	return nil
+}
+
+// recordOriginFound logs and counts how the origin of a stream was found out.
+func (gateway *Gateway) recordOriginFound(job *job, origin software.Origin, source originSource) {
+	gateway.counters.recordOrigin(source)
+	gateway.log.Info(ending.MessageStreamTakenUp, "Request", job.headers.Attempt, "Resumes", job.headers.Resumes, "After", cmp.Or(job.lastEventID, job.headers.LastEventID),
+		"Source", string(source), "Software", origin.Version, "Server", origin.Server, "Unnamed", origin.Unnamed)
+}
+
+// inferredOrigin returns the origin that each stream in progress at a service has, if there is only one. A daemon
+// that cannot read the store may not know all versions. The mutex must be held.
+func (core *core) inferredOrigin(now clock.Millis, service string) (software.Origin, bool) {
+	version, ok := core.origins.history.Only(now, service)
+	if !ok || core.store.failingSince > 0 {
+		return software.Origin{}, false
+	}
+	return software.Origin{Version: version, Unnamed: version == ""}, true
+}
+
+// originOf returns the origin of a stream whose first event has come from a server. A server whose entry has
+// changed since the request was sent may have run another version than the one known then. The mutex must be held.
+func (core *core) originOf(now clock.Millis, to assignment, service string) software.Origin {
+	sent := to.server
+	member, known := core.fleet.Member(sent.ID)
+	switch {
+	case to.peer != "":
+		return to.origin
+	case known && member.StartedAt == sent.StartedAt && sent.Software == "" && !member.SoftwareChanged:
+		sent = member.Server
+	case known && member.Software != sent.Software:
+		return software.Origin{}
+	}
+	if sent.Software == "" {
+		if inferred, ok := core.inferredOrigin(now, service); ok && inferred.Unnamed {
+			return inferred
+		}
+	}
+	return software.OriginOf(sent)
+}
+
+// recordBegin records that a request has got an event of its stream, the first one from this server. The mutex must
+// not be held.
+func (core *core) recordBegin(job *job, to assignment) {
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	now := core.now()
+	if !job.continues {
+		job.continues = true
+		job.origin = core.originOf(now, to, job.service)
+		job.originKnown = job.origin != software.Origin{}
+	}
+	if job.entry != "" || !job.route.Resumable || !job.originKnown {
+		return // the daemon that received the request from its caller records it
+	}
+	key := software.KeyOf(job.streamAttempt())
+	core.origins.records.Put(now, key, job.origin)
+	core.origins.records.Log(now, key, to.server.ID)
+}
+
+// fits returns a function that reports whether a request's stream may go on at a server. It is nil if the
+// request begins anew. The mutex must be held.
+func (core *core) fits(now clock.Millis, job *job) func(platformapi.Server) bool {
+	if !job.continues {
+		return nil
+	}
+	origin := core.resolve(now, job.origin, job.service)
+	return origin.Fits
+}
+
+// resolve returns an origin with what has become known since it was recorded. The mutex must be held.
+func (core *core) resolve(now clock.Millis, origin software.Origin, service string) software.Origin {
+	if origin.Unnamed {
+		if inferred, ok := core.inferredOrigin(now, service); !ok || !inferred.Unnamed {
+			return software.Origin{}
+		}
+	}
+	member, ok := core.fleet.Member(origin.Server)
+	if !ok || member.StartedAt != origin.StartedAt {
+		return origin
+	}
+	if member.SoftwareChanged {
+		return software.Origin{}
+	}
+	return software.OriginOf(member.Server)
+}
+
+// hasFitting reports whether a server may take new work at which a request's stream may go on. The mutex must be held.
+func (core *core) hasFitting(now clock.Millis, job *job) bool {
+	fits := core.fits(now, job)
+	for _, member := range core.fleet.Usable(job.service) {
+		if fits == nil || fits(member.Server) {
+			return true
+		}
+	}
+	return false
+}
+
+// historyInterval is the time between two looks at all servers for the history of their versions.
+const historyInterval = clock.Second
+
+// updateOrigins does the periodic work on origins. The mutex must be held.
+func (core *core) updateOrigins(now clock.Millis) {
+	if now-core.origins.seenAt < historyInterval {
+		return
+	}
+	core.origins.seenAt = now
+	for _, member := range core.fleet.Members() {
+		core.origins.history.See(now, member.Service, member.Software)
+	}
+	core.origins.history.Prune(now)
+	core.origins.records.Prune(now)
+}
+
+// originHeader tells, between a daemon and the peer that it sends a request to, what has begun the stream: in the
+// request if the stream is to go on, otherwise in the answer.
+const originHeader = "Teaselmoor-Origin"
+
+// Fields of originHeader.
+const (
+	originVersion = "version"
+	originServer  = "server"
+	originBorn    = "born"
+	originUnnamed = "unnamed"
+)
+
+// formatOrigin returns the text of an origin in originHeader.
+func formatOrigin(origin software.Origin) string {
+	return url.Values{
+		originVersion: {origin.Version}, originServer: {origin.Server}, originBorn: {strconv.FormatInt(origin.StartedAt, 10)},
+		originUnnamed: {strconv.FormatBool(origin.Unnamed)},
+	}.Encode()
+}
+
+// takeOrigin parses and removes originHeader. It returns false if the header is absent or has another form.
+func takeOrigin(header http.Header) (software.Origin, bool) {
+	text := header.Get(originHeader)
+	header.Del(originHeader)
+	values, err := url.ParseQuery(text)
+	if text == "" || err != nil {
+		return software.Origin{}, false
+	}
+	born, err := strconv.ParseInt(values.Get(originBorn), 10, 64)
+	if err != nil {
+		return software.Origin{}, false
+	}
+	return software.Origin{
+		Version: values.Get(originVersion), Server: values.Get(originServer), StartedAt: born,
+		Unnamed: values.Get(originUnnamed) == strconv.FormatBool(true),
+	}, true
+}
+
+// sendOriginHead adds what has begun a peer's stream to the head of the answer.
+func sendOriginHead(writer http.ResponseWriter, job *job) {
+	if job.entry != "" && job.originKnown {
+		writer.Header().Set(originHeader, formatOrigin(job.origin))
+	}
+}
+
+// peerAssignment returns the assignment of a request that a peer has answered.
+func peerAssignment(peer string, answer *upstream.Answer) assignment {
+	origin, _ := takeOrigin(answer.Header)
+	return assignment{peer: peer, origin: origin}
+}
--- a/internal/direct/gateway/place.go
+++ b/internal/direct/gateway/place.go
@@ -15,6 +15,7 @@
 	"teaselmoor/internal/direct/peers"
 	"teaselmoor/internal/direct/platformapi"
 	"teaselmoor/internal/direct/prefill"
+	"teaselmoor/internal/direct/software"
 )
 
 // assignment is the server that a request is sent to.
@@ -23,9 +24,10 @@
 	use     inflight.Use
 	version int
 	cost    float64
-	peer    string       // the peer that the request is sent to in place of a server; empty: none
-	alone   bool         // no other prompt was being read there
-	at      clock.Millis // when the server was chosen
+	origin  software.Origin // of the stream that peer has begun
+	peer    string          // the peer that the request is sent to in place of a server; empty: none
+	alone   bool            // no other prompt was being read there
+	at      clock.Millis    // when the server was chosen
 }
 
 // activeRequest counts a request at its server until end is called.
@@ -202,6 +204,7 @@
 		AdapterSlots: job.adapterSlots,
 		Tried:        job.triedServers,
 		Blocked:      core.blocked(now, waiting),
+		Fits:         core.fits(now, job),
 		HasOwner:     func(server string) bool { _, ok := core.ownerOf(now, server); return ok },
 		Frequent:     frequent,
 		ManyDaemons:  !core.members.Plan().Mesh,
--- a/internal/direct/gateway/proxied.go
+++ b/internal/direct/gateway/proxied.go
@@ -8,6 +8,7 @@
 
 	"teaselmoor/internal/direct/catalog"
 	"teaselmoor/internal/direct/ending"
+	"teaselmoor/internal/direct/software"
 )
 
 // entry is what a daemon says of a request that it sends to a peer.
@@ -15,6 +16,8 @@
 	daemon        string // that received the request from its caller; empty: this one
 	runs          int    // servers that may have run the request
 	configVersion int64
+	origin        software.Origin // of the stream that the request continues, if originKnown
+	originKnown   bool
 }
 
 // parseEntry reads and removes the headers that a daemon adds to a request that it sends to a peer.
@@ -26,6 +29,7 @@
 	}
 	parsed.runs = runs
 	parsed.configVersion, _ = strconv.ParseInt(header.Get(configHeader), 10, 64) // 0: any version will do
+	parsed.origin, parsed.originKnown = takeOrigin(header)
 	for _, name := range []string{entryHeader, runsHeader, configHeader} {
 		header.Del(name)
 	}
--- a/internal/direct/gateway/proxy.go
+++ b/internal/direct/gateway/proxy.go
@@ -93,6 +93,9 @@
 	request.Header.Set(entryHeader, gateway.settings.Name)
 	request.Header.Set(runsHeader, strconv.Itoa(job.mayHaveRun))
 	request.Header.Set(configHeader, strconv.FormatInt(job.configVersion, 10))
+	if job.continues && job.originKnown {
+		request.Header.Set(originHeader, formatOrigin(job.origin))
+	}
 	if len(job.body) > 0 {
 		request.Body = io.NopCloser(bytes.NewReader(job.body))
 	}
@@ -169,7 +172,7 @@
 
 // relayProxied passes on a server's answer that a peer has passed on.
 func (gateway *Gateway) relayProxied(ctx context.Context, writer http.ResponseWriter, job *job, peer topology.Daemon, answer *upstream.Answer) tryResult {
-	to := assignment{peer: peer.Name}
+	to := peerAssignment(peer.Name, answer)
 	if job.route.Kind == catalog.Streaming && answer.StatusCode/100 == 2 {
 		return gateway.relayStream(ctx, writer, job, to, nil, answer)
 	}
--- a/internal/direct/gateway/relay.go
+++ b/internal/direct/gateway/relay.go
@@ -137,6 +137,10 @@
 			if active != nil && active.firstEventAt == 0 {
 				active.recordFirstEvent()
 			}
+			if relayed.events == 0 {
+				gateway.core.recordBegin(job, to)
+			}
+			relayed.events++
 			if !job.headSent {
 				gateway.sendHead(writer, job, answer)
 			}
@@ -166,6 +170,7 @@
 func (gateway *Gateway) sendHead(writer http.ResponseWriter, job *job, answer *upstream.Answer) {
 	job.headSent = true
 	copyHeader(writer.Header(), answer.Header)
+	sendOriginHead(writer, job)
 	writer.WriteHeader(answer.StatusCode)
 }
 
@@ -210,6 +215,7 @@
 	buffer   []byte
 	returned int // bytes at the start of buffer that the last call of next returned
 	lastID   string
+	events   int // number of calls of next that returned events
 	err      error
 }
 
--- a/internal/direct/gateway/store.go
+++ b/internal/direct/gateway/store.go
@@ -131,6 +131,9 @@
 	}
 }
 
+// softwareChangeMargin is the largest expected delay between a server's writing of an entry and its application.
+const softwareChangeMargin = clock.Second
+
 // applyServer applies a server entry of the store. The mutex must be held.
 func (core *core) applyServer(server platformapi.Server, revision int64) {
 	before, known := core.fleet.Member(server.ID)
@@ -141,11 +144,18 @@
 	restarted := known && before.StartedAt != server.StartedAt
 	if known && before.Software != server.Software {
 		core.log.Info("server software changed", "Server", server.ID, "Before", before.Software, "Now", server.Software, "Revision", revision)
+		if before.Software != "" && server.Software != "" && before.StartedAt == server.StartedAt {
+			core.origins.records.Withdraw(core.now(), server.ID, before.SeenAt-softwareChangeMargin)
+		}
 	}
 	newlyDraining := server.Draining && (!known || !before.Draining)
 	if !core.fleet.Put(server, revision) {
 		return
 	}
+	if member, ok := core.fleet.Member(server.ID); ok {
+		member.SeenAt = core.now()
+		core.origins.history.See(member.SeenAt, member.Service, member.Software)
+	}
 	switch {
 	case !known:
 		core.log.Info("server discovered", "Server", server.ID, "Service", server.Service, "Address", server.Address, "Software", server.Software, "Draining", server.Draining, "Revision", revision)
--- a/internal/direct/gateway/unplaced.go
+++ b/internal/direct/gateway/unplaced.go
@@ -14,6 +14,10 @@
 // reason for it. The mutex must be held.
 func (core *core) noServerResult(now clock.Millis, job *job) *tryResult {
 	result := &tryResult{status: http.StatusServiceUnavailable, reason: ending.NoServer}
+	if !core.hasFitting(now, job) && job.continues {
+		result.reason = ending.NoSoftwareVersion
+		return result
+	}
 	for _, member := range core.fleet.Usable(job.service) {
 		if !slices.Contains(job.triedServers, member.ID) && !core.serverLimits.Allows(now, member.ID) {
 			result.reason = ending.ServersLimited
--- a/internal/direct/peers/message.go
+++ b/internal/direct/peers/message.go
@@ -14,6 +14,7 @@
 	"teaselmoor/internal/direct/platformapi"
 	"teaselmoor/internal/direct/quarantine"
 	"teaselmoor/internal/direct/quota"
+	"teaselmoor/internal/direct/software"
 	"teaselmoor/internal/direct/speed"
 	"teaselmoor/internal/direct/throttle"
 )
@@ -136,6 +137,10 @@
 	PromptAnswer     *PromptAnswer
 	PromptWithdrawal *PromptWithdrawal
 	Streams          []speed.Report // for the owners of the servers; sent to them or to the sender's hub, which forwards them
+
+	Begun        []software.Begun // streams that have begun, so that they can go on at other daemons
+	OriginQuery  *OriginQuery
+	OriginAnswer *OriginAnswer
 }
 
 // Warnings holds what was not yet sent to the receiver on the same connection about contents
--- a/internal/direct/peers/wire.go
+++ b/internal/direct/peers/wire.go
@@ -31,6 +31,10 @@
 		TurnEnd    *wirePromptWithdrawal `cbor:",omitempty"`
 		// Streams is ignored by daemons that do not support it.
 		Streams []wireStreamReport `cbor:",omitempty"`
+		// Begun, OriginQuery and OriginAnswer are ignored by daemons that do not support them.
+		Begun        []wireBegun       `cbor:",omitempty"`
+		OriginQuery  *wireOriginQuery  `cbor:",omitempty"`
+		OriginAnswer *wireOriginAnswer `cbor:",omitempty"`
 	}
 	wireAdapterRequest struct {
 		_                    struct{} `cbor:",toarray"`
@@ -58,6 +62,7 @@
 		}
 	}
 	wire.encodeTurns(message)
+	wire.encodeOrigins(message)
 	encoded, err := cbor.Marshal(wire)
 	return encoded, errors.Wrap(err, "encode message")
 }
@@ -83,5 +88,6 @@
 		}
 	}
 	message.decodeTurns(wire)
+	message.decodeOrigins(wire)
 	return message, nil
 }
--- /dev/null
+++ b/internal/direct/software/history.go
@@ -0,0 +1,68 @@
+package software
+
+import (
+	"maps"
+
+	"teaselmoor/internal/base/clock"
+)
+
+// History holds the software versions that each service has had within Lifetime. A server that states none
+// counts as one of an unnamed version.
+type History struct {
+	completeAt clock.Millis                       // from when on it covers Lifetime
+	versions   map[string]map[string]clock.Millis // by service and version: when last seen
+}
+
+// NewHistory returns the history of a daemon that starts. With complete there were no streams before.
+func NewHistory(now clock.Millis, complete bool) *History {
+	history := &History{completeAt: now, versions: make(map[string]map[string]clock.Millis)}
+	if !complete {
+		history.completeAt += Lifetime
+	}
+	return history
+}
+
+// See records that a service has a server of a version.
+func (history *History) See(now clock.Millis, service, version string) {
+	versions := history.versions[service]
+	if versions == nil {
+		versions = make(map[string]clock.Millis)
+		history.versions[service] = versions
+	}
+	versions[version] = now
+}
+
+// Only returns the version of a service that has had no other one within Lifetime: each stream that is in
+// progress there has begun at it.
+func (history *History) Only(now clock.Millis, service string) (string, bool) {
+	if now < history.completeAt || len(history.versions[service]) != 1 {
+		return "", false
+	}
+	for version := range history.versions[service] {
+		return version, true
+	}
+	return "", false
+}
+
+// Several reports whether a service may have had servers of several versions within Lifetime.
+func (history *History) Several(now clock.Millis) bool {
+	if now < history.completeAt {
+		return true
+	}
+	for _, versions := range history.versions {
+		if len(versions) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// Prune drops versions that have not been seen within Lifetime.
+func (history *History) Prune(now clock.Millis) {
+	for service, versions := range history.versions {
+		maps.DeleteFunc(versions, func(_ string, at clock.Millis) bool { return now-at >= Lifetime })
+		if len(versions) == 0 {
+			delete(history.versions, service)
+		}
+	}
+}
--- /dev/null
+++ b/internal/direct/software/records.go
@@ -0,0 +1,143 @@
+package software
+
+import (
+	"teaselmoor/internal/base/clock"
+)
+
+// maxRecords bounds the records of a generation. A daemon that relays those of 26 others with 16 streams a
+// second each has a sixth of it.
+const maxRecords = 200_000
+
+// Records holds the origins of streams for at least Lifetime, unless there are too many, and the log of those
+// that other daemons have to be told.
+type Records struct {
+	current, previous generation
+	rotatedAt         clock.Millis
+	log               []logged
+	logOffset         int64 // number of records dropped from the start of the log
+}
+
+// generation holds the records of a span of time, which are dropped together.
+type generation struct {
+	origins map[Key]*Origin
+	shared  map[Origin]*Origin // so that equal origins are stored once
+}
+
+// logged is a record that other daemons have to be told.
+type logged struct {
+	key    Key
+	origin *Origin
+	server string // that began the stream here; empty: the record comes from another daemon
+	at     clock.Millis
+}
+
+// Begun lists streams of one origin, as daemons tell each other.
+type Begun struct {
+	Origin Origin
+	Keys   []Key
+}
+
+// NewRecords returns empty records.
+func NewRecords(now clock.Millis) *Records {
+	return &Records{current: newGeneration(), previous: newGeneration(), rotatedAt: now}
+}
+
+func newGeneration() generation {
+	return generation{origins: make(map[Key]*Origin), shared: make(map[Origin]*Origin)}
+}
+
+// share returns the stored value that equals an origin.
+func (generation generation) share(origin Origin) *Origin {
+	stored, ok := generation.shared[origin]
+	if !ok {
+		stored = &origin
+		generation.shared[origin] = stored
+	}
+	return stored
+}
+
+// Find returns the origin of a stream, or false if it is not recorded.
+func (records *Records) Find(key Key) (Origin, bool) {
+	origin, ok := records.current.origins[key]
+	if !ok {
+		origin, ok = records.previous.origins[key]
+	}
+	if !ok {
+		return Origin{}, false
+	}
+	return *origin, true
+}
+
+// Put records the origin of a stream for another Lifetime, and reports whether that changes what is
+// recorded. A stream that is recorded with another origin goes on nowhere, as either may be wrong.
+func (records *Records) Put(now clock.Millis, key Key, origin Origin) bool {
+	records.rotate(now)
+	known, ok := records.Find(key)
+	if ok && known != origin {
+		origin = Origin{}
+	}
+	records.current.origins[key] = records.current.share(origin)
+	return !ok || known != origin
+}
+
+// rotate drops the older generation when the younger one is old or large enough to replace it.
+func (records *Records) rotate(now clock.Millis) {
+	if now-records.rotatedAt < Lifetime && len(records.current.origins) < maxRecords {
+		return
+	}
+	records.previous, records.current = records.current, newGeneration()
+	records.rotatedAt = now
+}
+
+// Log has other daemons be told the recorded origin of a stream. The server is the one that has begun it at this
+// daemon, or empty.
+func (records *Records) Log(now clock.Millis, key Key, server string) {
+	if origin, ok := records.Find(key); ok {
+		records.log = append(records.log, logged{key: key, origin: records.current.share(origin), server: server, at: now})
+	}
+}
+
+// Withdraw makes the streams that a server has begun here since a time go on nowhere: which version it
+// ran then is uncertain.
+func (records *Records) Withdraw(now clock.Millis, server string, since clock.Millis) {
+	for _, entry := range records.log {
+		if entry.server == server && entry.at >= since && records.Put(now, entry.key, Origin{}) {
+			records.Log(now, entry.key, "")
+		}
+	}
+}
+
+// Since returns the records of the log from a number on, at most limit of them, and the number from which on
+// to go on.
+func (records *Records) Since(number int64, limit int) ([]Begun, int64) {
+	first := min(int(max(0, number-records.logOffset)), len(records.log))
+	last := min(first+limit, len(records.log))
+	var begun []Begun
+	at := make(map[Origin]int)
+	for _, entry := range records.log[first:last] {
+		i, ok := at[*entry.origin]
+		if !ok {
+			i = len(begun)
+			at[*entry.origin] = i
+			begun = append(begun, Begun{Origin: *entry.origin})
+		}
+		begun[i].Keys = append(begun[i].Keys, entry.key)
+	}
+	return begun, records.logOffset + int64(last)
+}
+
+// Prune drops what has expired.
+func (records *Records) Prune(now clock.Millis) {
+	records.rotate(now)
+	expired := 0
+	for expired < len(records.log) && (now-records.log[expired].at >= Lifetime || len(records.log)-expired > maxRecords) {
+		expired++
+	}
+	records.log = append([]logged(nil), records.log[expired:]...)
+	records.logOffset += int64(expired)
+}
+
+// Count returns the number of records, which counts those twice that were renewed.
+func (records *Records) Count() int {
+	return len(records.current.origins) + len(records.previous.origins)
+}
