--- a/internal/direct/gateway/proxy.go
+++ b/internal/direct/gateway/proxy.go
@@ -93,6 +93,7 @@
 	request.Header.Set(entryHeader, gateway.settings.Name)
 	request.Header.Set(runsHeader, strconv.Itoa(job.mayHaveRun))
 	request.Header.Set(configHeader, strconv.FormatInt(job.configVersion, 10))
+	request.Header.Del(originHeader) // a caller's own
 	if job.continues && job.originKnown {
 		request.Header.Set(originHeader, formatOrigin(job.origin))
 	}
--- /dev/null
+++ b/internal/direct/software/software_test.go
@@ -0,0 +1,158 @@
+package software_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/direct/platformapi"
+	"teaselmoor/internal/direct/software"
+)
+
+var first, second = software.Origin{Version: "v1"}, software.Origin{Version: "v2"}
+
+func TestOriginFits(t *testing.T) {
+	named := platformapi.Server{ID: "a", StartedAt: 5, Software: "v1"}
+	unnamed := platformapi.Server{ID: "b", StartedAt: 5}
+	restarted := platformapi.Server{ID: "b", StartedAt: 6}
+	other := platformapi.Server{ID: "c", StartedAt: 5}
+	for _, each := range []struct {
+		origin software.Origin
+		server platformapi.Server
+		fits   bool
+	}{
+		{software.OriginOf(named), platformapi.Server{ID: "z", Software: "v1"}, true},
+		{software.OriginOf(named), platformapi.Server{ID: "a", StartedAt: 5, Software: "v1.1"}, false},
+		{software.OriginOf(named), unnamed, false},
+		{software.OriginOf(unnamed), unnamed, true},
+		{software.OriginOf(unnamed), restarted, false},
+		{software.OriginOf(unnamed), other, false},
+		{software.Origin{Unnamed: true}, other, true},
+		{software.Origin{Unnamed: true}, named, false},
+		{software.Origin{}, unnamed, false},
+		{software.Origin{}, named, false},
+	} {
+		require.Equal(t, each.fits, each.origin.Fits(each.server), "%+v at %+v", each.origin, each.server)
+	}
+}
+
+func TestRecordsExpire(t *testing.T) {
+	records := software.NewRecords(0)
+	records.Put(10, 1, first)
+	records.Log(10, 1, "a")
+	for now := clock.Millis(0); now < software.Lifetime; now += clock.Second {
+		records.Prune(now)
+	}
+	origin, ok := records.Find(1)
+	require.True(t, ok)
+	require.Equal(t, first, origin)
+	begun, next := records.Since(0, 10)
+	require.Len(t, begun, 1)
+
+	records.Prune(software.Lifetime + 10)
+	records.Prune(2*software.Lifetime + 20)
+	_, ok = records.Find(1)
+	require.False(t, ok)
+	begun, _ = records.Since(0, 10)
+	require.Empty(t, begun)
+	records.Put(2*software.Lifetime+20, 2, second)
+	records.Log(2*software.Lifetime+20, 2, "a")
+	begun, _ = records.Since(next, 10)
+	require.Equal(t, []software.Begun{{Origin: second, Keys: []software.Key{2}}}, begun)
+}
+
+// TestConflictingRecordsFitNowhere guards against streams that go on by one of two origins that daemons have recorded
+// for the same attempt.
+func TestConflictingRecordsFitNowhere(t *testing.T) {
+	records := software.NewRecords(0)
+	require.True(t, records.Put(0, 1, first))
+	require.False(t, records.Put(1, 1, first))
+	require.True(t, records.Put(2, 1, second))
+	require.False(t, records.Put(3, 1, software.Origin{}))
+	origin, ok := records.Find(1)
+	require.True(t, ok)
+	require.Equal(t, software.Origin{}, origin)
+	records.Put(4, 1, first)
+	origin, _ = records.Find(1)
+	require.Equal(t, software.Origin{}, origin)
+}
+
+func TestRecordsInBatches(t *testing.T) {
+	records := software.NewRecords(0)
+	for key := range software.Key(10) {
+		origin := first
+		if key%2 == 1 {
+			origin = second
+		}
+		records.Put(0, key, origin)
+		records.Log(0, key, "a")
+	}
+	got := make(map[software.Key]software.Origin)
+	for at := int64(0); len(got) < 10; {
+		begun, next := records.Since(at, 3)
+		require.NotEmpty(t, begun)
+		at = next
+		for _, group := range begun {
+			for _, key := range group.Keys {
+				got[key] = group.Origin
+			}
+		}
+	}
+	require.Equal(t, first, got[8])
+	require.Equal(t, second, got[9])
+}
+
+// TestRecordsAreBounded guards against records that grow with the streams that daemons announce.
+func TestRecordsAreBounded(t *testing.T) {
+	const most = 500_000
+	records := software.NewRecords(0)
+	for key := range software.Key(2 * most) {
+		records.Put(1, key, first)
+	}
+	require.LessOrEqual(t, records.Count(), most)
+}
+
+func TestWithdraw(t *testing.T) {
+	records := software.NewRecords(0)
+	for key, server := range []string{"a", "b", "a"} {
+		records.Put(clock.Millis(key), software.Key(key), first)
+		records.Log(clock.Millis(key), software.Key(key), server)
+	}
+	_, sent := records.Since(0, 10)
+	records.Withdraw(5, "a", 1)
+	for key, want := range []software.Origin{first, first, {}} {
+		origin, _ := records.Find(software.Key(key))
+		require.Equal(t, want, origin, fmt.Sprint(key))
+	}
+	begun, _ := records.Since(sent, 10)
+	require.Equal(t, []software.Begun{{Keys: []software.Key{2}}}, begun)
+}
+
+func TestHistory(t *testing.T) {
+	history := software.NewHistory(0, false)
+	history.See(0, "s", "v1")
+	_, ok := history.Only(software.Lifetime-1, "s")
+	require.False(t, ok, "another version may have left before the start")
+	require.True(t, history.Several(software.Lifetime-1))
+	history.See(software.Lifetime, "s", "v1")
+	version, ok := history.Only(software.Lifetime, "s")
+	require.True(t, ok)
+	require.Equal(t, "v1", version)
+	require.False(t, history.Several(software.Lifetime))
+
+	history.See(software.Lifetime, "s", "")
+	_, ok = history.Only(software.Lifetime, "s")
+	require.False(t, ok, "a server that states no version may run any")
+	require.True(t, history.Several(software.Lifetime))
+	history.See(2*software.Lifetime, "s", "v1")
+	history.Prune(2 * software.Lifetime)
+	_, ok = history.Only(2*software.Lifetime, "s")
+	require.True(t, ok)
+	_, ok = history.Only(2*software.Lifetime, "unknown")
+	require.False(t, ok)
+
+	_, ok = software.NewHistory(0, true).Only(0, "s")
+	require.False(t, ok)
+}
