--- a/internal/direct/gateway/originmessages.go
+++ b/internal/direct/gateway/originmessages.go
@@ -230,39 +230,44 @@
 	if !core.origins.history.Several(core.now()) {
 		return
 	}
-	for _, peer := range core.recordKeepers() {
-		sent := core.sentTo(peer.Address)
-		begun, next := core.origins.records.Since(sent.begun, maxBegun)
-		if len(begun) > 0 && gateway.send(peer.Address, peers.Message{Begun: begun}) {
+	for _, keeper := range core.recordKeepers() {
+		sent := core.sentTo(keeper.Address)
+		begun, next := core.origins.records.Since(sent.begun, maxBegun, keeper.audience)
+		if len(begun) == 0 || gateway.send(keeper.Address, peers.Message{Begun: begun}) {
 			sent.begun = next
 		}
 	}
 }
 
+// recordKeeper is a daemon that keeps records of this one.
+type recordKeeper struct {
+	topology.Daemon
+	audience software.Audience
+}
+
 // recordKeepers returns the daemons that keep this daemon's records: in a mesh all others, otherwise the candidates of
-// its data centre. A candidate also has one of the next data centre keep them, so that they outlast a data centre. The
-// mutex must be held.
-func (core *core) recordKeepers() []topology.Daemon {
+// its data centre. A candidate also has one of the next data centre keep a share of those of its data centre, so that
+// they outlast it. The mutex must be held.
+func (core *core) recordKeepers() []recordKeeper {
 	plan := core.members.Plan()
-	if plan.Mesh || plan.Role != topology.Candidate {
-		return plan.Links
-	}
 	next := core.nextDataCentre(plan.Links)
-	rank := 0 // of this daemon among the candidates of its data centre, so that each uses another keeper
-	var keepers, remote []topology.Daemon
+	rank, candidates := 0, 1 // of this daemon among the candidates of its data centre
+	var keepers []recordKeeper
+	var remote []topology.Daemon
 	for _, daemon := range plan.Links {
-		switch daemon.DataCentre {
-		case core.settings.DataCentre:
-			keepers = append(keepers, daemon)
+		switch {
+		case plan.Mesh || daemon.DataCentre == core.settings.DataCentre:
+			keepers = append(keepers, recordKeeper{Daemon: daemon, audience: software.Own})
+			candidates++
 			if daemon.Name < core.settings.Name {
 				rank++
 			}
-		case next:
+		case daemon.DataCentre == next:
 			remote = append(remote, daemon)
 		}
 	}
-	if len(remote) > 0 {
-		keepers = append(keepers, remote[rank%len(remote)])
+	if !plan.Mesh && plan.Role == topology.Candidate && len(remote) > 0 {
+		keepers = append(keepers, recordKeeper{Daemon: remote[rank%len(remote)], audience: software.Share(rank, candidates)})
 	}
 	return keepers
 }
--- a/internal/direct/gateway/origins.go
+++ b/internal/direct/gateway/origins.go
@@ -133,7 +133,7 @@
 	}
 	key := software.KeyOf(job.streamAttempt())
 	core.origins.records.Put(now, key, job.origin)
-	core.origins.records.Log(now, key, to.server.ID)
+	core.origins.records.Log(now, key, cmp.Or(to.server.ID, to.peer))
 }
 
 // fits returns a function that reports whether a request's stream may go on at a server. It is nil if the
--- a/internal/direct/software/records.go
+++ b/internal/direct/software/records.go
@@ -1,6 +1,8 @@
 package software
 
 import (
+	"slices"
+
 	"teaselmoor/internal/base/clock"
 )
 
@@ -27,7 +29,7 @@
 type logged struct {
 	key    Key
 	origin *Origin
-	server string // that began the stream here; empty: the record comes from another daemon
+	server string // that began the stream, or the peer that sent the request there; empty: another daemon has told this one of the stream
 	at     clock.Millis
 }
 
@@ -89,8 +91,8 @@
 	records.rotatedAt = now
 }
 
-// Log has other daemons be told the recorded origin of a stream. The server is the one that has begun it at this
-// daemon, or empty.
+// Log has other daemons be told the recorded origin of a stream. The server is the one that has begun it for this
+// daemon, the peer that sent the request there, or empty if another daemon has told this one of the stream.
 func (records *Records) Log(now clock.Millis, key Key, server string) {
 	if origin, ok := records.Find(key); ok {
 		records.log = append(records.log, logged{key: key, origin: records.current.share(origin), server: server, at: now})
@@ -100,21 +102,38 @@
 // Withdraw makes the streams that a server has begun here since a time go on nowhere: which version it
 // ran then is uncertain.
 func (records *Records) Withdraw(now clock.Millis, server string, since clock.Millis) {
-	for _, entry := range records.log {
+	for _, entry := range slices.Clone(records.log) {
 		if entry.server == server && entry.at >= since && records.Put(now, entry.key, Origin{}) {
-			records.Log(now, entry.key, "")
+			records.Log(now, entry.key, server)
 		}
 	}
 }
 
-// Since returns the records of the log from a number on, at most limit of them, and the number from which on
-// to go on.
-func (records *Records) Since(number int64, limit int) ([]Begun, int64) {
+// Audience selects the records of the log that another daemon is told.
+type Audience func(key Key, own bool) bool
+
+// Everything selects all records.
+func Everything(Key, bool) bool { return true }
+
+// Own selects the streams that have begun for this daemon.
+func Own(_ Key, own bool) bool { return own }
+
+// Share selects one of several equal shares of all records.
+func Share(index, count int) Audience {
+	return func(key Key, _ bool) bool { return int(uint64(key)%uint64(count)) == index }
+}
+
+// Since returns the records of the log from a number on, at most limit of them, that an audience is told, and the
+// number from which on to go on.
+func (records *Records) Since(number int64, limit int, audience Audience) ([]Begun, int64) {
 	first := min(int(max(0, number-records.logOffset)), len(records.log))
 	last := min(first+limit, len(records.log))
 	var begun []Begun
 	at := make(map[Origin]int)
 	for _, entry := range records.log[first:last] {
+		if !audience(entry.key, entry.server != "") {
+			continue
+		}
 		i, ok := at[*entry.origin]
 		if !ok {
 			i = len(begun)
@@ -133,7 +152,7 @@
 	for expired < len(records.log) && (now-records.log[expired].at >= Lifetime || len(records.log)-expired > maxRecords) {
 		expired++
 	}
-	records.log = append([]logged(nil), records.log[expired:]...)
+	records.log = slices.Clone(records.log[expired:])
 	records.logOffset += int64(expired)
 }
 
--- a/internal/direct/software/software_test.go
+++ b/internal/direct/software/software_test.go
@@ -48,18 +48,18 @@
 	origin, ok := records.Find(1)
 	require.True(t, ok)
 	require.Equal(t, first, origin)
-	begun, next := records.Since(0, 10)
+	begun, next := records.Since(0, 10, software.Everything)
 	require.Len(t, begun, 1)
 
 	records.Prune(software.Lifetime + 10)
 	records.Prune(2*software.Lifetime + 20)
 	_, ok = records.Find(1)
 	require.False(t, ok)
-	begun, _ = records.Since(0, 10)
+	begun, _ = records.Since(0, 10, software.Everything)
 	require.Empty(t, begun)
 	records.Put(2*software.Lifetime+20, 2, second)
 	records.Log(2*software.Lifetime+20, 2, "a")
-	begun, _ = records.Since(next, 10)
+	begun, _ = records.Since(next, 10, software.Everything)
 	require.Equal(t, []software.Begun{{Origin: second, Keys: []software.Key{2}}}, begun)
 }
 
@@ -91,7 +91,7 @@
 	}
 	got := make(map[software.Key]software.Origin)
 	for at := int64(0); len(got) < 10; {
-		begun, next := records.Since(at, 3)
+		begun, next := records.Since(at, 3, software.Everything)
 		require.NotEmpty(t, begun)
 		at = next
 		for _, group := range begun {
@@ -120,13 +120,13 @@
 		records.Put(clock.Millis(key), software.Key(key), first)
 		records.Log(clock.Millis(key), software.Key(key), server)
 	}
-	_, sent := records.Since(0, 10)
+	_, sent := records.Since(0, 10, software.Everything)
 	records.Withdraw(5, "a", 1)
 	for key, want := range []software.Origin{first, first, {}} {
 		origin, _ := records.Find(software.Key(key))
 		require.Equal(t, want, origin, fmt.Sprint(key))
 	}
-	begun, _ := records.Since(sent, 10)
+	begun, _ := records.Since(sent, 10, software.Everything)
 	require.Equal(t, []software.Begun{{Keys: []software.Key{2}}}, begun)
 }
 
@@ -156,3 +156,27 @@
 	_, ok = software.NewHistory(0, true).Only(0, "s")
 	require.False(t, ok)
 }
+
+// TestAudiences guards against records that are sent to daemons which have them already, and against shares that leave
+// some out.
+func TestAudiences(t *testing.T) {
+	records := software.NewRecords(0)
+	for key, server := range []string{"a", "", "a", ""} {
+		records.Put(0, software.Key(key), first)
+		records.Log(0, software.Key(key), server)
+	}
+	for _, each := range []struct {
+		audience software.Audience
+		want     []software.Key
+	}{
+		{software.Everything, []software.Key{0, 1, 2, 3}},
+		{software.Own, []software.Key{0, 2}},
+		{software.Share(1, 2), []software.Key{1, 3}},
+		{software.Share(0, 2), []software.Key{0, 2}},
+		{software.Share(0, 1), []software.Key{0, 1, 2, 3}},
+	} {
+		begun, next := records.Since(0, 10, each.audience)
+		require.Equal(t, []software.Begun{{Origin: first, Keys: each.want}}, begun)
+		require.EqualValues(t, 4, next)
+	}
+}
