gateway: streams of servers that state a version later, and of callers without attempt ids

Streams that began while no server stated a version went on nowhere once all did: their origin names the server now, whose entry says later what it ran. Callers that send no attempt id shared one record, so that a stream could not go on within its own answer. What peers infer is left out of account where this daemon has seen several versions itself.

--- a/internal/direct/gateway/originmessages.go
+++ b/internal/direct/gateway/originmessages.go
@@ -97,6 +97,9 @@
 	}
 	core.mutex.Lock()
 	delete(core.origins.queries, message.ID)
+	if core.origins.history.Mixed(message.Service) {
+		clear(query.inferred) // by peers that do not know all versions yet
+	}
 	return query.answer()
 }
 
--- a/internal/direct/gateway/origins.go
+++ b/internal/direct/gateway/origins.go
@@ -109,12 +109,11 @@
 	case known && member.Software != sent.Software:
 		return software.Origin{}
 	}
-	if sent.Software == "" {
-		if inferred, ok := core.inferredOrigin(now, service); ok && inferred.Unnamed {
-			return inferred
-		}
+	origin := software.OriginOf(sent)
+	if version, ok := core.origins.history.Only(now, service); ok && version == "" {
+		origin.Unnamed = true
 	}
-	return software.OriginOf(sent)
+	return origin
 }
 
 // recordBegin records that a request has got an event of its stream, the first one from this server. The mutex must
@@ -128,8 +127,8 @@
 		job.origin = core.originOf(now, to, job.service)
 		job.originKnown = job.origin != software.Origin{}
 	}
-	if job.entry != "" || !job.route.Resumable || !job.originKnown {
-		return // the daemon that received the request from its caller records it
+	if job.entry != "" || !job.route.Resumable || !job.originKnown || job.streamAttempt() == "" {
+		return // the daemon that received the request from its caller records it, by a name that no other stream has
 	}
 	key := software.KeyOf(job.streamAttempt())
 	core.origins.records.Put(now, key, job.origin)
@@ -149,9 +148,10 @@
 // resolve returns an origin with what has become known since it was recorded. The mutex must be held.
 func (core *core) resolve(now clock.Millis, origin software.Origin, service string) software.Origin {
 	if origin.Unnamed {
-		if inferred, ok := core.inferredOrigin(now, service); !ok || !inferred.Unnamed {
-			return software.Origin{}
+		if version, ok := core.origins.history.Only(now, service); ok && version == "" {
+			return origin
 		}
+		origin.Unnamed = false // a server states a version now
 	}
 	member, ok := core.fleet.Member(origin.Server)
 	if !ok || member.StartedAt != origin.StartedAt {
--- a/internal/direct/software/history.go
+++ b/internal/direct/software/history.go
@@ -44,13 +44,18 @@
 	return "", false
 }
 
-// Several reports whether a service may have had servers of several versions within Lifetime.
+// Mixed reports whether a service has had servers of several versions within Lifetime.
+func (history *History) Mixed(service string) bool {
+	return len(history.versions[service]) > 1
+}
+
+// Several reports whether any service may have had servers of several versions within Lifetime.
 func (history *History) Several(now clock.Millis) bool {
 	if now < history.completeAt {
 		return true
 	}
-	for _, versions := range history.versions {
-		if len(versions) > 1 {
+	for service := range history.versions {
+		if history.Mixed(service) {
 			return true
 		}
 	}
--- a/internal/direct/software/origin.go
+++ b/internal/direct/software/origin.go
@@ -21,7 +21,7 @@
 	Version   string // of the server's software; empty: unknown
 	Server    string // id of the server, if its version is unknown
 	StartedAt int64  // start of the process of Server in Unix milliseconds
-	Unnamed   bool   // no server of the service states a version
+	Unnamed   bool   // no server of the service has stated a version
 }
 
 // OriginOf returns the origin of a stream that a server has begun.
