--- a/internal/direct/requestlog/requestlog.go
+++ b/internal/direct/requestlog/requestlog.go
@@ -55,6 +55,12 @@
 	// Field of the message that the request was sent to a peer.
 	Peer string
 
+	// Fields of the message that the request takes up a stream.
+	Resumes  string
+	After    string
+	Source   string
+	Software string
+
 	// Fields of the message that the request was shed.
 	LoadTenths   int
 	TargetTenths int
@@ -117,6 +123,7 @@
 	reasonKnown bool // the reason of the ending is known
 	notReady    line // the last line whose message is MessageAdapterNotReady
 	overLimit   line // the last line whose message is MessageAccountOverLimit
+	takenUp     line // the last line whose message is MessageStreamTakenUp
 	shed        line // the last line whose message is MessageRequestShed
 	proxied     line // the last line whose message is MessageRequestProxied
 	waits       firstWaits
@@ -132,6 +139,8 @@
 		reader.notReady = line
 	case ending.MessageAccountOverLimit:
 		reader.overLimit = line
+	case ending.MessageStreamTakenUp:
+		reader.takenUp = line
 	case ending.MessageRequestShed:
 		reader.shed = line
 	case ending.MessageRequestProxied:
@@ -214,6 +223,9 @@
 	if line.Reason == ending.Overloaded {
 		record.Detail = reader.shed.shedDetail()
 	}
+	if line.Reason == ending.StreamUnknown || line.Reason == ending.NoSoftwareVersion {
+		record.Detail = reader.takenUp.takenUpDetail()
+	}
 	if record.Detail == "" && reader.proxied.Peer != "" && line.Entry == "" {
 		record.Detail = fmt.Sprintf("daemon %s reached no server, and sent the request to daemon %s", line.Daemon, reader.proxied.Peer)
 	}
@@ -237,6 +249,18 @@
 	return text
 }
 
+// takenUpDetail says what a request was to go on with, and what was known of it.
+func (line line) takenUpDetail() string {
+	known := "which no daemon that answered had recorded, at a service with several software versions, or with a daemon that had started shortly before"
+	switch {
+	case line.Software != "":
+		known = "which began at software version " + line.Software
+	case line.Server != "":
+		known = "which began at server " + line.Server + ", of an unknown software version"
+	}
+	return fmt.Sprintf("the request was to go on after event %q of the stream of attempt %q, %s (%s)", line.After, line.Resumes, known, line.Source)
+}
+
 // shedDetail says how loaded the service of a request was that was shed.
 func (line line) shedDetail() string {
 	return fmt.Sprintf("the servers of %s had %.1f requests in progress for each slot; above %.1f, requests are refused so that others are answered in time",
--- a/internal/direct/requestlog/requestlog_test.go
+++ b/internal/direct/requestlog/requestlog_test.go
@@ -135,3 +135,14 @@
 		require.Equal(t, "daemon a reached no server, and sent the request to daemon b", record.Detail)
 	}
 }
+
+// TestTakenUpStream guards against refusals to go on with a stream that do not say what was known of it.
+func TestTakenUpStream(t *testing.T) {
+	record, err := requestlog.Read(strings.NewReader(`{"time":"2026-12-03T22:00:00Z","msg":"stream taken up","Request":"r1","Resumes":"r0","After":"7","Source":"recorded","Software":"v1"}
+{"time":"2026-12-03T22:00:00Z","msg":"request ended","Request":"r1","Status":503,"Reason":"NoSoftwareVersion","Daemon":"d"}
+`), "r1")
+	require.NoError(t, err)
+	require.Equal(t, outcome.NoSoftwareVersion, record.Outcome.Reason)
+	require.Equal(t, outcome.NotRun, record.Outcome.Kind)
+	require.Equal(t, `the request was to go on after event "7" of the stream of attempt "r0", which began at software version v1 (recorded)`, record.Detail)
+}
