--- a/internal/direct/ending/ending.go
+++ b/internal/direct/ending/ending.go
@@ -18,7 +18,7 @@
 	MessageNoAnswer         = "no answer"
 	MessageAnswerBroken     = "answer broken"
 	MessageStreamBroken     = "stream broken"
-	MessageStreamTakenUp    = "stream taken up"
+	MessageStreamResumed    = "stream resumed"
 	MessageAccountOverLimit = "account over its limit"
 	MessageRequestShed      = "request shed"
 	MessageRequestEnded     = "request ended"
--- a/internal/direct/gateway/counters.go
+++ b/internal/direct/gateway/counters.go
@@ -32,7 +32,7 @@
 
 	proxied map[proxyResult]int64 // requests sent to peers or received from them
 
-	origins map[originSource]int64 // streams taken up, by how their origin was found out
+	origins map[originSource]int64 // resumed streams, by how their origin was found out
 
 	late        *late.Counts
 	pauseTokens histograms // prompt tokens in prefill when the longest pause of a stream began, by whether it was late by that pause
@@ -100,7 +100,7 @@
 	counters.proxied[result]++
 }
 
-// recordOrigin counts a stream that is taken up.
+// recordOrigin counts a stream that is resumed.
 func (counters *counters) recordOrigin(source originSource) {
 	counters.mutex.Lock()
 	defer counters.mutex.Unlock()
@@ -175,7 +175,7 @@
 		_, _ = fmt.Fprintf(out, "teaselmoor_prompt_turns_total{result=%q} %d\n", result, count)
 	}
 	for source, count := range counters.origins {
-		_, _ = fmt.Fprintf(out, "teaselmoor_streams_taken_up_total{source=%q} %d\n", source, count)
+		_, _ = fmt.Fprintf(out, "teaselmoor_streams_resumed_total{source=%q} %d\n", source, count)
 	}
 	for result, count := range counters.proxied {
 		_, _ = fmt.Fprintf(out, "teaselmoor_proxied_requests_total{result=%q} %d\n", result, count)
--- a/internal/direct/gateway/gossip.go
+++ b/internal/direct/gateway/gossip.go
@@ -34,8 +34,8 @@
 		gateway.handleOriginQuery(from, message.OriginQuery)
 	case message.OriginAnswer != nil:
 		gateway.core.handleOriginAnswer(from, message.OriginAnswer)
-	case len(message.Begun) > 0:
-		gateway.core.applyBegun(from, message.Begun)
+	case len(message.Origins) > 0:
+		gateway.core.applyOrigins(from, message.Origins)
 	case len(message.Streams) > 0:
 		gateway.core.applyStreams(from, message.Streams)
 	case message.Items != nil:
--- /dev/null
+++ b/internal/direct/gateway/originreplicas.go
@@ -0,0 +1,154 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/direct/peers"
+	"teaselmoor/internal/direct/software"
+	"teaselmoor/internal/direct/topology"
+)
+
+// applyOrigins records the origins that a peer replicates. A candidate relays those of its data centre.
+func (core *core) applyOrigins(from string, batches []software.Batch) {
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	now := core.now()
+	peer, known := core.members.Peer(from)
+	plan := core.members.Plan()
+	relays := known && !plan.Mesh && plan.Role == topology.Candidate && peer.DataCentre == core.settings.DataCentre && peer.Role != topology.Candidate
+	for _, batch := range batches {
+		for _, key := range batch.Keys {
+			if core.origins.records.Put(now, key, batch.Origin) && relays {
+				core.origins.records.Publish(now, key, "")
+			}
+		}
+	}
+}
+
+const (
+	// replicationInterval is the time between two messages to a replica, at a site with one daemon in each data
+	// centre. It grows with their number, as one hub of a data centre receives the messages of all.
+	replicationInterval = 20 * clock.Millisecond
+	// maxReplicationInterval bounds it: the origins of the last interval are lost with a daemon.
+	maxReplicationInterval = 500 * clock.Millisecond
+	// meshReplicationInterval is the interval in a mesh.
+	meshReplicationInterval = 50 * clock.Millisecond
+	// maxReplicatedOrigins bounds the origins in a message.
+	maxReplicatedOrigins = 4096
+)
+
+// replicateOriginsLoop sends this daemon's replicas the origins of streams, until the context ends.
+func (gateway *Gateway) replicateOriginsLoop(ctx context.Context) error {
+	timer := time.NewTimer(meshReplicationInterval.Duration())
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+			gateway.replicateOrigins()
+			timer.Reset(gateway.core.replicationInterval().Duration())
+		}
+	}
+}
+
+// replicationInterval returns the time until the next messages to replicas.
+func (core *core) replicationInterval() clock.Millis {
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	switch {
+	case !core.origins.history.Several(core.now()):
+		return maxReplicationInterval
+	case core.members.Plan().Mesh:
+		return meshReplicationInterval
+	}
+	near := 1
+	for _, daemon := range core.members.AliveDaemons(core.now()) {
+		if daemon.DataCentre == core.settings.DataCentre {
+			near++
+		}
+	}
+	return min(replicationInterval*clock.Millis(near), maxReplicationInterval)
+}
+
+// replicateOrigins sends replicas the origins that were not yet sent. While each service has had one version only, a
+// stream may go on anywhere and nothing is sent.
+func (gateway *Gateway) replicateOrigins() {
+	core := gateway.core
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	if !core.origins.history.Several(core.now()) {
+		return
+	}
+	for _, replica := range core.replicas() {
+		sent := core.sentTo(replica.Address)
+		batches, next := core.origins.records.Since(sent.origins, maxReplicatedOrigins, replica.filter)
+		if len(batches) == 0 || gateway.send(replica.Address, peers.Message{Origins: batches}) {
+			sent.origins = next
+		}
+	}
+}
+
+// replica is a daemon that holds a copy of this daemon's records, or of some.
+type replica struct {
+	topology.Daemon
+	filter software.Filter
+}
+
+// replicas returns this daemon's replicas: in a mesh all others, otherwise the candidates of its data centre. A candidate
+// also has one in the next data centre, for a share of the records of its own, so that they outlast it. The mutex must be
+// held.
+func (core *core) replicas() []replica {
+	plan := core.members.Plan()
+	next := core.nextDataCentre(plan.Links)
+	rank, candidates := 0, 1 // of this daemon among the candidates of its data centre
+	var replicas []replica
+	var remote []topology.Daemon
+	for _, daemon := range plan.Links {
+		switch {
+		case plan.Mesh || daemon.DataCentre == core.settings.DataCentre:
+			replicas = append(replicas, replica{Daemon: daemon, filter: software.Own})
+			candidates++
+			if daemon.Name < core.settings.Name {
+				rank++
+			}
+		case daemon.DataCentre == next:
+			remote = append(remote, daemon)
+		}
+	}
+	if !plan.Mesh && plan.Role == topology.Candidate && len(remote) > 0 {
+		replicas = append(replicas, replica{Daemon: remote[rank%len(remote)], filter: software.Share(rank, candidates)})
+	}
+	return replicas
+}
+
+// nextDataCentre returns the data centre of other daemons that follows this daemon's in the order of names, in the
+// same region if it has another one. It is empty if there is none. The mutex must be held.
+func (core *core) nextDataCentre(daemons []topology.Daemon) string {
+	var near, far []string
+	for _, daemon := range daemons {
+		switch {
+		case daemon.DataCentre == core.settings.DataCentre:
+		case core.settings.Regions[daemon.DataCentre] == core.settings.Region:
+			near = append(near, daemon.DataCentre)
+		default:
+			far = append(far, daemon.DataCentre)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return ""
+	}
+	slices.Sort(near)
+	for _, dataCentre := range near {
+		if dataCentre > core.settings.DataCentre {
+			return dataCentre
+		}
+	}
+	return near[0]
+}
--- a/internal/direct/gateway/origins.go
+++ b/internal/direct/gateway/origins.go
@@ -4,18 +4,15 @@
 	"cmp"
 	"context"
 	"net/http"
-	"net/url"
-	"strconv"
 
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/catalog"
 	"teaselmoor/internal/direct/ending"
 	"teaselmoor/internal/direct/platformapi"
 	"teaselmoor/internal/direct/software"
-	"teaselmoor/internal/direct/upstream"
 )
 
-// origins is what a daemon knows of the servers that have begun streams.
+// origins holds the origins of streams, and the queries for them.
 type origins struct {
 	records *software.Records
 	history *software.History
@@ -35,7 +32,7 @@
 	return cmp.Or(job.headers.Resumes, job.headers.Attempt)
 }
 
-// continuesStream reports whether a caller takes up a stream that an earlier attempt has begun.
+// continuesStream reports whether a caller resumes a stream that an earlier attempt has begun.
 func continuesStream(route *catalog.Route, headers platformapi.RequestHeaders) bool {
 	return route.Kind == catalog.Streaming && (headers.LastEventID != "" || headers.Resumes != "")
 }
@@ -45,7 +42,7 @@
 
 // Sources of origins.
 const (
-	originRecorded originSource = "recorded" // by this daemon, which began the stream or was told of it
+	originRecorded originSource = "recorded" // by this daemon, which began the stream or had it replicated
 	originAnswered originSource = "answered" // by a peer, which has recorded it
 	originInferred originSource = "inferred" // the service has had no other version for as long as streams last
 	originUnknown  originSource = "unknown"
@@ -82,7 +79,7 @@
 // recordOriginFound logs and counts how the origin of a stream was found out.
 func (gateway *Gateway) recordOriginFound(job *job, origin software.Origin, source originSource) {
 	gateway.counters.recordOrigin(source)
-	gateway.log.Info(ending.MessageStreamTakenUp, "Request", job.headers.Attempt, "Resumes", job.headers.Resumes, "After", cmp.Or(job.lastEventID, job.headers.LastEventID),
+	gateway.log.Info(ending.MessageStreamResumed, "Request", job.headers.Attempt, "Resumes", job.headers.Resumes, "After", cmp.Or(job.lastEventID, job.headers.LastEventID),
 		"Source", string(source), "Software", origin.Version, "Server", origin.Server, "Unnamed", origin.Unnamed)
 }
 
@@ -132,7 +129,7 @@
 	}
 	key := software.KeyOf(job.streamAttempt())
 	core.origins.records.Put(now, key, job.origin)
-	core.origins.records.Log(now, key, cmp.Or(to.server.ID, to.peer))
+	core.origins.records.Publish(now, key, cmp.Or(to.server.ID, to.peer))
 }
 
 // fits returns a function that reports whether a request's stream may go on at a server. It is nil if the
@@ -189,54 +186,3 @@
 	core.origins.history.Prune(now)
 	core.origins.records.Prune(now)
 }
-
-// originHeader tells, between a daemon and the peer that it sends a request to, what has begun the stream: in the
-// request if the stream is to go on, otherwise in the answer.
-const originHeader = "Teaselmoor-Origin"
-
-// Fields of originHeader.
-const (
-	originVersion = "version"
-	originServer  = "server"
-	originBorn    = "born"
-	originUnnamed = "unnamed"
-)
-
-// formatOrigin returns the text of an origin in originHeader.
-func formatOrigin(origin software.Origin) string {
-	return url.Values{
-		originVersion: {origin.Version}, originServer: {origin.Server}, originBorn: {strconv.FormatInt(origin.StartedAt, 10)},
-		originUnnamed: {strconv.FormatBool(origin.Unnamed)},
-	}.Encode()
-}
-
-// takeOrigin parses and removes originHeader. It returns false if the header is absent or has another form.
-func takeOrigin(header http.Header) (software.Origin, bool) {
-	text := header.Get(originHeader)
-	header.Del(originHeader)
-	values, err := url.ParseQuery(text)
-	if text == "" || err != nil {
-		return software.Origin{}, false
-	}
-	born, err := strconv.ParseInt(values.Get(originBorn), 10, 64)
-	if err != nil {
-		return software.Origin{}, false
-	}
-	return software.Origin{
-		Version: values.Get(originVersion), Server: values.Get(originServer), StartedAt: born,
-		Unnamed: values.Get(originUnnamed) == strconv.FormatBool(true),
-	}, true
-}
-
-// sendOriginHead adds what has begun a peer's stream to the head of the answer.
-func sendOriginHead(writer http.ResponseWriter, job *job) {
-	if job.entry != "" && job.originKnown {
-		writer.Header().Set(originHeader, formatOrigin(job.origin))
-	}
-}
-
-// peerAssignment returns the assignment of a request that a peer has answered.
-func peerAssignment(peer string, answer *upstream.Answer) assignment {
-	origin, _ := takeOrigin(answer.Header)
-	return assignment{peer: peer, origin: origin}
-}
--- a/internal/direct/gateway/run.go
+++ b/internal/direct/gateway/run.go
@@ -139,7 +139,7 @@
 	gateway.updateConnections()
 	gateway.tasks.Go("news", gateway.sendDeltasLoop)
 	gateway.tasks.Go("work", gateway.sendWorkLoop)
-	gateway.tasks.Go("begun", gateway.sendBegunLoop)
+	gateway.tasks.Go("origins", gateway.replicateOriginsLoop)
 	gateway.tasks.Go("turns", gateway.grantLoop)
 	gateway.repeat("reading", gateway.sendReadingsIfMesh)
 	gateway.tasks.Go("usage", gateway.sendUsageLoop)
--- a/internal/direct/peers/message.go
+++ b/internal/direct/peers/message.go
@@ -138,7 +138,7 @@
 	PromptWithdrawal *PromptWithdrawal
 	Streams          []speed.Report // for the owners of the servers; sent to them or to the sender's hub, which forwards them
 
-	Begun        []software.Begun // streams that have begun, so that they can go on at other daemons
+	Origins      []software.Batch // of streams that have begun, so that other daemons can resume them
 	OriginQuery  *OriginQuery
 	OriginAnswer *OriginAnswer
 }
--- a/internal/direct/peers/message_test.go
+++ b/internal/direct/peers/message_test.go
@@ -27,7 +27,7 @@
 	adapter := platformapi.Adapter{Model: "m", Name: "a"}
 	origin := software.Origin{Version: "v1", Server: "s", StartedAt: 7, Unnamed: true}
 	return []peers.Message{
-		{Begun: []software.Begun{{Origin: origin, Keys: []software.Key{1, 1 << 63}}, {Keys: []software.Key{3}}}},
+		{Origins: []software.Batch{{Origin: origin, Keys: []software.Key{1, 1 << 63}}, {Keys: []software.Key{3}}}},
 		{OriginQuery: &peers.OriginQuery{ID: 1, Key: 1 << 63, Service: "s", Relayed: true}},
 		{OriginAnswer: &peers.OriginAnswer{ID: 1, Found: true, Inferred: true, Origin: origin}},
 		{Update: &peers.Update{
--- a/internal/direct/peers/wire.go
+++ b/internal/direct/peers/wire.go
@@ -31,8 +31,8 @@
 		TurnEnd    *wirePromptWithdrawal `cbor:",omitempty"`
 		// Streams is ignored by daemons that do not support it.
 		Streams []wireStreamReport `cbor:",omitempty"`
-		// Begun, OriginQuery and OriginAnswer are ignored by daemons that do not support them.
-		Begun        []wireBegun       `cbor:",omitempty"`
+		// Origins, OriginQuery and OriginAnswer are ignored by daemons that do not support them.
+		Origins      []wireOriginBatch `cbor:",omitempty"`
 		OriginQuery  *wireOriginQuery  `cbor:",omitempty"`
 		OriginAnswer *wireOriginAnswer `cbor:",omitempty"`
 	}
--- a/internal/direct/peers/wireorigins.go
+++ b/internal/direct/peers/wireorigins.go
@@ -29,7 +29,7 @@
 		Born            int64
 		Unnamed         bool
 	}
-	wireBegun struct {
+	wireOriginBatch struct {
 		_      struct{} `cbor:",toarray"`
 		Origin wireOrigin
 		Keys   []byte // 8 bytes each
@@ -61,12 +61,12 @@
 
 // encodeOrigins sets the fields of a message on the origins of streams.
 func (wireMessage *wireMessage) encodeOrigins(message Message) {
-	for _, begun := range message.Begun {
-		keys := make([]byte, 0, keyBytes*len(begun.Keys))
-		for _, key := range begun.Keys {
+	for _, batch := range message.Origins {
+		keys := make([]byte, 0, keyBytes*len(batch.Keys))
+		for _, key := range batch.Keys {
 			keys = binary.BigEndian.AppendUint64(keys, uint64(key))
 		}
-		wireMessage.Begun = append(wireMessage.Begun, wireBegun{Origin: encodeOrigin(begun.Origin), Keys: keys})
+		wireMessage.Origins = append(wireMessage.Origins, wireOriginBatch{Origin: encodeOrigin(batch.Origin), Keys: keys})
 	}
 	if query := message.OriginQuery; query != nil {
 		wireMessage.OriginQuery = &wireOriginQuery{ID: query.ID, Key: uint64(query.Key), Service: query.Service, Relayed: query.Relayed}
@@ -78,12 +78,12 @@
 
 // decodeOrigins sets the fields that encodeOrigins has encoded. Bytes that are no whole key are ignored.
 func (message *Message) decodeOrigins(wire wireMessage) {
-	for _, each := range wire.Begun {
-		begun := software.Begun{Origin: each.Origin.decode()}
+	for _, each := range wire.Origins {
+		batch := software.Batch{Origin: each.Origin.decode()}
 		for keys := each.Keys; len(keys) >= keyBytes; keys = keys[keyBytes:] {
-			begun.Keys = append(begun.Keys, software.Key(binary.BigEndian.Uint64(keys)))
+			batch.Keys = append(batch.Keys, software.Key(binary.BigEndian.Uint64(keys)))
 		}
-		message.Begun = append(message.Begun, begun)
+		message.Origins = append(message.Origins, batch)
 	}
 	if query := wire.OriginQuery; query != nil {
 		message.OriginQuery = &OriginQuery{ID: query.ID, Key: software.Key(query.Key), Service: query.Service, Relayed: query.Relayed}
--- a/internal/direct/requestlog/requestlog.go
+++ b/internal/direct/requestlog/requestlog.go
@@ -55,7 +55,7 @@
 	// Field of the message that the request was sent to a peer.
 	Peer string
 
-	// Fields of the message that the request takes up a stream.
+	// Fields of the message that the request resumes a stream.
 	Resumes  string
 	After    string
 	Source   string
@@ -123,7 +123,7 @@
 	reasonKnown bool // the reason of the ending is known
 	notReady    line // the last line whose message is MessageAdapterNotReady
 	overLimit   line // the last line whose message is MessageAccountOverLimit
-	takenUp     line // the last line whose message is MessageStreamTakenUp
+	resumed     line // the last line whose message is MessageStreamResumed
 	shed        line // the last line whose message is MessageRequestShed
 	proxied     line // the last line whose message is MessageRequestProxied
 	waits       firstWaits
@@ -139,8 +139,8 @@
 		reader.notReady = line
 	case ending.MessageAccountOverLimit:
 		reader.overLimit = line
-	case ending.MessageStreamTakenUp:
-		reader.takenUp = line
+	case ending.MessageStreamResumed:
+		reader.resumed = line
 	case ending.MessageRequestShed:
 		reader.shed = line
 	case ending.MessageRequestProxied:
@@ -224,7 +224,7 @@
 		record.Detail = reader.shed.shedDetail()
 	}
 	if line.Reason == ending.StreamUnknown || line.Reason == ending.NoSoftwareVersion {
-		record.Detail = reader.takenUp.takenUpDetail()
+		record.Detail = reader.resumed.resumedDetail()
 	}
 	if record.Detail == "" && reader.proxied.Peer != "" && line.Entry == "" {
 		record.Detail = fmt.Sprintf("daemon %s reached no server, and sent the request to daemon %s", line.Daemon, reader.proxied.Peer)
@@ -249,8 +249,8 @@
 	return text
 }
 
-// takenUpDetail says what a request was to go on with, and what was known of it.
-func (line line) takenUpDetail() string {
+// resumedDetail says what a request was to go on with, and what was known of it.
+func (line line) resumedDetail() string {
 	known := "which no daemon that answered had recorded, at a service with several software versions, or with a daemon that had started shortly before"
 	switch {
 	case line.Software != "":
--- a/internal/direct/software/origin.go
+++ b/internal/direct/software/origin.go
@@ -11,7 +11,7 @@
 	"teaselmoor/internal/direct/platformapi"
 )
 
-// Lifetime is how long after its begin a stream may be taken up at the latest: the longest time that a request
+// Lifetime is how long after its begin a stream may be resumed at the latest: the longest time that a request
 // may take, and some more for the caller's return.
 const Lifetime = 75 * clock.Second
 
--- a/internal/direct/software/records.go
+++ b/internal/direct/software/records.go
@@ -10,12 +10,12 @@
 // second each has a sixth of it.
 const maxRecords = 200_000
 
-// Records holds the origins of streams for at least Lifetime, unless there are too many, and the log of those
-// that other daemons have to be told.
+// Records holds the origins of streams for at least Lifetime, unless there are too many, and a log from which they
+// are replicated to other daemons.
 type Records struct {
 	current, previous generation
 	rotatedAt         clock.Millis
-	log               []logged
+	log               []logEntry
 	logOffset         int64 // number of records dropped from the start of the log
 }
 
@@ -25,16 +25,16 @@
 	shared  map[Origin]*Origin // so that equal origins are stored once
 }
 
-// logged is a record that other daemons have to be told.
-type logged struct {
+// logEntry is a record in the log.
+type logEntry struct {
 	key    Key
 	origin *Origin
-	server string // that began the stream, or the peer that sent the request there; empty: another daemon has told this one of the stream
+	server string // that began the stream, or the peer that sent the request there; empty: the record was replicated from another daemon
 	at     clock.Millis
 }
 
-// Begun lists streams of one origin, as daemons tell each other.
-type Begun struct {
+// Batch lists streams of one origin.
+type Batch struct {
 	Origin Origin
 	Keys   []Key
 }
@@ -91,11 +91,11 @@
 	records.rotatedAt = now
 }
 
-// Log has other daemons be told the recorded origin of a stream. The server is the one that has begun it for this
-// daemon, the peer that sent the request there, or empty if another daemon has told this one of the stream.
-func (records *Records) Log(now clock.Millis, key Key, server string) {
+// Publish appends the recorded origin of a stream to the log. The server is the one that has begun it for this daemon,
+// the peer that sent the request there, or empty if the record was replicated from another daemon.
+func (records *Records) Publish(now clock.Millis, key Key, server string) {
 	if origin, ok := records.Find(key); ok {
-		records.log = append(records.log, logged{key: key, origin: records.current.share(origin), server: server, at: now})
+		records.log = append(records.log, logEntry{key: key, origin: records.current.share(origin), server: server, at: now})
 	}
 }
 
@@ -104,13 +104,13 @@
 func (records *Records) Withdraw(now clock.Millis, server string, since clock.Millis) {
 	for _, entry := range slices.Clone(records.log) {
 		if entry.server == server && entry.at >= since && records.Put(now, entry.key, Origin{}) {
-			records.Log(now, entry.key, server)
+			records.Publish(now, entry.key, server)
 		}
 	}
 }
 
-// Audience selects the records of the log that another daemon is told.
-type Audience func(key Key, own bool) bool
+// Filter selects records of the log by their key, and by whether their streams have begun for this daemon.
+type Filter func(key Key, own bool) bool
 
 // Everything selects all records.
 func Everything(Key, bool) bool { return true }
@@ -119,30 +119,30 @@
 func Own(_ Key, own bool) bool { return own }
 
 // Share selects one of several equal shares of all records.
-func Share(index, count int) Audience {
+func Share(index, count int) Filter {
 	return func(key Key, _ bool) bool { return int(uint64(key)%uint64(count)) == index }
 }
 
-// Since returns the records of the log from a number on, at most limit of them, that an audience is told, and the
+// Since returns the records of the log from a number on, at most limit of them, that a filter selects, and the
 // number from which on to go on.
-func (records *Records) Since(number int64, limit int, audience Audience) ([]Begun, int64) {
+func (records *Records) Since(number int64, limit int, filter Filter) ([]Batch, int64) {
 	first := min(int(max(0, number-records.logOffset)), len(records.log))
 	last := min(first+limit, len(records.log))
-	var begun []Begun
+	var batches []Batch
 	at := make(map[Origin]int)
 	for _, entry := range records.log[first:last] {
-		if !audience(entry.key, entry.server != "") {
+		if !filter(entry.key, entry.server != "") {
 			continue
 		}
 		i, ok := at[*entry.origin]
 		if !ok {
-			i = len(begun)
+			i = len(batches)
 			at[*entry.origin] = i
-			begun = append(begun, Begun{Origin: *entry.origin})
+			batches = append(batches, Batch{Origin: *entry.origin})
 		}
-		begun[i].Keys = append(begun[i].Keys, entry.key)
+		batches[i].Keys = append(batches[i].Keys, entry.key)
 	}
-	return begun, records.logOffset + int64(last)
+	return batches, records.logOffset + int64(last)
 }
 
 // Prune drops what has expired.
--- a/internal/direct/software/software_test.go
+++ b/internal/direct/software/software_test.go
@@ -41,26 +41,26 @@
 func TestRecordsExpire(t *testing.T) {
 	records := software.NewRecords(0)
 	records.Put(10, 1, first)
-	records.Log(10, 1, "a")
+	records.Publish(10, 1, "a")
 	for now := clock.Millis(0); now < software.Lifetime; now += clock.Second {
 		records.Prune(now)
 	}
 	origin, ok := records.Find(1)
 	require.True(t, ok)
 	require.Equal(t, first, origin)
-	begun, next := records.Since(0, 10, software.Everything)
-	require.Len(t, begun, 1)
+	batches, next := records.Since(0, 10, software.Everything)
+	require.Len(t, batches, 1)
 
 	records.Prune(software.Lifetime + 10)
 	records.Prune(2*software.Lifetime + 20)
 	_, ok = records.Find(1)
 	require.False(t, ok)
-	begun, _ = records.Since(0, 10, software.Everything)
-	require.Empty(t, begun)
+	batches, _ = records.Since(0, 10, software.Everything)
+	require.Empty(t, batches)
 	records.Put(2*software.Lifetime+20, 2, second)
-	records.Log(2*software.Lifetime+20, 2, "a")
-	begun, _ = records.Since(next, 10, software.Everything)
-	require.Equal(t, []software.Begun{{Origin: second, Keys: []software.Key{2}}}, begun)
+	records.Publish(2*software.Lifetime+20, 2, "a")
+	batches, _ = records.Since(next, 10, software.Everything)
+	require.Equal(t, []software.Batch{{Origin: second, Keys: []software.Key{2}}}, batches)
 }
 
 // TestConflictingRecordsFitNowhere guards against streams that go on by one of two origins that daemons have recorded
@@ -87,14 +87,14 @@
 			origin = second
 		}
 		records.Put(0, key, origin)
-		records.Log(0, key, "a")
+		records.Publish(0, key, "a")
 	}
 	got := make(map[software.Key]software.Origin)
 	for at := int64(0); len(got) < 10; {
-		begun, next := records.Since(at, 3, software.Everything)
-		require.NotEmpty(t, begun)
+		batches, next := records.Since(at, 3, software.Everything)
+		require.NotEmpty(t, batches)
 		at = next
-		for _, group := range begun {
+		for _, group := range batches {
 			for _, key := range group.Keys {
 				got[key] = group.Origin
 			}
@@ -118,7 +118,7 @@
 	records := software.NewRecords(0)
 	for key, server := range []string{"a", "b", "a"} {
 		records.Put(clock.Millis(key), software.Key(key), first)
-		records.Log(clock.Millis(key), software.Key(key), server)
+		records.Publish(clock.Millis(key), software.Key(key), server)
 	}
 	_, sent := records.Since(0, 10, software.Everything)
 	records.Withdraw(5, "a", 1)
@@ -126,8 +126,8 @@
 		origin, _ := records.Find(software.Key(key))
 		require.Equal(t, want, origin, fmt.Sprint(key))
 	}
-	begun, _ := records.Since(sent, 10, software.Everything)
-	require.Equal(t, []software.Begun{{Keys: []software.Key{2}}}, begun)
+	batches, _ := records.Since(sent, 10, software.Everything)
+	require.Equal(t, []software.Batch{{Keys: []software.Key{2}}}, batches)
 }
 
 func TestHistory(t *testing.T) {
@@ -157,17 +157,17 @@
 	require.False(t, ok)
 }
 
-// TestAudiences guards against records that are sent to daemons which have them already, and against shares that leave
+// TestFilters guards against records that are sent to daemons which have them already, and against shares that leave
 // some out.
-func TestAudiences(t *testing.T) {
+func TestFilters(t *testing.T) {
 	records := software.NewRecords(0)
 	for key, server := range []string{"a", "", "a", ""} {
 		records.Put(0, software.Key(key), first)
-		records.Log(0, software.Key(key), server)
+		records.Publish(0, software.Key(key), server)
 	}
 	for _, each := range []struct {
-		audience software.Audience
-		want     []software.Key
+		filter software.Filter
+		want   []software.Key
 	}{
 		{software.Everything, []software.Key{0, 1, 2, 3}},
 		{software.Own, []software.Key{0, 2}},
@@ -175,8 +175,8 @@
 		{software.Share(0, 2), []software.Key{0, 2}},
 		{software.Share(0, 1), []software.Key{0, 1, 2, 3}},
 	} {
-		begun, next := records.Since(0, 10, each.audience)
-		require.Equal(t, []software.Begun{{Origin: first, Keys: each.want}}, begun)
+		batches, next := records.Since(0, 10, each.filter)
+		require.Equal(t, []software.Batch{{Origin: first, Keys: each.want}}, batches)
 		require.EqualValues(t, 4, next)
 	}
 }
