software: a bound on the queries for origins of streams

Callers may name attempts that never were; each such name is a query to each linked daemon, and by way of a hub to all other hubs. A daemon sends 200 a second now, 1,000 at once. TestQueriesAreLimited; the tests of streams pass.

--- a/internal/direct/gateway/originqueries.go
+++ b/internal/direct/gateway/originqueries.go
@@ -74,7 +74,7 @@
 	if inferred, ok := core.inferredOrigin(core.now(), message.Service); ok {
 		query.inferred[inferred] = true
 	}
-	if len(core.origins.queries) >= maxOriginQueries {
+	if len(core.origins.queries) >= maxOriginQueries || !core.origins.limiter.Allow(core.now()) {
 		return query.answer()
 	}
 	core.origins.lastID++
--- a/internal/direct/gateway/origins.go
+++ b/internal/direct/gateway/origins.go
@@ -18,6 +18,7 @@
 	history *software.History
 	seenAt  clock.Millis            // when the history last saw all servers
 	queries map[uint64]*originQuery // to peers, by number
+	limiter software.Limiter        // of queries
 	lastID  uint64                  // of a query
 }
 
--- a/internal/direct/software/software_test.go
+++ b/internal/direct/software/software_test.go
@@ -180,3 +180,16 @@
 		require.EqualValues(t, 4, next)
 	}
 }
+
+// TestQueriesAreLimited guards against callers that have daemons send messages without bound by naming attempts that
+// never were.
+func TestQueriesAreLimited(t *testing.T) {
+	limiter := &software.Limiter{}
+	allowed := 0
+	for now := clock.Millis(0); now < 10*clock.Second; now++ {
+		if limiter.Allow(now) {
+			allowed++
+		}
+	}
+	require.InDelta(t, 3000, allowed, 2)
+}
