--- a/internal/direct/gateway/originreplicas.go
+++ b/internal/direct/gateway/originreplicas.go
@@ -1,9 +1,7 @@
 package gateway
 
 import (
-	"context"
 	"slices"
-	"time"
 
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/peers"
@@ -40,25 +38,8 @@
 	maxReplicatedOrigins = 4096
 )
 
-// replicateOriginsLoop sends this daemon's replicas the origins of streams, until the context ends.
-func (gateway *Gateway) replicateOriginsLoop(ctx context.Context) error {
-	timer := time.NewTimer(meshReplicationInterval.Duration())
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-timer.C:
-			gateway.replicateOrigins()
-			timer.Reset(gateway.core.replicationInterval().Duration())
-		}
-	}
-}
-
-// replicationInterval returns the time until the next messages to replicas.
+// replicationInterval returns the time until the next messages to replicas. The mutex must be held.
 func (core *core) replicationInterval() clock.Millis {
-	core.mutex.Lock()
-	defer core.mutex.Unlock()
 	switch {
 	case !core.origins.history.Several(core.now()):
 		return maxReplicationInterval
@@ -74,14 +55,14 @@
 	return min(replicationInterval*clock.Millis(near), maxReplicationInterval)
 }
 
-// replicateOrigins sends replicas the origins that were not yet sent. While each service has had one version only, a
-// stream may go on anywhere and nothing is sent.
-func (gateway *Gateway) replicateOrigins() {
+// replicateOrigins sends replicas the origins that were not yet sent, and returns the time until the next call. While
+// each service has had one version only, a stream may go on anywhere and nothing is sent.
+func (gateway *Gateway) replicateOrigins() clock.Millis {
 	core := gateway.core
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
 	if !core.origins.history.Several(core.now()) {
-		return
+		return core.replicationInterval()
 	}
 	for _, replica := range core.replicas() {
 		sent := core.sentTo(replica.Address)
@@ -90,6 +71,7 @@
 			sent.origins = next
 		}
 	}
+	return core.replicationInterval()
 }
 
 // replica is a daemon that holds a copy of this daemon's records, or of some.
