--- a/internal/direct/gateway/origins.go
+++ b/internal/direct/gateway/origins.go
@@ -30,12 +30,12 @@
 
 // streamAttempt returns the caller's attempt that brought the first event of the stream.
 func (job *job) streamAttempt() string {
-	return cmp.Or(job.headers.Resumes, job.headers.Attempt)
+	return cmp.Or(job.headers.FirstAttempt, job.headers.Attempt)
 }
 
 // continuesStream reports whether a caller resumes a stream that an earlier attempt has begun.
 func continuesStream(route *catalog.Route, headers platformapi.RequestHeaders) bool {
-	return route.Kind == catalog.Streaming && (headers.LastEventID != "" || headers.Resumes != "")
+	return route.Kind == catalog.Streaming && (headers.LastEventID != "" || headers.FirstAttempt != "")
 }
 
 // originSource is how the origin of a stream was found out.
@@ -80,7 +80,7 @@
 // recordOriginFound logs and counts how the origin of a stream was found out.
 func (gateway *Gateway) recordOriginFound(job *job, origin software.Origin, source originSource) {
 	gateway.counters.recordOrigin(source)
-	gateway.log.Info(ending.MessageStreamResumed, "Request", job.headers.Attempt, "Resumes", job.headers.Resumes, "After", cmp.Or(job.lastEventID, job.headers.LastEventID),
+	gateway.log.Info(ending.MessageStreamResumed, "Request", job.headers.Attempt, "FirstAttempt", job.headers.FirstAttempt, "After", cmp.Or(job.lastEventID, job.headers.LastEventID),
 		"Source", string(source), "Software", origin.Version, "Server", origin.Server, "Unnamed", origin.Unnamed)
 }
 
--- a/internal/direct/platformapi/platformapi.go
+++ b/internal/direct/platformapi/platformapi.go
@@ -21,7 +21,7 @@
 	MaxOutputTokens int    // maximum number of output tokens
 	Parts           []Part
 	LastEventID     string // id of the event after which a stream is to be resumed
-	Resumes         string // id of the caller's attempt that brought the first event of that stream; empty: not stated
+	FirstAttempt    string // id of the caller's attempt that brought the first event of that stream; empty: not stated
 	AccountKey      string // identifies the caller's account; empty: none
 }
 
--- a/internal/direct/requestlog/requestlog.go
+++ b/internal/direct/requestlog/requestlog.go
@@ -56,10 +56,10 @@
 	Peer string
 
 	// Fields of the message that the request resumes a stream.
-	Resumes  string
-	After    string
-	Source   string
-	Software string
+	FirstAttempt string
+	After        string
+	Source       string
+	Software     string
 
 	// Fields of the message that the request was shed.
 	LoadTenths   int
@@ -258,7 +258,7 @@
 	case line.Server != "":
 		known = "which began at server " + line.Server + ", of an unknown software version"
 	}
-	return fmt.Sprintf("the request was to go on after event %q of the stream of attempt %q, %s (%s)", line.After, line.Resumes, known, line.Source)
+	return fmt.Sprintf("the request was to go on after event %q of the stream of attempt %q, %s (%s)", line.After, line.FirstAttempt, known, line.Source)
 }
 
 // shedDetail says how loaded the service of a request was that was shed.
--- a/internal/direct/requestlog/requestlog_test.go
+++ b/internal/direct/requestlog/requestlog_test.go
@@ -138,7 +138,7 @@
 
 // TestResumedStream guards against refusals to go on with a stream that do not say what was known of it.
 func TestResumedStream(t *testing.T) {
-	record, err := requestlog.Read(strings.NewReader(`{"time":"2026-12-03T22:00:00Z","msg":"stream resumed","Request":"r1","Resumes":"r0","After":"7","Source":"recorded","Software":"v1"}
+	record, err := requestlog.Read(strings.NewReader(`{"time":"2026-12-03T22:00:00Z","msg":"stream resumed","Request":"r1","FirstAttempt":"r0","After":"7","Source":"recorded","Software":"v1"}
 {"time":"2026-12-03T22:00:00Z","msg":"request ended","Request":"r1","Status":503,"Reason":"NoSoftwareVersion","Daemon":"d"}
 `), "r1")
 	require.NoError(t, err)
