--- a/internal/direct/content/content_test.go
+++ b/internal/direct/content/content_test.go
@@ -25,6 +25,15 @@
 	require.Len(t, content.Of(request).String(), 32)
 }
 
+func TestPartsOfDifferentAccountsHaveDifferentIDs(t *testing.T) {
+	part := content.PartID("account", "5c1e")
+	require.Equal(t, part, content.PartID("account", "5c1e"))
+	require.NotEqual(t, part, content.PartID("", "5c1e"))
+	require.NotEqual(t, part, content.PartID("account", "5c1f"))
+	require.NotEqual(t, content.PartID("ab", "c"), content.PartID("a", "bc"))
+	require.NotEqual(t, content.PartID("", "5c1e"), content.Of(content.Request{Body: []byte("5c1e")}))
+}
+
 // BenchmarkOf measures Of, which the daemon calls for each request.
 func BenchmarkOf(b *testing.B) {
 	request := content.Request{Host: "site.example", Target: "/contract/1", Account: "account", Body: make([]byte, 512)}
--- a/internal/direct/gateway/dispatch.go
+++ b/internal/direct/gateway/dispatch.go
@@ -93,7 +93,7 @@
 	local := to.server.DataCentre == gateway.settings.DataCentre
 	gateway.counters.recordSent(job.service, local)
 	gateway.log.Info(ending.MessageRequestSent, "Request", job.headers.Attempt, "Server", to.server.ID, "Local", local, "Adapter", job.adapter.Name, "Prompt", job.headers.PromptTokens, "Alone", to.alone,
-		"Offer", job.timesSent, "CostMillis", int(to.cost), "LeftMillis", left, "Version", to.version, "WaitedMillis", job.waited, "HeldMillis", job.holdTime, "TurnMillis", job.turnTime, "Turn", string(job.turn), "Content", job.content.String(),
+		"Offer", job.timesSent, "CostMillis", int(to.cost), "LeftMillis", left, "Version", to.version, "WaitedMillis", job.waited, "HeldMillis", job.holdTime, "TurnMillis", job.turnTime, "Turn", string(job.turn), "Content", job.content.String(), "Parts", job.partNames(),
 		"Software", to.server.Software, "After", job.lastEventID, "FirstAttempt", job.headers.FirstAttempt)
 	tryCtx, cancel := job.tryContext(ctx, left)
 	defer cancel()
--- a/internal/direct/gateway/losses.go
+++ b/internal/direct/gateway/losses.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"strings"
 	"time"
 
 	"teaselmoor/internal/base/clock"
@@ -33,16 +34,22 @@
 
 // serverLosses holds requests that were recently lost at one server.
 type serverLosses struct {
-	unprobed []content.ID // lost since the last probe ended
-	earlier  []content.ID // lost before a probe that was accepted or inconclusive
-	lastAt   clock.Millis // time of the last loss
-	probing  bool         // a probe of the server is running
+	unprobed []lostRequest // lost since the last probe ended
+	earlier  []lostRequest // lost before a probe that was accepted or inconclusive
+	lastAt   clock.Millis  // time of the last loss
+	probing  bool          // a probe of the server is running
+}
+
+// lostRequest describes the content of a request that was lost.
+type lostRequest struct {
+	content content.ID
+	parts   []string // names of the parts of its prompt, in order
 }
 
 // add records a lost request.
-func (serverLosses *serverLosses) add(now clock.Millis, id content.ID) {
+func (serverLosses *serverLosses) add(now clock.Millis, lost lostRequest) {
 	serverLosses.lastAt = now
-	serverLosses.unprobed = append(serverLosses.unprobed, id)
+	serverLosses.unprobed = append(serverLosses.unprobed, lost)
 }
 
 // keepAsEarlier keeps the losses after a probe that did not show that the server has ended.
@@ -68,7 +75,7 @@
 		lost = &serverLosses{}
 		core.lostRequests[server.ID] = lost
 	}
-	lost.add(core.now(), job.content)
+	lost.add(core.now(), lostRequest{content: job.content, parts: job.partNames()})
 	if lost.probing {
 		return
 	}
@@ -114,12 +121,12 @@
 
 // handleServerEnd records in the quarantine which contents were lost when a server ended. The
 // mutex must be held.
-func (core *core) handleServerEnd(server platformapi.Server, lost []content.ID) {
+func (core *core) handleServerEnd(server platformapi.Server, lost []lostRequest) {
 	now := core.now()
 	delete(core.lostRequests, server.ID)
-	core.log.Info(ending.MessageServerEnded, "Server", server.ID, "Lost", contentNames(lost))
-	for _, id := range lost {
-		core.quarantine.ServerEnded(now, id, processID(server))
+	core.log.Info(ending.MessageServerEnded, "Server", server.ID, "Lost", contentNames(lost), "Parts", lostParts(lost))
+	for _, request := range lost {
+		core.quarantine.ServerEnded(now, request.content, processID(server))
 	}
 	core.wakeWaitingRequests()
 }
@@ -152,11 +159,33 @@
 	return false
 }
 
-// contentNames formats content ids for the log.
-func contentNames(lost []content.ID) []string {
+// contentNames formats the contents of lost requests for the log.
+func contentNames(lost []lostRequest) []string {
 	names := make([]string, len(lost))
-	for i, id := range lost {
-		names[i] = id.String()
+	for i, request := range lost {
+		names[i] = request.content.String()
+	}
+	return names
+}
+
+// lostParts formats the prompts of lost requests for the log, each as the names of its parts.
+func lostParts(lost []lostRequest) []string {
+	prompts := make([]string, len(lost))
+	for i, request := range lost {
+		prompts[i] = strings.Join(request.parts, ",")
+	}
+	return prompts
+}
+
+// maxLoggedParts bounds the parts of a prompt that are logged.
+const maxLoggedParts = 16
+
+// partNames returns the names of the first parts of the request's prompt, in order.
+func (job *job) partNames() []string {
+	parts := job.headers.Parts[:min(len(job.headers.Parts), maxLoggedParts)]
+	names := make([]string, len(parts))
+	for i, part := range parts {
+		names[i] = part.ID
 	}
 	return names
 }
