--- a/internal/decide/outcome/reason.go
+++ b/internal/decide/outcome/reason.go
@@ -110,7 +110,7 @@
 	EnginesUnreachable:  "The process had lost its links to all engines and services, and reached no other process that had not.",
 	StreamUnknown:       "The caller asked for the rest of a stream, and no process knew which software version had begun it.",
 	NoSoftwareVersion:   "The caller asked for the rest of a stream, and no engine in service ran the software version that had begun it.",
-	CrashesEngines:      "Engines have ended while they ran requests with the same content, so this one was not run.",
+	CrashesEngines:      "Engines have ended while they ran requests with the same content or part of a prompt, so this one was not run.",
 	InvalidAnswer:       "What came back was not an answer of the server to this request, and it was discarded.",
 }
 
--- a/internal/direct/ending/ending.go
+++ b/internal/direct/ending/ending.go
@@ -36,6 +36,7 @@
 	MessageLimitAnnounced   = "server limit named"
 	MessageLimitLifted      = "server limit lifted"
 	MessageContentRefused   = "content refused"
+	MessageTrialGranted     = "trial granted"
 )
 
 // Reason is the reason why a request ended.
@@ -59,7 +60,8 @@
 	ServersFull       Reason = "ServersFull"        // the servers that could take it are brittle and have no room
 	Overloaded        Reason = "Overloaded"         // the service has more requests than it can answer in time
 	AdapterNotReady   Reason = "AdapterNotReady"    // its adapter was not loaded in time
-	Quarantined       Reason = "CrashesServers"     // servers crashed while they ran requests with the same content
+	Quarantined       Reason = "CrashesServers"     // servers crashed while they ran requests like it
+	Suspected         Reason = "CrashSuspected"     // servers crashed that ran requests like it, and others like it were tried first
 	RetryBudgetSpent  Reason = "RetryBudget"        // the budget for retries is used up
 	TriesUsed         Reason = "TriesUsed"          // servers declined it in every try
 	Deadline          Reason = "Deadline"           // the deadline passed before it was sent
@@ -80,7 +82,7 @@
 	TriesUsed: outcome.EngineRefused, Deadline: outcome.DeadlinePassed, Timeout: outcome.AnswerLate,
 	AnswerLost: outcome.ServiceLost, InvalidAnswer: outcome.InvalidAnswer, CallerLeft: outcome.CallerGone,
 	StreamBroken: outcome.Truncated, UnknownKey: outcome.Unauthorized, StaleAccounts: outcome.OldConfiguration,
-	AccountLimit: outcome.CallerLimit, Quarantined: outcome.CrashesEngines,
+	AccountLimit: outcome.CallerLimit, Quarantined: outcome.CrashesEngines, Suspected: outcome.CrashesEngines,
 	ServersLimited: outcome.EnginesLimited, ServersPaused: outcome.EnginesRest,
 	Overloaded: outcome.ServiceOverloaded, Unreachable: outcome.EnginesUnreachable, ServersFull: outcome.QueueFull,
 	StreamUnknown: outcome.StreamUnknown, NoSoftwareVersion: outcome.NoSoftwareVersion,
--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -13,6 +13,7 @@
 	"teaselmoor/internal/direct/catalog"
 	"teaselmoor/internal/direct/choose"
 	"teaselmoor/internal/direct/claims"
+	"teaselmoor/internal/direct/content"
 	"teaselmoor/internal/direct/fleet"
 	"teaselmoor/internal/direct/inflight"
 	"teaselmoor/internal/direct/loading"
@@ -68,7 +69,11 @@
 	promptBuckets     *choose.PromptBucket                 // prompt tokens recently sent to each server by all daemons of a mesh
 	requestedAt       map[platformapi.Adapter]clock.Millis // when callers last requested an adapter here
 	reportRequestedAt map[string]clock.Millis              // when a server's report was last requested because its table is unknown
-	quarantine        *quarantine.List                     // contents that servers have crashed on
+	quarantine        *quarantine.List                     // requests that servers have crashed on
+	trials            *quarantine.Examiner                 // those that this daemon has granted as the site's examiner
+	examined          map[content.ID]int                   // lost requests whose servers are being probed, by key
+	trialCount        int64                                // trials that this daemon has asked for
+	trialsRequestedAt map[content.ID]clock.Millis          // when this daemon last asked for a trial, by key
 	lostRequests      map[string]*serverLosses             // by server, recent ones
 	serverLimits      *throttle.Limits                     // request rates that servers have announced
 	brittle           *brittle.Servers                     // servers that must not turn many requests away
@@ -163,7 +168,10 @@
 		requestedAt:       make(map[platformapi.Adapter]clock.Millis),
 		reportRequestedAt: make(map[string]clock.Millis),
 		lostRequests:      make(map[string]*serverLosses),
-		quarantine:        quarantine.New(options.Quarantine, settings.Name),
+		quarantine:        quarantine.New(options.Quarantine),
+		trials:            quarantine.NewExaminer(),
+		examined:          make(map[content.ID]int),
+		trialsRequestedAt: make(map[content.ID]clock.Millis),
 		serverLimits:      throttle.New(settings.Name),
 		brittle:           brittle.New(),
 		links:             reach.New(options.Links),
--- a/internal/direct/gateway/dispatch.go
+++ b/internal/direct/gateway/dispatch.go
@@ -71,6 +71,7 @@
 	if gateway.needsPeer(job) {
 		return gateway.tryPeer(ctx, writer, job)
 	}
+	defer gateway.endTrial(job)
 	assigned, failed := gateway.place(ctx, job)
 	gateway.counters.recordTurn(job)
 	if failed != nil {
--- a/internal/direct/gateway/handler.go
+++ b/internal/direct/gateway/handler.go
@@ -27,7 +27,8 @@
 	entry          string // the daemon that received the request from its caller, if it is another one
 	body           []byte
 	content        content.ID
-	configVersion  int64 // version of the configuration that the request is served with
+	keys           []content.ID // by which the quarantine knows it: the content, then the parts of its prompt
+	configVersion  int64        // version of the configuration that the request is served with
 	route          *catalog.Route
 	service        string
 	engine         bool
@@ -57,6 +58,8 @@
 	origin        software.Origin // of the stream, if originKnown
 	originKnown   bool
 	stream        late.Stream  // course of a streamed answer
+	trial         *trial       // nil: the request is not suspect
+	partsAnswered bool         // the parts of its prompt are known to be sound
 	retryAfter    clock.Millis // sent to a refused caller
 
 	// Prefill admission control in the last placement.
@@ -139,7 +142,7 @@
 	case err != nil:
 		return job, http.StatusBadRequest, ending.BadRequest
 	}
-	job.content = content.Of(content.Request{Host: request.Host, Target: request.RequestURI, Account: job.account.Name, Body: job.body})
+	job.findKeys(content.Request{Host: request.Host, Target: request.RequestURI, Account: job.account.Name, Body: job.body})
 	core.mutex.Lock()
 	core.budget(job.service).RecordRequest(job.arrived)
 	core.mutex.Unlock()
--- a/internal/direct/gateway/losses.go
+++ b/internal/direct/gateway/losses.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -11,6 +12,7 @@
 	"teaselmoor/internal/direct/content"
 	"teaselmoor/internal/direct/ending"
 	"teaselmoor/internal/direct/platformapi"
+	"teaselmoor/internal/direct/quarantine"
 	"teaselmoor/internal/direct/upstream"
 )
 
@@ -40,10 +42,11 @@
 	probing  bool          // a probe of the server is running
 }
 
-// lostRequest describes the content of a request that was lost.
+// lostRequest is a request that was lost.
 type lostRequest struct {
-	content content.ID
-	parts   []string // names of the parts of its prompt, in order
+	quarantine.LostRequest
+	parts []string // names of the parts of its prompt, in order
+	trial *trial   // nil: it was none
 }
 
 // add records a lost request.
@@ -75,7 +78,12 @@
 		lost = &serverLosses{}
 		core.lostRequests[server.ID] = lost
 	}
-	lost.add(core.now(), lostRequest{content: job.content, parts: job.partNames()})
+	lost.add(core.now(), lostRequest{
+		LostRequest: quarantine.LostRequest{Attempt: job.headers.Attempt, Keys: job.keys, Trial: job.trial.trialKeys()},
+		parts:       job.partNames(), trial: job.trial,
+	})
+	job.trial = nil // ends with the probe
+	core.addExamined(job.keys, 1)
 	if lost.probing {
 		return
 	}
@@ -90,15 +98,138 @@
 func (gateway *Gateway) probe(ctx context.Context, server platformapi.Server) {
 	ended := gateway.hasEnded(ctx, server)
 	core := gateway.core
+	others := 0
+	if ended && core.lostTrial(server) {
+		others = gateway.countOtherEnds(ctx, server)
+	}
 	core.mutex.Lock()
-	core.applyProbe(server, ended)
+	trials := core.lostTrials(server)
+	core.removeExamined(server)
+	core.applyProbe(server, ended, others)
 	core.mutex.Unlock()
 	gateway.sendWarnings()
+	delay := time.Duration(0)
+	if ended {
+		delay = findingDelay
+	}
+	for _, trial := range trials {
+		gateway.endTrialAfter(trial, delay)
+	}
+}
+
+// maxExaminationWait bounds the time for which a request waits until it is known whether the server ended
+// at which one like it was lost. A probe that is not conclusive at once takes longer.
+const maxExaminationWait = 100 * clock.Millisecond
+
+// isExamined reports whether a request like this one was just lost at a server, and it is not known yet whether the server
+// has ended. Keys that were answered recently do not count. The mutex must be held.
+func (core *core) isExamined(now clock.Millis, job *job) bool {
+	if len(core.examined) == 0 {
+		return false
+	}
+	return slices.ContainsFunc(job.keys, func(key content.ID) bool {
+		return core.examined[key] > 0 && !core.quarantine.RecentlyAnswered(now, key)
+	})
+}
+
+// addExamined changes the number of lost requests with the given keys whose servers are being probed. The mutex must be
+// held.
+func (core *core) addExamined(keys []content.ID, change int) {
+	for _, key := range keys {
+		core.examined[key] += change
+		if core.examined[key] <= 0 {
+			delete(core.examined, key)
+		}
+	}
+}
+
+// removeExamined ends the examination of the requests that were lost at a server. The mutex must be held.
+func (core *core) removeExamined(server platformapi.Server) {
+	lost, ok := core.lostRequests[server.ID]
+	if !ok {
+		return
+	}
+	for _, request := range lost.unprobed {
+		core.addExamined(request.Keys, -1)
+	}
+	core.wakeWaitingRequests()
+}
+
+// lostTrial reports whether a trial was lost at a server since the last probe ended.
+func (core *core) lostTrial(server platformapi.Server) bool {
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	return len(core.lostTrials(server)) > 0
+}
+
+const (
+	// otherEndsDelay is the time in which daemons learn that servers have ended under requests of their own.
+	otherEndsDelay = 100 * time.Millisecond
+	// otherEndsTimeout bounds the time for which other servers are probed, and maxOthersProbed their number.
+	otherEndsTimeout = 150 * time.Millisecond
+	maxOthersProbed  = 8
+)
+
+// countOtherEnds probes other servers of the service of one that has ended, and returns how many of them refuse
+// connections although no request was lost there: servers that end together do so for another reason than
+// a request.
+func (gateway *Gateway) countOtherEnds(ctx context.Context, ended platformapi.Server) int {
+	select {
+	case <-ctx.Done():
+		return 0
+	case <-time.After(otherEndsDelay):
+	}
+	ctx, cancel := context.WithTimeout(ctx, otherEndsTimeout)
+	defer cancel()
+	others := gateway.core.drawOthers(ended)
+	results := make(chan upstream.CheckResult, len(others))
+	for _, other := range others {
+		gateway.tasks.Go("probe "+other.ID, func(context.Context) error {
+			results <- gateway.pool.Check(ctx, other.Address)
+			return nil
+		})
+	}
+	count := 0
+	for range others {
+		if <-results == upstream.ConnectionRefused {
+			count++
+		}
+	}
+	return count
+}
+
+// drawOthers draws other servers of the service of one that has ended, without those under whose requests they
+// have ended.
+func (core *core) drawOthers(ended platformapi.Server) []platformapi.Server {
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	var others []platformapi.Server
+	for _, server := range core.drawServers(len(core.fleet.Members()), map[string]bool{ended.ID: true}) {
+		if server.Service == ended.Service && !core.quarantine.Ended(processID(server)) && len(others) < maxOthersProbed {
+			others = append(others, server)
+		}
+	}
+	return others
+}
+
+// lostTrials returns the trials that were lost at a server since the last probe ended. The mutex must be held.
+func (core *core) lostTrials(server platformapi.Server) []*trial {
+	lost, ok := core.lostRequests[server.ID]
+	if !ok {
+		return nil
+	}
+	var trials []*trial
+	for _, request := range lost.unprobed {
+		if request.trial != nil {
+			trials = append(trials, request.trial)
+		}
+	}
+	return trials
 }
 
 // applyProbe applies the result of a probe. The end of a draining server is expected and not
 // blamed on its requests. The mutex must be held.
-func (core *core) applyProbe(server platformapi.Server, ended bool) {
+func (core *core) applyProbe(server platformapi.Server, ended bool, others int) {
 	lost, ok := core.lostRequests[server.ID]
 	if !ok {
 		return // a restart was detected in the meantime
@@ -108,26 +239,29 @@
 		lost.keepAsEarlier()
 		return
 	}
-	core.handleServerEnd(server, lost.unprobed)
+	core.handleServerEnd(server, lost.unprobed, others)
 }
 
 // handleRestart records the requests that were lost at a server that has restarted without
 // announcing that it would leave. The mutex must be held.
 func (core *core) handleRestart(server platformapi.Server) {
 	if lost, ok := core.lostRequests[server.ID]; ok {
-		core.handleServerEnd(server, append(lost.earlier, lost.unprobed...))
+		core.removeExamined(server)
+		core.handleServerEnd(server, append(lost.earlier, lost.unprobed...), 0)
 	}
 }
 
-// handleServerEnd records in the quarantine which contents were lost when a server ended. The
-// mutex must be held.
-func (core *core) handleServerEnd(server platformapi.Server, lost []lostRequest) {
+// handleServerEnd records in the quarantine which requests were lost when a server ended. The mutex must
+// be held.
+func (core *core) handleServerEnd(server platformapi.Server, lost []lostRequest, others int) {
 	now := core.now()
 	delete(core.lostRequests, server.ID)
-	core.log.Info(ending.MessageServerEnded, "Server", server.ID, "Lost", contentNames(lost), "Parts", lostParts(lost))
-	for _, request := range lost {
-		core.quarantine.ServerEnded(now, request.content, processID(server))
+	core.log.Info(ending.MessageServerEnded, "Server", server.ID, "Lost", contentNames(lost), "Parts", lostParts(lost), "Others", others)
+	requests := make([]quarantine.LostRequest, len(lost))
+	for i, request := range lost {
+		requests[i] = request.LostRequest
 	}
+	core.quarantine.ServerEnded(now, processID(server), requests, others)
 	core.wakeWaitingRequests()
 }
 
@@ -163,7 +297,7 @@
 func contentNames(lost []lostRequest) []string {
 	names := make([]string, len(lost))
 	for i, request := range lost {
-		names[i] = request.content.String()
+		names[i] = request.Keys[0].String()
 	}
 	return names
 }
--- a/internal/direct/gateway/metrics.go
+++ b/internal/direct/gateway/metrics.go
@@ -132,6 +132,7 @@
 		unreachable = now - core.store.failingSince
 	}
 	loading, queued := core.incomingAdapters()
+	suspectContents, refusedContents := core.quarantine.Counts(now)
 	plainLowest, plainHighest := core.loadAverage.Range()
 	return []gauge{
 		{"teaselmoor_streams_recorded", float64(core.origins.records.Count())},
@@ -140,7 +141,8 @@
 		{"teaselmoor_services_brittle", float64(core.brittle.Count())},
 		{"teaselmoor_servers_limited", float64(core.serverLimits.LimitedCount())},
 		{"teaselmoor_servers_resting", float64(core.pausedServers(now))},
-		{"teaselmoor_contents_refused", float64(core.quarantine.RefusedCount(now))},
+		{"teaselmoor_contents_refused", float64(refusedContents)},
+		{"teaselmoor_contents_suspect", float64(suspectContents)},
 		{"teaselmoor_config_version", float64(version)},
 		{"teaselmoor_store_revision", float64(core.store.revision)},
 		{"teaselmoor_store_away_millis", float64(unreachable)},
--- a/internal/direct/gateway/place.go
+++ b/internal/direct/gateway/place.go
@@ -139,6 +139,14 @@
 			continue
 		}
 		if choice.Ready {
+			admitted, refused := gateway.admitSuspect(ctx, started, job, counted)
+			if refused != nil {
+				job.waited += core.now() - started
+				return assignment{}, refused
+			}
+			if !admitted {
+				continue
+			}
 			now = core.now()
 			core.moveCount(counted, use, job.headers.PromptTokens)
 			gateway.reportPrompt(ctx, now, job, use.Server, turn)
--- a/internal/direct/gateway/relay.go
+++ b/internal/direct/gateway/relay.go
@@ -128,6 +128,7 @@
 	control := http.NewResponseController(writer)
 	gateway.setWriteDeadline(writer, job)
 	streamSpeed := gateway.measureStream(job, to)
+	began := gateway.core.now()
 	relayed := &eventReader{answer: answer, buffer: make([]byte, 0, eventBuffer)}
 	for {
 		event, err := relayed.next()
@@ -138,8 +139,10 @@
 				active.recordFirstEvent()
 			}
 			if relayed.events == 0 {
+				began = now
 				gateway.core.recordBegin(job, to)
 			}
+			gateway.recordStreamGoesOn(job, now, began)
 			relayed.events++
 			if !job.headSent {
 				gateway.sendHead(writer, job, answer)
--- a/internal/direct/gateway/run.go
+++ b/internal/direct/gateway/run.go
@@ -132,6 +132,8 @@
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peers.Path, gateway.network)
 	peerMux.HandleFunc(linksPath, gateway.serveLinks)
+	peerMux.HandleFunc("POST "+trialsPath, gateway.serveTrials)
+	peerMux.HandleFunc("DELETE "+trialsPath, gateway.serveTrials)
 	gateway.serve("peers", opened.peers, &http.Server{Handler: gateway.handlePeerConnections(peerMux), ReadHeaderTimeout: headerTimeout})
 	gateway.serve("metrics", opened.metrics, &http.Server{Handler: http.HandlerFunc(gateway.serveMetrics), ReadHeaderTimeout: headerTimeout})
 	reader := mirror.New(gateway.options.Mirror, gateway.store, gateway.core.decoder.Prefix(), gateway.core)
--- a/internal/direct/gateway/turns.go
+++ b/internal/direct/gateway/turns.go
@@ -162,7 +162,7 @@
 // that was known before. The mutex must be held.
 func (core *core) stillUsable(now clock.Millis, job *job, choice *choose.Choice, before serverState) bool {
 	member, ok := core.fleet.Member(choice.Member.ID)
-	if !ok || core.quarantine.RefusedFor(now, job.content) > 0 {
+	if !ok || core.quarantine.Refuses(now, job.keys) {
 		return false
 	}
 	state := core.serverState(now, member.ID)
--- a/internal/direct/gateway/warnings.go
+++ b/internal/direct/gateway/warnings.go
@@ -33,15 +33,19 @@
 	return warningsSent{quarantine: core.quarantine.Revision(), limits: core.serverLimits.Revision(), drainNotices: core.fleet.DrainNoticeCount()}
 }
 
-// unsentWarnings returns the warnings that a peer has not been sent. The mutex must be held.
-func (core *core) unsentWarnings(now clock.Millis, since warningsSent) peers.Warnings {
-	return peers.Warnings{
-		Quarantine: core.quarantine.ChangedSince(now, since.quarantine), Limits: core.serverLimits.ChangedSince(since.limits),
-		Leaving: core.fleet.DrainNoticesSince(since.drainNotices),
-	}
+// maxRecords bounds the records of the quarantine in one message. Others follow with the next one.
+const maxRecords = 256
+
+// unsentWarnings returns warnings that a peer has not been sent, and the state of the peer that has been sent them. The
+// mutex must be held.
+func (core *core) unsentWarnings(now clock.Millis, since warningsSent) (peers.Warnings, warningsSent) {
+	sent := core.currentWarnings()
+	warnings := peers.Warnings{Limits: core.serverLimits.ChangedSince(since.limits), Leaving: core.fleet.DrainNoticesSince(since.drainNotices)}
+	warnings.Quarantine, sent.quarantine = core.quarantine.ChangedSince(now, since.quarantine, maxRecords)
+	return warnings, sent
 }
 
-// sendWarnings sends peers the warnings that they lack: contents that servers crashed on,
+// sendWarnings sends peers the warnings that they lack: requests that servers crashed on,
 // limits that servers announced, servers that are leaving, and speeds of servers. Each daemon forwards what is new
 // to it, so that warnings reach all daemons whichever are connected.
 func (gateway *Gateway) sendWarnings() {
@@ -52,9 +56,8 @@
 	unsent := make([]peers.Warnings, len(targets))
 	for i, target := range targets {
 		sent := core.sentTo(target.Address)
-		unsent[i] = core.unsentWarnings(now, sent.warnings)
+		unsent[i], sent.warnings = core.unsentWarnings(now, sent.warnings)
 		unsent[i].Speeds = core.unsentSpeeds(now, sent)
-		sent.warnings = core.currentWarnings()
 	}
 	core.mutex.Unlock()
 	for i, warnings := range unsent {
--- a/internal/direct/peers/message.go
+++ b/internal/direct/peers/message.go
@@ -143,11 +143,11 @@
 	OriginAnswer *OriginAnswer
 }
 
-// Warnings holds what was not yet sent to the receiver on the same connection about contents
-// of requests under which servers crashed, limits that servers reported, servers that announced
+// Warnings holds what was not yet sent to the receiver on the same connection about requests
+// under which servers crashed, limits that servers reported, servers that announced
 // that they leave, and the speeds of servers.
 type Warnings struct {
-	Quarantine []quarantine.Record
+	Quarantine quarantine.Changes
 	Limits     []throttle.ServerLimit
 	Leaving    []fleet.DrainNotice
 	Speeds     []speed.Estimate
@@ -155,5 +155,5 @@
 
 // Empty reports whether there are no warnings.
 func (warnings Warnings) Empty() bool {
-	return len(warnings.Quarantine) == 0 && len(warnings.Limits) == 0 && len(warnings.Leaving) == 0 && len(warnings.Speeds) == 0
+	return warnings.Quarantine.Empty() && len(warnings.Limits) == 0 && len(warnings.Leaving) == 0 && len(warnings.Speeds) == 0
 }
--- a/internal/direct/peers/message_test.go
+++ b/internal/direct/peers/message_test.go
@@ -69,9 +69,15 @@
 			Reported: []peers.ServerReport{{Server: "s", Born: 5, Holdings: []platformapi.Holding{{Model: "m", Adapters: map[string]int{"a": 2}}}}},
 		}},
 		{Warnings: &peers.Warnings{
-			Quarantine: []quarantine.Record{
-				{Content: content.ID{1, 2, 3}, Number: 2, Servers: []string{"s@1", "t@0"}, Age: 5},
-				{Content: content.ID{4}, Number: 3, Age: 7},
+			Quarantine: quarantine.Changes{
+				Records: []quarantine.Record{
+					{Key: content.ID{1, 2, 3}, Number: 2, Servers: []string{"s@1", "t@0"}, Age: 5, Answered: true, AnswerAge: 6},
+					{Key: content.ID{4}, Number: 3, Age: 7},
+				},
+				Findings: []quarantine.Finding{
+					{Name: "s@1 a", Server: "s@1", Keys: []content.ID{{1, 2, 3}, {4}}, Weak: true, Others: 2, Age: 8, RequestedAge: 9},
+					{Name: "t@0 b", Server: "t@0"},
+				},
 			},
 			Limits:  []throttle.ServerLimit{{Server: "s", StartedAt: 1, Number: 2, Limited: true, Rate: 1.6}, {Server: "t", Number: 3}},
 			Leaving: []fleet.DrainNotice{{Server: "s", StartedAt: 1}, {Server: "t"}},
--- a/internal/direct/peers/warnings.go
+++ b/internal/direct/peers/warnings.go
@@ -12,22 +12,34 @@
 // can be added.
 type (
 	wireWarnings struct {
-		Quarantine []wireQuarantine `cbor:",omitempty"`
-		Limits     []wireLimit      `cbor:",omitempty"`
-		Leaving    []wireLeaving    `cbor:",omitempty"`
-		Speeds     []wireSpeed      `cbor:",omitempty"`
+		Crashes  []wireCrash   `cbor:",omitempty"`
+		Findings []wireFinding `cbor:",omitempty"`
+		Limits   []wireLimit   `cbor:",omitempty"`
+		Leaving  []wireLeaving `cbor:",omitempty"`
+		Speeds   []wireSpeed   `cbor:",omitempty"`
 	}
 	wireLeaving struct {
 		_      struct{} `cbor:",toarray"`
 		Server string
 		Born   int64
 	}
-	wireQuarantine struct {
-		_       struct{} `cbor:",toarray"`
-		Content []byte
-		Number  int64
-		Servers []string
-		Age     int64
+	wireCrash struct {
+		_         struct{} `cbor:",toarray"`
+		Key       []byte
+		Number    int64
+		Servers   []string
+		Age       int64
+		Answered  bool
+		AnswerAge int64
+	}
+	wireFinding struct {
+		_            struct{} `cbor:",toarray"`
+		Name, Server string
+		Keys         [][]byte
+		Weak         bool
+		Others       int
+		Age          int64
+		RequestedAge int64
 	}
 	wireLimit struct {
 		_            struct{} `cbor:",toarray"`
@@ -44,9 +56,7 @@
 		return nil
 	}
 	wire := &wireWarnings{Speeds: encodeSpeeds(warnings.Speeds)}
-	for _, record := range warnings.Quarantine {
-		wire.Quarantine = append(wire.Quarantine, wireQuarantine{Content: record.Content[:], Number: record.Number, Servers: record.Servers, Age: int64(record.Age)})
-	}
+	wire.Crashes, wire.Findings = encodeQuarantine(warnings.Quarantine)
 	for _, limit := range warnings.Limits {
 		wire.Limits = append(wire.Limits, wireLimit{Server: limit.Server, Born: limit.StartedAt, Number: limit.Number, Limited: limit.Limited, Rate: limit.Rate})
 	}
@@ -56,21 +66,13 @@
 	return wire
 }
 
-// decodeWarnings returns the warnings of a message, nil if it has none. It skips quarantine
-// records whose content ID has the wrong length.
+// decodeWarnings returns the warnings of a message, nil if it has none.
 func decodeWarnings(wire *wireWarnings) *Warnings {
 	if wire == nil {
 		return nil
 	}
 	warnings := &Warnings{Speeds: decodeSpeeds(wire.Speeds)}
-	for _, each := range wire.Quarantine {
-		if len(each.Content) != len(content.ID{}) {
-			continue
-		}
-		warnings.Quarantine = append(warnings.Quarantine, quarantine.Record{
-			Content: content.ID(each.Content), Number: each.Number, Servers: each.Servers, Age: clock.Millis(each.Age),
-		})
-	}
+	warnings.Quarantine = decodeQuarantine(wire.Crashes, wire.Findings)
 	for _, each := range wire.Limits {
 		warnings.Limits = append(warnings.Limits, throttle.ServerLimit{Server: each.Server, StartedAt: each.Born, Number: each.Number, Limited: each.Limited, Rate: each.Rate})
 	}
@@ -79,3 +81,44 @@
 	}
 	return warnings
 }
+
+func encodeQuarantine(changes quarantine.Changes) (crashes []wireCrash, findings []wireFinding) {
+	for _, record := range changes.Records {
+		crashes = append(crashes, wireCrash{
+			Key: record.Key[:], Number: record.Number, Servers: record.Servers, Age: int64(record.Age),
+			Answered: record.Answered, AnswerAge: int64(record.AnswerAge),
+		})
+	}
+	for _, finding := range changes.Findings {
+		wire := wireFinding{Name: finding.Name, Server: finding.Server, Weak: finding.Weak, Others: finding.Others, Age: int64(finding.Age), RequestedAge: int64(finding.RequestedAge)}
+		for _, key := range finding.Keys {
+			wire.Keys = append(wire.Keys, key[:])
+		}
+		findings = append(findings, wire)
+	}
+	return crashes, findings
+}
+
+// decodeQuarantine skips records whose key has the wrong length, and such keys of findings.
+func decodeQuarantine(crashes []wireCrash, findings []wireFinding) quarantine.Changes {
+	var changes quarantine.Changes
+	for _, each := range crashes {
+		if len(each.Key) != len(content.ID{}) {
+			continue
+		}
+		changes.Records = append(changes.Records, quarantine.Record{
+			Key: content.ID(each.Key), Number: each.Number, Servers: each.Servers, Age: clock.Millis(each.Age),
+			Answered: each.Answered, AnswerAge: clock.Millis(each.AnswerAge),
+		})
+	}
+	for _, each := range findings {
+		finding := quarantine.Finding{Name: each.Name, Server: each.Server, Weak: each.Weak, Others: each.Others, Age: clock.Millis(each.Age), RequestedAge: clock.Millis(each.RequestedAge)}
+		for _, key := range each.Keys {
+			if len(key) == len(content.ID{}) {
+				finding.Keys = append(finding.Keys, content.ID(key))
+			}
+		}
+		changes.Findings = append(changes.Findings, finding)
+	}
+	return changes
+}
--- a/internal/direct/quarantine/quarantine.go
+++ b/internal/direct/quarantine/quarantine.go
@@ -1,230 +1,154 @@
-// Package quarantine decides which requests are refused because server processes have ended
-// while they ran requests with the same content. It covers the case that a request that
-// crashes every server that runs it is repeated under other ids, at any daemon, and each time
-// destroys the work of the server's other callers. It does no I/O and reads no clock.
+// Package quarantine decides which requests may be sent to servers, given that server processes have
+// ended while they ran requests with the same content or the same part of a prompt. It covers the case
+// that requests which crash every server that runs them keep coming under other ids, perhaps alike only
+// in one part of their prompts, at any daemon, and each time destroy the work of the server's other
+// callers. It does no I/O and reads no clock.
 //
-// A content that many callers ask for may be in progress at servers that fail together for
-// another reason. A daemon that has recently seen a response to a content therefore does not
-// count the end of a server against it, and clears the records of other daemons on it.
+// A request has keys: its content and the parts of its prompt. Each daemon keeps a List. For each key it
+// records the servers that ended while they had a request with it. Most of these keys are innocent: they
+// belong to other requests at those servers, or are shared by sound requests. The list tells them apart:
 //
-// Each daemon keeps a List. For each content it records the servers that ended while they had
-// a request with it. Once there are Options.Servers of them, the content is refused for a span
-// that grows with each further server; then single requests are let through again. A response
-// clears the record: a content that one server can answer does not crash every server. All
-// requests that a server had when it ended are recorded, as nothing shows which of them was
-// the cause; only a content that is requested again can be recorded for a second server.
-// Daemons send each other their records, which can be merged in any order.
+//   - An answer to a request with a key clears the key.
+//   - A key that several servers have ended under is suspect. Of all requests with a suspect key, one at a
+//     time is sent to a server, over all daemons: a trial. Package gateway asks the site's Examiner for it.
+//   - If the server of a trial ends, that is a Finding against all keys of the trial that were not answered
+//     lately, suspect or not. Requests that have all keys of a finding are refused. A sound key in it is
+//     cleared by the trial of a request that has that key without the others. If all keys were answered
+//     lately the finding is weak: one alone is inconclusive.
+//   - Ends that a finding explains no longer count against other keys.
+//   - A finding is inconclusive, too, if several other servers ended at the same time for no known reason, and void if findings
+//     against other keys explain all its ends.
+//
+// After a span that grows with each finding a further trial is allowed, and after Options.Findings
+// of them no more, as long as such requests come. Daemons send each other their records and findings.
 package quarantine
 
 import (
-	"cmp"
-	"encoding/binary"
-	"maps"
-	"slices"
-
-	"github.com/cespare/xxhash/v2"
-
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/content"
 )
 
 // Options are the limits of a list.
 type Options struct {
-	// Servers is how many servers must have ended while running a content before it is
+	// Servers is how many servers must have ended under a key before it is suspect, and
+	// AnsweredServers how many if the key was answered less than Trust ago. Only ends that no finding
+	// explains count.
+	Servers, AnsweredServers int
+	// AnyServers is how many servers make a key suspect that was not answered, whatever explains them: two keys
+	// that crash servers may be in progress at the same ones.
+	AnyServers int
+	// FirstSpan is how long requests are refused after a finding. The span is multiplied by Growth for each
+	// further finding against the same keys. After Findings of them there is no further trial.
+	FirstSpan clock.Millis
+	Growth    int
+	Findings  int
+	// DoubtSpan is how long requests are refused after a finding that is inconclusive, as Others servers or more ended
+	// within OthersTime of it for no known reason. The span is doubled for each further one against the same keys.
+	DoubtSpan  clock.Millis
+	Others     int
+	OthersTime clock.Millis
+	// Keep is how long a record or finding is kept after the last end or the last request that it
 	// refused.
-	Servers int
-	// FirstSpan is how long the content is refused then. The span is multiplied by Growth for
-	// each further server, up to MostSpan.
-	FirstSpan, MostSpan clock.Millis
-	Growth              int
-	// Spread is the share of a span by which the spans of daemons differ, so that not all of
-	// them let the content through at the same moment.
-	Spread float64
-	// Keep is how long a record is kept after it has stopped having an effect.
 	Keep clock.Millis
-	// Records is the maximum number of records in the list.
-	Records int
-	// Trust is for how long at least no end of a server is counted against a content that was
-	// answered. Answers is how many such contents are remembered at least.
+	// Records and MostFindings bound the records and the findings in the list.
+	Records, MostFindings int
+	// Trust is for how long an answer speaks for a key. Answers is how many answered keys are remembered at least.
 	Trust   clock.Millis
 	Answers int
+	// SameEnd is the time within which daemons notice the end of a process. A process that ends later under
+	// the same name is another one.
+	SameEnd clock.Millis
 }
 
-// DefaultOptions returns limits under which a crashing request that is repeated without end
-// takes down two servers, further ones after 5 s, 50 s and so on, and finally one a day. The
-// first span is short, as a content that many callers ask for may be in progress at two
-// servers that fail together.
+// DefaultOptions returns limits under which requests that crash servers, and keep coming, end two servers
+// and those that have one in progress at that time, one in a trial, and two in further ones, after
+// 10 minutes and after 2 hours.
 func DefaultOptions() Options {
 	return Options{
-		Servers: 2, FirstSpan: 5 * clock.Second, MostSpan: 24 * clock.Hour, Growth: 10,
-		Spread: 1, Keep: 10 * clock.Minute, Records: 2048,
-		Trust: 30 * clock.Second, Answers: 512,
+		Servers: 2, AnsweredServers: 4, AnyServers: 4,
+		FirstSpan: 10 * clock.Minute, Growth: 12, Findings: 3, DoubtSpan: clock.Second, Others: 2, OthersTime: clock.Second,
+		Keep: clock.Hour, Records: 2048, MostFindings: 64,
+		Trust: 30 * clock.Second, Answers: 2048, SameEnd: 2 * clock.Second,
 	}
 }
 
-// Record lists the servers that ended while running a content. Between two records of the
-// same content the one with the higher number wins; with equal numbers their servers are
-// united.
-type Record struct {
-	Content content.ID
-	Number  int64 // increases with each response that clears the record
-	Servers []string
-	Age     clock.Millis // time since the last server ended or the record was cleared
-}
-
-// entry is a record in a list.
-type entry struct {
-	number    int64
-	servers   map[string]bool
-	updatedAt clock.Millis
-	revision  int64 // revision of the list at which the entry changed last
-}
-
-// List holds what a daemon knows of the contents that servers were running when they ended.
+// List holds what a daemon knows of the keys of requests that servers were running when they ended.
 type List struct {
-	options    Options
-	daemonHash uint64 // hash of the daemon's name
-	entries    map[content.ID]*entry
-	answers    *recentSet[content.ID]
-	revision   int64
-}
-
-// New returns the empty list of a daemon.
-func New(options Options, daemon string) *List {
-	return &List{options: options, daemonHash: xxhash.Sum64String(daemon), entries: make(map[content.ID]*entry), answers: newRecentSet[content.ID](options.Trust, options.Answers)}
+	options  Options
+	entries  map[content.ID]*entry
+	findings map[string]*finding // by name
+	answers  *recentTimes[content.ID]
+	ends     map[string]processEnds // by process
+	revision int64
+	verdicts verdicts // derived from the fields above
 }
 
-// ServerEnded records that a server ended while it had a request with a content, unless a
-// response to the content was seen recently at this daemon.
-func (list *List) ServerEnded(now clock.Millis, id content.ID, server string) {
-	if list.answers.has(now, id) {
-		return
+// New returns an empty list.
+func New(options Options) *List {
+	return &List{
+		options: options, entries: make(map[content.ID]*entry), findings: make(map[string]*finding),
+		answers: newRecentTimes[content.ID](options.Trust, options.Answers), ends: make(map[string]processEnds),
 	}
-	record := Record{Content: id, Servers: []string{server}}
-	if entry, ok := list.entries[id]; ok {
-		record.Number = entry.number
-	}
-	list.Merge(now, []Record{record})
 }
 
-// Answered records that a server answered a request with a content. It reports whether that
-// cleared a record.
-func (list *List) Answered(now clock.Millis, id content.ID) bool {
-	list.answers.add(now, id)
-	return list.clear(now, id)
+// LostRequest is a request that was lost when a server ended.
+type LostRequest struct {
+	Attempt string
+	Keys    []content.ID // its content first, then the parts of its prompt
+	Trial   []content.ID // suspect keys of which it was the only request in progress; empty: it was no trial
 }
 
-// clear removes the servers recorded for a content. It reports whether there were any.
-func (list *List) clear(now clock.Millis, id content.ID) bool {
-	entry, ok := list.entries[id]
-	if !ok || len(entry.servers) == 0 {
-		return false
-	}
-	return list.mergeRecord(now, Record{Content: id, Number: entry.number + 1})
-}
-
-// RefusedFor returns for how much longer requests with a content are refused, or 0 if they are
-// not.
-func (list *List) RefusedFor(now clock.Millis, id content.ID) clock.Millis {
-	entry, ok := list.entries[id]
-	if !ok || len(entry.servers) < list.options.Servers {
-		return 0
-	}
-	span := list.refusalSpan(entry)
-	return max(0, entry.updatedAt+span+list.extraSpan(id, span)-now)
-}
-
-// ServerCount returns how many servers have ended while running a content.
-func (list *List) ServerCount(id content.ID) int {
-	entry, ok := list.entries[id]
-	if !ok {
-		return 0
-	}
-	return len(entry.servers)
-}
-
-// RefusedCount returns how many contents are refused now.
-func (list *List) RefusedCount(now clock.Millis) int {
-	count := 0
-	for id := range list.entries {
-		if list.RefusedFor(now, id) > 0 {
-			count++
+// ServerEnded records the requests that were lost when a server process ended. Others is the number of other
+// servers that were found to have ended at the same time without any request lost there; it matters for trials only.
+func (list *List) ServerEnded(now clock.Millis, process string, lost []LostRequest, others int) {
+	name := list.endName(now, process)
+	for _, request := range lost {
+		for _, key := range request.Keys {
+			list.addEnd(now, key, name)
 		}
 	}
-	return count
-}
-
-// refusalSpan returns how long a content is refused after the last server ended. It needs at
-// least Options.Servers servers.
-func (list *List) refusalSpan(entry *entry) clock.Millis {
-	span := list.options.FirstSpan
-	for range len(entry.servers) - list.options.Servers {
-		span = min(span*clock.Millis(list.options.Growth), list.options.MostSpan)
+	for _, request := range lost {
+		if len(request.Trial) > 0 {
+			list.addFinding(now, name, request, others)
+		}
 	}
-	return span
-}
-
-// extraSpan returns the daemon's own extension of a span, from 0 up to the share
-// Options.Spread of it.
-func (list *List) extraSpan(id content.ID, span clock.Millis) clock.Millis {
-	drawn := float64((list.daemonHash^binary.BigEndian.Uint64(id[:]))*hashMultiplier>>32) / (1 << 32)
-	return clock.Millis(list.options.Spread * drawn * float64(span))
+	list.evict(now)
 }
 
-// hashMultiplier spreads the bits of a hash (Fibonacci hashing: 2^64 divided by the golden
-// ratio).
-const hashMultiplier = 0x9E3779B97F4A7C15
-
-// Merge applies the records of another daemon. It reports whether any record changed.
-func (list *List) Merge(now clock.Millis, records []Record) bool {
+// Answered records that a server has answered a request with the given keys. It reports whether that
+// changed what is held against any of them.
+func (list *List) Answered(now clock.Millis, keys []content.ID) bool {
 	changed := false
-	for _, record := range records {
-		if list.mergeRecord(now, record) {
-			changed = true
-		}
-		if list.answers.has(now, record.Content) {
-			list.clear(now, record.Content)
-		}
-	}
-	if len(list.entries) > list.options.Records {
-		list.evict()
+	for _, key := range keys {
+		list.answers.add(now, key)
+		changed = list.clear(now, key) || changed
 	}
 	return changed
 }
 
-// mergeRecord applies one record. It reports whether the entry changed.
-func (list *List) mergeRecord(now clock.Millis, record Record) bool {
-	known, ok := list.entries[record.Content]
-	if ok && record.Number < known.number {
-		return false
-	}
-	if !ok || record.Number > known.number {
-		known = &entry{number: record.Number, servers: make(map[string]bool)}
-	}
-	before := len(known.servers)
-	for _, server := range record.Servers {
-		known.servers[server] = true
-	}
-	if list.entries[record.Content] == known && len(known.servers) == before {
-		return false
-	}
-	known.updatedAt = max(known.updatedAt, now-record.Age)
-	list.revision++
-	known.revision = list.revision
-	list.entries[record.Content] = known
-	return true
+// Ended reports whether a process is known to have ended.
+func (list *List) Ended(process string) bool {
+	_, ok := list.ends[process]
+	return ok
+}
+
+// RecentlyAnswered reports whether this daemon has seen an answer to a request with a key recently.
+func (list *List) RecentlyAnswered(now clock.Millis, key content.ID) bool {
+	_, ok := list.answers.last(now, key)
+	return ok
 }
 
-// evict removes the records with the fewest servers, the oldest of these first, until a tenth
-// of the list is free.
-func (list *List) evict() {
-	ids := slices.SortedFunc(maps.Keys(list.entries), func(a, b content.ID) int {
-		first, second := list.entries[a], list.entries[b]
-		return cmp.Or(cmp.Compare(len(first.servers), len(second.servers)), cmp.Compare(first.updatedAt, second.updatedAt))
-	})
-	for _, id := range ids[:len(ids)-list.options.Records+list.options.Records/10] {
-		delete(list.entries, id)
+// clear removes what is held against a key. It reports whether there was anything.
+func (list *List) clear(now clock.Millis, key content.ID) bool {
+	changed := list.clearFindings(key)
+	if known, ok := list.entries[key]; ok && len(known.servers) > 0 {
+		known.number++
+		known.servers = make(map[string]bool)
+		known.updatedAt = now
+		list.markEntry(known)
+		changed = true
 	}
+	return changed
 }
 
 // Revision returns the revision of the list. It increases with each change.
@@ -232,27 +156,15 @@
 	return list.revision
 }
 
-// ChangedSince returns the records that have changed after the given revision.
-func (list *List) ChangedSince(now clock.Millis, revision int64) []Record {
-	if revision >= list.revision {
-		return nil
-	}
-	var records []Record
-	for id, entry := range list.entries {
-		if entry.revision > revision {
-			records = append(records, Record{Content: id, Number: entry.number, Servers: slices.Sorted(maps.Keys(entry.servers)), Age: now - entry.updatedAt})
-		}
-	}
-	return records
+// nextRevision begins a new revision of the list, and returns it.
+func (list *List) nextRevision() int64 {
+	list.revision++
+	return list.revision
 }
 
-// Prune removes records that have had no effect for Options.Keep.
+// Prune removes what has had no effect for Options.Keep.
 func (list *List) Prune(now clock.Millis) {
-	maps.DeleteFunc(list.entries, func(id content.ID, entry *entry) bool {
-		kept := list.options.Keep
-		if len(entry.servers) >= list.options.Servers {
-			kept += 2 * list.refusalSpan(entry) // the span after the next end is computed from this record
-		}
-		return now-entry.updatedAt >= kept
-	})
+	list.pruneFindings(now)
+	list.pruneEntries(now)
+	list.pruneEnds(now)
 }
