--- a/internal/direct/quarantine/quarantine_test.go
+++ b/internal/direct/quarantine/quarantine_test.go
@@ -254,10 +254,10 @@
 		ended(list, start+10, fmt.Sprint("s", i), key(fmt.Sprint("content", i)), shared, key(fmt.Sprint("bad", i)))
 	}
 	require.Equal(t, []content.ID{shared}, list.Judge(start+20, []content.ID{key("c"), shared, other}).Suspects)
-	tried(list, start+20, "t1", key("content"), shared, key("bad0"), other)
+	tried(list, start+20, "t1", key("content-a"), shared, key("bad0"), other)
 	require.Equal(t, quarantine.Refused, verdict(list, start+20, key("d"), shared, key("bad0")))
 	require.Equal(t, quarantine.Suspect, verdict(list, start+20, key("d"), shared, other))
-	tried(list, start+30, "t2", key("content2"), shared, key("new"), other)
+	tried(list, start+30, "t2", key("content-b"), shared, key("new"), other)
 	require.Equal(t, quarantine.Refused, verdict(list, start+30, key("e"), other, key("new")), "none had ended under it before")
 	require.True(t, list.Answered(start+40, []content.ID{key("f"), shared, other}))
 	require.Equal(t, quarantine.Allowed, verdict(list, start+40, key("g"), shared, other))
