--- a/internal/direct/brittle/brittle.go
+++ b/internal/direct/brittle/brittle.go
@@ -7,6 +7,7 @@
 
 import (
 	"maps"
+	"math"
 
 	"teaselmoor/internal/base/clock"
 )
@@ -82,10 +83,12 @@
 type Load struct {
 	Server     string
 	Service    string
-	Slots      int // requests that the server runs at once; 0: unknown
-	InProgress int // requests in progress there, over all daemons
-	Own        int // those of this daemon among them
-	Daemons    int // daemons that send it requests
+	Slots      int     // requests that the server runs at once; 0: unknown
+	InProgress int     // requests in progress there, over all daemons
+	Own        int     // those of this daemon among them
+	Daemons    int     // daemons that send it requests
+	Share      float64 // of this daemon in what all of them may use
+	Rank       int     // of this daemon among them, in an order of the server's own
 }
 
 // Full reports whether a server must get no further request now.
@@ -106,8 +109,10 @@
 // the same slots meanwhile.
 func (load Load) ownShare() int {
 	free := load.Slots - (load.InProgress - load.Own)
-	daemons := max(1, load.Daemons)
-	return max(1, (free+daemons-1)/daemons)
+	if load.Rank < free {
+		return max(1, int(math.Ceil(load.Share*float64(free))))
+	}
+	return int(load.Share * float64(free))
 }
 
 // raiseInterval is the time after which the room of a server that has turned a request away counts as
--- a/internal/direct/brittle/brittle_test.go
+++ b/internal/direct/brittle/brittle_test.go
@@ -10,7 +10,7 @@
 )
 
 func load(inProgress int) brittle.Load {
-	return brittle.Load{Server: "s", Service: "records", Slots: 6, InProgress: inProgress, Daemons: 7}
+	return brittle.Load{Server: "s", Service: "records", Slots: 6, InProgress: inProgress, Daemons: 7, Share: 1.0 / 7}
 }
 
 // TestRoomOfBrittleServers: a brittle server gets no more requests than it runs at once; others are not
@@ -54,10 +54,12 @@
 	}
 	require.Positive(t, rejected)
 	require.LessOrEqual(t, 7*rejected, rejections*60, "by 7 daemons, in 60 s")
-	uneven := brittle.Load{Server: "other", Service: "records", Slots: 9, InProgress: 3, Own: 2, Daemons: 7}
+	uneven := brittle.Load{Server: "other", Service: "records", Slots: 9, InProgress: 3, Own: 2, Daemons: 7, Share: 1.0 / 7}
 	require.True(t, servers.Full(61_000, uneven), "the others may use the rest before they learn of each other")
 	uneven.InProgress, uneven.Own = 2, 1
 	require.False(t, servers.Full(61_000, uneven))
+	uneven.Own, uneven.InProgress, uneven.Share = 6, 7, 0.9
+	require.False(t, servers.Full(61_000, uneven), "most callers come here")
 	servers.Retain(func(string) bool { return false })
 	require.False(t, servers.Full(61_000, load(5)))
 }
--- a/internal/direct/ending/ending.go
+++ b/internal/direct/ending/ending.go
@@ -36,6 +36,7 @@
 	MessageLimitAnnounced   = "server limit named"
 	MessageLimitLifted      = "server limit lifted"
 	MessageContentRefused   = "content refused"
+	MessageSharesChanged    = "shares of daemons changed"
 	MessageTrialGranted     = "trial granted"
 )
 
--- a/internal/direct/gateway/brittle.go
+++ b/internal/direct/gateway/brittle.go
@@ -36,11 +36,11 @@
 	if core.brittle.Count() == 0 {
 		return nil
 	}
-	daemons, own := core.members.DaemonCount(), core.work.Own().Loads
+	daemons, share, own := core.members.DaemonCount(), core.ownShare(), core.work.Own().Loads
 	return func(server string) bool {
 		member, ok := core.fleet.Member(server)
 		return ok && server != exempt && core.brittle.Full(now, brittle.Load{
-			Server: server, Service: member.Service, Slots: member.Slots, InProgress: core.work.Load(server).Runs, Own: own[server].Runs, Daemons: daemons,
+			Server: server, Service: member.Service, Slots: member.Slots, InProgress: core.work.Load(server).Runs, Own: own[server].Runs, Daemons: daemons, Share: share, Rank: core.rankAt(server),
 		})
 	}
 }
--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -14,6 +14,7 @@
 	"teaselmoor/internal/direct/choose"
 	"teaselmoor/internal/direct/claims"
 	"teaselmoor/internal/direct/content"
+	"teaselmoor/internal/direct/demand"
 	"teaselmoor/internal/direct/fleet"
 	"teaselmoor/internal/direct/inflight"
 	"teaselmoor/internal/direct/loading"
@@ -76,6 +77,7 @@
 	trialsRequestedAt map[content.ID]clock.Millis          // when this daemon last asked for a trial, by key
 	lostRequests      map[string]*serverLosses             // by server, recent ones
 	serverLimits      *throttle.Limits                     // request rates that servers have announced
+	callerDemand      *demand.Table                        // how many requests each daemon receives
 	brittle           *brittle.Servers                     // servers that must not turn many requests away
 	links             *reach.Monitor                       // whether this daemon reaches any server
 	handedOver        bool                                 // this daemon has given up its servers as it reaches none
@@ -173,6 +175,7 @@
 		examined:          make(map[content.ID]int),
 		trialsRequestedAt: make(map[content.ID]clock.Millis),
 		serverLimits:      throttle.New(settings.Name),
+		callerDemand:      demand.New(options.Demand, settings.Name, int64(wall())),
 		brittle:           brittle.New(),
 		links:             reach.New(options.Links),
 		origins:           newOrigins(now(), settings.FirstStart),
--- a/internal/direct/gateway/gossip.go
+++ b/internal/direct/gateway/gossip.go
@@ -161,10 +161,11 @@
 	core.pruneTombstones()
 	maps.DeleteFunc(core.requestedAt, func(_ platformapi.Adapter, at clock.Millis) bool { return now-at >= frequentWindow })
 	pull, address := core.choosePullPeer(now)
+	core.updateDemand(now)
 	core.quarantine.Prune(now)
 	core.pruneLosses(now)
 	if core.serverLimits.LimitedCount() > 0 {
-		core.serverLimits.SetDaemons(now, core.members.AliveNames())
+		core.serverLimits.SetDaemons(now, core.members.AliveNames(), core.callerDemand.Shares())
 	}
 	core.serverLimits.Retain(func(server string) bool { _, ok := core.fleet.Member(server); return ok })
 	known := func(server string) bool { _, ok := core.fleet.Member(server); return ok }
--- a/internal/direct/gateway/handler.go
+++ b/internal/direct/gateway/handler.go
@@ -59,6 +59,7 @@
 	originKnown   bool
 	stream        late.Stream  // course of a streamed answer
 	trial         *trial       // nil: the request is not suspect
+	demandCounted bool         // the request counts among those that this daemon receives
 	partsAnswered bool         // the parts of its prompt are known to be sound
 	retryAfter    clock.Millis // sent to a refused caller
 
--- a/internal/direct/gateway/place.go
+++ b/internal/direct/gateway/place.go
@@ -101,6 +101,7 @@
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
 	started := core.now()
+	core.recordDemand(started, job)
 	if refused := core.shedRequest(started, job); refused != nil {
 		return assignment{}, refused
 	}
--- a/internal/direct/gateway/serverlimits.go
+++ b/internal/direct/gateway/serverlimits.go
@@ -28,7 +28,7 @@
 	limit := throttle.ServerLimit{Server: to.server.ID, StartedAt: to.server.StartedAt, Limited: headers.HasLimit, Rate: headers.Limit}
 	now := core.now()
 	if headers.HasLimit {
-		core.serverLimits.SetDaemons(now, core.members.AliveNames())
+		core.serverLimits.SetDaemons(now, core.members.AliveNames(), core.callerDemand.Shares())
 	}
 	if !core.serverLimits.ApplyResponse(now, to.at, limit) {
 		return false
--- a/internal/direct/gateway/settings.go
+++ b/internal/direct/gateway/settings.go
@@ -13,6 +13,7 @@
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/choose"
 	"teaselmoor/internal/direct/claims"
+	"teaselmoor/internal/direct/demand"
 	"teaselmoor/internal/direct/fleet"
 	"teaselmoor/internal/direct/loading"
 	"teaselmoor/internal/direct/membership"
@@ -116,6 +117,7 @@
 	Tenure     claims.Options
 	Upstream   upstream.Options
 	Quarantine quarantine.Options
+	Demand     demand.Options
 	Links      reach.Options
 	Refusals   Refusals
 	Speeds     speed.Options
@@ -186,7 +188,7 @@
 	return Options{
 		Fleet: fleet.DefaultOptions(), Weights: choose.DefaultWeights(), Hold: choose.DefaultDelayPolicy(), Turns: prefill.DefaultOptions(), Loading: loading.DefaultOptions(),
 		Mirror: mirror.DefaultOptions(), Peers: peers.DefaultOptions(), Membership: membership.DefaultOptions(), Tenure: claims.DefaultOptions(settings.Lease, settings.Fenced),
-		Upstream: upstream.DefaultOptions(), Quarantine: quarantine.DefaultOptions(), Links: reach.DefaultOptions(),
+		Upstream: upstream.DefaultOptions(), Quarantine: quarantine.DefaultOptions(), Demand: demand.DefaultOptions(), Links: reach.DefaultOptions(),
 		Speeds: speed.DefaultOptions(), Refusals: DefaultRefusals(), Shed: shed.DefaultOptions(),
 
 		Short: true, TellInterval: 100, ReadingInterval: 20, HubInterval: 50, WorkPause: 30, UpdateInterval: 500, VersionGrace: 2500,
--- a/internal/direct/gateway/shed.go
+++ b/internal/direct/gateway/shed.go
@@ -71,8 +71,7 @@
 	if !decision.Refused {
 		return nil
 	}
-	share := 1 / float64(max(1, core.members.DaemonCount()))
-	job.retryAfter, _ = core.shedding.promises.Promise(now, job.service, decision.Refusal(job.rank, request.Hash, share))
+	job.retryAfter, _ = core.shedding.promises.Promise(now, job.service, decision.Refusal(job.rank, request.Hash, core.ownShare()))
 	core.shedding.refused[job.service]++
 	core.log.Info(ending.MessageRequestShed, "Request", job.headers.Attempt, "Service", job.service, "LoadTenths", tenths(decision.Load),
 		"TargetTenths", tenths(decision.Target), "Rank", job.rank, "RetryAfterMillis", job.retryAfter)
--- a/internal/direct/gateway/warnings.go
+++ b/internal/direct/gateway/warnings.go
@@ -8,7 +8,7 @@
 // warningsSent holds, for each kind of warning, the number of changes that a peer has been sent
 // or has sent itself.
 type warningsSent struct {
-	quarantine, limits, drainNotices int64
+	quarantine, limits, drainNotices, demand int64
 }
 
 // afterReceiving returns the record of a peer after its warnings have changed this daemon's
@@ -24,13 +24,16 @@
 	if warningsSent.drainNotices == before.drainNotices {
 		warningsSent.drainNotices = after.drainNotices
 	}
+	if warningsSent.demand == before.demand {
+		warningsSent.demand = after.demand
+	}
 	return warningsSent
 }
 
 // currentWarnings is the state of a peer that has been sent every warning. The mutex must be
 // held.
 func (core *core) currentWarnings() warningsSent {
-	return warningsSent{quarantine: core.quarantine.Revision(), limits: core.serverLimits.Revision(), drainNotices: core.fleet.DrainNoticeCount()}
+	return warningsSent{quarantine: core.quarantine.Revision(), limits: core.serverLimits.Revision(), drainNotices: core.fleet.DrainNoticeCount(), demand: core.callerDemand.Revision()}
 }
 
 // maxRecords bounds the records of the quarantine in one message. Others follow with the next one.
@@ -40,13 +43,14 @@
 // mutex must be held.
 func (core *core) unsentWarnings(now clock.Millis, since warningsSent) (peers.Warnings, warningsSent) {
 	sent := core.currentWarnings()
-	warnings := peers.Warnings{Limits: core.serverLimits.ChangedSince(since.limits), Leaving: core.fleet.DrainNoticesSince(since.drainNotices)}
+	warnings := peers.Warnings{Limits: core.serverLimits.ChangedSince(since.limits), Leaving: core.fleet.DrainNoticesSince(since.drainNotices), Demand: core.callerDemand.ChangedSince(since.demand)}
 	warnings.Quarantine, sent.quarantine = core.quarantine.ChangedSince(now, since.quarantine, maxRecords)
 	return warnings, sent
 }
 
 // sendWarnings sends peers the warnings that they lack: requests that servers crashed on,
-// limits that servers announced, servers that are leaving, and speeds of servers. Each daemon forwards what is new
+// limits that servers announced, servers that are leaving, how many requests
+// daemons receive, and speeds of servers. Each daemon forwards what is new
 // to it, so that warnings reach all daemons whichever are connected.
 func (gateway *Gateway) sendWarnings() {
 	core := gateway.core
@@ -86,10 +90,11 @@
 	before := core.currentWarnings()
 	refused := core.quarantine.Merge(now, warnings.Quarantine)
 	if len(warnings.Limits) > 0 {
-		core.serverLimits.SetDaemons(now, core.members.AliveNames())
+		core.serverLimits.SetDaemons(now, core.members.AliveNames(), core.callerDemand.Shares())
 	}
 	limited := core.serverLimits.Merge(now, warnings.Limits)
 	core.mergeSpeeds(now, sent, warnings.Speeds)
+	demanded := core.callerDemand.Merge(now, warnings.Demand)
 	left := false
 	for _, notice := range warnings.Leaving {
 		left = core.markLeaving(now, notice, "peer "+from) || left
@@ -98,5 +103,5 @@
 	if refused {
 		core.wakeWaitingRequests()
 	}
-	return refused || limited || left
+	return refused || limited || left || demanded
 }
--- a/internal/direct/peers/message.go
+++ b/internal/direct/peers/message.go
@@ -7,6 +7,7 @@
 import (
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/claims"
+	"teaselmoor/internal/direct/demand"
 	"teaselmoor/internal/direct/fleet"
 	"teaselmoor/internal/direct/inflight"
 	"teaselmoor/internal/direct/loading"
@@ -145,15 +146,16 @@
 
 // Warnings holds what was not yet sent to the receiver on the same connection about requests
 // under which servers crashed, limits that servers reported, servers that announced
-// that they leave, and the speeds of servers.
+// that they leave, the speeds of servers, and how many requests daemons receive.
 type Warnings struct {
 	Quarantine quarantine.Changes
 	Limits     []throttle.ServerLimit
 	Leaving    []fleet.DrainNotice
 	Speeds     []speed.Estimate
+	Demand     []demand.Report
 }
 
 // Empty reports whether there are no warnings.
 func (warnings Warnings) Empty() bool {
-	return warnings.Quarantine.Empty() && len(warnings.Limits) == 0 && len(warnings.Leaving) == 0 && len(warnings.Speeds) == 0
+	return warnings.Quarantine.Empty() && len(warnings.Limits) == 0 && len(warnings.Leaving) == 0 && len(warnings.Speeds) == 0 && len(warnings.Demand) == 0
 }
--- a/internal/direct/peers/message_test.go
+++ b/internal/direct/peers/message_test.go
@@ -8,6 +8,7 @@
 
 	"teaselmoor/internal/direct/claims"
 	"teaselmoor/internal/direct/content"
+	"teaselmoor/internal/direct/demand"
 	"teaselmoor/internal/direct/fleet"
 	"teaselmoor/internal/direct/inflight"
 	"teaselmoor/internal/direct/loading"
@@ -84,6 +85,7 @@
 			Speeds: []speed.Estimate{
 				{Server: "s", Born: 1, Fence: 1 << 52, Number: 3, Interval: 37.9}, {Server: "t", Number: 1, Interval: 63, Idle: true},
 			},
+			Demand: []demand.Report{{Daemon: "d", Incarnation: 7, Number: 2, Requests: 114, Loan: 6, LoanTo: "e"}},
 		}},
 		{Delta: &peers.Delta{Usage: &quota.Report{
 			Scope: quota.Others, Incarnation: 7, Daemons: 59,
--- a/internal/direct/peers/warnings.go
+++ b/internal/direct/peers/warnings.go
@@ -3,6 +3,7 @@
 import (
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/content"
+	"teaselmoor/internal/direct/demand"
 	"teaselmoor/internal/direct/fleet"
 	"teaselmoor/internal/direct/quarantine"
 	"teaselmoor/internal/direct/throttle"
@@ -17,6 +18,7 @@
 		Limits   []wireLimit   `cbor:",omitempty"`
 		Leaving  []wireLeaving `cbor:",omitempty"`
 		Speeds   []wireSpeed   `cbor:",omitempty"`
+		Demand   []wireDemand  `cbor:",omitempty"`
 	}
 	wireLeaving struct {
 		_      struct{} `cbor:",toarray"`
@@ -41,6 +43,14 @@
 		Age          int64
 		RequestedAge int64
 	}
+	wireDemand struct {
+		_                   struct{} `cbor:",toarray"`
+		Daemon              string
+		Incarnation, Number int64
+		Requests            int
+		Loan                int
+		LoanTo              string
+	}
 	wireLimit struct {
 		_            struct{} `cbor:",toarray"`
 		Server       string
@@ -63,6 +73,9 @@
 	for _, notice := range warnings.Leaving {
 		wire.Leaving = append(wire.Leaving, wireLeaving{Server: notice.Server, Born: notice.StartedAt})
 	}
+	for _, report := range warnings.Demand {
+		wire.Demand = append(wire.Demand, wireDemand{Daemon: report.Daemon, Incarnation: report.Incarnation, Number: report.Number, Requests: report.Requests, Loan: report.Loan, LoanTo: report.LoanTo})
+	}
 	return wire
 }
 
@@ -79,6 +92,9 @@
 	for _, each := range wire.Leaving {
 		warnings.Leaving = append(warnings.Leaving, fleet.DrainNotice{Server: each.Server, StartedAt: each.Born})
 	}
+	for _, each := range wire.Demand {
+		warnings.Demand = append(warnings.Demand, demand.Report{Daemon: each.Daemon, Incarnation: each.Incarnation, Number: each.Number, Requests: each.Requests, Loan: each.Loan, LoanTo: each.LoanTo})
+	}
 	return warnings
 }
 
--- a/internal/direct/retry/allowance.go
+++ b/internal/direct/retry/allowance.go
@@ -9,6 +9,10 @@
 	least   int          // daemons that share the allowance at least
 	daemons window       // highest number of daemons known
 	current int          // last number of daemons recorded
+
+	lent     window // highest loan to another daemon
+	lentTo   string // the daemon that has the loan
+	borrowed int
 }
 
 // NewAllowance returns the share of a daemon that starts now. Least is the minimum number of
@@ -16,7 +20,7 @@
 // use more than its share. FirstStart reports that the site has never run before: otherwise the
 // former process of this daemon may just have used its share, which is usable again after a window.
 func NewAllowance(limits Limits, now clock.Millis, least int, firstStart bool) *Allowance {
-	allowance := &Allowance{limits: limits, usable: now + limits.Window, least: least, daemons: newWindow(limits.Window)}
+	allowance := &Allowance{limits: limits, usable: now + limits.Window, least: least, daemons: newWindow(limits.Window), lent: newWindow(limits.Window + loanMargin)}
 	if firstStart {
 		allowance.usable = now
 	}
@@ -37,9 +41,15 @@
 	allowance.current = daemons
 }
 
-// Share returns this daemon's share. It is that of the highest number of daemons in the window: those
-// that have left may have used theirs, or still do so until they end.
+// Share returns what this daemon may use: its share, less what it lends, and what it borrows.
 func (allowance *Allowance) Share(now clock.Millis) float64 {
+	allowance.lent.advance(now)
+	return max(0, allowance.ownShare(now)-float64(allowance.lent.max())) + float64(allowance.borrowed)
+}
+
+// ownShare returns this daemon's share. It is that of the highest number of daemons in the window: those
+// that have left may have used theirs, or still do so until they end.
+func (allowance *Allowance) ownShare(now clock.Millis) float64 {
 	if now < allowance.usable {
 		return 0
 	}
--- a/internal/direct/retry/budget.go
+++ b/internal/direct/retry/budget.go
@@ -1,6 +1,6 @@
 // Package retry limits how often requests are retried. The limit holds over all daemons
-// without messages between them: each may use an equal share of the fixed allowance, plus a
-// ratio of its own requests. The package does not decide which requests may be retried.
+// over all daemons: each may use an equal share of the fixed allowance, plus a
+// ratio of its own requests. Where callers come mostly at one daemon the others lend it their shares. The package does not decide which requests may be retried.
 package retry
 
 import "teaselmoor/internal/base/clock"
--- a/internal/direct/retry/site_test.go
+++ b/internal/direct/retry/site_test.go
@@ -1,9 +1,11 @@
 package retry_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/retry"
@@ -133,3 +135,87 @@
 	budget.ReturnRequest(40_000, 20_005)
 	require.Zero(t, budget.Remaining(40_000, 0), "the request has left the window")
 }
+
+// TestLoansStayWithinAllowance: callers come mostly at one daemon, and at another one every few seconds. The others lend it their
+// shares, with messages that take up to half a second. In no window do all daemons use more than the allowance.
+func TestLoansStayWithinAllowance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const daemons = 6
+		var site []*daemon
+		loans := make([]map[int]int, daemons) // by borrower and lender, as the borrower knows them
+		for i := range daemons {
+			site = append(site, start(0, daemons, true))
+			loans[i] = make(map[int]int)
+		}
+		type message struct {
+			at                   clock.Millis
+			lender, borrower, of int
+		}
+		var sending []message
+		var sent []clock.Millis
+		first := 0
+		for now := clock.Millis(20_000); now < 80_000; now += 100 {
+			if now%2000 == 0 {
+				first = rapid.IntRange(-1, daemons-1).Draw(t, "most callers")
+			}
+			for i, daemon := range site {
+				daemon.allowance.RecordDaemons(now, daemons)
+				to := ""
+				if first >= 0 && first != i {
+					to = fmt.Sprint(first)
+				}
+				loan := daemon.allowance.Lend(now, to, daemon.budget.UsedShare(now))
+				for j := range daemons {
+					of := 0
+					if j == first {
+						of = loan
+					}
+					sending = append(sending, message{at: now + clock.Millis(rapid.IntRange(0, 5).Draw(t, "delay"))*100, lender: i, borrower: j, of: of})
+				}
+			}
+			for _, message := range sending {
+				if message.at == now {
+					loans[message.borrower][message.lender] = message.of
+				}
+			}
+			for i, daemon := range site {
+				sum := 0
+				for _, of := range loans[i] {
+					sum += of
+				}
+				daemon.allowance.Borrow(sum)
+				if rapid.IntRange(0, 3).Draw(t, "retries") == 0 {
+					for range daemon.sendAll(now) {
+						sent = append(sent, now)
+					}
+				}
+			}
+		}
+		for i, at := range sent {
+			count := 0
+			for _, other := range sent[i:] {
+				if other < at+limits.Window {
+					count++
+				}
+			}
+			require.LessOrEqual(t, count, int(limits.Extra))
+		}
+	})
+}
+
+// TestIdleDaemonsLendTheirShares: the daemon at which most callers come may use nearly the whole allowance.
+func TestIdleDaemonsLendTheirShares(t *testing.T) {
+	const daemons = 6
+	borrower := start(0, daemons, true)
+	sum := 0
+	for range daemons - 1 {
+		lender := start(0, daemons, true)
+		sum += lender.allowance.Lend(20_000, "borrower", lender.budget.UsedShare(20_000))
+		require.Less(t, lender.allowance.Share(20_000), 1.0)
+		lender.allowance.Lend(21_000, "", 0)
+		require.Less(t, lender.allowance.Share(30_000), 1.0, "the borrower may have used it until 27 s")
+		require.GreaterOrEqual(t, lender.allowance.Share(41_000), 6.0)
+	}
+	borrower.allowance.Borrow(sum)
+	require.GreaterOrEqual(t, borrower.sendAll(20_000), int(limits.Extra)*9/10)
+}
--- a/internal/direct/throttle/share.go
+++ b/internal/direct/throttle/share.go
@@ -3,9 +3,8 @@
 import (
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/direct/demand"
 )
 
 // extraDaemons is how many more daemons share a server's limit than the limit has requests in
@@ -31,12 +30,12 @@
 	share.updatedAt = now
 }
 
-// SetDaemons replaces the daemons of the site.
-func (limits *Limits) SetDaemons(now clock.Millis, daemons []string) {
-	if slices.Equal(daemons, limits.daemons) {
+// SetDaemons replaces the daemons of the site, and their shares of what all of them may use.
+func (limits *Limits) SetDaemons(now clock.Millis, daemons []string, shares demand.Shares) {
+	if slices.Equal(daemons, limits.daemons) && shares.Equals(limits.shares) {
 		return
 	}
-	limits.daemons = daemons
+	limits.daemons, limits.shares = daemons, shares
 	for _, entry := range limits.entries {
 		if entry.limit.Limited {
 			limits.updateShare(now, entry)
@@ -48,30 +47,27 @@
 // that daemons which learn of a limit together do not send together.
 func (limits *Limits) updateShare(now clock.Millis, entry *entry) {
 	rate := max(minRate, entry.limit.Rate)
-	sharers := min(len(limits.daemons), int(rate)+extraDaemons)
-	position := limits.position(entry.limit.Server)
+	ranked := limits.shares.Ranked(entry.limit.Server, limits.daemons)
+	sharers := min(len(ranked), int(rate)+extraDaemons)
+	position := slices.Index(ranked, limits.self)
 	if entry.share.updatedAt == 0 {
-		entry.share.level = float64(position%sharers) / float64(sharers)
+		entry.share.level = float64(max(0, position)%max(1, sharers)) / float64(max(1, sharers))
 		entry.share.updatedAt = now
 	}
 	entry.share.refill(now)
 	entry.share.rate = 0
-	if position < sharers {
-		entry.share.rate = rate / float64(sharers)
+	if position >= 0 && position < sharers {
+		entry.share.rate = rate * limits.shares.Of(limits.self) / limits.sumOfShares(ranked[:sharers])
 	}
 }
 
-// position returns how many daemons precede this one in the server's order, which is by the
-// hash of server and daemon.
-func (limits *Limits) position(server string) int {
-	own := xxhash.Sum64String(server + "/" + limits.self)
-	before := 0
-	for _, daemon := range limits.daemons {
-		if xxhash.Sum64String(server+"/"+daemon) > own {
-			before++
-		}
+// sumOfShares returns the sum of the shares of daemons.
+func (limits *Limits) sumOfShares(daemons []string) float64 {
+	sum := 0.0
+	for _, daemon := range daemons {
+		sum += limits.shares.Of(daemon)
 	}
-	return before
+	return sum
 }
 
 // Allows reports whether this daemon may send a server a request now.
--- a/internal/direct/throttle/throttle.go
+++ b/internal/direct/throttle/throttle.go
@@ -6,14 +6,16 @@
 //
 // Daemons share a limit without negotiating. They send each other the limits of servers, and
 // the hash of server and daemon selects a few daemons, so few that a request sent by each of
-// them at the same moment is within what the site tolerates. Each of these has an equal share
-// of the rate, in a bucket that holds one request; the other daemons send that server nothing.
+// them at the same moment is within what the site tolerates. These share the rate, by the shares that
+// package demand computes, each in a bucket that holds one request; the other daemons send that server
+// nothing. Daemons with larger shares are selected first.
 package throttle
 
 import (
 	"maps"
 
 	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/direct/demand"
 )
 
 // ServerLimit is the last known limit of a server, as daemons send it to each other. Between two
@@ -51,6 +53,7 @@
 type Limits struct {
 	self     string
 	daemons  []string          // of the site, self included
+	shares   demand.Shares     // of these daemons
 	entries  map[string]*entry // by server
 	limited  int               // number of servers that have a limit
 	revision int64
@@ -58,7 +61,7 @@
 
 // New returns the limits of a daemon that knows of no other daemon and no limit yet.
 func New(self string) *Limits {
-	return &Limits{self: self, daemons: []string{self}, entries: make(map[string]*entry)}
+	return &Limits{self: self, daemons: []string{self}, shares: demand.Equal(1), entries: make(map[string]*entry)}
 }
 
 // ApplyResponse applies the limit that a response of a server carried, and gives it a number. A
--- a/internal/direct/throttle/throttle_test.go
+++ b/internal/direct/throttle/throttle_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/direct/demand"
 	"teaselmoor/internal/direct/throttle"
 )
 
@@ -25,7 +26,7 @@
 	var site []*throttle.Limits
 	for _, name := range names {
 		limits := throttle.New(name)
-		limits.SetDaemons(start, names)
+		limits.SetDaemons(start, names, demand.Equal(daemons))
 		limits.Merge(start, []throttle.ServerLimit{{Server: "s", Number: 1, Limited: true, Rate: rate}})
 		site = append(site, limits)
 	}
@@ -81,6 +82,54 @@
 	}
 }
 
+// TestLimitFollowsCallers: where nine in ten requests come at one daemon, whatever its place in the server's order, most
+// of the limit is used there, and all daemons together stay within it, also while the shares change.
+func TestLimitFollowsCallers(t *testing.T) {
+	for _, daemons := range []int{2, 7, 59, 195} {
+		for _, rate := range []float64{1.6, 10} {
+			site := site(daemons, rate)
+			var names []string
+			table := demand.New(demand.DefaultOptions(), "d000", 1)
+			for i := range daemons {
+				names = append(names, fmt.Sprintf("d%03d", i))
+				requests := 1
+				if i == daemons/2 {
+					requests = 9 * daemons
+				}
+				table.Merge(start, []demand.Report{{Daemon: names[i], Incarnation: 2, Number: 1, Requests: requests}})
+			}
+			table.Update(start, names)
+			var sent []clock.Millis
+			atFirst := 0
+			for now := start; now < start+40*clock.Second; now += 5 {
+				for i, limits := range site {
+					if now == start+10*clock.Second {
+						limits.SetDaemons(now, names, table.Shares())
+					}
+					if !limits.Allows(now, "s") {
+						continue
+					}
+					limits.Take(now, "s")
+					sent = append(sent, now)
+					if i == daemons/2 && now >= start+10*clock.Second {
+						atFirst++
+					}
+				}
+			}
+			require.GreaterOrEqual(t, float64(atFirst), 0.75*rate*30, "%d daemons, %g a second", daemons, rate)
+			for i, at := range sent {
+				count := 0
+				for _, other := range sent[i:] {
+					if other < at+span {
+						count++
+					}
+				}
+				require.LessOrEqual(t, float64(count), 1.5*rate*span.Seconds()+5, "%d daemons, %g a second", daemons, rate)
+			}
+		}
+	}
+}
+
 // TestUnsentRequestIsReturned checks that a request that was sent elsewhere uses nothing of
 // the limit.
 func TestUnsentRequestIsReturned(t *testing.T) {
