quarantine, gateway: names of findings and logged parts are bounded; ranks at servers are kept

A finding's name held the caller's attempt id, and log lines the names of parts, of any length that a header allows. The name holds a hash of the id now, and a logged name 64 bytes. Where servers are brittle, the rank among all daemons was sorted anew for each server and request: it is kept until the daemons or their shares change. No decision changes; tests of crashing parts and of brittle servers passed.

--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -78,6 +78,8 @@
 	lostRequests      map[string]*serverLosses             // by server, recent ones
 	serverLimits      *throttle.Limits                     // request rates that servers have announced
 	callerDemand      *demand.Table                        // how many requests each daemon receives
+	sharers           []string                             // daemons that share what all of them may use
+	serverRanks       map[string]int                       // of this daemon among the sharers, by server
 	brittle           *brittle.Servers                     // servers that must not turn many requests away
 	links             *reach.Monitor                       // whether this daemon reaches any server
 	handedOver        bool                                 // this daemon has given up its servers as it reaches none
@@ -176,6 +178,8 @@
 		trialsRequestedAt: make(map[content.ID]clock.Millis),
 		serverLimits:      throttle.New(settings.Name),
 		callerDemand:      demand.New(options.Demand, settings.Name, int64(wall())),
+		sharers:           []string{settings.Name},
+		serverRanks:       make(map[string]int),
 		brittle:           brittle.New(),
 		links:             reach.New(options.Links),
 		origins:           newOrigins(now(), settings.FirstStart),
--- a/internal/direct/gateway/demand.go
+++ b/internal/direct/gateway/demand.go
@@ -24,7 +24,12 @@
 // rankAt returns how many daemons go before this one at a server, where not all can have a place: those with larger shares,
 // and of equal ones by the hash of server and daemon. The mutex must be held.
 func (core *core) rankAt(server string) int {
-	return slices.Index(core.callerDemand.Shares().Ranked(server, core.members.AliveNames()), core.settings.Name)
+	rank, ok := core.serverRanks[server]
+	if !ok {
+		rank = slices.Index(core.callerDemand.Shares().Ranked(server, core.sharers), core.settings.Name)
+		core.serverRanks[server] = rank
+	}
+	return rank
 }
 
 // updateLoans lends the daemon at which most callers come what this one has not used of its share of the fixed allowance of
@@ -47,9 +52,12 @@
 	before := core.callerDemand.Shares().Uneven()
 	names := core.members.AliveNames()
 	core.updateLoans(now)
-	if !core.callerDemand.Update(now, names) {
+	changed := core.callerDemand.Update(now, names)
+	if !changed && slices.Equal(names, core.sharers) {
 		return
 	}
+	core.sharers = names
+	clear(core.serverRanks)
 	core.callerDemand.Retain(func(daemon string) bool { return slices.Contains(names, daemon) })
 	if uneven := core.callerDemand.Shares().Uneven(); uneven != before {
 		core.log.Info(ending.MessageSharesChanged, "Uneven", uneven, "OwnPercent", int(100*core.ownShare()), "Daemons", len(names))
--- a/internal/direct/gateway/gossip.go
+++ b/internal/direct/gateway/gossip.go
@@ -170,6 +170,7 @@
 	core.serverLimits.Retain(func(server string) bool { _, ok := core.fleet.Member(server); return ok })
 	known := func(server string) bool { _, ok := core.fleet.Member(server); return ok }
 	core.brittle.Retain(known)
+	maps.DeleteFunc(core.serverRanks, func(server string, _ int) bool { return !known(server) })
 	core.promptBuckets.Retain(known)
 	core.loadAverage.Retain(known)
 	core.pruneShedding()
--- a/internal/direct/gateway/losses.go
+++ b/internal/direct/gateway/losses.go
@@ -311,15 +311,18 @@
 	return prompts
 }
 
-// maxLoggedParts bounds the parts of a prompt that are logged.
-const maxLoggedParts = 16
+// maxLoggedParts bounds the parts of a prompt that are logged, and maxPartName the length of their names in bytes.
+const (
+	maxLoggedParts = 16
+	maxPartName    = 64
+)
 
 // partNames returns the names of the first parts of the request's prompt, in order.
 func (job *job) partNames() []string {
 	parts := job.headers.Parts[:min(len(job.headers.Parts), maxLoggedParts)]
 	names := make([]string, len(parts))
 	for i, part := range parts {
-		names[i] = part.ID
+		names[i] = part.ID[:min(len(part.ID), maxPartName)]
 	}
 	return names
 }
--- a/internal/direct/quarantine/finding.go
+++ b/internal/direct/quarantine/finding.go
@@ -4,6 +4,9 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
 
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/content"
@@ -50,7 +53,7 @@
 		keys = slices.Clone(request.Trial)
 	}
 	slices.SortFunc(keys, compareKeys)
-	name := server + " " + request.Attempt
+	name := server + " " + strconv.FormatUint(xxhash.Sum64String(request.Attempt), 16) // callers choose the attempt's id, of any length
 	list.findings[name] = &finding{server: server, keys: keys, weak: weak, others: others, at: now, requestedAt: now, revision: list.nextRevision()}
 }
 
