--- a/internal/direct/gateway/losses.go
+++ b/internal/direct/gateway/losses.go
@@ -4,12 +4,9 @@
 	"context"
 	"fmt"
 	"maps"
-	"slices"
-	"strings"
 	"time"
 
 	"teaselmoor/internal/base/clock"
-	"teaselmoor/internal/direct/content"
 	"teaselmoor/internal/direct/ending"
 	"teaselmoor/internal/direct/platformapi"
 	"teaselmoor/internal/direct/quarantine"
@@ -117,116 +114,6 @@
 	}
 }
 
-// maxExaminationWait bounds the time for which a request waits until it is known whether the server ended
-// at which one like it was lost. A probe that is not conclusive at once takes longer.
-const maxExaminationWait = 100 * clock.Millisecond
-
-// isExamined reports whether a request like this one was just lost at a server, and it is not known yet whether the server
-// has ended. Keys that were answered recently do not count. The mutex must be held.
-func (core *core) isExamined(now clock.Millis, job *job) bool {
-	if len(core.examined) == 0 {
-		return false
-	}
-	return slices.ContainsFunc(job.keys, func(key content.ID) bool {
-		return core.examined[key] > 0 && !core.quarantine.RecentlyAnswered(now, key)
-	})
-}
-
-// addExamined changes the number of lost requests with the given keys whose servers are being probed. The mutex must be
-// held.
-func (core *core) addExamined(keys []content.ID, change int) {
-	for _, key := range keys {
-		core.examined[key] += change
-		if core.examined[key] <= 0 {
-			delete(core.examined, key)
-		}
-	}
-}
-
-// removeExamined ends the examination of the requests that were lost at a server. The mutex must be held.
-func (core *core) removeExamined(server platformapi.Server) {
-	lost, ok := core.lostRequests[server.ID]
-	if !ok {
-		return
-	}
-	for _, request := range lost.unprobed {
-		core.addExamined(request.Keys, -1)
-	}
-	core.wakeWaitingRequests()
-}
-
-// lostTrial reports whether a trial was lost at a server since the last probe ended.
-func (core *core) lostTrial(server platformapi.Server) bool {
-	core.mutex.Lock()
-	defer core.mutex.Unlock()
-	return len(core.lostTrials(server)) > 0
-}
-
-const (
-	// otherEndsDelay is the time in which daemons learn that servers have ended under requests of their own.
-	otherEndsDelay = 100 * time.Millisecond
-	// otherEndsTimeout bounds the time for which other servers are probed, and maxOthersProbed their number.
-	otherEndsTimeout = 150 * time.Millisecond
-	maxOthersProbed  = 8
-)
-
-// countOtherEnds probes other servers of the service of one that has ended, and returns how many of them refuse
-// connections although no request was lost there: servers that end together do so for another reason than
-// a request.
-func (gateway *Gateway) countOtherEnds(ctx context.Context, ended platformapi.Server) int {
-	select {
-	case <-ctx.Done():
-		return 0
-	case <-time.After(otherEndsDelay):
-	}
-	ctx, cancel := context.WithTimeout(ctx, otherEndsTimeout)
-	defer cancel()
-	others := gateway.core.drawOthers(ended)
-	results := make(chan upstream.CheckResult, len(others))
-	for _, other := range others {
-		gateway.tasks.Go("probe "+other.ID, func(context.Context) error {
-			results <- gateway.pool.Check(ctx, other.Address)
-			return nil
-		})
-	}
-	count := 0
-	for range others {
-		if <-results == upstream.ConnectionRefused {
-			count++
-		}
-	}
-	return count
-}
-
-// drawOthers draws other servers of the service of one that has ended, without those under whose requests they
-// have ended.
-func (core *core) drawOthers(ended platformapi.Server) []platformapi.Server {
-	core.mutex.Lock()
-	defer core.mutex.Unlock()
-	var others []platformapi.Server
-	for _, server := range core.drawServers(len(core.fleet.Members()), map[string]bool{ended.ID: true}) {
-		if server.Service == ended.Service && !core.quarantine.Ended(processID(server)) && len(others) < maxOthersProbed {
-			others = append(others, server)
-		}
-	}
-	return others
-}
-
-// lostTrials returns the trials that were lost at a server since the last probe ended. The mutex must be held.
-func (core *core) lostTrials(server platformapi.Server) []*trial {
-	lost, ok := core.lostRequests[server.ID]
-	if !ok {
-		return nil
-	}
-	var trials []*trial
-	for _, request := range lost.unprobed {
-		if request.trial != nil {
-			trials = append(trials, request.trial)
-		}
-	}
-	return trials
-}
-
 // applyProbe applies the result of a probe. The end of a draining server is expected and not
 // blamed on its requests. The mutex must be held.
 func (core *core) applyProbe(server platformapi.Server, ended bool, others int) {
@@ -292,37 +179,3 @@
 	}
 	return false
 }
-
-// contentNames formats the contents of lost requests for the log.
-func contentNames(lost []lostRequest) []string {
-	names := make([]string, len(lost))
-	for i, request := range lost {
-		names[i] = request.Keys[0].String()
-	}
-	return names
-}
-
-// lostParts formats the prompts of lost requests for the log, each as the names of its parts.
-func lostParts(lost []lostRequest) []string {
-	prompts := make([]string, len(lost))
-	for i, request := range lost {
-		prompts[i] = strings.Join(request.parts, ",")
-	}
-	return prompts
-}
-
-// maxLoggedParts bounds the parts of a prompt that are logged, and maxPartName the length of their names in bytes.
-const (
-	maxLoggedParts = 16
-	maxPartName    = 64
-)
-
-// partNames returns the names of the first parts of the request's prompt, in order.
-func (job *job) partNames() []string {
-	parts := job.headers.Parts[:min(len(job.headers.Parts), maxLoggedParts)]
-	names := make([]string, len(parts))
-	for i, part := range parts {
-		names[i] = part.ID[:min(len(part.ID), maxPartName)]
-	}
-	return names
-}
--- a/internal/direct/gateway/trials.go
+++ b/internal/direct/gateway/trials.go
@@ -15,6 +15,7 @@
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/content"
 	"teaselmoor/internal/direct/ending"
+	"teaselmoor/internal/direct/platformapi"
 	"teaselmoor/internal/direct/topology"
 )
 
@@ -251,3 +252,25 @@
 		return nil
 	})
 }
+
+// lostTrial reports whether a trial was lost at a server since the last probe ended.
+func (core *core) lostTrial(server platformapi.Server) bool {
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	return len(core.lostTrials(server)) > 0
+}
+
+// lostTrials returns the trials that were lost at a server since the last probe ended. The mutex must be held.
+func (core *core) lostTrials(server platformapi.Server) []*trial {
+	lost, ok := core.lostRequests[server.ID]
+	if !ok {
+		return nil
+	}
+	var trials []*trial
+	for _, request := range lost.unprobed {
+		if request.trial != nil {
+			trials = append(trials, request.trial)
+		}
+	}
+	return trials
+}
