--- a/internal/direct/gateway/originreplicas.go
+++ b/internal/direct/gateway/originreplicas.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"context"
 	"slices"
+	"time"
 
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/peers"
@@ -55,6 +57,19 @@
 	return min(replicationInterval*clock.Millis(near), maxReplicationInterval)
 }
 
+// replicateOriginsLoop replicates origins until the context ends: at intervals, and at once when a service has its second
+// version, as no stream was replicated before.
+func (gateway *Gateway) replicateOriginsLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-gateway.core.origins.several:
+		case <-time.After(gateway.replicateOrigins().Duration()):
+		}
+	}
+}
+
 // replicateOrigins sends replicas the origins that were not yet sent, and returns the time until the next call. While
 // each service has had one version only, a stream may go on anywhere and nothing is sent.
 func (gateway *Gateway) replicateOrigins() clock.Millis {
--- a/internal/direct/gateway/origins.go
+++ b/internal/direct/gateway/origins.go
@@ -20,11 +20,26 @@
 	queries map[uint64]*originQuery // to peers, by number
 	limiter software.Limiter        // of queries
 	lastID  uint64                  // of a query
+	several chan struct{}           // holds a token when a service has its second version
 }
 
 func newOrigins(now clock.Millis, firstStart bool) *origins {
 	return &origins{
 		records: software.NewRecords(now), history: software.NewHistory(now, firstStart), queries: make(map[uint64]*originQuery),
+		several: make(chan struct{}, 1),
+	}
+}
+
+// seeVersion records that a service has a server of a software version.
+func (origins *origins) seeVersion(now clock.Millis, service, version string) {
+	before := origins.history.Several(now)
+	origins.history.See(now, service, version)
+	if before || !origins.history.Several(now) {
+		return
+	}
+	select {
+	case origins.several <- struct{}{}:
+	default:
 	}
 }
 
--- a/internal/direct/gateway/run.go
+++ b/internal/direct/gateway/run.go
@@ -143,7 +143,7 @@
 	gateway.tasks.Go("work", gateway.sendWorkLoop)
 	gateway.tasks.Go("turns", gateway.grantLoop)
 	gateway.repeat("reading", gateway.sendReadingsIfMesh)
-	gateway.repeat("origins", gateway.replicateOrigins)
+	gateway.tasks.Go("origins", gateway.replicateOriginsLoop)
 	gateway.tasks.Go("usage", gateway.sendUsageLoop)
 	gateway.every("updates", gateway.options.UpdateInterval, gateway.sendDueUpdates)
 	gateway.every("ticks", tickInterval, func() { gateway.tick(gateway.core.now()) })
--- a/internal/direct/gateway/store.go
+++ b/internal/direct/gateway/store.go
@@ -154,7 +154,7 @@
 	}
 	if member, ok := core.fleet.Member(server.ID); ok {
 		member.SeenAt = core.now()
-		core.origins.history.See(member.SeenAt, member.Service, member.Software)
+		core.origins.seeVersion(member.SeenAt, member.Service, member.Software)
 	}
 	switch {
 	case !known:
