--- a/internal/direct/ending/ending.go
+++ b/internal/direct/ending/ending.go
@@ -19,6 +19,7 @@
 	MessageAnswerBroken     = "answer broken"
 	MessageStreamBroken     = "stream broken"
 	MessageStreamResumed    = "stream resumed"
+	MessageProcessDeclined  = "process declined"
 	MessageAccountOverLimit = "account over its limit"
 	MessageRequestShed      = "request shed"
 	MessageRequestEnded     = "request ended"
--- a/internal/direct/fleet/fleet.go
+++ b/internal/direct/fleet/fleet.go
@@ -152,6 +152,7 @@
 		return false
 	}
 	if known && member.isOutdated(server.StartedAt) {
+		member.recordSoftware(server)
 		member.Revision, member.expiresAt = revision, 0
 		return false
 	}
@@ -166,12 +167,14 @@
 		fleet.sorted = nil
 	}
 	member.updateSoftware(&server)
+	member.recordSoftware(server)
 	if member.StartedAt != server.StartedAt {
-		clear(member.recent) // the server has restarted
+		fleet.forgetProcess(member)
 	}
 	indexChanged := !known || member.Draining != server.Draining || member.Service != server.Service
 	stale := member.StartedAt != server.StartedAt || member.table.Fence == 0
 	member.Server = server
+	member.sighted = false
 	member.Revision = revision
 	member.expiresAt = 0
 	if stale || !known {
--- a/internal/direct/fleet/member.go
+++ b/internal/direct/fleet/member.go
@@ -49,6 +49,8 @@
 
 	// SoftwareChanged is true if the entries of the present process have stated several software versions.
 	SoftwareChanged bool
+	sighted         bool              // the present process has answered, but its entry was not read yet
+	processes       []processSoftware // the latest ones whose entries have stated a software version, oldest first
 	// SeenAt is when the last entry of the server was applied, as far as the caller of Put has set it.
 	SeenAt clock.Millis
 
@@ -147,6 +149,37 @@
 	}
 }
 
+// processSoftware is the software version of a process of a server.
+type processSoftware struct {
+	startedAt int64
+	software  string
+}
+
+// maxProcesses is the number of processes of a server whose software versions are remembered. Entries may be earlier or later
+// than the processes that they are about, but not by many restarts.
+const maxProcesses = 4
+
+// SoftwareOf returns the software version that an entry has stated of the server's process with the given start, or
+// false if none has.
+func (member *Member) SoftwareOf(startedAt int64) (string, bool) {
+	for _, process := range member.processes {
+		if process.startedAt == startedAt {
+			return process.software, true
+		}
+	}
+	return "", false
+}
+
+// recordSoftware records the software version that an entry states of the process that it belongs to.
+func (member *Member) recordSoftware(entry platformapi.Server) {
+	if entry.Software == "" || entry.StartedAt == 0 {
+		return
+	}
+	others := slices.DeleteFunc(member.processes, func(process processSoftware) bool { return process.startedAt == entry.StartedAt })
+	others = others[max(0, len(others)+1-maxProcesses):]
+	member.processes = append(slices.Clone(others), processSoftware{startedAt: entry.StartedAt, software: entry.Software})
+}
+
 // updateSoftware updates what is known of the server's software version from its next entry. An entry that states
 // none says nothing about the process that an earlier one named.
 func (member *Member) updateSoftware(entry *platformapi.Server) {
--- a/internal/direct/fleet/restored.go
+++ b/internal/direct/fleet/restored.go
@@ -30,8 +30,8 @@
 	}
 }
 
-// isOutdated reports whether an entry, from the backup that the store was restored from,
-// belongs to an earlier process than the one known.
+// isOutdated reports whether an entry belongs to an earlier process than the one known, as it is from the backup that
+// the store was restored from, or older than the last answer of the server.
 func (member *Member) isOutdated(startedAt int64) bool {
-	return member.Revision == 0 && startedAt < member.StartedAt
+	return (member.Revision == 0 || member.sighted) && startedAt < member.StartedAt
 }
--- a/internal/direct/gateway/answers.go
+++ b/internal/direct/gateway/answers.go
@@ -28,7 +28,10 @@
 // handleNoAnswer decides how to go on with a request that got no answer.
 func (gateway *Gateway) handleNoAnswer(ctx context.Context, job *job, to assignment, err error) tryResult {
 	var failed *upstream.Error
-	sent := !errors.As(err, &failed) || failed.Sent
+	if errors.As(err, &failed) && failed.Refused {
+		return gateway.handleProcessDeclined(ctx, job, to)
+	}
+	sent := failed == nil || failed.Sent
 	gateway.log.Info(ending.MessageNoAnswer, "Request", job.headers.Attempt, "Server", to.server.ID, "Sent", sent, "Error", err.Error())
 	if sent {
 		job.mayHaveRun++
--- a/internal/direct/gateway/deltas.go
+++ b/internal/direct/gateway/deltas.go
@@ -333,6 +333,7 @@
 	changed := false
 	for _, table := range tables {
 		sent.tables[table.Server] = tableVersion(table)
+		core.seeProcess(platformapi.Process{Server: table.Server, StartedAt: table.Born}, "owner")
 		if !core.fleet.SetTable(table) {
 			continue
 		}
--- a/internal/direct/gateway/dispatch.go
+++ b/internal/direct/gateway/dispatch.go
@@ -98,11 +98,12 @@
 		"Software", to.server.Software, "After", job.lastEventID, "FirstAttempt", job.headers.FirstAttempt)
 	tryCtx, cancel := job.tryContext(ctx, left)
 	defer cancel()
-	answer, err := gateway.pool.Send(tryCtx, to.server.Address, gateway.forwardedRequest(tryCtx, job, to, left), gateway.answerMatcher(job))
+	forwarded, identification := gateway.forwardedRequest(tryCtx, job, to, left), gateway.identification(tryCtx, job, to)
+	answer, err := gateway.pool.SendIdentified(tryCtx, to.server.Address, forwarded, gateway.answerMatcher(job), identification)
 	if err != nil {
 		return gateway.handleNoAnswer(ctx, job, to, err)
 	}
-	return gateway.handleAnswer(ctx, writer, job, to, active, answer)
+	return gateway.handleAnswer(ctx, writer, job, gateway.core.identified(to, answer.StartedAt), active, answer)
 }
 
 // firstTryShare is the share of its remaining time that an idempotent request gives its first
--- a/internal/direct/gateway/handler.go
+++ b/internal/direct/gateway/handler.go
@@ -43,6 +43,7 @@
 	deadline       clock.Millis // by the caller's and the route's time limits, and maxTimeout
 
 	triedServers  []string        // servers that are not tried again
+	brokeAt       string          // server at which the stream broke off last; empty: nowhere, or its process has ended
 	mayHaveRun    int             // number of servers that may have run the request
 	connectFailed bool            // a server could not be connected to
 	peersTried    int             // number of peers that the request was sent to
@@ -57,6 +58,9 @@
 	continues     bool            // an event of the stream was sent to the caller, by this attempt or an earlier one
 	origin        software.Origin // of the stream, if originKnown
 	originKnown   bool
+
+	processesDeclined int // servers whose processes turned out not to fit the stream
+
 	stream        late.Stream  // course of a streamed answer
 	trial         *trial       // nil: the request is not suspect
 	demandCounted bool         // the request counts among those that this daemon receives
--- a/internal/direct/gateway/holdings.go
+++ b/internal/direct/gateway/holdings.go
@@ -85,6 +85,7 @@
 	core := gateway.core
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
+	core.seeProcess(target.Process(), "report")
 	core.fleet.SetReport(target.ID, target.StartedAt, report.Models)
 	core.log.Info("holdings read", "Server", target.ID, "Born", report.StartedAt, "Models", len(report.Models))
 	core.wakeWaitingRequests()
@@ -95,7 +96,9 @@
 // marks the server as unreachable and returns false.
 func (gateway *Gateway) fetchReport(ctx context.Context, target platformapi.Server) (platformapi.Server, platformapi.Report, bool) {
 	report, err := gateway.servers.ReadReport(ctx, target)
-	target.StartedAt = max(report.StartedAt, target.StartedAt)
+	if report.StartedAt > 0 {
+		target.StartedAt = report.StartedAt // the entry may be of another process
+	}
 	gateway.handleLeaving(target, report.Leaving, "report")
 	if err != nil {
 		core := gateway.core
--- a/internal/direct/gateway/orders.go
+++ b/internal/direct/gateway/orders.go
@@ -257,6 +257,7 @@
 	core := gateway.core
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
+	core.seeProcess(target.Process(), "report")
 	worker.serverStart = target.StartedAt
 	worker.planner.SetReport(core.now(), report)
 	core.log.Info("report read", "Server", target.ID, "Born", report.StartedAt, "Models", len(report.Models), "Incoming", len(report.Incoming))
--- a/internal/direct/gateway/originreplicas.go
+++ b/internal/direct/gateway/originreplicas.go
@@ -20,6 +20,7 @@
 	plan := core.members.Plan()
 	relays := known && !plan.Mesh && plan.Role == topology.Candidate && peer.DataCentre == core.settings.DataCentre
 	for _, batch := range batches {
+		core.seeProcess(batch.Origin.Process(), "peer "+from)
 		for _, key := range batch.Keys {
 			if core.origins.records.Put(now, key, batch.Origin) && relays {
 				core.origins.records.Publish(now, key, "")
--- a/internal/direct/gateway/origins.go
+++ b/internal/direct/gateway/origins.go
@@ -112,14 +112,16 @@
 // originOf returns the origin of a stream whose first event has come from a server. A server whose entry has
 // changed since the request was sent may have run another version than the one known then. The mutex must be held.
 func (core *core) originOf(now clock.Millis, to assignment, service string) software.Origin {
+	if to.peer != "" {
+		return to.origin
+	}
 	sent := to.server
 	member, known := core.fleet.Member(sent.ID)
+	current, stated := core.softwareOf(sent.Process())
 	switch {
-	case to.peer != "":
-		return to.origin
-	case known && member.StartedAt == sent.StartedAt && sent.Software == "" && !member.SoftwareChanged:
-		sent = member.Server
-	case known && member.Software != sent.Software:
+	case stated && sent.Software == "" && (member.StartedAt != sent.StartedAt || !member.SoftwareChanged):
+		sent.Software = current
+	case known && current != sent.Software:
 		return software.Origin{}
 	}
 	origin := software.OriginOf(sent)
@@ -155,6 +157,9 @@
 		return nil
 	}
 	origin := core.resolve(now, job.origin, job.service)
+	if beginner, ok := core.onlyBeginner(now, origin); ok {
+		return func(server platformapi.Server) bool { return server.ID == beginner }
+	}
 	return origin.Fits
 }
 
@@ -167,13 +172,16 @@
 		origin.Unnamed = false // a server states a version now
 	}
 	member, ok := core.fleet.Member(origin.Server)
-	if !ok || member.StartedAt != origin.StartedAt {
+	if !ok || origin.Version != "" {
 		return origin
 	}
-	if member.SoftwareChanged {
+	if member.StartedAt == origin.StartedAt && member.SoftwareChanged {
 		return software.Origin{}
 	}
-	return software.OriginOf(member.Server)
+	if version, stated := core.softwareOf(origin.Process()); stated {
+		return software.OriginOf(platformapi.Server{ID: origin.Server, StartedAt: origin.StartedAt, Software: version})
+	}
+	return origin
 }
 
 // hasFitting reports whether a server may take new work at which a request's stream may go on. The mutex must be held.
--- a/internal/direct/gateway/place.go
+++ b/internal/direct/gateway/place.go
@@ -211,7 +211,7 @@
 		Version:      core.requiredVersion(now, job.adapter),
 		Prompt:       job.headers.PromptTokens,
 		AdapterSlots: job.adapterSlots,
-		Tried:        job.triedServers,
+		Tried:        core.tried(now, job),
 		Blocked:      core.blocked(now, waiting),
 		Fits:         core.fits(now, job),
 		HasOwner:     func(server string) bool { _, ok := core.ownerOf(now, server); return ok },
--- a/internal/direct/gateway/relay.go
+++ b/internal/direct/gateway/relay.go
@@ -164,6 +164,7 @@
 		answer.Close(false)
 		gateway.recordOutcome(to, ctx.Err() == nil)
 		job.triedServers = append(job.triedServers, to.server.ID)
+		job.brokeAt = to.server.ID
 		return gateway.handleBrokenStream(ctx, job, to, err)
 	}
 }
--- a/internal/direct/gateway/store.go
+++ b/internal/direct/gateway/store.go
@@ -137,9 +137,9 @@
 // applyServer applies a server entry of the store. The mutex must be held.
 func (core *core) applyServer(server platformapi.Server, revision int64) {
 	before, known := core.fleet.Member(server.ID)
-	former, draining := server, false
+	former := server
 	if known {
-		former, draining = before.Server, before.Draining
+		former = before.Server
 	}
 	restarted := known && before.StartedAt != server.StartedAt
 	if known && before.Software != server.Software {
@@ -160,14 +160,8 @@
 	case !known:
 		core.log.Info("server discovered", "Server", server.ID, "Service", server.Service, "Address", server.Address, "Software", server.Software, "Draining", server.Draining, "Revision", revision)
 	case restarted:
-		if !draining {
-			core.handleRestart(former)
-		}
 		core.log.Info("server restarted", "Server", server.ID, "Born", server.StartedAt, "Revision", revision)
-		if worker, ok := core.orderWorkers[server.ID]; ok {
-			worker.planner.InvalidateReport()
-			worker.wakeUp()
-		}
+		core.handleNewProcess(former)
 	case newlyDraining:
 		core.log.Info("server draining", "Server", server.ID, "LeavesMillis", server.LeavesIn, "Revision", revision)
 	}
--- a/internal/direct/platformapi/platformapi.go
+++ b/internal/direct/platformapi/platformapi.go
@@ -148,6 +148,8 @@
 	Decode(item Item) (DecodedItem, error)
 	// ServerID returns the id of the server that a key belongs to, if any.
 	ServerID(key string) (string, bool)
+	// ServerKey returns the key of a server's entry.
+	ServerKey(id string) string
 }
 
 // Server is a backend server as it is registered in the store.
@@ -164,6 +166,17 @@
 	Models     []Holding
 }
 
+// Process identifies one start of a server, as a server may start again under its id.
+type Process struct {
+	Server    string
+	StartedAt int64 // in Unix milliseconds; 0: not stated
+}
+
+// Process returns the process that the entry belongs to.
+func (server Server) Process() Process {
+	return Process{Server: server.ID, StartedAt: server.StartedAt}
+}
+
 // Holding is a base model that a server holds, with its adapters.
 type Holding struct {
 	Model    string
@@ -230,4 +243,8 @@
 type ServerClient interface {
 	SendOrder(ctx context.Context, server Server, order Order) (OrderAnswer, error)
 	ReadReport(ctx context.Context, server Server) (Report, error)
+	// ReportRequest returns the request for a server's report.
+	ReportRequest(ctx context.Context, server Server) (*http.Request, error)
+	// ParseReport reads a server's report.
+	ParseReport(response *http.Response) (Report, error)
 }
--- a/internal/direct/software/origin.go
+++ b/internal/direct/software/origin.go
@@ -15,24 +15,34 @@
 // may take, and some more for the caller's return.
 const Lifetime = 75 * clock.Second
 
-// Origin is what is known of the server that began a stream. With the zero value the stream may go on at
+// Origin is what is known of the process that began a stream. With the zero value the stream may go on at
 // no server.
 type Origin struct {
-	Version   string // of the server's software; empty: unknown
-	Server    string // id of the server, if its version is unknown
-	StartedAt int64  // start of the process of Server in Unix milliseconds
+	Version   string // of the process's software; empty: unknown
+	Server    string // id of the server, if the version of its process is unknown or, as it states no start, uncertain
+	StartedAt int64  // start of the process in Unix milliseconds; 0: not stated, or Server is empty
 	Unnamed   bool   // no server of the service has stated a version
 }
 
-// OriginOf returns the origin of a stream that a server has begun.
+// OriginOf returns the origin of a stream that a process has begun. Server holds its id, its start, and the version of its
+// software, if that is known.
 func OriginOf(server platformapi.Server) Origin {
-	if server.Software != "" {
+	switch {
+	case server.StartedAt == 0:
+		return Origin{Version: server.Software, Server: server.ID}
+	case server.Software != "":
 		return Origin{Version: server.Software}
 	}
 	return Origin{Server: server.ID, StartedAt: server.StartedAt}
 }
 
-// Fits reports whether a stream of this origin may go on at a server.
+// Process returns the process that began the stream, if the version of its software does not stand for it.
+func (origin Origin) Process() platformapi.Process {
+	return platformapi.Process{Server: origin.Server, StartedAt: origin.StartedAt}
+}
+
+// Fits reports whether a stream of this origin may go on at a server, as far as the server's entry shows. Which process
+// answers there is known only once a connection to it is open. An entry may be older than the process that began the stream.
 func (origin Origin) Fits(server platformapi.Server) bool {
 	switch {
 	case origin.Unnamed:
@@ -40,7 +50,7 @@
 	case origin.Version != "":
 		return server.Software == origin.Version
 	}
-	return origin.Server != "" && origin.Server == server.ID && origin.StartedAt == server.StartedAt
+	return origin.Server != "" && origin.Server == server.ID && server.StartedAt <= origin.StartedAt
 }
 
 // Key identifies a stream: it is a hash of the caller's attempt that brought the first event.
--- a/internal/direct/upstream/exchange.go
+++ b/internal/direct/upstream/exchange.go
@@ -17,10 +17,12 @@
 // Answer is the response of a backend server. The caller of Send must call Close.
 type Answer struct {
 	*http.Response
-	pool    *Pool
-	conn    *conn
-	written chan error  // nil when the request was written before the response was read
-	stop    func() bool // stops closing the connection when the context ends
+	// StartedAt is the start of the process that answers, in Unix milliseconds; 0: it was not identified or states none.
+	StartedAt int64
+	pool      *Pool
+	conn      *conn
+	written   chan error  // nil when the request was written before the response was read
+	stop      func() bool // stops closing the connection when the context ends
 }
 
 // Matches reports whether a response belongs to the request. First is true for the
@@ -30,18 +32,34 @@
 // Send sends a request and returns when the head of its response has arrived. The
 // connection is closed when the context ends. Errors are of type *Error.
 func (pool *Pool) Send(ctx context.Context, address string, request *http.Request, matches Matches) (*Answer, error) {
+	return pool.send(ctx, address, request, matches, nil)
+}
+
+// send sends a request, without an identification to any process that answers at the address.
+func (pool *Pool) send(ctx context.Context, address string, request *http.Request, matches Matches, identification *Identification) (*Answer, error) {
 	var encoded bytes.Buffer
 	if err := request.Write(&encoded); err != nil {
 		return nil, &Error{Err: errors.Wrap(err, "encode request")}
 	}
-	for {
+	for ended := 0; ; {
 		used, err := pool.get(ctx, address)
 		if err != nil {
 			return nil, &Error{Dial: true, Err: errors.Wrap(err, "connect")}
 		}
-		answer, err := pool.roundTrip(ctx, used, request, encoded.Bytes(), matches)
+		var answer *Answer
+		if identification != nil {
+			used.identified = used.identified || ended >= maxEnded
+			err = pool.identify(ctx, used, identification)
+		}
+		if errors.Is(err, errEnds) {
+			ended++
+			continue
+		}
+		if err == nil {
+			answer, err = pool.roundTrip(ctx, used, request, encoded.Bytes(), matches)
+		}
 		var failed *Error
-		if errors.As(err, &failed) && !failed.Sent && used.reused && ctx.Err() == nil {
+		if errors.As(err, &failed) && !failed.Sent && !failed.Refused && used.reused && ctx.Err() == nil {
 			continue // the server had closed the idle connection before the first byte was sent
 		}
 		return answer, err
@@ -50,7 +68,7 @@
 
 // roundTrip writes a request to a connection and reads the head of its response.
 func (pool *Pool) roundTrip(ctx context.Context, used *conn, request *http.Request, encoded []byte, matches Matches) (*Answer, error) {
-	answer := &Answer{pool: pool, conn: used}
+	answer := &Answer{StartedAt: used.startedAt, pool: pool, conn: used}
 	answer.stop = context.AfterFunc(ctx, used.reset)
 	if err := answer.writeRequest(encoded, pool.options.InlineBytes); err != nil {
 		answer.discard()
--- a/internal/direct/upstream/pool.go
+++ b/internal/direct/upstream/pool.go
@@ -44,7 +44,9 @@
 	Sent bool
 	// Dial reports whether connecting failed.
 	Dial bool
-	Err  error
+	// Refused reports whether the process was not accepted, and the request was not sent to it.
+	Refused bool
+	Err     error
 }
 
 // Error implements error.
@@ -107,6 +109,9 @@
 	reader  *bufio.Reader
 	expires time.Time
 	reused  bool // it was idle before its present request
+
+	identified bool  // startedAt is known
+	startedAt  int64 // start of the process at the other end in Unix milliseconds; 0: it states none
 }
 
 // idleMargin is subtracted from a server's idle timeout, so that a request is not
