--- a/internal/standin/loopback/loopback.go
+++ b/internal/standin/loopback/loopback.go
@@ -13,10 +13,15 @@
 	"github.com/pkg/errors"
 )
 
+// IP returns a random loopback IP.
+func IP() string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+}
+
 // Addresses returns count distinct IP:port addresses to listen on. All have the
 // same IP.
 func Addresses(count int) ([]string, error) {
-	ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+	ip := IP()
 	addresses := make([]string, 0, count)
 	listeners := make([]net.Listener, 0, count)
 	defer func() {
