gateway: the owner of a server answers a daemon without a connection to it by that daemon's hub

Evidence: with each step of a request and its answer logged (14 processes of the test at a time on 5 cores, -race), some requests reached the owner after 0.7 ms and were never answered: the owner had neither a connection to the sender nor one to the peer from which the request came. A connection carries messages one way only; the sender had one to the owner (it was its seed, or the owner's plan was older), and asked it directly.

Now: the owner answers directly, else by the peer from which the request came, else by the hub that the sender has stated. If there is no way it says so in the log. TestAnswerWithoutConnectionGoesByHub fails on the code before (no message is sent).

--- a/internal/direct/gateway/export_test.go
+++ b/internal/direct/gateway/export_test.go
@@ -4,6 +4,7 @@
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/catalog"
 	"teaselmoor/internal/direct/platformapi"
+	"teaselmoor/internal/direct/prefill"
 )
 
 // PeerNetwork is embedded by fakes.
@@ -15,6 +16,13 @@
 	gateway.core.fleet.Put(server, 1)
 }
 
+// AnswerPrompt answers a daemon's prompt as the owner of a server does.
+func (gateway *Gateway) AnswerPrompt(server, daemon string, id uint64, granted bool) {
+	gateway.core.mutex.Lock()
+	defer gateway.core.mutex.Unlock()
+	gateway.answerPrompt(server, prefill.Request{Daemon: daemon, ID: id}, granted)
+}
+
 // UpdateSpeeds makes the periodic call that sends reports on streams, and returns the number of
 // estimates that fade as owners cannot be reached.
 func (gateway *Gateway) UpdateSpeeds() int {
--- a/internal/direct/gateway/forward_test.go
+++ b/internal/direct/gateway/forward_test.go
@@ -31,16 +31,18 @@
 	hub  *gateway.Gateway
 	now  clock.Millis
 	sent []sentMessage
-	lost bool // there are no connections
+	lost bool   // there are no connections
+	gone string // there is no connection to this daemon
 }
 
 func (site *hubSite) Retain([]topology.Daemon) {}
 
 func (site *hubSite) Send(address string, message peers.Message) (bool, error) {
-	if !site.lost {
+	connected := !site.lost && address != site.gone
+	if connected {
 		site.sent = append(site.sent, sentMessage{address, message})
 	}
-	return !site.lost, nil
+	return connected, nil
 }
 
 func newHubSite(t *testing.T) *hubSite {
@@ -135,6 +137,21 @@
 	require.Equal(t, []sentMessage{{"owner", request}}, site.sent)
 }
 
+// TestAnswerWithoutConnectionGoesByHub guards against prompts whose daemon gets no answer, as the owner has no connection to it:
+// the one on which the request arrived carries messages only to the owner.
+func TestAnswerWithoutConnectionGoesByHub(t *testing.T) {
+	site := newHubSite(t)
+	answer := peers.Message{PromptAnswer: &peers.PromptAnswer{To: "d0", Server: "e1", ID: 7, Granted: true}}
+	for gone, way := range map[string]string{"": "d0", "d0": "other"} {
+		site.gone, site.sent = gone, nil
+		site.hub.AnswerPrompt("e1", "d0", 7, true)
+		require.Equal(t, []sentMessage{{way, answer}}, site.sent)
+	}
+	site.lost, site.sent = true, nil
+	site.hub.AnswerPrompt("e1", "d0", 7, true)
+	require.Empty(t, site.sent)
+}
+
 // TestUnreachedOwnerSpeedsFade guards against estimates that hold although the hub through which
 // they arrive is cut off, and against ones that fade while nothing has changed.
 func TestUnreachedOwnerSpeedsFade(t *testing.T) {
--- a/internal/direct/gateway/turnmessages.go
+++ b/internal/direct/gateway/turnmessages.go
@@ -259,12 +259,16 @@
 		return
 	}
 	message := peers.Message{PromptAnswer: &peers.PromptAnswer{To: request.Daemon, Server: server, ID: request.ID, Granted: granted}}
-	if peer, ok := core.members.Peer(request.Daemon); ok && gateway.send(peer.Address, message) {
-		return
+	ways := []string{request.Daemon, core.turns.routes[request.Daemon].peer}
+	if requester, ok := core.members.Peer(request.Daemon); ok {
+		ways = append(ways, requester.Hub) // a connection from the requester carries no answer
 	}
-	if peer, ok := core.members.Peer(core.turns.routes[request.Daemon].peer); ok {
-		gateway.send(peer.Address, message)
+	for _, way := range ways {
+		if peer, ok := core.members.Peer(way); ok && gateway.send(peer.Address, message) {
+			return
+		}
 	}
+	core.log.Info("no way to the sender of a prompt", "Sender", request.Daemon, "Server", server, "ID", request.ID, "Granted", granted)
 }
 
 // grantLoop grants the prompts of the servers that this daemon owns when they are due, until the
