prefill: time in which a daemon was not running does not count as its owner's silence

What callers saw: prompts sent without order, and pauses of streams at their engine, from a daemon whose machine did not run it for a while: at its next check the 60 ms were over, and it sent the prompt 'late', although the owner's answer had arrived and only had to be read.

Evidence: the traces of TestTurnsAcrossZones beside load (8 processes of it on 5 cores, -race) show checks that are due after 50 ms made after 100 to 300 ms; some of the answers were read 1 to 6 ms after such a check, others later. Such a gap was known (the owner is not called silent for it) but ended the wait. Now the gap is added to the wait, which still ends at the prompt's bound. TestAnswerReadAfterPause fails before.

What is left: each of the four links takes tens of milliseconds as the process at its end waits for a processor; the owner's own step takes 0.1 ms.

--- a/internal/direct/prefill/queue_test.go
+++ b/internal/direct/prefill/queue_test.go
@@ -216,3 +216,27 @@
 		require.Equal(t, reported, emptyAt, steps)
 	}
 }
+
+// TestAnswerReadAfterPause guards against prompts that are sent without order as the daemon was not running: the owner's answer
+// has arrived meanwhile, and is read only after the check.
+func TestAnswerReadAfterPause(t *testing.T) {
+	options := prefill.DefaultOptions()
+	for _, answered := range []bool{true, false} {
+		requester := prefill.NewRequester(options, 1)
+		wait := requester.Begin(0, "owner", "s", 3000)
+		result, _ := requester.Check(50, wait, 50)
+		require.Equal(t, prefill.Pending, result)
+		result, remaining := requester.Check(400, wait, 400)
+		require.Equal(t, prefill.Pending, result)
+		require.Equal(t, options.AnswerTimeout-50, remaining)
+		if answered {
+			requester.Answer("s", wait.ID, true)
+		}
+		result, _ = requester.Check(400+remaining, wait, 400)
+		require.Equal(t, map[bool]prefill.Result{true: prefill.Granted, false: prefill.Late}[answered], result)
+	}
+	requester := prefill.NewRequester(options, 1)
+	wait := requester.Begin(0, "owner", "s", 165)
+	result, _ := requester.Check(200, wait, 200)
+	require.Equal(t, prefill.Late, result, "the owner may not know of the prompt, which is sent at its bound")
+}
--- a/internal/direct/prefill/requester.go
+++ b/internal/direct/prefill/requester.go
@@ -31,7 +31,8 @@
 	granted  bool
 
 	checkedAt clock.Millis
-	paused    bool // this daemon could not have received an answer in time
+	paused    bool         // this daemon could not have received an answer in time
+	unheard   clock.Millis // time in which this daemon was paused: an answer that has arrived meanwhile is read only now
 }
 
 // maxCheckGap is the time between two checks of a wait from which on this daemon counts as paused
@@ -125,12 +126,18 @@
 // It records an owner that does not answer. The parameter heardAt is the time at which this daemon
 // last received anything from the owner, or from the peer through which it asks the owner.
 func (requester *Requester) Check(now clock.Millis, wait *Wait, heardAt clock.Millis) (Result, clock.Millis) {
-	wait.paused = wait.paused || now-wait.checkedAt >= maxCheckGap
+	if gap := now - wait.checkedAt; gap >= maxCheckGap {
+		wait.paused = true
+		wait.unheard += gap
+	}
 	wait.checkedAt = now
+	answerBy := wait.askedAt + wait.unheard + requester.options.AnswerTimeout
 	switch {
 	case wait.granted:
 		return Granted, 0
-	case !wait.answered && now-wait.askedAt >= requester.options.AnswerTimeout:
+	case now >= wait.Until && wait.paused && !wait.answered:
+		return Late, 0
+	case !wait.answered && now >= answerBy:
 		if !wait.paused && requester.recordUnanswered(now, wait, heardAt) {
 			return Silent, 0
 		}
@@ -138,7 +145,7 @@
 	case now >= wait.Until:
 		return Bound, 0
 	case !wait.answered:
-		return Pending, min(wait.Until, wait.askedAt+requester.options.AnswerTimeout) - now
+		return Pending, min(wait.Until, answerBy) - now
 	}
 	return Pending, wait.Until - now
 }
