--- a/internal/direct/gateway/export_test.go
+++ b/internal/direct/gateway/export_test.go
@@ -3,6 +3,7 @@
 import (
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/catalog"
+	"teaselmoor/internal/direct/choose"
 	"teaselmoor/internal/direct/platformapi"
 	"teaselmoor/internal/direct/prefill"
 )
@@ -23,6 +24,26 @@
 	gateway.answerPrompt(server, prefill.Request{Daemon: daemon, ID: id}, granted)
 }
 
+// LinkPeers has the daemon keep connections to the peers that want one, so that their silence is noticed.
+func (gateway *Gateway) LinkPeers() {
+	gateway.core.members.Links(gateway.core.now())
+}
+
+// Tick lets the daemon notice which peers are silent.
+func (gateway *Gateway) Tick() {
+	gateway.core.members.Tick(gateway.core.now())
+}
+
+// PlacesShort reports whether requests with a short goal are placed by average loads.
+func (gateway *Gateway) PlacesShort() bool {
+	return gateway.core.shortLoads(&job{route: &catalog.Route{Goal: choose.CountsAge}}) != nil
+}
+
+// InMesh reports whether the daemon is in a mesh.
+func (gateway *Gateway) InMesh() bool {
+	return gateway.core.members.Plan().Mesh
+}
+
 // UpdateSpeeds makes the periodic call that sends reports on streams, and returns the number of
 // estimates that fade as owners cannot be reached.
 func (gateway *Gateway) UpdateSpeeds() int {
--- a/internal/direct/gateway/forward_test.go
+++ b/internal/direct/gateway/forward_test.go
@@ -152,6 +152,32 @@
 	require.Empty(t, site.sent)
 }
 
+// TestSilentDaemonsLeaveShortRequestsInPlace guards against short requests that go to another data centre by old load counts, as
+// some daemons of a large site are silent for a moment and the others are few enough for a mesh.
+func TestSilentDaemonsLeaveShortRequestsInPlace(t *testing.T) {
+	site := newHubSite(t)
+	site.hub.LinkPeers()
+	site.hub.Tick()
+	require.False(t, site.hub.InMesh())
+	require.True(t, site.hub.PlacesShort())
+	tick := func(until clock.Millis) {
+		for site.now < until {
+			site.now += 100
+			for _, name := range []string{"m1", "m2", "owner", "other", "d0", "d1"} {
+				site.update(name)
+			}
+			site.hub.Tick()
+		}
+	}
+	began := site.now
+	tick(began + 3*clock.Second)
+	require.True(t, site.hub.InMesh())
+	require.True(t, site.hub.PlacesShort(), "the others are only silent")
+	tick(began + 2*clock.Minute)
+	require.True(t, site.hub.InMesh())
+	require.False(t, site.hub.PlacesShort(), "the others are gone")
+}
+
 // TestUnreachedOwnerSpeedsFade guards against estimates that hold although the hub through which
 // they arrive is cut off, and against ones that fade while nothing has changed.
 func TestUnreachedOwnerSpeedsFade(t *testing.T) {
