--- a/internal/direct/gateway/handler.go
+++ b/internal/direct/gateway/handler.go
@@ -58,9 +58,7 @@
 	continues     bool            // an event of the stream was sent to the caller, by this attempt or an earlier one
 	origin        software.Origin // of the stream, if originKnown
 	originKnown   bool
-
-	processesDeclined int // servers whose processes turned out not to fit the stream
-
+	declined      int          // servers whose processes turned out not to fit the stream
 	stream        late.Stream  // course of a streamed answer
 	trial         *trial       // nil: the request is not suspect
 	demandCounted bool         // the request counts among those that this daemon receives
--- a/internal/direct/gateway/processes.go
+++ b/internal/direct/gateway/processes.go
@@ -13,8 +13,9 @@
 	"teaselmoor/internal/direct/upstream"
 )
 
-// A server may start again under its id, with another version of its software, and its entry in the store may be earlier or
-// later than that. So what a stream needs to know of a server is bound to the process that answers on its connection.
+// This file binds what is known of a server to one of its processes: a server may start again under its id, with another version
+// of its software, and its entry in the store may be earlier or later than that. The process that matters to a stream is the one
+// that answers on its connection.
 
 // seeProcess records that a process has answered, or that another daemon knows of it. By names the source. The mutex must
 // be held.
@@ -85,9 +86,10 @@
 }
 
 // acceptProcess reports whether a request may be sent to the process that has answered at a server. A stream that has begun
-// goes on only at a process of its version.
+// goes on only at a process of its version. Where neither the process nor its server's entry states a start, the entry stands for
+// the process, and is read again.
 func (gateway *Gateway) acceptProcess(ctx context.Context, job *job, server platformapi.Server, startedAt int64) bool {
-	if startedAt == 0 && job.continues && !gateway.readEntry(ctx, server.ID) {
+	if startedAt == 0 && server.StartedAt == 0 && job.continues && !gateway.readEntry(ctx, server.ID) {
 		return false
 	}
 	core := gateway.core
@@ -159,8 +161,8 @@
 	}
 	job.timesSent--
 	gateway.core.recordRetryNotSent(job)
-	job.processesDeclined++
-	again := ctx.Err() == nil && job.processesDeclined < maxProcessesDeclined
+	job.declined++
+	again := ctx.Err() == nil && job.declined < maxProcessesDeclined
 	return tryResult{retry: again, status: http.StatusServiceUnavailable, reason: ending.NoSoftwareVersion}
 }
 
