review: daemons stuck on an old configuration

Case 2, rule CONFIG, found in part one of the review: an answer of the store is read up to 4 MiB. A watch has no such bound on the page of the store, and a daemon that has paused for 0.9 s after a change gets all versions of that time at once. 15 versions of 237 kB are more; the cut answer is taken for an unreachable store, and the same watch is repeated until the store has dropped the history.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -32,7 +32,8 @@
 
 // cases are the scripts. Each returns how often the rule was broken.
 var cases = map[string]func(record *record, program string, trouble bool) (int, error){
-	"order": runOrder,
+	"order":  runOrder,
+	"config": runConfig,
 }
 
 func main() {
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -79,8 +79,8 @@
 	}
 }
 
-// beat writes the runner's entry and returns its revision.
-func (runner *runner) beat() int64 {
+// beat writes the runner's entry.
+func (runner *runner) beat() {
 	runner.mutex.Lock()
 	defer runner.mutex.Unlock()
 	runner.beats++
@@ -91,7 +91,7 @@
 	if runner.engine {
 		entry["Stage"], entry["Models"] = "colocated", runner.models()
 	}
-	return runner.store.put("servers/"+runner.id, entry)
+	runner.store.put("servers/"+runner.id, entry)
 }
 
 // models lists what the runner holds. The mutex must be held.
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -12,7 +12,6 @@
 const (
 	baseModel = "m0"
 	engines   = "lectura"
-	records   = "registro"
 	host      = "cpc.example"
 )
 
@@ -27,6 +26,8 @@
 	runners []*runner
 	daemons []*daemon
 	version int
+	// configBytes is the size of the last configuration.
+	configBytes int
 }
 
 func newSite(record *record, program string, zones ...string) (*site, error) {
@@ -104,7 +105,7 @@
 // configure writes a new version of the configuration, and returns the version and its revision.
 func (site *site) configure(routes []route) (int, int64) {
 	site.version += 3
-	revision := site.store.put("op/config", map[string]any{
+	value := map[string]any{
 		"Version": site.version, "Routes": routes,
 		"Services": []any{
 			map[string]any{"Name": engines, "HealthPath": "/health", "MaxConns": 360, "Engine": map[string]any{
@@ -112,10 +113,13 @@
 				"Models":    []any{map[string]any{"Name": baseModel, "WeightsMb": 65100, "LoadS": 3.9, "Adapters": 3000, "AdapterMb": 12}},
 				"WeightsMb": 66600, "AdapterSlots": 17, "LoadsPerS": 2.1,
 			}},
-			map[string]any{"Name": records, "HealthPath": "/health", "MaxConns": 100},
+			map[string]any{"Name": formerService, "HealthPath": "/health", "MaxConns": 100},
+			map[string]any{"Name": latterService, "HealthPath": "/health", "MaxConns": 100},
 		},
 		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
-	})
+	}
+	revision, size := site.store.put("op/config", value)
+	site.configBytes = size
 	site.record.add("configuration %d acknowledged at revision %d", site.version, revision)
 	return site.version, revision
 }
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -67,13 +67,13 @@
 
 func (store *store) close() { _ = store.server.Close() }
 
-// put writes an item and returns its revision.
-func (store *store) put(key string, value any) int64 {
+// put writes an item and returns its revision and size.
+func (store *store) put(key string, value any) (revision int64, size int) {
 	encoded, err := json.Marshal(value)
 	if err != nil || len(encoded) > valueBytes {
 		panic(fmt.Sprintf("the store does not take the %d bytes of %s: %v", len(encoded), key, err))
 	}
-	return store.change(storeItem{Key: key, Value: encoded})
+	return store.change(storeItem{Key: key, Value: encoded}), len(encoded)
 }
 
 // remove removes an item and returns the revision of the removal.
