review: daemons ended by bytes that are not a response

Where a runner sends bytes that are not a response and hold no line feed, a daemon keeps them all until the request's deadline, and exceeds its memory within two seconds.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -32,8 +32,9 @@
 
 // cases are the scripts. Each returns how often the rule was broken.
 var cases = map[string]func(record *record, program string, trouble bool) (int, error){
-	"order":  runOrder,
-	"config": runConfig,
+	"order":   runOrder,
+	"config":  runConfig,
+	"garbage": runGarbage,
 }
 
 func main() {
