review: requests begun on an old version of an adapter

Case 2, rule VERSION, found in part one of the review: the grace in which older versions of an adapter are used begins anew with each announcement, and any version is allowed in it. With a version each 2 s none is ever required. Where the owner of a runner is killed and started again 3 s later, its adapters are not replaced for 7.5 s, and requests go on to the old ones.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -34,7 +34,7 @@
 var cases = map[string]func(record *record, program string, trouble bool) (int, error){
 	"order":   runOrder,
 	"config":  runConfig,
-	"garbage": runGarbage,
+	"version": runVersion,
 }
 
 func main() {
