upstream: a name is sent once on a connection, so that an answer is known by it

Callers' requests that may run once ran twice: an extra copy of a server's 421 was taken for the answer to the next send of the same attempt, which goes to the same server on the connection that became idle last. It says "not run" of a run that has begun, and the attempt was sent a third time. A copy of the answer to the identification (/report), which bears no name, was taken for the first answer on a connection, and so was any answer by the identification, by questions to peers and by requests to peers.

Cause: an answer was known by a name that two sends share, or by an order that something else had used. Now a connection remembers the names that it has carried, and a name is sent on it at most once; an answer without a name counts only on a connection on which nothing else was sent, which is not kept; identifications skip named answers; requests to peers have a number that the peer's answer repeats. A connection ends after 1,000 requests, so that what it remembers is bounded. An answer that goes on past what is drained no longer counts as whole.

Log lines and metrics tell the connection, its use, what was skipped and how an answer was matched.

--- a/internal/direct/gateway/answers.go
+++ b/internal/direct/gateway/answers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 
 	"github.com/pkg/errors"
@@ -15,13 +14,21 @@
 	"teaselmoor/internal/direct/upstream"
 )
 
-// answerMatcher returns a function that reports whether an answer belongs to a request: it
-// carries the id of the request's attempt, or it is unsigned, carries no id and is the first
-// answer on its connection, so that it cannot belong to another request.
+// answerMatcher returns a function that tells whether an answer belongs to a request: it carries the id of the request's attempt,
+// or it is unsigned, carries no id and is the first answer on its connection, so that it cannot belong to another request. An
+// attempt without an id is known by the order of answers alone.
 func (gateway *Gateway) answerMatcher(job *job) upstream.Matches {
-	return func(response *http.Response, first bool) bool {
+	return func(response *http.Response, first bool) upstream.Match {
 		headers := gateway.protocol.ParseAnswer(response)
-		return headers.Attempt == job.headers.Attempt || headers.Attempt == "" && first && !headers.Signed
+		switch {
+		case headers.Attempt == "" && first && (!headers.Signed || job.headers.Attempt == ""):
+			return upstream.ByOrder
+		case headers.Attempt == "":
+			return upstream.Nameless
+		case headers.Attempt == job.headers.Attempt:
+			return upstream.ByName
+		}
+		return upstream.OtherName
 	}
 }
 
@@ -32,7 +39,11 @@
 		return gateway.handleProcessDeclined(ctx, job, to)
 	}
 	sent := failed == nil || failed.Sent
-	gateway.log.Info(ending.MessageNoAnswer, "Request", job.headers.Attempt, "Server", to.server.ID, "Sent", sent, "Error", err.Error())
+	var use upstream.Use
+	if failed != nil {
+		use = failed.Use
+	}
+	gateway.log.Info(ending.MessageNoAnswer, append(useFields(use), "Request", job.headers.Attempt, "Server", to.server.ID, "Sent", sent, "Error", err.Error())...)
 	if sent {
 		job.mayHaveRun++
 		gateway.core.settleRetry(job)
@@ -86,8 +97,8 @@
 	gateway.core.recordPause(to.server.ID, headers.Pause)
 	gateway.core.recordBrittle(job, to, answer.StatusCode, headers)
 	if headers.NotRun {
-		gateway.drain(answer)
-		return gateway.handleNotRun(job, to, answer.StatusCode, headers)
+		answer.Drain(maxFailureBytes)
+		return gateway.handleNotRun(job, to, answer, headers)
 	}
 	success := answer.StatusCode/100 == 2
 	job.mayHaveRun++
@@ -106,12 +117,6 @@
 	return gateway.relayWhole(ctx, writer, job, to, answer)
 }
 
-// drain reads a short answer to its end so that its connection can be reused.
-func (gateway *Gateway) drain(answer *upstream.Answer) {
-	_, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxFailureBytes))
-	answer.Close(err == nil)
-}
-
 // recordOutcome records for health tracking whether a server failed.
 func (gateway *Gateway) recordOutcome(to assignment, failed bool) {
 	core := gateway.core
@@ -121,8 +126,9 @@
 }
 
 // handleNotRun decides how to go on with a request that a server states it did not run.
-func (gateway *Gateway) handleNotRun(job *job, to assignment, status int, headers platformapi.AnswerHeaders) tryResult {
-	gateway.log.Info(ending.MessageServerDeclined, "Request", job.headers.Attempt, "Server", to.server.ID, "Status", status, "Absent", headers.Absent, "RestMillis", headers.Pause)
+func (gateway *Gateway) handleNotRun(job *job, to assignment, answer *upstream.Answer, headers platformapi.AnswerHeaders) tryResult {
+	gateway.log.Info(ending.MessageServerDeclined, append(useFields(answer.Use), "Request", job.headers.Attempt, "Server", to.server.ID, "Status", answer.StatusCode,
+		"Absent", headers.Absent, "RestMillis", headers.Pause, "Match", string(answer.Match))...)
 	core := gateway.core
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
@@ -161,11 +167,11 @@
 	job.triedServers = append(job.triedServers, to.server.ID)
 	gateway.log.Info(ending.MessageServerFailed, "Request", job.headers.Attempt, "Server", to.server.ID, "Status", answer.StatusCode)
 	if answer.StatusCode >= 500 && job.route.Repeatable() && job.mayHaveRun < job.route.Attempts && gateway.reserveRetry(job) {
-		gateway.drain(answer)
+		answer.Drain(maxFailureBytes)
 		return tryResult{retry: true, status: http.StatusBadGateway, reason: ending.AnswerLost}
 	}
 	if ending.PromisesNotRun(answer.StatusCode) || job.headSent {
-		gateway.drain(answer)
+		answer.Drain(maxFailureBytes)
 		return tryResult{status: http.StatusBadGateway, reason: ending.InvalidAnswer}
 	}
 	body, ended, err := gateway.readStart(answer, maxFailureBytes)
--- a/internal/direct/gateway/dispatch.go
+++ b/internal/direct/gateway/dispatch.go
@@ -106,8 +106,10 @@
 	tryCtx, cancel := job.tryContext(ctx, left, gateway.answerTimes.expected(job.route))
 	defer cancel()
 	tryCtx = upstream.WithSent(tryCtx, job.place.Release)
-	forwarded, identification := gateway.forwardedRequest(tryCtx, job, to, left), gateway.identification(tryCtx, job, to)
-	answer, err := gateway.pool.SendIdentified(tryCtx, to.server.Address, forwarded, gateway.answerMatcher(job), identification)
+	answer, err := gateway.pool.Send(tryCtx, to.server.Address, upstream.Call{
+		Request: gateway.forwardedRequest(tryCtx, job, to, left), Name: job.headers.Attempt, Matches: gateway.answerMatcher(job),
+		Identification: gateway.identification(tryCtx, job, to),
+	})
 	if err != nil {
 		return gateway.handleNoAnswer(ctx, job, to, err)
 	}
--- a/internal/direct/gateway/handover.go
+++ b/internal/direct/gateway/handover.go
@@ -94,10 +94,10 @@
 	if err != nil {
 		return false
 	}
-	answer, err := gateway.peerPool.Send(ctx, address, request, func(*http.Response, bool) bool { return true })
+	answer, err := gateway.sendToPeer(ctx, address, request)
 	if err != nil {
 		return false
 	}
-	gateway.drain(answer)
+	answer.Drain(maxFailureBytes)
 	return answer.StatusCode == http.StatusNoContent
 }
--- a/internal/direct/gateway/metrics.go
+++ b/internal/direct/gateway/metrics.go
@@ -45,6 +45,8 @@
 	writeGauge(page, gauge{"teaselmoor_heap_bytes", float64(memory.HeapInuse)})
 	writeGauge(page, gauge{"teaselmoor_goroutines", float64(runtime.NumGoroutine())})
 	writeGauge(page, gauge{"teaselmoor_server_connections_opened_total", float64(gateway.pool.Opened())})
+	writeStrays(page, "server", gateway.pool.Strays())
+	writeStrays(page, "peer", gateway.peerPool.Strays())
 	if gateway.options.Dropped != nil {
 		writeGauge(page, gauge{"teaselmoor_log_lines_dropped_total", float64(gateway.options.Dropped())})
 	}
--- a/internal/direct/gateway/processes.go
+++ b/internal/direct/gateway/processes.go
@@ -61,8 +61,8 @@
 // identification returns how the process is found out that a request is sent to. It is nil if that does not matter: only
 // streams that may go on elsewhere depend on what began them.
 func (gateway *Gateway) identification(ctx context.Context, job *job, to assignment) *upstream.Identification {
-	if job.route.Kind != catalog.Streaming || !job.route.Resumable {
-		return nil
+	if job.route.Kind != catalog.Streaming || !job.route.Resumable || job.headers.Attempt == "" {
+		return nil // the answer to an attempt without an id has to be the first one on its connection
 	}
 	request, err := gateway.servers.ReportRequest(ctx, to.server)
 	if err != nil {
@@ -70,7 +70,7 @@
 		return nil
 	}
 	return &upstream.Identification{
-		Request: request,
+		Request: request, Matches: gateway.matchReport,
 		Read: func(response *http.Response) (int64, error) {
 			report, err := gateway.servers.ParseReport(response)
 			if err != nil {
@@ -85,6 +85,14 @@
 	}
 }
 
+// matchReport tells whether an answer belongs to a request for a report. All other requests on the connection have ids.
+func (gateway *Gateway) matchReport(response *http.Response, _ bool) upstream.Match {
+	if gateway.protocol.ParseAnswer(response).Attempt != "" {
+		return upstream.OtherName
+	}
+	return upstream.ByOrder
+}
+
 // acceptProcess reports whether a request may be sent to the process that has answered at a server. A stream that has begun
 // goes on only at a process of its version. Where neither the process nor its server's entry states a start, the entry stands for
 // the process, and is read again.
--- a/internal/direct/gateway/proxied.go
+++ b/internal/direct/gateway/proxied.go
@@ -45,6 +45,7 @@
 // exchanged, and those with requests of a peer's callers.
 func (gateway *Gateway) handlePeerConnections(messages http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		nameAnswer(writer, request)
 		if request.Header.Get(entryHeader) == "" {
 			messages.ServeHTTP(writer, request)
 			return
--- a/internal/direct/gateway/proxy.go
+++ b/internal/direct/gateway/proxy.go
@@ -85,7 +85,7 @@
 	job.peersTried++
 	job.progress.recordSent(now)
 	gateway.log.Info(ending.MessageRequestProxied, "Request", job.headers.Attempt, "Peer", peer.Name, "LeftMillis", left, "Tried", job.peersTried)
-	answer, err := gateway.peerPool.Send(upstream.WithSent(ctx, job.place.Release), peer.Address, gateway.proxiedRequest(ctx, job, left), func(*http.Response, bool) bool { return true })
+	answer, err := gateway.sendToPeer(upstream.WithSent(ctx, job.place.Release), peer.Address, gateway.proxiedRequest(ctx, job, left))
 	if err != nil {
 		return gateway.handleLostPeer(ctx, job, peer, err)
 	}
@@ -165,7 +165,7 @@
 		gateway.counters.recordProxied(proxyAnswered)
 		return gateway.relayProxied(ctx, writer, job, peer, answer)
 	}
-	gateway.drain(answer)
+	answer.Drain(maxFailureBytes)
 	reason := ending.Reason(outcome)
 	sends := sendsOf(answer)
 	job.timesSent += sends
--- a/internal/direct/gateway/relay.go
+++ b/internal/direct/gateway/relay.go
@@ -26,7 +26,7 @@
 
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
-		if !slices.Contains(connectionHeaders, name) {
+		if !slices.Contains(connectionHeaders, name) && !isInternal(name) {
 			to[name] = values
 		}
 	}
--- a/internal/direct/gateway/run.go
+++ b/internal/direct/gateway/run.go
@@ -50,7 +50,9 @@
 	servers  platformapi.ServerClient
 	core     *core
 	pool     *upstream.Pool // connections to servers
-	peerPool *upstream.Pool // connections to peers for requests of this daemon's callers
+	peerPool *upstream.Pool // connections to peers for requests, of this daemon's callers and its own
+	// peerSends is the number of requests sent to peers.
+	peerSends atomic.Int64
 	// proxiedRequests is the number of requests of peers' callers in progress.
 	proxiedRequests atomic.Int64
 	network         peerNetwork
--- a/internal/direct/gateway/trials.go
+++ b/internal/direct/gateway/trials.go
@@ -172,11 +172,11 @@
 	if err != nil {
 		return 0
 	}
-	answer, err := gateway.peerPool.Send(ctx, asked.examiner.Address, request, func(*http.Response, bool) bool { return true })
+	answer, err := gateway.sendToPeer(ctx, asked.examiner.Address, request)
 	if err != nil {
 		return 0
 	}
-	gateway.drain(answer)
+	answer.Drain(maxFailureBytes)
 	return answer.StatusCode
 }
 
--- a/internal/direct/upstream/check_test.go
+++ b/internal/direct/upstream/check_test.go
@@ -34,7 +34,7 @@
 		_ = conn.Close()
 	})
 	pool := upstream.New(upstream.DefaultOptions())
-	_, err := pool.Send(t.Context(), address, request(t), accept)
+	_, err := pool.Send(t.Context(), address, call(t))
 	require.True(t, upstream.ClosedByServer(err))
 	require.False(t, upstream.ClosedByServer(errors.Wrap(net.ErrClosed, "read answer")))
 	require.True(t, upstream.ClosedByServer(errors.Wrap(io.ErrUnexpectedEOF, "read answer")))
@@ -42,7 +42,7 @@
 	silent := answering(t, func(_ int, conn net.Conn) { readRequest(conn) })
 	ctx, cancel := context.WithCancel(t.Context())
 	go cancel()
-	_, err = pool.Send(ctx, silent, request(t), accept)
+	_, err = pool.Send(ctx, silent, call(t))
 	require.Error(t, err)
 	require.False(t, upstream.ClosedByServer(err))
 }
--- a/internal/direct/upstream/exchange.go
+++ b/internal/direct/upstream/exchange.go
@@ -13,49 +13,53 @@
 	"teaselmoor/internal/base/clock"
 )
 
+// Call is a request that is sent once.
+type Call struct {
+	Request *http.Request
+	// Name is what the response is known by. Calls with the same name are sent on different connections, and one without a name
+	// is sent on a connection of its own.
+	Name    string
+	Matches Matches
+	// Identification finds out which process gets the request. Nil: any process that answers at the address.
+	Identification *Identification
+}
+
 // Answer is the response of a backend server. The caller of Send must call Close.
 type Answer struct {
 	*http.Response
 	// StartedAt is the start of the process that answers, in Unix milliseconds; 0: it was not identified or states none.
 	StartedAt int64
+	Use       Use
+	Match     Match
 	pool      *Pool
 	conn      *conn
 	written   chan error  // nil when the request was written before the response was read
 	stop      func() bool // stops closing the connection when the context ends
 }
 
-// Matches reports whether a response belongs to the request. First is true for the
-// first response on a connection.
-type Matches func(response *http.Response, first bool) bool
-
-// Send sends a request and returns when the head of its response has arrived. The
-// connection is closed when the context ends. Errors are of type *Error.
-func (pool *Pool) Send(ctx context.Context, address string, request *http.Request, matches Matches) (*Answer, error) {
-	return pool.send(ctx, address, request, matches, nil)
-}
-
-// send sends a request, without an identification to any process that answers at the address.
-func (pool *Pool) send(ctx context.Context, address string, request *http.Request, matches Matches, identification *Identification) (*Answer, error) {
+// Send sends a request and returns when the head of its response has arrived. The connection is closed when the context ends.
+// Errors are of type *Error. One with Refused set means that the process was not accepted.
+func (pool *Pool) Send(ctx context.Context, address string, call Call) (*Answer, error) {
 	var encoded bytes.Buffer
-	if err := request.Write(&encoded); err != nil {
+	if err := call.Request.Write(&encoded); err != nil {
 		return nil, &Error{Err: errors.Wrap(err, "encode request")}
 	}
 	for ended := 0; ; {
-		used, err := pool.get(ctx, address)
+		used, err := pool.get(ctx, address, call.Name)
 		if err != nil {
 			return nil, &Error{Dial: true, Err: errors.Wrap(err, "connect")}
 		}
 		var answer *Answer
-		if identification != nil {
+		if call.Identification != nil {
 			used.identified = used.identified || ended >= maxEnded
-			err = pool.identify(ctx, used, identification)
+			err = pool.identify(ctx, used, call.Identification)
 		}
 		if errors.Is(err, errEnds) {
 			ended++
 			continue
 		}
 		if err == nil {
-			answer, err = pool.roundTrip(ctx, used, request, encoded.Bytes(), matches)
+			answer, err = pool.roundTrip(ctx, used, call, encoded.Bytes())
 		}
 		var failed *Error
 		if errors.As(err, &failed) && !failed.Sent && !failed.Refused && used.reused && ctx.Err() == nil {
@@ -75,9 +79,10 @@
 }
 
 // roundTrip writes a request to a connection and reads the head of its response.
-func (pool *Pool) roundTrip(ctx context.Context, used *conn, request *http.Request, encoded []byte, matches Matches) (*Answer, error) {
+func (pool *Pool) roundTrip(ctx context.Context, used *conn, call Call, encoded []byte) (*Answer, error) {
 	answer := &Answer{StartedAt: used.startedAt, pool: pool, conn: used}
 	answer.stop = context.AfterFunc(ctx, used.reset)
+	used.recordRequest(call.Name)
 	if err := answer.writeRequest(encoded, pool.options.InlineBytes); err != nil {
 		answer.discard()
 		return nil, err
@@ -85,35 +90,13 @@
 	if sent, ok := ctx.Value(sentKey{}).(func()); ok {
 		sent()
 	}
-	used.heads.begin(pool.options.HeadBytes)
-	for skipped := 0; ; skipped++ {
-		response, err := used.readResponse(request)
-		if err != nil {
-			answer.discard()
-			return nil, &Error{Sent: true, Err: errors.Wrap(err, "read answer")}
-		}
-		if response.StatusCode/100 == 1 {
-			used.heads.inHead = true // what is left of the limit holds for all heads
-			continue
-		}
-		if matches(response, !used.reused && skipped == 0) {
-			answer.Response = response
-			return answer, nil
-		}
-		if err := pool.skipUnmatched(response, skipped); err != nil {
-			answer.discard()
-			return nil, &Error{Sent: true, Err: err}
-		}
-		used.heads.begin(pool.options.HeadBytes)
-	}
-}
-
-// skipUnmatched discards a response to another request, as the one to this request may follow.
-func (pool *Pool) skipUnmatched(response *http.Response, skipped int) error {
-	if skipped >= pool.options.MaxStrays || response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
-		return errors.New("response belongs to another request")
+	response, match, err := pool.readAnswer(used, call.Request, call.Matches)
+	if err != nil {
+		answer.discard()
+		return nil, &Error{Sent: true, Use: used.use(), Err: err}
 	}
-	return errors.Wrap(discard(response.Body, pool.options.StrayBytes), "skip the answer to another request")
+	answer.Response, answer.Match, answer.Use = response, match, used.use()
+	return answer, nil
 }
 
 // writeRequest writes a short request at once, and a longer one in the background.
@@ -162,14 +145,21 @@
 	_ = conn.Conn.Close()
 }
 
+// Drain reads the rest of a response that is not needed, within a number of bytes, and closes it. The connection is kept for reuse if the
+// response has ended by then.
+func (answer *Answer) Drain(limit int64) {
+	answer.Close(discard(answer.Body, limit) == nil)
+}
+
 // Close keeps the connection for reuse if the whole response was read and the
-// connection is still usable, and closes it otherwise.
+// connection is still usable, and closes it otherwise. It is not kept after a response without
+// a name, as nothing would tell a copy of it from a later response.
 func (answer *Answer) Close(whole bool) {
 	stopped := answer.stop()
 	if !whole {
 		answer.conn.reset()
 	}
-	if !stopped || !whole || answer.Response.Close || answer.writePending() || answer.conn.reader.Buffered() > 0 {
+	if !stopped || !whole || answer.Match == ByOrder || answer.Response.Close || answer.writePending() || answer.conn.reader.Buffered() > 0 {
 		answer.pool.closeConn(answer.conn)
 		return
 	}
--- a/internal/direct/upstream/identify.go
+++ b/internal/direct/upstream/identify.go
@@ -15,6 +15,8 @@
 type Identification struct {
 	// Request asks the process for its start. It is sent at most once on a connection.
 	Request *http.Request
+	// Matches returns whether a response is that to Request.
+	Matches Matches
 	// Read returns the start of the process in Unix milliseconds from a successful response, 0 if it states none.
 	Read func(response *http.Response) (int64, error)
 	// Accept reports whether the process may get the request.
@@ -25,12 +27,6 @@
 // that another server can still take it.
 const identifyTimeout = 1 * clock.Second
 
-// SendIdentified sends a request like Send, on a connection whose process is known and accepted. The Answer states its start.
-// An Error with Refused set means that the process was not accepted.
-func (pool *Pool) SendIdentified(ctx context.Context, address string, request *http.Request, matches Matches, identification *Identification) (*Answer, error) {
-	return pool.send(ctx, address, request, matches, identification)
-}
-
 // errEnds means that a process has answered, but closes the connection after that.
 var errEnds = errors.New("the process closes the connection after its answer")
 
@@ -42,7 +38,7 @@
 // connection if it returns an error, but keeps it if the process was not accepted.
 func (pool *Pool) identify(ctx context.Context, used *conn, identification *Identification) error {
 	if !used.identified {
-		if err := used.readStart(ctx, identification, pool.options); err != nil {
+		if err := pool.readStart(ctx, used, identification); err != nil {
 			used.reset()
 			pool.closeConn(used)
 			return &Error{Err: errors.Wrap(err, "identify process")}
@@ -56,8 +52,8 @@
 	return nil
 }
 
-// readStart asks the process at the other end for its start. A process that does not tell has none.
-func (conn *conn) readStart(ctx context.Context, identification *Identification, options Options) error {
+// readStart asks the process at the other end of a connection for its start. A process that does not tell has none.
+func (pool *Pool) readStart(ctx context.Context, conn *conn, identification *Identification) error {
 	ctx, cancel := context.WithTimeout(ctx, identifyTimeout.Duration())
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Now()) })
@@ -67,13 +63,13 @@
 		}
 		_ = conn.SetDeadline(time.Time{}) // the connection is closed, as its process has not answered in time
 	}()
+	conn.recordRequest("")
 	if err := identification.Request.Write(conn); err != nil {
 		return errors.Wrap(err, "send")
 	}
-	conn.heads.begin(options.HeadBytes)
-	response, err := conn.readResponse(identification.Request)
+	response, _, err := pool.readAnswer(conn, identification.Request, identification.Matches)
 	if err != nil {
-		return errors.Wrap(err, "read answer")
+		return err
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode == http.StatusOK {
@@ -81,7 +77,7 @@
 			return err
 		}
 	}
-	if err := discard(response.Body, options.StrayBytes); err != nil {
+	if err := discard(response.Body, pool.options.StrayBytes); err != nil {
 		return errors.Wrap(err, "read answer")
 	}
 	if response.Close || conn.reader.Buffered() > 0 {
--- a/internal/direct/upstream/identify_test.go
+++ b/internal/direct/upstream/identify_test.go
@@ -18,7 +18,7 @@
 // identification accepts all processes, or one.
 func identification(t testing.TB, only int64) *upstream.Identification {
 	return &upstream.Identification{
-		Request: request(t),
+		Request: request(t), Matches: accept,
 		Read: func(response *http.Response) (int64, error) {
 			text, err := io.ReadAll(response.Body)
 			require.NoError(t, err)
@@ -28,6 +28,13 @@
 	}
 }
 
+// identifiedCall returns a call to a process that is found out by an identification.
+func identifiedCall(t testing.TB, identification *upstream.Identification) upstream.Call {
+	made := call(t)
+	made.Identification = identification
+	return made
+}
+
 // process starts a server that states its start on the first request of a connection, and counts other requests.
 func process(t testing.TB, startedAt string, header string) (address string, requests *atomic.Int32) {
 	requests = &atomic.Int32{}
@@ -50,7 +57,7 @@
 	address, requests := process(t, "17", "")
 	pool := upstream.New(upstream.DefaultOptions())
 	for range 3 {
-		got, err := pool.SendIdentified(t.Context(), address, request(t), accept, identification(t, 0))
+		got, err := pool.Send(t.Context(), address, identifiedCall(t, identification(t, 0)))
 		require.NoError(t, err)
 		require.EqualValues(t, 17, got.StartedAt)
 		require.Equal(t, "ok", readAll(t, got))
@@ -64,7 +71,7 @@
 	address, requests := process(t, "17", "")
 	pool := upstream.New(upstream.DefaultOptions())
 	for range 2 {
-		_, err := pool.SendIdentified(t.Context(), address, request(t), accept, identification(t, 16))
+		_, err := pool.Send(t.Context(), address, identifiedCall(t, identification(t, 16)))
 		var failed *upstream.Error
 		require.True(t, errors.As(err, &failed))
 		require.True(t, failed.Refused)
@@ -83,7 +90,7 @@
 		_ = conn.Close()
 	})
 	pool := upstream.New(upstream.DefaultOptions())
-	got, err := pool.SendIdentified(t.Context(), address, request(t), accept, identification(t, 0))
+	got, err := pool.Send(t.Context(), address, identifiedCall(t, identification(t, 0)))
 	require.NoError(t, err)
 	require.Zero(t, got.StartedAt)
 	require.Equal(t, "17", readAll(t, got))
@@ -93,7 +100,7 @@
 func TestSilentProcessGetsNoRequest(t *testing.T) {
 	address := answering(t, func(_ int, conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
 	pool := upstream.New(upstream.DefaultOptions())
-	_, err := pool.SendIdentified(t.Context(), address, request(t), accept, identification(t, 0))
+	_, err := pool.Send(t.Context(), address, identifiedCall(t, identification(t, 0)))
 	var failed *upstream.Error
 	require.True(t, errors.As(err, &failed))
 	require.False(t, failed.Sent)
--- a/internal/direct/upstream/pool.go
+++ b/internal/direct/upstream/pool.go
@@ -9,6 +9,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -29,6 +30,7 @@
 	InlineBytes int          // a longer request is written while its response is read
 	UserTimeout clock.Millis // TCP_USER_TIMEOUT: how long sent bytes may stay unacknowledged
 	MaxStrays   int          // responses to other requests that are skipped before giving up
+	MaxRequests int          // on one connection
 	HeadBytes   int          // of the head of a response, with the interim responses before it
 	StrayBytes  int64        // of the body of a response that is skipped
 }
@@ -37,12 +39,14 @@
 func DefaultOptions() Options {
 	return Options{
 		DialTimeout: 400, IdleTimeout: 8 * clock.Second, MaxIdle: 24, BufferBytes: 2048,
-		InlineBytes: 4096, UserTimeout: 3000, MaxStrays: 3, HeadBytes: 64 << 10, StrayBytes: 1 << 20,
+		InlineBytes: 4096, UserTimeout: 3000, MaxStrays: 3, MaxRequests: 1000, HeadBytes: 64 << 10, StrayBytes: 1 << 20,
 	}
 }
 
 // Error is the failure of a request that got no usable response.
 type Error struct {
+	// Use is the use of a connection by the request, if it has been sent.
+	Use Use
 	// Sent reports whether any byte may have reached the server.
 	Sent bool
 	// Dial reports whether connecting failed.
@@ -65,15 +69,16 @@
 	started  time.Time
 	lastRead atomic.Int64 // when a byte last arrived, in nanoseconds after started; 0: never
 	lastDial atomic.Int64 // when a connection was last opened
-	mutex    sync.Mutex   // guards idle, opened, open
+	mutex    sync.Mutex   // guards the fields below
 	idle     map[string][]*conn
 	open     map[string]int // by address: connections in use or idle
 	opened   int64
+	strays   map[Match]int64
 }
 
 // New returns an empty pool.
 func New(options Options) *Pool {
-	pool := &Pool{options: options, started: time.Now(), idle: make(map[string][]*conn), open: make(map[string]int)}
+	pool := &Pool{options: options, started: time.Now(), idle: make(map[string][]*conn), open: make(map[string]int), strays: make(map[Match]int64)}
 	pool.dialer = net.Dialer{
 		Timeout: options.DialTimeout.Duration(),
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -105,19 +110,6 @@
 	return pool.opened
 }
 
-// conn is a connection to a server, in use or idle.
-type conn struct {
-	net.Conn
-	address string
-	reader  *bufio.Reader // of heads
-	heads   *headReader
-	expires time.Time
-	reused  bool // it was idle before its present request
-
-	identified bool  // startedAt is known
-	startedAt  int64 // start of the process at the other end in Unix milliseconds; 0: it states none
-}
-
 // idleMargin is subtracted from a server's idle timeout, so that a request is not
 // sent while the server closes the connection. It exceeds a round trip on a slow
 // link.
@@ -132,7 +124,7 @@
 	kept.reused = true
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	if len(pool.idle[kept.address]) >= pool.options.MaxIdle {
+	if len(pool.idle[kept.address]) >= pool.options.MaxIdle || kept.requests >= pool.options.MaxRequests {
 		pool.closeLocked(kept)
 		return
 	}
@@ -154,10 +146,10 @@
 	}
 }
 
-// get returns an idle connection that is still open, or a new one.
-func (pool *Pool) get(ctx context.Context, address string) (*conn, error) {
+// get returns a connection that may carry a request with a name: an idle one that is still open, or a new one.
+func (pool *Pool) get(ctx context.Context, address string, name string) (*conn, error) {
 	for {
-		kept, ok := pool.popIdle(address)
+		kept, ok := pool.popIdle(address, name)
 		if !ok {
 			return pool.dial(ctx, address)
 		}
@@ -168,17 +160,18 @@
 	}
 }
 
-// popIdle takes the connection that became idle last.
-func (pool *Pool) popIdle(address string) (*conn, bool) {
+// popIdle takes the connection that became idle last of those that may carry a request with a name.
+func (pool *Pool) popIdle(address string, name string) (*conn, bool) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	idle := pool.idle[address]
-	if len(idle) == 0 {
-		return nil, false
+	for i, kept := range slices.Backward(idle) {
+		if kept.mayCarry(name) {
+			pool.idle[address] = slices.Delete(idle, i, i+1)
+			return kept, true
+		}
 	}
-	last := idle[len(idle)-1]
-	pool.idle[address] = idle[:len(idle)-1]
-	return last, true
+	return nil, false
 }
 
 func (pool *Pool) dial(ctx context.Context, address string) (*conn, error) {
@@ -192,7 +185,7 @@
 	pool.opened++
 	pool.open[address]++
 	heads := &headReader{Reader: activityReader{dialed, pool}}
-	return &conn{Conn: dialed, address: address, reader: bufio.NewReaderSize(heads, pool.options.BufferBytes), heads: heads}, nil
+	return &conn{Conn: dialed, number: pool.opened, address: address, reader: bufio.NewReaderSize(heads, pool.options.BufferBytes), heads: heads}, nil
 }
 
 // CloseExpired closes idle connections that have expired.
--- a/internal/direct/upstream/pool_test.go
+++ b/internal/direct/upstream/pool_test.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -54,7 +56,19 @@
 	return made
 }
 
-func accept(*http.Response, bool) bool { return true }
+func accept(*http.Response, bool) upstream.Match { return upstream.ByName }
+
+// calls is the number of calls made so far, after which they are named.
+var calls atomic.Int64
+
+// callOf returns a call that takes any answer for its own.
+func callOf(request *http.Request) upstream.Call {
+	return upstream.Call{Request: request, Name: fmt.Sprint("call-", calls.Add(1)), Matches: accept}
+}
+
+func call(t testing.TB) upstream.Call {
+	return callOf(request(t))
+}
 
 const answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
@@ -75,7 +89,7 @@
 	})
 	pool := upstream.New(upstream.DefaultOptions())
 	for range 5 {
-		got, err := pool.Send(t.Context(), address, request(t), accept)
+		got, err := pool.Send(t.Context(), address, call(t))
 		require.NoError(t, err)
 		require.Equal(t, "ok", readAll(t, got))
 	}
@@ -94,7 +108,7 @@
 	})
 	pool := upstream.New(upstream.DefaultOptions())
 	for range 3 {
-		got, err := pool.Send(t.Context(), address, request(t), accept)
+		got, err := pool.Send(t.Context(), address, call(t))
 		require.NoError(t, err)
 		require.Equal(t, "ok", readAll(t, got))
 		<-closed
@@ -113,7 +127,7 @@
 	options.IdleTimeout = 100 // below idleMargin, so the connection has expired at once
 	pool := upstream.New(options)
 	for range 2 {
-		got, err := pool.Send(t.Context(), address, request(t), accept)
+		got, err := pool.Send(t.Context(), address, call(t))
 		require.NoError(t, err)
 		readAll(t, got)
 	}
@@ -127,7 +141,7 @@
 	require.NoError(t, err)
 	address := listener.Addr().String()
 	require.NoError(t, listener.Close())
-	_, err = upstream.New(upstream.DefaultOptions()).Send(t.Context(), address, request(t), accept)
+	_, err = upstream.New(upstream.DefaultOptions()).Send(t.Context(), address, call(t))
 	var failed *upstream.Error
 	require.True(t, errors.As(err, &failed))
 	require.True(t, failed.Dial)
@@ -141,7 +155,7 @@
 		readRequest(conn)
 		_ = conn.Close()
 	})
-	_, err := upstream.New(upstream.DefaultOptions()).Send(t.Context(), address, request(t), accept)
+	_, err := upstream.New(upstream.DefaultOptions()).Send(t.Context(), address, call(t))
 	var failed *upstream.Error
 	require.True(t, errors.As(err, &failed))
 	require.True(t, failed.Sent)
@@ -155,8 +169,14 @@
 		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nFor: other\r\nContent-Length: 5\r\n\r\nother" +
 			"HTTP/1.1 200 OK\r\nFor: me\r\nContent-Length: 2\r\n\r\nok"))
 	})
-	mine := func(response *http.Response, _ bool) bool { return response.Header.Get("For") == "me" }
-	got, err := upstream.New(upstream.DefaultOptions()).Send(t.Context(), address, request(t), mine)
+	sent := call(t)
+	sent.Matches = func(response *http.Response, _ bool) upstream.Match {
+		if response.Header.Get("For") == "me" {
+			return upstream.ByName
+		}
+		return upstream.OtherName
+	}
+	got, err := upstream.New(upstream.DefaultOptions()).Send(t.Context(), address, sent)
 	require.NoError(t, err)
 	require.Equal(t, "ok", readAll(t, got))
 }
@@ -169,7 +189,7 @@
 		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhalf"))
 	})
 	ctx, cancel := context.WithCancel(t.Context())
-	got, err := upstream.New(upstream.DefaultOptions()).Send(ctx, address, request(t), accept)
+	got, err := upstream.New(upstream.DefaultOptions()).Send(ctx, address, call(t))
 	require.NoError(t, err)
 	cancel()
 	_, err = io.ReadAll(got.Body)
@@ -190,7 +210,7 @@
 	for i := range 2 {
 		long, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://server/x", strings.NewReader(strings.Repeat("x", 16<<20)))
 		require.NoError(t, err)
-		got, err := pool.Send(t.Context(), address, long, accept)
+		got, err := pool.Send(t.Context(), address, callOf(long))
 		require.NoError(t, err)
 		require.Equal(t, "ok", readAll(t, got))
 		require.EqualValues(t, i+1, pool.Opened())
@@ -209,7 +229,7 @@
 	require.NoError(t, err)
 	failed := make(chan error, 1)
 	go func() {
-		_, err := upstream.New(upstream.DefaultOptions()).Send(ctx, listener.Addr().String(), request, accept)
+		_, err := upstream.New(upstream.DefaultOptions()).Send(ctx, listener.Addr().String(), callOf(request))
 		failed <- err
 	}()
 	server, err := listener.Accept()
