takeup, lease: a run ends when its caller has taken the stream up, or its entry is silent

Class: work for somebody who isn't there any more, known only by a connection.

A daemon that gets the rest of a stream asked for tells all others, at once, and hubs relay it. Whoever works on an earlier request for the same content, begun by the same attempt and behind the event that the new one names, ends it: callers never go back behind what they have, so a late notice ends nothing. Where callers don't name the attempt, or both name the same event, it ends only work for an entry that is silent. For that, a daemon that sends resumable streams by way of a peer sends it a heartbeat each 100 ms; without any for as long as callers wait for an event, or 0.6 s where no other daemon is heard either, the work ends.

TestStreamOutlastsPauseOfItsEntry: pauses of 0.3, 0.5 and 2 s with callers that wait end no stream, and start no run, before and now.

--- a/internal/direct/ending/ending.go
+++ b/internal/direct/ending/ending.go
@@ -11,6 +11,8 @@
 	MessageRequestSent      = "request sent"
 	MessageRequestProxied   = "request sent to peer"
 	MessagePeerUnusable     = "peer did not take request"
+	MessageEntrySilent      = "entry silent"
+	MessageStreamTakenUp    = "stream taken up"
 	MessageAdapterRequested = "adapter asked for"
 	MessageAdapterNotReady  = "adapter not ready"
 	MessageServerDeclined   = "server declined"
--- a/internal/direct/gateway/adapterwait.go
+++ b/internal/direct/gateway/adapterwait.go
@@ -10,12 +10,16 @@
 // maxAdapterWait is how long a request may wait for its adapter: the share LoadPatience of the
 // time until its deadline, or until the caller is expected to abandon the silent stream.
 func (core *core) maxAdapterWait(now clock.Millis, job *job) clock.Millis {
-	silence := max(minSilence, goalSilenceFactor*job.route.Goal, gapSilenceFactor*job.route.GapGoal)
-	byCaller := clock.Millis(core.options.LoadPatience * float64(job.lastEventAt+silence-now))
+	byCaller := clock.Millis(core.options.LoadPatience * float64(job.lastEventAt+job.callerPatience()-now))
 	byDeadline := clock.Millis(core.options.LoadPatience * float64(job.deadline-now))
 	return min(byCaller, byDeadline)
 }
 
+// callerPatience is the time without an event after which a caller is expected to abandon a stream.
+func (job *job) callerPatience() clock.Millis {
+	return max(minSilence, goalSilenceFactor*job.route.Goal, gapSilenceFactor*job.route.GapGoal)
+}
+
 // Callers are expected to abandon a stream after the longest of these silences: a fixed one,
 // and multiples of the route's goals for the first event and for gaps.
 const (
--- a/internal/direct/gateway/counters.go
+++ b/internal/direct/gateway/counters.go
@@ -36,6 +36,7 @@
 	unread  int64                 // connections closed unread, as their callers had left
 	proxied map[proxyResult]int64 // requests sent to peers or received from them
 
+	takenUp int64                  // runs of streams that were ended as their callers had taken the streams up
 	origins map[originSource]int64 // resumed streams, by how their origin was found out
 
 	late        *late.Counts
@@ -99,6 +100,8 @@
 	proxyRefused  proxyResult = "refused"  // by the peer, for a reason that holds for other peers too
 	proxyUnusable proxyResult = "unusable" // the peer did not take it, or gave no answer
 	proxyReceived proxyResult = "received" // from a peer
+	// proxyEntrySilent is the end of a request from a peer that no longer sends heartbeats.
+	proxyEntrySilent proxyResult = "entry silent"
 )
 
 // recordProxied counts a request that was sent to a peer, or that a peer has sent.
@@ -108,6 +111,20 @@
 	counters.proxied[result]++
 }
 
+// recordEntrySilent counts requests that were ended as their entry was silent.
+func (counters *counters) recordEntrySilent(requests int) {
+	counters.mutex.Lock()
+	defer counters.mutex.Unlock()
+	counters.proxied[proxyEntrySilent] += int64(requests)
+}
+
+// recordTakenUp counts a run that is ended as its stream has been taken up.
+func (counters *counters) recordTakenUp() {
+	counters.mutex.Lock()
+	defer counters.mutex.Unlock()
+	counters.takenUp++
+}
+
 // recordUnread counts a connection that is closed unread, as its caller has left.
 func (counters *counters) recordUnread() {
 	counters.mutex.Lock()
@@ -192,6 +209,7 @@
 	for source, count := range counters.origins {
 		_, _ = fmt.Fprintf(out, "teaselmoor_streams_resumed_total{source=%q} %d\n", source, count)
 	}
+	_, _ = fmt.Fprintf(out, "teaselmoor_streams_taken_up_total %d\n", counters.takenUp)
 	_, _ = fmt.Fprintf(out, "teaselmoor_connections_closed_unread_total %d\n", counters.unread)
 	for result, count := range counters.proxied {
 		_, _ = fmt.Fprintf(out, "teaselmoor_proxied_requests_total{result=%q} %d\n", result, count)
--- a/internal/direct/gateway/dispatch.go
+++ b/internal/direct/gateway/dispatch.go
@@ -97,6 +97,7 @@
 		return tryResult{status: http.StatusServiceUnavailable, reason: ending.RetryBudgetSpent}
 	}
 	job.timesSent++
+	gateway.announceTakeUp(job)
 	job.progress.recordSent(now)
 	local := to.server.DataCentre == gateway.settings.DataCentre
 	gateway.counters.recordSent(job.service, local)
--- a/internal/direct/gateway/gossip.go
+++ b/internal/direct/gateway/gossip.go
@@ -13,6 +13,7 @@
 
 // Received implements peers.Handler.
 func (gateway *Gateway) Received(from string, message peers.Message) {
+	gateway.lastMessageAt.Store(int64(gateway.core.now()))
 	switch {
 	case message.Update != nil:
 		gateway.handleUpdate(message.Update)
@@ -38,6 +39,8 @@
 		gateway.core.applyOrigins(from, message.Origins)
 	case len(message.Streams) > 0:
 		gateway.core.applyStreams(from, message.Streams)
+	case message.TakenUp != nil:
+		gateway.handleTakenUp(from, message.TakenUp)
 	case message.Items != nil:
 		gateway.core.applyPulledItems(*message.Items)
 	}
--- a/internal/direct/gateway/handler.go
+++ b/internal/direct/gateway/handler.go
@@ -17,6 +17,7 @@
 	"teaselmoor/internal/direct/prefill"
 	"teaselmoor/internal/direct/retry"
 	"teaselmoor/internal/direct/software"
+	"teaselmoor/internal/direct/takeup"
 )
 
 // job is the state of a caller's request in this daemon.
@@ -59,6 +60,8 @@
 	continues     bool            // an event of the stream was sent to the caller, by this attempt or an earlier one
 	origin        software.Origin // of the stream, if originKnown
 	originKnown   bool
+	takeUpTold    bool         // daemons have been told that the request goes on with a stream
+	afterAtEntry  takeup.Event // the last event that the caller of another daemon had
 	declined      int          // servers whose processes turned out not to fit the stream
 	stream        late.Stream  // course of a streamed answer
 	trial         *trial       // nil: the request is not suspect
@@ -109,6 +112,9 @@
 		return
 	}
 	defer job.place.Release()
+	if job.mayBeTakenUp() {
+		defer gateway.endWhenTakenUp(job, from)()
+	}
 	gateway.dispatch(writer, job)
 }
 
@@ -120,7 +126,7 @@
 	unread := sinceReceived(request)
 	job := &job{
 		incoming: request, arrived: now - unread, progress: progress{unread: unread, head: now}, lastEventAt: now - unread,
-		configVersion: config.Version, entry: from.daemon, mayHaveRun: from.runs,
+		configVersion: config.Version, entry: from.daemon, mayHaveRun: from.runs, afterAtEntry: from.after,
 	}
 	headers, err := gateway.protocol.ParseRequest(request)
 	job.headers = headers
--- a/internal/direct/gateway/proxied.go
+++ b/internal/direct/gateway/proxied.go
@@ -9,6 +9,7 @@
 	"teaselmoor/internal/direct/catalog"
 	"teaselmoor/internal/direct/ending"
 	"teaselmoor/internal/direct/software"
+	"teaselmoor/internal/direct/takeup"
 )
 
 // entry is what a daemon says of a request that it sends to a peer.
@@ -17,6 +18,8 @@
 	runs          int    // servers that may have run the request
 	configVersion int64
 	counted       bool            // another daemon has counted the request for the retry budget
+	renewsLease   bool            // the daemon sends heartbeats while it waits for the answer
+	after         takeup.Event    // the last event that its caller had
 	origin        software.Origin // of the stream that the request continues, if originKnown
 	originKnown   bool
 }
@@ -32,6 +35,7 @@
 	parsed.configVersion, _ = strconv.ParseInt(header.Get(configHeader), 10, 64) // 0: any version will do
 	parsed.origin, parsed.originKnown = takeOrigin(header)
 	parsed.counted = header.Get(countedHeader) != ""
+	parsed.renewsLease, parsed.after = takeLease(header)
 	for _, name := range []string{entryHeader, runsHeader, configHeader, countedHeader} {
 		header.Del(name)
 	}
--- a/internal/direct/gateway/proxy.go
+++ b/internal/direct/gateway/proxy.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
 	"slices"
@@ -82,7 +83,11 @@
 	}
 	core.mutex.Unlock()
 	defer core.endProxied(peer.Name)
+	if job.mayBeTakenUp() {
+		defer gateway.renewLease(peer.Address)()
+	}
 	job.peersTried++
+	gateway.announceTakeUp(job)
 	job.progress.recordSent(now)
 	gateway.log.Info(ending.MessageRequestProxied, "Request", job.headers.Attempt, "Peer", peer.Name, "LeftMillis", left, "Tried", job.peersTried)
 	answer, err := gateway.sendToPeer(upstream.WithSent(ctx, job.place.Release), peer.Address, gateway.proxiedRequest(ctx, job, left))
@@ -101,14 +106,16 @@
 		Method: job.incoming.Method, URL: &url.URL{Opaque: job.incoming.RequestURI}, Host: job.incoming.Host,
 		Header: gateway.protocol.ForwardedHeader(job.incoming.Header, added), ContentLength: int64(len(job.body)),
 	}
+	maps.DeleteFunc(request.Header, func(name string, _ []string) bool { return isInternal(name) }) // a caller's own
 	request.Header.Set(entryHeader, gateway.settings.Name)
 	request.Header.Set(runsHeader, strconv.Itoa(job.mayHaveRun))
 	request.Header.Set(configHeader, strconv.FormatInt(job.configVersion, 10))
-	request.Header.Del(originHeader) // a caller's own
-	request.Header.Del(countedHeader)
 	if job.peersTried > 1 {
 		request.Header.Set(countedHeader, "1")
 	}
+	if job.mayBeTakenUp() {
+		setLease(request.Header, job)
+	}
 	if job.continues && job.originKnown {
 		request.Header.Set(originHeader, formatOrigin(job.origin))
 	}
--- a/internal/direct/gateway/run.go
+++ b/internal/direct/gateway/run.go
@@ -15,9 +15,11 @@
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/base/task"
 	"teaselmoor/internal/direct/intake"
+	"teaselmoor/internal/direct/lease"
 	"teaselmoor/internal/direct/mirror"
 	"teaselmoor/internal/direct/peers"
 	"teaselmoor/internal/direct/platformapi"
+	"teaselmoor/internal/direct/takeup"
 	"teaselmoor/internal/direct/topology"
 	"teaselmoor/internal/direct/upstream"
 )
@@ -51,8 +53,13 @@
 	core     *core
 	pool     *upstream.Pool // connections to servers
 	peerPool *upstream.Pool // connections to peers for requests, of this daemon's callers and its own
+	// lastMessageAt is when a message of a peer last came, in milliseconds of the daemon's clock.
+	lastMessageAt atomic.Int64
 	// peerSends is the number of requests sent to peers.
-	peerSends atomic.Int64
+	peerSends   atomic.Int64
+	takenUp     takenUpRuns
+	entryLeases entryLeases
+	heartbeats  heartbeatTargets
 	// proxiedRequests is the number of requests of peers' callers in progress.
 	proxiedRequests atomic.Int64
 	network         peerNetwork
@@ -77,6 +84,9 @@
 	gateway.intake = intake.New(options.Intake, processors, gateway.core.now)
 	gateway.readers = intake.NewReaders(options.Intake, processors, gateway.intake)
 	gateway.answerTimes = newAnswerTimes()
+	gateway.takenUp.runs = takeup.NewRuns()
+	gateway.entryLeases.leases = lease.New(options.Leases)
+	gateway.heartbeats.targets = make(map[string]*heartbeatsTarget)
 	gateway.kept = newKeptBudget(settings.MemoryMB)
 	gateway.network = peers.New(options.Peers, settings.Name, gateway, gateway.tasks)
 	return gateway
@@ -144,6 +154,7 @@
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peers.Path, gateway.network)
 	peerMux.HandleFunc(linksPath, gateway.serveLinks)
+	peerMux.HandleFunc(peers.HeartbeatPath, gateway.serveHeartbeats)
 	peerMux.HandleFunc("POST "+trialsPath, gateway.serveTrials)
 	peerMux.HandleFunc("DELETE "+trialsPath, gateway.serveTrials)
 	gateway.serve("peers", opened.peers, &http.Server{Handler: gateway.handlePeerConnections(peerMux), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: keepConn})
--- a/internal/direct/gateway/settings.go
+++ b/internal/direct/gateway/settings.go
@@ -16,6 +16,7 @@
 	"teaselmoor/internal/direct/demand"
 	"teaselmoor/internal/direct/fleet"
 	"teaselmoor/internal/direct/intake"
+	"teaselmoor/internal/direct/lease"
 	"teaselmoor/internal/direct/loading"
 	"teaselmoor/internal/direct/membership"
 	"teaselmoor/internal/direct/mirror"
@@ -124,6 +125,7 @@
 	Speeds     speed.Options
 	Shed       shed.Options
 	Intake     intake.Options
+	Leases     lease.Options
 
 	// Short has requests with a short goal to plain services placed without the load counts of
 	// other daemons at a site with hubs.
@@ -191,7 +193,7 @@
 		Fleet: fleet.DefaultOptions(), Weights: choose.DefaultWeights(), Hold: choose.DefaultDelayPolicy(), Turns: prefill.DefaultOptions(), Loading: loading.DefaultOptions(),
 		Mirror: mirror.DefaultOptions(), Peers: peers.DefaultOptions(), Membership: membership.DefaultOptions(), Tenure: claims.DefaultOptions(settings.Lease, settings.Fenced),
 		Upstream: upstream.DefaultOptions(), Quarantine: quarantine.DefaultOptions(), Demand: demand.DefaultOptions(), Links: reach.DefaultOptions(),
-		Speeds: speed.DefaultOptions(), Refusals: DefaultRefusals(), Shed: shed.DefaultOptions(), Intake: intake.DefaultOptions(),
+		Speeds: speed.DefaultOptions(), Refusals: DefaultRefusals(), Shed: shed.DefaultOptions(), Intake: intake.DefaultOptions(), Leases: lease.DefaultOptions(),
 
 		Short: true, TellInterval: 100, ReadingInterval: 20, HubInterval: 50, WorkPause: 30, UpdateInterval: 500, VersionGrace: 2500,
 		LoadPatience: 0.8, WantInterval: 400,
--- a/internal/direct/peers/message.go
+++ b/internal/direct/peers/message.go
@@ -142,6 +142,7 @@
 	Origins      []software.Batch // of streams that have begun, so that other daemons can resume them
 	OriginQuery  *OriginQuery
 	OriginAnswer *OriginAnswer
+	TakenUp      *TakenUp
 }
 
 // Warnings holds what was not yet sent to the receiver on the same connection about requests
--- a/internal/direct/peers/wire.go
+++ b/internal/direct/peers/wire.go
@@ -35,6 +35,8 @@
 		Origins      []wireOriginBatch `cbor:",omitempty"`
 		OriginQuery  *wireOriginQuery  `cbor:",omitempty"`
 		OriginAnswer *wireOriginAnswer `cbor:",omitempty"`
+		// TakenUp is ignored by daemons that do not support it.
+		TakenUp *wireTakenUp `cbor:",omitempty"`
 	}
 	wireAdapterRequest struct {
 		_                    struct{} `cbor:",toarray"`
@@ -47,7 +49,7 @@
 
 // Encode encodes a message.
 func Encode(message Message) ([]byte, error) {
-	wire := wireMessage{Pull: message.Pull, Items: message.Items, Warnings: encodeWarnings(message.Warnings), Streams: encodeStreams(message.Streams)}
+	wire := wireMessage{Pull: message.Pull, Items: message.Items, Warnings: encodeWarnings(message.Warnings), Streams: encodeStreams(message.Streams), TakenUp: encodeTakenUp(message.TakenUp)}
 	if message.Update != nil {
 		wire.Update = encodeUpdate(message.Update)
 		wire.Era = message.Update.Era
@@ -73,7 +75,7 @@
 	if err := cbor.Unmarshal(encoded, &wire); err != nil {
 		return Message{}, errors.Wrap(err, "decode message")
 	}
-	message := Message{Pull: wire.Pull, Items: wire.Items, Warnings: decodeWarnings(wire.Warnings), Streams: decodeStreams(wire.Streams)}
+	message := Message{Pull: wire.Pull, Items: wire.Items, Warnings: decodeWarnings(wire.Warnings), Streams: decodeStreams(wire.Streams), TakenUp: decodeTakenUp(wire.TakenUp)}
 	if wire.Update != nil {
 		message.Update = decodeUpdate(wire.Update)
 		message.Update.Era = wire.Era
--- a/internal/integration/faultproxy/faultproxy.go
+++ b/internal/integration/faultproxy/faultproxy.go
@@ -22,6 +22,8 @@
 	FreezeToTarget bool
 	// FreezeFromTarget does the same for bytes from the target.
 	FreezeFromTarget bool
+	// HoldEnds holds the end of a connection, too, in a direction in which no bytes are forwarded, as where packets are lost.
+	HoldEnds bool
 	// RefuseNew closes new connections as soon as they are accepted.
 	RefuseNew bool
 	// Delay is the time that each chunk is held before it is forwarded.
@@ -171,6 +173,9 @@
 	for {
 		size, err := from.Read(buffer)
 		if err != nil {
+			if faults, _ := proxy.current(); faults.HoldEnds {
+				proxy.awaitForwarding(toTarget)
+			}
 			return
 		}
 		chunk, cut := counter.truncate(proxy.awaitForwarding(toTarget), buffer[:size])
