platform, upstream: the result of an order is in doubt when bytes follow its answer

An order that a server refused could count as done: an extra copy of the answer to the order before, sent where the next one is due, was taken for it, as answers to orders and reports carry no id and share a kept connection. After a refused unload its slot counts as free, and the server may be ordered to load one adapter too many.

The answer itself cannot tell, but what follows it can: after a copy the true answer is still to come.

--- a/internal/direct/gateway/orders.go
+++ b/internal/direct/gateway/orders.go
@@ -179,7 +179,7 @@
 
 // sendOrder sends an order to a server and passes the result to the planner.
 func (gateway *Gateway) sendOrder(ctx context.Context, target platformapi.Server, worker *orderWorker, order platformapi.Order) {
-	answer, err := gateway.servers.SendOrder(ctx, target, order)
+	answer, err := gateway.servers.SendOrder(ctx, target, order, func() { gateway.doubtHoldings(target.ID, worker) })
 	gateway.handleLeaving(target, answer.Leaving, "order")
 	result := answer.Result
 	core := gateway.core
@@ -207,6 +207,16 @@
 	gateway.publishTable(target.ID, worker)
 }
 
+// doubtHoldings has a server's report read again, as the answer to an order may have been that to an earlier one.
+func (gateway *Gateway) doubtHoldings(server string, worker *orderWorker) {
+	core := gateway.core
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	core.log.Warn("answer to order in doubt", "Server", server)
+	worker.planner.InvalidateReport()
+	worker.wakeUp()
+}
+
 // incomingAdapters returns how many adapters are being loaded on all servers, and how many
 // loads are queued. The mutex must be held.
 func (core *core) incomingAdapters() (loading, queued int) {
--- a/internal/direct/gateway/run.go
+++ b/internal/direct/gateway/run.go
@@ -194,6 +194,7 @@
 func (gateway *Gateway) closeExpired() {
 	gateway.pool.CloseExpired()
 	gateway.peerPool.CloseExpired()
+	gateway.servers.CloseExpired()
 }
 
 // tickInterval is the time between two calls of tick. It is well below the gap between ticks
--- a/internal/direct/loading/results.go
+++ b/internal/direct/loading/results.go
@@ -18,6 +18,9 @@
 		planner.waitUntil = now + planner.options.Backoff
 	case platformapi.Unknown:
 		planner.unanswered(now, order)
+	case platformapi.Doubtful:
+		planner.unanswered(now, order)
+		planner.reportValid = false
 	case platformapi.WrongServer, platformapi.Fenced:
 		planner.reportValid = false
 		planner.fenceKnown = false
--- a/internal/direct/platformapi/platformapi.go
+++ b/internal/direct/platformapi/platformapi.go
@@ -218,11 +218,12 @@
 	Fenced                     // the server has seen a higher fencing number
 	InvalidOrder               // the server does not support the order
 	WrongServer                // the address belongs to another server
+	Doubtful                   // the answer may be one to an earlier order, or that to the order before may have been
 )
 
 // String returns the name of a result in the log.
 func (result Result) String() string {
-	return [...]string{"Unknown", "Accepted", "Holds", "Conflict", "Fenced", "Invalid", "Other"}[result]
+	return [...]string{"Unknown", "Accepted", "Holds", "Conflict", "Fenced", "Invalid", "Other", "Doubtful"}[result]
 }
 
 // OrderAnswer is a server's answer to an order.
@@ -242,7 +243,10 @@
 
 // ServerClient sends orders to model engines and reads their reports.
 type ServerClient interface {
-	SendOrder(ctx context.Context, server Server, order Order) (OrderAnswer, error)
+	// SendOrder sends an order to a server, one at a time. Doubt is called, at any time later, if the result turns out to be Doubtful.
+	SendOrder(ctx context.Context, server Server, order Order, doubt func()) (OrderAnswer, error)
+	// CloseExpired closes connections that are no longer needed. It is called every second or so.
+	CloseExpired()
 	ReadReport(ctx context.Context, server Server) (Report, error)
 	// ReportRequest returns the request for a server's report.
 	ReportRequest(ctx context.Context, server Server) (*http.Request, error)
--- a/internal/direct/upstream/conn.go
+++ b/internal/direct/upstream/conn.go
@@ -6,6 +6,8 @@
 	"net"
 	"slices"
 	"time"
+
+	"teaselmoor/internal/direct/socket"
 )
 
 // conn is a connection to a server, in use or idle.
@@ -22,6 +24,8 @@
 	names    []uint64 // hashes of the names of these
 	skipped  int      // responses to other requests that came in the place of the last one's
 
+	doubt func() // called if bytes come after the last response; nil: nobody is to know
+
 	identified bool  // startedAt is known
 	startedAt  int64 // start of the process at the other end in Unix milliseconds; 0: it states none
 }
@@ -51,6 +55,19 @@
 	return !slices.Contains(conn.names, maphash.String(nameSeed, name))
 }
 
+// raiseDoubt tells that bytes have come after the last response.
+func (conn *conn) raiseDoubt() {
+	if conn.doubt != nil {
+		conn.doubt()
+		conn.doubt = nil
+	}
+}
+
+// hasSurplus reports whether bytes have come after the last response, on an idle connection where somebody is to know.
+func (conn *conn) hasSurplus() bool {
+	return conn.doubt != nil && socket.Peek(conn.Conn, make([]byte, 1)) > 0
+}
+
 // recordRequest records that a request is sent, with the name that its response bears.
 func (conn *conn) recordRequest(name string) {
 	conn.requests++
--- a/internal/direct/upstream/exchange.go
+++ b/internal/direct/upstream/exchange.go
@@ -20,6 +20,9 @@
 	// is sent on a connection of its own.
 	Name    string
 	Matches Matches
+	// Doubt is called if bytes come after the response while the connection is idle: the response may have been one to an earlier
+	// request, sent once more. Nil: the name of the response tells them apart.
+	Doubt func()
 	// Identification finds out which process gets the request. Nil: any process that answers at the address.
 	Identification *Identification
 }
@@ -83,6 +86,7 @@
 	answer := &Answer{StartedAt: used.startedAt, pool: pool, conn: used}
 	answer.stop = context.AfterFunc(ctx, used.reset)
 	used.recordRequest(call.Name)
+	used.doubt = nil
 	if err := answer.writeRequest(encoded, pool.options.InlineBytes); err != nil {
 		answer.discard()
 		return nil, err
@@ -95,6 +99,7 @@
 		answer.discard()
 		return nil, &Error{Sent: true, Use: used.use(), Err: err}
 	}
+	used.doubt = call.Doubt
 	answer.Response, answer.Match, answer.Use = response, match, used.use()
 	return answer, nil
 }
@@ -159,6 +164,9 @@
 	if !whole {
 		answer.conn.reset()
 	}
+	if answer.conn.reader.Buffered() > 0 {
+		answer.conn.raiseDoubt()
+	}
 	if !stopped || !whole || answer.Match == ByOrder || answer.Response.Close || answer.writePending() || answer.conn.reader.Buffered() > 0 {
 		answer.pool.closeConn(answer.conn)
 		return
--- a/internal/direct/upstream/match.go
+++ b/internal/direct/upstream/match.go
@@ -14,13 +14,14 @@
 const (
 	ByName    Match = "name"       // it is the request's, as it bears the name of it, which was sent on this connection only once
 	ByOrder   Match = "order"      // it is the request's, as it is the first one on the connection, and bears no name
+	ByTurn    Match = "turn"       // it is the request's if it bears no name as others do, and no other response follows it
 	OtherName Match = "other name" // it is another request's, by its name
 	Nameless  Match = "nameless"   // it is another request's, as it bears no name and is not the first one
 )
 
 // belongs reports whether the response is the request's.
 func (match Match) belongs() bool {
-	return match == ByName || match == ByOrder
+	return match == ByName || match == ByOrder || match == ByTurn
 }
 
 // Matches returns whether a response belongs to the request. First is true for the first response on a connection on which nothing
--- a/internal/direct/upstream/pool.go
+++ b/internal/direct/upstream/pool.go
@@ -188,18 +188,57 @@
 	return &conn{Conn: dialed, number: pool.opened, address: address, reader: bufio.NewReaderSize(heads, pool.options.BufferBytes), heads: heads}, nil
 }
 
-// CloseExpired closes idle connections that have expired.
+// CloseExpired closes idle connections that have expired, and those on which bytes have come that raise a doubt.
 func (pool *Pool) CloseExpired() {
+	for _, doubtful := range pool.closeExpired() {
+		doubtful.raiseDoubt()
+	}
+}
+
+// Doubtful closes the idle connections to an address on which bytes have come that raise a doubt, and reports whether there were any.
+func (pool *Pool) Doubtful(address string) bool {
+	found := false
+	for {
+		kept, ok := pool.popSurplus(address)
+		if !ok {
+			return found
+		}
+		found = true
+		kept.raiseDoubt()
+		pool.closeConn(kept)
+	}
+}
+
+// popSurplus takes an idle connection on which bytes have come that raise a doubt.
+func (pool *Pool) popSurplus(address string) (*conn, bool) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	idle := pool.idle[address]
+	at := slices.IndexFunc(idle, (*conn).hasSurplus)
+	if at < 0 {
+		return nil, false
+	}
+	kept := idle[at]
+	pool.idle[address] = slices.Delete(idle, at, at+1)
+	return kept, true
+}
+
+// closeExpired closes the connections that CloseExpired is to close, and returns those that raise a doubt.
+func (pool *Pool) closeExpired() (doubtful []*conn) {
 	now := time.Now()
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	for address, idle := range pool.idle {
 		kept := idle[:0]
 		for _, each := range idle {
-			if now.Before(each.expires) {
+			surplus := each.hasSurplus()
+			if now.Before(each.expires) && !surplus {
 				kept = append(kept, each)
 				continue
 			}
+			if surplus {
+				doubtful = append(doubtful, each)
+			}
 			pool.closeLocked(each)
 		}
 		pool.idle[address] = kept
@@ -207,4 +246,5 @@
 			delete(pool.idle, address)
 		}
 	}
+	return doubtful
 }
