--- a/internal/direct/gateway/takenup.go
+++ b/internal/direct/gateway/takenup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 
@@ -90,16 +91,12 @@
 	job.takeUpTold = true
 	request := job.takeUpRequest()
 	gateway.applyTakeUp(request)
-	core := gateway.core
-	core.mutex.Lock()
-	links := core.members.Plan().Links
-	core.mutex.Unlock()
-	gateway.sendTakeUp(links, &peers.TakenUp{Request: request})
+	gateway.sendTakeUp(gateway.core.takeUpTargets("", 0), &peers.TakenUp{Request: request})
 }
 
-func (gateway *Gateway) sendTakeUp(to []topology.Daemon, message *peers.TakenUp) {
-	for _, daemon := range to {
-		gateway.send(daemon.Address, peers.Message{TakenUp: message})
+func (gateway *Gateway) sendTakeUp(to []topology.Target, message *peers.TakenUp) {
+	for _, target := range to {
+		gateway.send(target.Address, peers.Message{TakenUp: message})
 	}
 }
 
@@ -111,29 +108,26 @@
 	return isNew
 }
 
-// maxTakeUpHops is the number of hubs on the way from one member to another.
-const maxTakeUpHops = 2
-
-// handleTakenUp applies a peer's notice. A hub relays it: the first one to all daemons that it is connected to, the second one to those of its
-// data centre.
+// handleTakenUp applies a peer's notice. A hub relays it: the first one to other hubs and its group, the next ones to their groups.
 func (gateway *Gateway) handleTakenUp(from string, message *peers.TakenUp) {
-	if !gateway.applyTakeUp(message.Request) || message.Hops >= maxTakeUpHops {
+	if !gateway.applyTakeUp(message.Request) {
 		return
 	}
-	core := gateway.core
+	hops := message.Hops + 1
+	gateway.sendTakeUp(gateway.core.takeUpTargets(from, hops), &peers.TakenUp{Request: message.Request, Hops: hops})
+}
+
+// takeUpTargets returns the daemons that a notice is sent to that has been relayed a number of times, without the one that it came from.
+func (core *core) takeUpTargets(from string, hops int) []topology.Target {
 	core.mutex.Lock()
+	defer core.mutex.Unlock()
 	plan := core.members.Plan()
-	var to []topology.Daemon
-	for _, daemon := range plan.Links {
-		if daemon.Name != from && (message.Hops == 0 || daemon.DataCentre == core.settings.DataCentre) {
-			to = append(to, daemon)
-		}
-	}
-	core.mutex.Unlock()
-	if plan.Mesh || plan.Role != topology.Candidate {
-		return
+	if hops > 0 && (plan.Mesh || plan.Role != topology.Candidate) {
+		return nil
 	}
-	gateway.sendTakeUp(to, &peers.TakenUp{Request: message.Request, Hops: message.Hops + 1})
+	return slices.DeleteFunc(slices.Clone(plan.Targets), func(target topology.Target) bool {
+		return target.Name == from || hops > 1 && target.Scope == topology.Group
+	})
 }
 
 // endTakenUpOfSilent ends the runs of silent entries whose streams may have been taken up.
