origins: what versions a service has had is read from the store's history, not from the settings

What callers saw: after all daemons were killed and came back, streams that they took up again were answered 200 and ran to the end, joined from two software versions.

Cause: a daemon took Bootstrap of its settings for "there were no streams before", and its history of versions was complete at once. The settings outlast the process: the next one reads them again, and a process cannot know from them that it is the first. It then inferred the one version that it saw, and a peer that knew of two said nothing against it.

Change: a daemon's history is complete only if there is no configuration yet (nothing was served before the first), or if the store's history goes back to before its oldest item, so that all versions are in it, also of servers that have left; else after the time that streams last, as after a restart before. A listing after a lost history interrupts it. Daemons say when they know of several versions. The reports that daemons read at a start anyway name the runs that servers still work on: those origins are recorded.

One more read of the store at a start that finds a configuration; no further reports.

--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -178,7 +178,7 @@
 		serverRanks:       make(map[string]int),
 		brittle:           brittle.New(),
 		links:             reach.New(options.Links),
-		origins:           newOrigins(now(), settings.FirstStart),
+		origins:           newOrigins(now()),
 		proxies:           newProxies(),
 		turns:             newPromptTurns(options.Turns, int64(wall())),
 		holdingsChanged:   make(chan struct{}),
--- a/internal/direct/gateway/era.go
+++ b/internal/direct/gateway/era.go
@@ -27,7 +27,7 @@
 // applyStoreItems applies store items that a peer has sent, and reports whether they belong to
 // the current era. The mutex must be held.
 func (core *core) applyStoreItems(received peers.StoreItems) bool {
-	later := received.Era > core.store.era
+	later, first := received.Era > core.store.era, core.store.revision == 0
 	if !core.enterEra(received.Era, received.Whole) {
 		return false
 	}
@@ -40,6 +40,9 @@
 		core.removeUnlisted(listed, received.AsOf)
 	}
 	core.store.revision = max(core.store.revision, received.AsOf)
+	if first && received.Whole {
+		core.recordFirstRead(storePast{configured: true}) // when the items were created is not sent
+	}
 	return true
 }
 
--- a/internal/direct/gateway/holdings.go
+++ b/internal/direct/gateway/holdings.go
@@ -87,7 +87,8 @@
 	defer core.mutex.Unlock()
 	core.seeProcess(target.Process(), "report")
 	core.fleet.SetReport(target.ID, target.StartedAt, report.Models)
-	core.log.Info("holdings read", "Server", target.ID, "Born", report.StartedAt, "Models", len(report.Models))
+	recorded := core.recordRuns(core.now(), target, report.Runs)
+	core.log.Info("holdings read", "Server", target.ID, "Born", report.StartedAt, "Models", len(report.Models), "Runs", len(report.Runs), "RunsRecorded", recorded)
 	core.wakeWaitingRequests()
 }
 
--- a/internal/direct/gateway/originqueries.go
+++ b/internal/direct/gateway/originqueries.go
@@ -22,7 +22,7 @@
 // originQuery is a question to several peers what began a stream.
 type originQuery struct {
 	pending  map[string]bool          // peers that have not answered
-	inferred map[software.Origin]bool // what peers infer that have not recorded the stream
+	inferred map[software.Origin]bool // what peers infer that have not recorded the stream; zero: the service has had several versions
 	found    *software.Origin         // what a peer has recorded
 	done     chan struct{}            // closed when the answer is known
 }
@@ -32,10 +32,11 @@
 	if originQuery.found != nil {
 		return *originQuery.found, originAnswered
 	}
-	if len(originQuery.inferred) == 1 {
-		for origin := range originQuery.inferred {
-			return origin, originInferred
-		}
+	if len(originQuery.inferred) > 1 || originQuery.inferred[software.Origin{}] {
+		return software.Origin{}, originSeveral
+	}
+	for origin := range originQuery.inferred {
+		return origin, originInferred
 	}
 	return software.Origin{}, originUnknown
 }
@@ -96,7 +97,7 @@
 	core.mutex.Lock()
 	delete(core.origins.queries, message.ID)
 	if core.origins.history.Mixed(message.Service) {
-		clear(query.inferred) // by peers that do not know all versions yet
+		query.inferred[software.Origin{}] = true // whatever peers infer that do not know all versions yet
 	}
 	return query.answer()
 }
@@ -132,10 +133,14 @@
 
 // answerOriginInferred answers a query with what this daemon infers, which may be nothing. The mutex must be held.
 func (gateway *Gateway) answerOriginInferred(from string, query *peers.OriginQuery) {
-	origin, ok := gateway.core.inferredOrigin(gateway.core.now(), query.Service)
+	core := gateway.core
+	origin, ok := core.inferredOrigin(core.now(), query.Service)
 	source := originUnknown
-	if ok {
+	switch {
+	case ok:
 		source = originInferred
+	case core.origins.history.Mixed(query.Service):
+		source = originSeveral
 	}
 	gateway.answerOrigin(from, query.ID, origin, source)
 }
@@ -158,6 +163,6 @@
 		return // the peer stops waiting by itself
 	}
 	gateway.send(peer.Address, peers.Message{OriginAnswer: &peers.OriginAnswer{
-		ID: id, Origin: origin, Inferred: source == originInferred, Found: source == originRecorded || source == originAnswered,
+		ID: id, Origin: origin, Inferred: source == originInferred || source == originSeveral, Found: source == originRecorded || source == originAnswered,
 	}})
 }
--- a/internal/direct/gateway/origins.go
+++ b/internal/direct/gateway/origins.go
@@ -14,19 +14,20 @@
 
 // origins holds the origins of streams, and the queries for them.
 type origins struct {
-	records *software.Records
-	history *software.History
-	seenAt  clock.Millis            // when the history last saw all servers
-	queries map[uint64]*originQuery // to peers, by number
-	limiter software.Limiter        // of queries
-	lastID  uint64                  // of a query
-	several chan struct{}           // holds a token when a service has its second version
+	records   *software.Records
+	history   *software.History
+	seenAt    clock.Millis            // when the history last saw all servers
+	queries   map[uint64]*originQuery // to peers, by number
+	limiter   software.Limiter        // of queries
+	lastID    uint64                  // of a query
+	several   chan struct{}           // holds a token when a service has its second version
+	storeRead chan storePast          // what the first reading of the store shows of the time before
 }
 
-func newOrigins(now clock.Millis, firstStart bool) *origins {
+func newOrigins(now clock.Millis) *origins {
 	return &origins{
-		records: software.NewRecords(now), history: software.NewHistory(now, firstStart), queries: make(map[uint64]*originQuery),
-		several: make(chan struct{}, 1),
+		records: software.NewRecords(now), history: software.NewHistory(now), queries: make(map[uint64]*originQuery),
+		several: make(chan struct{}, 1), storeRead: make(chan storePast, 1),
 	}
 }
 
@@ -61,6 +62,7 @@
 	originRecorded originSource = "recorded" // by this daemon, which began the stream or had it replicated
 	originAnswered originSource = "answered" // by a peer, which has recorded it
 	originInferred originSource = "inferred" // the service has had no other version for as long as streams last
+	originSeveral  originSource = "several"  // not recorded, and the service has had several versions
 	originUnknown  originSource = "unknown"
 )
 
@@ -86,7 +88,7 @@
 	job.place.Release()
 	origin, source := gateway.askOrigin(ctx, job)
 	gateway.recordOriginFound(job, origin, source)
-	if source == originUnknown {
+	if source == originUnknown || source == originSeveral {
 		return &tryResult{status: http.StatusServiceUnavailable, reason: ending.StreamUnknown}
 	}
 	job.origin, job.originKnown = origin, true
--- a/internal/direct/gateway/run.go
+++ b/internal/direct/gateway/run.go
@@ -27,6 +27,7 @@
 // Platform holds the interfaces to the platform that a daemon runs on.
 type Platform struct {
 	Store    platformapi.Store
+	History  platformapi.StoreHistory
 	Decoder  platformapi.Decoder
 	Protocol platformapi.Protocol
 	Servers  platformapi.ServerClient
@@ -48,6 +49,7 @@
 	settings Settings
 	options  Options
 	store    platformapi.Store
+	history  platformapi.StoreHistory
 	protocol platformapi.Protocol
 	servers  platformapi.ServerClient
 	core     *core
@@ -76,7 +78,7 @@
 // New returns a daemon whose goroutines end when the context does.
 func New(ctx context.Context, settings Settings, options Options, platform Platform, log *slog.Logger) *Gateway {
 	gateway := &Gateway{
-		settings: settings, options: options, store: platform.Store, protocol: platform.Protocol, servers: platform.Servers,
+		settings: settings, options: options, store: platform.Store, history: platform.History, protocol: platform.Protocol, servers: platform.Servers,
 		pool: upstream.New(options.Upstream), peerPool: upstream.New(options.Upstream), tasks: task.New(ctx), counters: newCounters(), log: log,
 	}
 	gateway.core = newCore(settings, options, platform.Decoder, clock.Monotonic(), clock.System, log)
@@ -161,6 +163,7 @@
 	gateway.serve("metrics", opened.metrics, &http.Server{Handler: http.HandlerFunc(gateway.serveMetrics), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes})
 	reader := mirror.New(gateway.options.Mirror, gateway.store, gateway.core.decoder.Prefix(), gateway.core)
 	gateway.tasks.Go("mirror", reader.Run)
+	gateway.tasks.Go("version history", gateway.readVersionHistory)
 	gateway.updateConnections()
 	gateway.tasks.Go("news", gateway.sendDeltasLoop)
 	gateway.tasks.Go("work", gateway.sendWorkLoop)
--- a/internal/direct/gateway/store.go
+++ b/internal/direct/gateway/store.go
@@ -10,9 +10,15 @@
 func (core *core) ReplaceAll(page platformapi.Page) {
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
+	first := core.store.revision == 0
 	if !core.enterEra(page.Era, true) {
 		return
 	}
+	if first {
+		core.recordFirstRead(core.storePast(page.Items))
+	} else {
+		core.origins.history.Interrupt(core.now()) // servers may have come and gone since the last reading
+	}
 	listed := make(map[string]bool, len(page.Items))
 	for _, item := range page.Items {
 		listed[item.Key] = true
--- a/internal/direct/peers/wireorigins.go
+++ b/internal/direct/peers/wireorigins.go
@@ -18,7 +18,7 @@
 type OriginAnswer struct {
 	ID       uint64
 	Found    bool // the stream is recorded with Origin
-	Inferred bool // the stream is not recorded, but the service has had no version but that of Origin
+	Inferred bool // the stream is not recorded, but the service has had no version but that of Origin; several ones if Origin is zero
 	Origin   software.Origin
 }
 
--- a/internal/direct/platformapi/platformapi.go
+++ b/internal/direct/platformapi/platformapi.go
@@ -85,10 +85,11 @@
 
 // Item is an entry of the store.
 type Item struct {
-	Key      string
-	Value    []byte
-	Revision int64
-	Deleted  bool
+	Key       string
+	Value     []byte
+	Revision  int64 // of its last change
+	CreatedAt int64 // revision of its creation; 0: not stated
+	Deleted   bool
 }
 
 // Page is a page of the store's items or changes.
@@ -134,6 +135,13 @@
 	Watch(ctx context.Context, prefix string, after int64, wait clock.Millis) (Page, error)
 }
 
+// StoreHistory reads the history of the platform's store. Its errors are of type *StoreError.
+type StoreHistory interface {
+	// Changes returns each write and removal of an item whose key begins with prefix, after a revision and in their order. It fails
+	// with HistoryGone if the store does not have all of them any more.
+	Changes(ctx context.Context, prefix string, after int64) (Page, error)
+}
+
 // DecodedItem is the decoded content of an item. Exactly one of its pointers is set.
 type DecodedItem struct {
 	Catalog        *catalog.Catalog
@@ -147,6 +155,10 @@
 	Prefix() string
 	// Decode returns the content of an item, or an error if it is unusable.
 	Decode(item Item) (DecodedItem, error)
+	// ConfigKey returns the key of the configuration, which is written before any request is served, and never removed.
+	ConfigKey() string
+	// ServerPrefix returns the common prefix of the keys of servers.
+	ServerPrefix() string
 	// ServerID returns the id of the server that a key belongs to, if any.
 	ServerID(key string) (string, bool)
 	// ServerKey returns the key of a server's entry.
@@ -239,6 +251,13 @@
 	Busy      bool // a model is being loaded or unloaded
 	Models    []Holding
 	Incoming  []Adapter // being loaded
+	Runs      []Run
+}
+
+// Run is a request that a server works on.
+type Run struct {
+	Attempt string // the caller's attempt
+	Events  int    // that the server has made of its answer
 }
 
 // ServerClient sends orders to model engines and reads their reports.
--- a/internal/direct/software/history.go
+++ b/internal/direct/software/history.go
@@ -9,17 +9,30 @@
 // History holds the software versions that each service has had within Lifetime. A server that states none
 // counts as one of an unnamed version.
 type History struct {
-	completeAt clock.Millis                       // from when on it covers Lifetime
-	versions   map[string]map[string]clock.Millis // by service and version: when last seen
+	Interruptions int                                // number of calls of Interrupt
+	completeAt    clock.Millis                       // from when on it covers Lifetime
+	versions      map[string]map[string]clock.Millis // by service and version: when last seen
 }
 
-// NewHistory returns the history of a daemon that starts. With complete there were no streams before.
-func NewHistory(now clock.Millis, complete bool) *History {
-	history := &History{completeAt: now, versions: make(map[string]map[string]clock.Millis)}
-	if !complete {
-		history.completeAt += Lifetime
-	}
-	return history
+// NewHistory returns the history of a daemon that starts. It does not cover the time before.
+func NewHistory(now clock.Millis) *History {
+	return &History{completeAt: now + Lifetime, versions: make(map[string]map[string]clock.Millis)}
+}
+
+// Complete records that the versions seen are all that there were within Lifetime.
+func (history *History) Complete(now clock.Millis) {
+	history.completeAt = now
+}
+
+// Interrupt records that servers may have come and gone unseen until now.
+func (history *History) Interrupt(now clock.Millis) {
+	history.Interruptions++
+	history.completeAt = now + Lifetime
+}
+
+// CompleteIn returns the time until the history covers Lifetime, 0 if it does.
+func (history *History) CompleteIn(now clock.Millis) clock.Millis {
+	return max(0, history.completeAt-now)
 }
 
 // See records that a service has a server of a version.
--- a/internal/direct/software/software_test.go
+++ b/internal/direct/software/software_test.go
@@ -131,7 +131,7 @@
 }
 
 func TestHistory(t *testing.T) {
-	history := software.NewHistory(0, false)
+	history := software.NewHistory(0)
 	history.See(0, "s", "v1")
 	_, ok := history.Only(software.Lifetime-1, "s")
 	require.False(t, ok, "another version may have left before the start")
@@ -153,8 +153,29 @@
 	_, ok = history.Only(2*software.Lifetime, "unknown")
 	require.False(t, ok)
 
-	_, ok = software.NewHistory(0, true).Only(0, "s")
+	_, ok = history.Only(2*software.Lifetime, "unknown")
+	require.False(t, ok)
+}
+
+// TestHistoryIsCompleteOnlyAsLongAsServersAreSeen guards against streams that go on at a version which is the only one seen, though
+// others may have been there unseen.
+func TestHistoryIsCompleteOnlyAsLongAsServersAreSeen(t *testing.T) {
+	history := software.NewHistory(0)
+	history.See(1, "s", "v1")
+	_, ok := history.Only(1, "s")
 	require.False(t, ok)
+	history.Complete(2)
+	_, ok = history.Only(2, "s")
+	require.True(t, ok)
+	require.Zero(t, history.CompleteIn(2))
+
+	history.Interrupt(10)
+	_, ok = history.Only(10, "s")
+	require.False(t, ok)
+	require.Equal(t, software.Lifetime-5, history.CompleteIn(15))
+	history.See(10+software.Lifetime, "s", "v1")
+	_, ok = history.Only(10+software.Lifetime, "s")
+	require.True(t, ok)
 }
 
 // TestFilters guards against records that are sent to daemons which have them already, and against shares that leave
