origins: a daemon that has just started asks the daemons that it gets connected to

What callers saw: streams that a running daemon knew were refused, StreamUnknown, by daemons that were killed and were ready again, for about a second.

Cause: a daemon is ready once it has read the store. It then asked the peers that it was linked to, which were none yet or no hubs, and took their silence for an answer.

Change: within two seconds of the start a query goes on, within its 0.3 s, to each daemon that gets known meanwhile, and ends once the stream is known here. A member that is asked asks its hubs.

--- a/internal/direct/gateway/originqueries.go
+++ b/internal/direct/gateway/originqueries.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"time"
 
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/peers"
@@ -21,10 +23,19 @@
 
 // originQuery is a question to several peers what began a stream.
 type originQuery struct {
-	pending  map[string]bool          // peers that have not answered
+	message  peers.OriginQuery
+	asked    map[string]bool          // peers
+	pending  map[string]bool          // those that have not answered
 	inferred map[software.Origin]bool // what peers infer that have not recorded the stream; zero: the service has had several versions
 	found    *software.Origin         // what a peer has recorded
-	done     chan struct{}            // closed when the answer is known
+	answered chan struct{}            // holds a token when an answer has come
+}
+
+func newOriginQuery(message peers.OriginQuery) *originQuery {
+	return &originQuery{
+		message: message, asked: make(map[string]bool), pending: make(map[string]bool), inferred: make(map[software.Origin]bool),
+		answered: make(chan struct{}, 1),
+	}
 }
 
 // answer returns what the peers have answered. Peers that infer different origins know less than they assume.
@@ -50,12 +61,12 @@
 	switch {
 	case answer.Found:
 		originQuery.found = &answer.Origin
-		clear(originQuery.pending)
 	case answer.Inferred:
 		originQuery.inferred[answer.Origin] = true
 	}
-	if len(originQuery.pending) == 0 {
-		close(originQuery.done)
+	select {
+	case originQuery.answered <- struct{}{}:
+	default:
 	}
 }
 
@@ -67,41 +78,92 @@
 	return gateway.queryPeers(ctx, peers.OriginQuery{Key: software.KeyOf(job.streamAttempt()), Service: job.service})
 }
 
+const (
+	// joinSpan is the time after the start within which a daemon may not be connected yet to others that run.
+	joinSpan = 2 * clock.Second
+	// joinCheckInterval is the time between two checks for new connections meanwhile.
+	joinCheckInterval = 20 * clock.Millisecond
+)
+
+// joining reports whether further daemons may become known at any moment, as this one has just started. The mutex must be held.
+func (core *core) joining(now clock.Millis) bool {
+	return now-core.origins.startedAt < joinSpan && core.hasOtherSeeds()
+}
+
 // queryPeers asks all linked peers, and returns what they and this daemon know. The mutex must be held; it is released
 // during the wait.
 func (gateway *Gateway) queryPeers(ctx context.Context, message peers.OriginQuery) (software.Origin, originSource) {
 	core := gateway.core
-	query := &originQuery{pending: make(map[string]bool), inferred: make(map[software.Origin]bool), done: make(chan struct{})}
-	if inferred, ok := core.inferredOrigin(core.now(), message.Service); ok {
-		query.inferred[inferred] = true
-	}
-	if len(core.origins.queries) >= maxOriginQueries || !core.origins.limiter.Allow(core.now()) {
-		return query.answer()
-	}
 	core.origins.lastID++
 	message.ID = core.origins.lastID
-	for _, peer := range core.members.Plan().Links {
-		if gateway.send(peer.Address, peers.Message{OriginQuery: &message}) {
-			query.pending[peer.Name] = true
-		}
+	query := newOriginQuery(message)
+	if len(core.origins.queries) < maxOriginQueries && core.origins.limiter.Allow(core.now()) {
+		core.origins.queries[message.ID] = query
+		gateway.awaitAnswers(ctx, query)
+		delete(core.origins.queries, message.ID)
 	}
-	if len(query.pending) == 0 {
-		return query.answer()
+	if recorded, ok := core.origins.records.Find(message.Key); ok {
+		return recorded, originRecorded // meanwhile
 	}
-	core.origins.queries[message.ID] = query
-	core.mutex.Unlock()
-	select {
-	case <-query.done:
-	case <-ctx.Done():
+	if inferred, ok := core.inferredOrigin(core.now(), message.Service); ok {
+		query.inferred[inferred] = true
 	}
-	core.mutex.Lock()
-	delete(core.origins.queries, message.ID)
 	if core.origins.history.Mixed(message.Service) {
 		query.inferred[software.Origin{}] = true // whatever peers infer that do not know all versions yet
 	}
 	return query.answer()
 }
 
+// awaitAnswers asks linked peers and waits until one knows the stream or all have answered. A daemon that has just started and cannot
+// infer the answer goes on to ask those that it gets connected to. The mutex must be held; it is released during the wait.
+func (gateway *Gateway) awaitAnswers(ctx context.Context, query *originQuery) {
+	core := gateway.core
+	for ctx.Err() == nil {
+		gateway.askLinked(query)
+		now := core.now()
+		_, recorded := core.origins.records.Find(query.message.Key)
+		_, inferred := core.inferredOrigin(now, query.message.Service)
+		joining := core.joining(now) && !inferred
+		if query.found != nil || recorded || len(query.pending) == 0 && !joining {
+			return
+		}
+		check := originWait
+		if joining {
+			check = joinCheckInterval
+		}
+		core.mutex.Unlock()
+		select {
+		case <-query.answered:
+		case <-time.After(check.Duration()):
+		case <-ctx.Done():
+		}
+		core.mutex.Lock()
+	}
+}
+
+// askLinked asks the linked peers that were not asked yet. The mutex must be held.
+func (gateway *Gateway) askLinked(query *originQuery) {
+	for _, peer := range gateway.core.originPeers() {
+		if !query.asked[peer.Name] && gateway.send(peer.Address, peers.Message{OriginQuery: &query.message}) {
+			query.asked[peer.Name], query.pending[peer.Name] = true, true
+		}
+	}
+}
+
+// originPeers returns the peers that may know what began a stream. A daemon that has just started may not be linked yet to those that
+// the plan has it ask, and asks all. The mutex must be held.
+func (core *core) originPeers() []topology.Daemon {
+	linked := core.members.Plan().Links
+	if !core.joining(core.now()) {
+		return linked
+	}
+	linked = slices.Clone(linked)
+	for _, peer := range core.members.Peers() {
+		linked = append(linked, peer.Daemon)
+	}
+	return linked
+}
+
 // handleOriginAnswer applies a peer's answer to a query of this daemon.
 func (core *core) handleOriginAnswer(from string, answer *peers.OriginAnswer) {
 	core.mutex.Lock()
@@ -111,7 +173,8 @@
 	}
 }
 
-// handleOriginQuery answers a peer's query. A hub that does not know asks the other hubs first.
+// handleOriginQuery answers a peer's query. A hub that does not know asks the other hubs first, and a member its hubs: the peer has just
+// started then, and is not linked to hubs yet.
 func (gateway *Gateway) handleOriginQuery(from string, query *peers.OriginQuery) {
 	core := gateway.core
 	core.mutex.Lock()
@@ -121,7 +184,7 @@
 	switch {
 	case found:
 		gateway.answerOrigin(from, query.ID, origin, originRecorded)
-	case query.Relayed || plan.Mesh || plan.Role != topology.Candidate:
+	case query.Relayed || plan.Mesh || core.joining(core.now()):
 		gateway.answerOriginInferred(from, query)
 	default:
 		gateway.tasks.Go("relay origin query", func(ctx context.Context) error {
@@ -145,14 +208,15 @@
 	gateway.answerOrigin(from, query.ID, origin, source)
 }
 
-// relayOriginQuery asks the other hubs, and answers a query with what they know.
+// relayOriginQuery asks hubs, and answers a query with what they know.
 func (gateway *Gateway) relayOriginQuery(ctx context.Context, from string, query *peers.OriginQuery) {
 	ctx, cancel := context.WithTimeout(ctx, relayedOriginWait.Duration())
 	defer cancel()
 	core := gateway.core
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
-	origin, source := gateway.queryPeers(ctx, peers.OriginQuery{Key: query.Key, Service: query.Service, Relayed: true})
+	relayed := peers.OriginQuery{Key: query.Key, Service: query.Service, Relayed: core.members.Plan().Role == topology.Candidate}
+	origin, source := gateway.queryPeers(ctx, relayed)
 	gateway.answerOrigin(from, query.ID, origin, source)
 }
 
--- a/internal/direct/gateway/origins.go
+++ b/internal/direct/gateway/origins.go
@@ -21,13 +21,14 @@
 	limiter   software.Limiter        // of queries
 	lastID    uint64                  // of a query
 	several   chan struct{}           // holds a token when a service has its second version
-	storeRead chan storePast          // what the first reading of the store shows of the time before
+	startedAt clock.Millis
+	storeRead chan storePast // what the first reading of the store shows of the time before
 }
 
 func newOrigins(now clock.Millis) *origins {
 	return &origins{
 		records: software.NewRecords(now), history: software.NewHistory(now), queries: make(map[uint64]*originQuery),
-		several: make(chan struct{}, 1), storeRead: make(chan storePast, 1),
+		several: make(chan struct{}, 1), startedAt: now, storeRead: make(chan storePast, 1),
 	}
 }
 
