origins: a refusal of a stream that can go on nowhere names no time to return

Change: Retry-After is left out where no further try can succeed: the service has had several versions, or will not have had one for long enough before the deadline. It is the time until then if that is before the deadline, and as before while the daemon has just started and meets others that may know the stream.

--- a/internal/direct/gateway/handler.go
+++ b/internal/direct/gateway/handler.go
@@ -68,6 +68,7 @@
 	demandCounted bool         // the request counts among those that this daemon receives
 	partsAnswered bool         // the parts of its prompt are known to be sound
 	retryAfter    clock.Millis // sent to a refused caller
+	hopeless      bool         // no further try of the caller can succeed: a refusal does not tell it to return
 
 	// Prefill admission control in the last placement.
 	turn           prefill.Result // how the prompt came to be sent; empty: without admission control
@@ -212,7 +213,7 @@
 
 // endRefused sets the headers of a refusal, and logs and counts it.
 func (gateway *Gateway) endRefused(header http.Header, job *job, status int, reason ending.Reason) {
-	if ending.PromisesNotRun(status) && job.retryAfter == 0 {
+	if ending.PromisesNotRun(status) && job.retryAfter == 0 && !job.hopeless {
 		job.retryAfter = gateway.options.RetryAfter
 	}
 	gateway.protocol.SetRefusalHeaders(header, job.retryAfter)
--- a/internal/direct/gateway/origins.go
+++ b/internal/direct/gateway/origins.go
@@ -90,12 +90,27 @@
 	origin, source := gateway.askOrigin(ctx, job)
 	gateway.recordOriginFound(job, origin, source)
 	if source == originUnknown || source == originSeveral {
+		core.setUnknownRetryAfter(core.now(), job)
 		return &tryResult{status: http.StatusServiceUnavailable, reason: ending.StreamUnknown}
 	}
 	job.origin, job.originKnown = origin, true
 	return nil
 }
 
+// setUnknownRetryAfter sets when a caller whose stream is not known may try again: while this daemon joins others, which may know it,
+// or when the service will have had one version for long enough. Otherwise no further try can succeed. The mutex must be held.
+func (core *core) setUnknownRetryAfter(now clock.Millis, job *job) {
+	if core.joining(now) {
+		return
+	}
+	wait := core.origins.history.CompleteIn(now)
+	if wait == 0 || wait >= job.deadline-now || core.origins.history.Mixed(job.service) {
+		job.hopeless = true
+		return
+	}
+	job.retryAfter = wait
+}
+
 // recordOriginFound logs and counts how the origin of a stream was found out.
 func (gateway *Gateway) recordOriginFound(job *job, origin software.Origin, source originSource) {
 	gateway.counters.recordOrigin(source)
