retry: a daemon that starts has its fixed allowance at once only where nothing was served before

What servers saw: more retries than the budget allows, after all daemons started again with the settings of the first start.

Change: the allowance is usable at once only if there is no configuration yet, otherwise after a window and the time of a loan.

--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -158,7 +158,7 @@
 		fleet:             fleet.New(options.Fleet),
 		work:              inflight.New(),
 		budgets:           make(map[string]*retry.Budget),
-		retryAllowance:    retry.NewAllowance(settings.Retry, now(), options.SparePeers, settings.FirstStart),
+		retryAllowance:    retry.NewAllowance(settings.Retry, now(), options.SparePeers),
 		readRate:          choose.NewReadRate(),
 		loadRate:          loading.NewLoadRate(),
 		promptBuckets:     choose.NewPromptBucket(),
--- a/internal/direct/gateway/settings.go
+++ b/internal/direct/gateway/settings.go
@@ -48,7 +48,6 @@
 	Lease          clock.Millis // time without orders before another daemon may send orders to a server
 	Grace          clock.Millis // time between the signal to stop and the kill of the process
 	Retry          retry.Limits
-	FirstStart     bool            // the site has never run before
 	Quota          quota.Tolerance // how far accounts may exceed their limits
 }
 
@@ -94,7 +93,7 @@
 	core.mutex.Lock()
 	before := core.settings
 	core.settings.Seeds, core.settings.Retry, core.settings.Grace = after.Seeds, after.Retry, after.Grace
-	core.settings.Quota, core.settings.FirstStart = after.Quota, after.FirstStart
+	core.settings.Quota = after.Quota
 	core.retryAllowance.SetLimits(after.Retry)
 	for _, budget := range core.budgets {
 		budget.SetLimits(after.Retry)
--- a/internal/direct/gateway/versionhistory.go
+++ b/internal/direct/gateway/versionhistory.go
@@ -94,6 +94,7 @@
 	defer core.mutex.Unlock()
 	now := core.now()
 	core.origins.history.Complete(now)
+	core.retryAllowance.Unused(now)
 	core.log.Info("no configuration has been published yet: the site has not served before")
 }
 
--- a/internal/direct/retry/allowance.go
+++ b/internal/direct/retry/allowance.go
@@ -17,15 +17,18 @@
 
 // NewAllowance returns the share of a daemon that starts now. Least is the minimum number of
 // daemons that the allowance is divided by, so that a daemon that knows few others yet does not
-// use more than its share. FirstStart reports that the site has never run before: otherwise the
-// former process of this daemon may just have used or lent its share, which is usable again after a window and
-// the time of a loan.
-func NewAllowance(limits Limits, now clock.Millis, least int, firstStart bool) *Allowance {
-	allowance := &Allowance{limits: limits, usable: now, least: least, daemons: newWindow[int](limits.Window), lent: newWindow[float64](limits.Window + loanMargin)}
-	if !firstStart {
-		allowance.usable = now + limits.Window + loanMargin
+// use more than its share. The former process of this daemon may just have used or lent its share, which is usable
+// again after a window and the time of a loan.
+func NewAllowance(limits Limits, now clock.Millis, least int) *Allowance {
+	return &Allowance{
+		limits: limits, usable: now + limits.Window + loanMargin, least: least,
+		daemons: newWindow[int](limits.Window), lent: newWindow[float64](limits.Window + loanMargin),
 	}
-	return allowance
+}
+
+// Unused records that no process of the site can have used the allowance before now.
+func (allowance *Allowance) Unused(now clock.Millis) {
+	allowance.usable = now
 }
 
 // SetLimits replaces the fixed allowance. The window stays as it is.
--- a/internal/direct/retry/churn_test.go
+++ b/internal/direct/retry/churn_test.go
@@ -61,7 +61,10 @@
 const extraPerDaemon = 3
 
 func (site *churnSite) start(now clock.Millis, daemons int, firstStart bool) *churnDaemon {
-	started := &daemon{budget: retry.New(site.limits), allowance: retry.NewAllowance(site.limits, now, 1, firstStart)}
+	started := &daemon{budget: retry.New(site.limits), allowance: retry.NewAllowance(site.limits, now, 1)}
+	if firstStart {
+		started.allowance.Unused(now)
+	}
 	started.allowance.RecordDaemons(now, daemons)
 	return &churnDaemon{daemon: started, loans: make(map[int]loan)}
 }
--- a/internal/direct/retry/site_test.go
+++ b/internal/direct/retry/site_test.go
@@ -18,7 +18,10 @@
 }
 
 func start(now clock.Millis, daemons int, firstStart bool) *daemon {
-	started := &daemon{budget: retry.New(limits), allowance: retry.NewAllowance(limits, now, 1, firstStart)}
+	started := &daemon{budget: retry.New(limits), allowance: retry.NewAllowance(limits, now, 1)}
+	if firstStart {
+		started.allowance.Unused(now)
+	}
 	started.allowance.RecordDaemons(now, daemons)
 	return started
 }
