--- a/internal/direct/gateway/versionhistory.go
+++ b/internal/direct/gateway/versionhistory.go
@@ -116,18 +116,30 @@
 		return errInterrupted
 	}
 	now := core.now()
+	if err := core.seeChanges(now, page.Items); err != nil {
+		return err
+	}
+	core.origins.history.Complete(now)
+	core.log.Info("store's history shows which software versions there were", "After", past.createdAt-1, "AsOf", page.AsOf, "Changes", len(page.Items), "Mixed", core.origins.history.Several(now))
+	return nil
+}
+
+// seeChanges records the software versions in changes of servers, each write by itself. The mutex must be held.
+func (core *core) seeChanges(now clock.Millis, changes []platformapi.Item) error {
 	written := make(map[string]bool)
-	for _, item := range page.Items {
+	for _, item := range changes {
 		if item.Deleted && !written[item.Key] {
 			return errServerForgotten
 		}
 		written[item.Key] = true
-		if decoded, err := core.decoder.Decode(item); !item.Deleted && err == nil && decoded.Server != nil {
+		if item.Deleted {
+			continue
+		}
+		decoded, err := core.decoder.Decode(item)
+		if err == nil && decoded.Server != nil { // an entry that is not understood names no server that is used
 			core.origins.seeVersion(now, decoded.Server.Service, decoded.Server.Software)
 		}
 	}
-	core.origins.history.Complete(now)
-	core.log.Info("store's history shows which software versions there were", "After", past.createdAt-1, "AsOf", page.AsOf, "Changes", len(page.Items), "Mixed", core.origins.history.Several(now))
 	return nil
 }
 
