origins: a daemon that starts waits for the store's history before it calls a stream unknown

Cause: a daemon without seeds refused what it could not infer while the store, which was slow, had not answered with its history yet.

--- a/internal/direct/gateway/originqueries.go
+++ b/internal/direct/gateway/originqueries.go
@@ -79,15 +79,16 @@
 }
 
 const (
-	// joinSpan is the time after the start within which a daemon may not be connected yet to others that run.
-	joinSpan = 2 * clock.Second
-	// joinCheckInterval is the time between two checks for new connections meanwhile.
-	joinCheckInterval = 20 * clock.Millisecond
+	// startSpan is the time after the start within which a daemon may not be connected yet to others that run.
+	startSpan = 2 * clock.Second
+	// startCheckInterval is the time between two checks of what a daemon that has just started has learnt meanwhile.
+	startCheckInterval = 20 * clock.Millisecond
 )
 
-// joining reports whether further daemons may become known at any moment, as this one has just started. The mutex must be held.
-func (core *core) joining(now clock.Millis) bool {
-	return now-core.origins.startedAt < joinSpan && core.hasOtherSeeds()
+// starting reports whether this daemon has just started, and may learn at any moment of further daemons, or of the time before from the
+// store's history. The mutex must be held.
+func (core *core) starting(now clock.Millis) bool {
+	return now-core.origins.startedAt < startSpan && (core.origins.learning || core.hasOtherSeeds())
 }
 
 // queryPeers asks all linked peers, and returns what they and this daemon know. The mutex must be held; it is released
@@ -115,7 +116,7 @@
 }
 
 // awaitAnswers asks linked peers and waits until one knows the stream or all have answered. A daemon that has just started and cannot
-// infer the answer goes on to ask those that it gets connected to. The mutex must be held; it is released during the wait.
+// infer the answer goes on to ask those that it gets connected to, and waits for the store's history. The mutex must be held; it is released during the wait.
 func (gateway *Gateway) awaitAnswers(ctx context.Context, query *originQuery) {
 	core := gateway.core
 	for ctx.Err() == nil {
@@ -123,13 +124,13 @@
 		now := core.now()
 		_, recorded := core.origins.records.Find(query.message.Key)
 		_, inferred := core.inferredOrigin(now, query.message.Service)
-		joining := core.joining(now) && !inferred
-		if query.found != nil || recorded || len(query.pending) == 0 && !joining {
+		starting := !inferred && core.starting(now)
+		if query.found != nil || recorded || len(query.pending) == 0 && !starting {
 			return
 		}
 		check := originWait
-		if joining {
-			check = joinCheckInterval
+		if starting {
+			check = startCheckInterval
 		}
 		core.mutex.Unlock()
 		select {
@@ -154,7 +155,7 @@
 // the plan has it ask, and asks all. The mutex must be held.
 func (core *core) originPeers() []topology.Daemon {
 	linked := core.members.Plan().Links
-	if !core.joining(core.now()) {
+	if !core.starting(core.now()) {
 		return linked
 	}
 	linked = slices.Clone(linked)
@@ -184,7 +185,7 @@
 	switch {
 	case found:
 		gateway.answerOrigin(from, query.ID, origin, originRecorded)
-	case query.Relayed || plan.Mesh || core.joining(core.now()):
+	case query.Relayed || plan.Mesh || core.starting(core.now()):
 		gateway.answerOriginInferred(from, query)
 	default:
 		gateway.tasks.Go("relay origin query", func(ctx context.Context) error {
--- a/internal/direct/gateway/origins.go
+++ b/internal/direct/gateway/origins.go
@@ -22,13 +22,14 @@
 	lastID    uint64                  // of a query
 	several   chan struct{}           // holds a token when a service has its second version
 	startedAt clock.Millis
+	learning  bool           // the store's history is still to be read
 	storeRead chan storePast // what the first reading of the store shows of the time before
 }
 
 func newOrigins(now clock.Millis) *origins {
 	return &origins{
 		records: software.NewRecords(now), history: software.NewHistory(now), queries: make(map[uint64]*originQuery),
-		several: make(chan struct{}, 1), startedAt: now, storeRead: make(chan storePast, 1),
+		several: make(chan struct{}, 1), startedAt: now, learning: true, storeRead: make(chan storePast, 1),
 	}
 }
 
@@ -97,10 +98,10 @@
 	return nil
 }
 
-// setUnknownRetryAfter sets when a caller whose stream is not known may try again: while this daemon joins others, which may know it,
+// setUnknownRetryAfter sets when a caller whose stream is not known may try again: while this daemon starts, as others may know it,
 // or when the service will have had one version for long enough. Otherwise no further try can succeed. The mutex must be held.
 func (core *core) setUnknownRetryAfter(now clock.Millis, job *job) {
-	if core.joining(now) {
+	if core.starting(now) {
 		return
 	}
 	wait := core.origins.history.CompleteIn(now)
--- a/internal/direct/gateway/versionhistory.go
+++ b/internal/direct/gateway/versionhistory.go
@@ -71,6 +71,7 @@
 	}
 	for range maxHistoryTries {
 		err := gateway.replayHistory(ctx, past)
+		core.endLearning()
 		if err == nil {
 			return nil
 		}
@@ -94,10 +95,18 @@
 	defer core.mutex.Unlock()
 	now := core.now()
 	core.origins.history.Complete(now)
+	core.origins.learning = false
 	core.retryAllowance.Unused(now)
 	core.log.Info("no configuration has been published yet: the site has not served before")
 }
 
+// endLearning records that the store's history has been read, or cannot be for now.
+func (core *core) endLearning() {
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	core.origins.learning = false
+}
+
 // replayHistory reads all changes of servers since the first item of the store was created, and records the software versions in them.
 func (gateway *Gateway) replayHistory(ctx context.Context, past storePast) error {
 	core := gateway.core
