peers: a daemon that has started again is dialled at once

Cause: messages go over the sender's own connection. A daemon that runs dials one that was killed each 0.3 s, and a query for the origin of a stream waits 0.3 s: its answers came too late where starts were slow.

Change: the first update of a daemon's new process ends the wait before the next dial.

TestDaemonThatStartsAgainIsDialledAtOnce needs the new function, so was not run on the code before.

--- a/internal/direct/gateway/forward_test.go
+++ b/internal/direct/gateway/forward_test.go
@@ -37,6 +37,8 @@
 
 func (site *hubSite) Retain([]topology.Daemon) {}
 
+func (site *hubSite) Redial(string) {}
+
 func (site *hubSite) Send(address string, message peers.Message) (bool, error) {
 	connected := !site.lost && address != site.gone
 	if connected {
--- a/internal/direct/gateway/gossip.go
+++ b/internal/direct/gateway/gossip.go
@@ -69,6 +69,7 @@
 	}
 	if gateway.core.applyUpdate(update) {
 		gateway.updateConnections()
+		gateway.network.Redial(update.Address)
 	}
 }
 
--- a/internal/direct/gateway/run.go
+++ b/internal/direct/gateway/run.go
@@ -37,6 +37,7 @@
 type peerNetwork interface {
 	http.Handler
 	ConnectedAddresses() []string
+	Redial(address string)
 	Retain(daemons []topology.Daemon)
 	Send(address string, message peers.Message) (bool, error)
 	SendEncoded(address string, encoded []byte) bool
--- a/internal/direct/peers/network.go
+++ b/internal/direct/peers/network.go
@@ -95,6 +95,7 @@
 	daemon          topology.Daemon
 	dataCentre      string             // empty for a seed until it is discovered
 	stop            context.CancelFunc // stops the goroutine that maintains the connection
+	redial          chan struct{}      // holds a token when the next attempt to connect is to be made at once
 	queue           chan []byte        // nil while not connected
 	closeConnection context.CancelFunc // closes the current connection; nil while not connected
 }
@@ -121,7 +122,7 @@
 		return
 	}
 	stopped, stop := context.WithCancel(network.group.Context())
-	added := &peer{daemon: daemon, dataCentre: daemon.DataCentre, stop: stop}
+	added := &peer{daemon: daemon, dataCentre: daemon.DataCentre, stop: stop, redial: make(chan struct{}, 1)}
 	network.peers[daemon.Address] = added
 	network.group.Go("peer "+daemon.Address, func(context.Context) error {
 		defer stop()
@@ -129,6 +130,21 @@
 	})
 }
 
+// Redial has the next attempt to connect to the daemon at an address be made at once, if there is no connection. A daemon that has
+// started again receives nothing before.
+func (network *Network) Redial(address string) {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	peer, ok := network.peers[address]
+	if !ok || peer.queue != nil {
+		return
+	}
+	select {
+	case peer.redial <- struct{}{}:
+	default:
+	}
+}
+
 // Retain maintains connections to the given daemons only, and closes all others.
 func (network *Network) Retain(daemons []topology.Daemon) {
 	kept := make(map[string]bool, len(daemons))
@@ -222,6 +238,7 @@
 		}
 		select {
 		case <-ctx.Done():
+		case <-to.redial:
 		case <-time.After(pause.Duration()):
 		}
 	}
--- a/internal/direct/peers/network_test.go
+++ b/internal/direct/peers/network_test.go
@@ -9,6 +9,7 @@
 	"github.com/gorilla/websocket"
 	"github.com/stretchr/testify/require"
 
+	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/base/task"
 	"teaselmoor/internal/direct/peers"
 	"teaselmoor/internal/direct/topology"
@@ -44,6 +45,45 @@
 	group.Reap(func(task.End) {})
 }
 
+// connectedHandler records connections.
+type connectedHandler struct {
+	ignoringHandler
+	connected chan string
+}
+
+func (connectedHandler connectedHandler) Connected(address string) {
+	connectedHandler.connected <- address
+}
+
+// TestDaemonThatStartsAgainIsDialledAtOnce guards against daemons that get no messages for the time between two attempts to connect.
+func TestDaemonThatStartsAgainIsDialledAtOnce(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	options := peers.DefaultOptions()
+	options.Redial, options.QuickSpan = clock.Minute, 0
+	group := task.New(t.Context())
+	handler := connectedHandler{connected: make(chan string, 1)}
+	network := peers.New(options, "self", handler, group)
+	network.Add(topology.Daemon{Name: "again", Address: address})
+	time.Sleep(100 * time.Millisecond) // the first attempt has failed
+	again := httptest.NewUnstartedServer(peers.New(options, "again", ignoringHandler{}, group))
+	again.Listener, err = net.Listen("tcp", address)
+	require.NoError(t, err)
+	again.Start()
+	t.Cleanup(again.Close)
+	network.Redial(address)
+	select {
+	case connected := <-handler.connected:
+		require.Equal(t, address, connected)
+	case <-time.After(20 * time.Second):
+		require.Fail(t, "not dialled")
+	}
+	group.Stop()
+	group.Reap(func(task.End) {})
+}
+
 // recordingHandler is a handler that records messages and refused connections.
 type recordingHandler struct {
 	received chan peers.Message
