--- a/internal/integration/harness/process.go
+++ b/internal/integration/harness/process.go
@@ -103,11 +103,22 @@
 func (process *Process) end() {
 	process.Kill()
 	<-process.exited
-	if process.t.Failed() {
-		process.t.Logf("log of %s:\n%s", process.command.Path, tail(process.Log()))
+	if !process.t.Failed() {
+		return
+	}
+	process.t.Logf("log of %s:\n%s", process.command.Path, tail(process.Log()))
+	if directory := os.Getenv(keptLogsVariable); directory != "" {
+		kept := filepath.Join(directory, fmt.Sprintf("%d.log", process.command.Process.Pid))
+		if err := os.WriteFile(kept, []byte(process.Log()), 0o600); err != nil {
+			process.t.Logf("cannot keep the log: %v", err)
+		}
 	}
 }
 
+// keptLogsVariable is the environment variable with the directory in which the whole logs of failed tests' processes are kept, by process
+// id; empty: they are removed.
+const keptLogsVariable = "TEASELMOOR_TEST_LOGS"
+
 const maxShownLogBytes = 6000
 
 func tail(text string) string {
