orders: an order without an answer is fenced off before the next one

Cause: an order that timed out may arrive after its repetition, under the same fencing number, and after the adapter was unloaded again.

Change: the owner raises its number after an order without an answer, and reads no report until the server has seen it.

--- a/internal/direct/claims/claim.go
+++ b/internal/direct/claims/claim.go
@@ -98,12 +98,17 @@
 		state = &serverState{}
 		registry.servers[server] = state
 	}
-	state.fence = int64(ownership.NextFence(registry.wall(), ident.DaemonID(registry.self), ident.Fence(state.fence)))
+	registry.raiseFence(state)
 	state.owner = registry.self
 	state.ownerLastContact = now
 	state.claimedAt = now
 }
 
+// raiseFence replaces the fencing number by a higher one of this daemon.
+func (registry *Registry) raiseFence(state *serverState) {
+	state.fence = int64(ownership.NextFence(registry.wall(), ident.DaemonID(registry.self), ident.Fence(state.fence)))
+}
+
 // Claims returns this daemon's claims, sorted by server, and records that they are sent
 // to peers now.
 func (registry *Registry) Claims(now clock.Millis) []Claim {
--- a/internal/direct/claims/claims_test.go
+++ b/internal/direct/claims/claims_test.go
@@ -50,6 +50,28 @@
 	}
 }
 
+// TestRenewedClaimHasHigherFence guards against an order without an answer that is carried out after later ones, as they have its number.
+func TestRenewedClaimHasHigherFence(t *testing.T) {
+	now := clock.Millis(1_000_000)
+	daemon, options := startedDaemon(&now)
+	for end := now + options.StartWait + options.Announce; now < end; now += 100 {
+		daemon.Tick(now)
+		daemon.Claim(now, []string{"s"})
+	}
+	before, ok := daemon.MayOrder(now, "s")
+	require.True(t, ok)
+	daemon.Renew("s")
+	after, ok := daemon.MayOrder(now, "s")
+	require.True(t, ok, "renewal takes no time")
+	require.Greater(t, after, before)
+	require.Equal(t, after, daemon.Claims(now)[0].Fence)
+
+	daemon.ApplyHeartbeat(now, claims.Heartbeat{Peer: "b", Interval: 500, Claims: []claims.Claim{{Server: "s", Fence: after + 1}}})
+	daemon.Renew("s")
+	_, ok = daemon.Holds("s")
+	require.False(t, ok, "a claim of another daemon is not renewed")
+}
+
 // TestOwnerWithLowerFenceIsHeardAtEachHeartbeat guards against a takeover within the lease from an owner that became one, as the daemon with
 // a higher fencing number was silent: its heartbeats counted only once it had been silent itself.
 func TestOwnerWithLowerFenceIsHeardAtEachHeartbeat(t *testing.T) {
--- a/internal/direct/claims/orders.go
+++ b/internal/direct/claims/orders.go
@@ -36,6 +36,14 @@
 	}
 }
 
+// Renew gives this daemon's claim to a server a higher fencing number, so that the server refuses orders under the former one that are
+// still on their way.
+func (registry *Registry) Renew(server string) {
+	if state, ok := registry.servers[server]; ok && state.owner == registry.self {
+		registry.raiseFence(state)
+	}
+}
+
 // fenceStep is added to a fencing number that a server refused: 10 s in the milliseconds
 // of the wall clock, which exceeds the skew between clocks, shifted past the low 10 bits
 // that distinguish daemons.
--- a/internal/direct/gateway/orders.go
+++ b/internal/direct/gateway/orders.go
@@ -200,6 +200,7 @@
 		core.claims.Fenced(now, target.ID)
 	}
 	if result == platformapi.Unknown {
+		core.claims.Renew(target.ID)
 		core.fleet.MarkUnreachable(now, target.ID)
 		core.links.ConnectFailed(now)
 	}
@@ -267,6 +268,7 @@
 	core := gateway.core
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
+	core.confirmProcess(target.Process())
 	core.seeProcess(target.Process(), "report")
 	worker.serverStart = target.StartedAt
 	worker.planner.SetReport(core.now(), report)
--- a/internal/direct/loading/next.go
+++ b/internal/direct/loading/next.go
@@ -29,10 +29,10 @@
 		return platformapi.Order{}, false, planner.waitUntil
 	}
 	planner.expire(now)
-	if !mayLoadModel && (!planner.fenceKnown || len(planner.models) == 0 && len(planner.modelLoads) == 0) {
+	if !mayLoadModel && (planner.mustFence() || len(planner.models) == 0 && len(planner.modelLoads) == 0) {
 		return platformapi.Order{}, false, now + turnInterval
 	}
-	if !planner.fenceKnown {
+	if planner.mustFence() {
 		order, ok := planner.firstModel()
 		return order, ok, 0
 	}
--- a/internal/direct/loading/planner.go
+++ b/internal/direct/loading/planner.go
@@ -89,6 +89,7 @@
 	recentlyHeld func(platformapi.Adapter) bool // whether the server held an adapter recently
 	fenceKnown   bool                           // the server has seen this daemon's fencing number
 	reportValid  bool                           // a report was read since then, and is still valid
+	unanswered   bool                           // the last order has had no answer: the server may carry it out until it accepts a later one
 	lastOrderAt  clock.Millis                   // when the server may last have accepted an order
 	models       map[string]bool
 	modelLoads   map[string]modelLoad // base models being loaded
@@ -118,9 +119,14 @@
 // NeedsReport reports whether the server's report must be read before anything else, and the
 // time from which a report is reliable. The server must have seen this daemon's fencing
 // number before: until then it may accept orders of another daemon that the report does
-// not show.
+// not show, or an earlier one of this daemon that has had no answer.
 func (planner *Planner) NeedsReport() (bool, clock.Millis) {
-	return planner.fenceKnown && !planner.reportValid, planner.lastOrderAt + planner.options.ReportLag
+	return !planner.mustFence() && !planner.reportValid, planner.lastOrderAt + planner.options.ReportLag
+}
+
+// mustFence reports whether the server must see this daemon's fencing number before anything else.
+func (planner *Planner) mustFence() bool {
+	return !planner.fenceKnown || planner.unanswered && !planner.reportValid
 }
 
 // HoldingsKnown reports whether the planner knows what its server holds: it has read the
--- a/internal/direct/loading/planner_test.go
+++ b/internal/direct/loading/planner_test.go
@@ -158,6 +158,24 @@
 	require.False(t, order.Load, "there is no room for e: %v", order)
 }
 
+// TestReportIsNotReadWhileLateOrderMayBeCarriedOut guards against a report that does not show an adapter whose load arrives after it.
+func TestReportIsNotReadWhileLateOrderMayBeCarriedOut(t *testing.T) {
+	planner := newPlanner(1000, "a")
+	planner.RequestAdapter(1000, adapter("d"), 0, 0, 9000)
+	order, _, _ := planner.NextOrder(1000, noUses, noVersion, idleStore, true)
+	planner.HandleResult(1000, order, platformapi.Unknown, idleStore)
+	planner.InvalidateReport()
+	needed, _ := planner.NeedsReport()
+	require.False(t, needed)
+	order, ok, _ := planner.NextOrder(1200, noUses, noVersion, idleStore, true)
+	require.True(t, ok)
+	require.Equal(t, platformapi.Order{Load: true, Adapter: platformapi.Adapter{Model: "m"}}, order, "changes nothing")
+	planner.HandleResult(1200, order, platformapi.NothingToDo, idleStore)
+	needed, from := planner.NeedsReport()
+	require.True(t, needed)
+	require.Equal(t, 1200+loading.DefaultOptions().ReportLag, from)
+}
+
 // TestUnloadInProgressKeepsItsSlot: the server counts an adapter until its requests end.
 func TestUnloadInProgressKeepsItsSlot(t *testing.T) {
 	planner := newPlanner(1000, "a", "b", "c", "d")
--- a/internal/direct/loading/results.go
+++ b/internal/direct/loading/results.go
@@ -5,21 +5,23 @@
 	"teaselmoor/internal/direct/platformapi"
 )
 
-// HandleResult applies the result of an order.
+// HandleResult applies the result of an order. After one that has had no answer the next ones must have a higher fencing number: the server
+// then refuses it if it arrives later.
 func (planner *Planner) HandleResult(now clock.Millis, order platformapi.Order, result platformapi.Result, traffic Traffic) {
 	if result != platformapi.Conflict && result != platformapi.Fenced && result != platformapi.WrongServer {
 		planner.lastOrderAt = now
 	}
 	switch result {
 	case platformapi.Accepted, platformapi.NothingToDo:
-		planner.fenceKnown = true
+		planner.fenceKnown, planner.unanswered = true, false
 		planner.accepted(now, order, result == platformapi.NothingToDo, traffic)
 	case platformapi.Conflict:
 		planner.waitUntil = now + planner.options.Backoff
 	case platformapi.Unknown:
-		planner.unanswered(now, order)
+		planner.unanswered = true
+		planner.keepSlot(now, order)
 	case platformapi.Doubtful:
-		planner.unanswered(now, order)
+		planner.keepSlot(now, order)
 		planner.reportValid = false
 	case platformapi.WrongServer, platformapi.Fenced:
 		planner.reportValid = false
@@ -29,9 +31,9 @@
 	}
 }
 
-// unanswered handles an order without an answer. A load may have been accepted, so it takes
+// keepSlot handles an order without an answer. A load may have been accepted, so it takes
 // an adapter slot until the order has been repeated and answered.
-func (planner *Planner) unanswered(now clock.Millis, order platformapi.Order) {
+func (planner *Planner) keepSlot(now clock.Millis, order platformapi.Order) {
 	planner.waitUntil = now + planner.options.Backoff
 	planner.number++
 	if !order.Load {
