origins: a server counts among those of one version once its process is known to be that of its entry

What callers saw: streams joined from two versions, after all daemons were lost while a server ran a new version that its entry did not state yet, or had left by then.

Cause: the store's history of entries was taken for the history of processes.

Change: servers in the history are unconfirmed until they write again, or their report or an answer comes from the process of their entry; a service with unconfirmed servers infers nothing.

--- a/internal/direct/gateway/holdings.go
+++ b/internal/direct/gateway/holdings.go
@@ -85,6 +85,7 @@
 	core := gateway.core
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
+	core.confirmProcess(target.Process())
 	core.seeProcess(target.Process(), "report")
 	core.fleet.SetReport(target.ID, target.StartedAt, report.Models)
 	recorded := core.recordRuns(core.now(), target, report.Runs)
--- a/internal/direct/gateway/originqueries.go
+++ b/internal/direct/gateway/originqueries.go
@@ -116,7 +116,8 @@
 }
 
 // awaitAnswers asks linked peers and waits until one knows the stream or all have answered. A daemon that has just started and cannot
-// infer the answer goes on to ask those that it gets connected to, and waits for the store's history. The mutex must be held; it is released during the wait.
+// infer the answer goes on to ask those that it gets connected to, and waits for the store's history and for servers to confirm it. The mutex
+// must be held; it is released during the wait.
 func (gateway *Gateway) awaitAnswers(ctx context.Context, query *originQuery) {
 	core := gateway.core
 	for ctx.Err() == nil {
@@ -124,12 +125,12 @@
 		now := core.now()
 		_, recorded := core.origins.records.Find(query.message.Key)
 		_, inferred := core.inferredOrigin(now, query.message.Service)
-		starting := !inferred && core.starting(now)
-		if query.found != nil || recorded || len(query.pending) == 0 && !starting {
+		learning := !inferred && (core.starting(now) || gateway.confirmServers(now, query.message.Service))
+		if query.found != nil || recorded || len(query.pending) == 0 && !learning {
 			return
 		}
 		check := originWait
-		if starting {
+		if learning {
 			check = startCheckInterval
 		}
 		core.mutex.Unlock()
--- a/internal/direct/gateway/origins.go
+++ b/internal/direct/gateway/origins.go
@@ -104,7 +104,7 @@
 	if core.starting(now) {
 		return
 	}
-	wait := core.origins.history.CompleteIn(now)
+	wait := core.origins.history.CompleteIn(now, job.service)
 	if wait == 0 || wait >= job.deadline-now || core.origins.history.Mixed(job.service) {
 		job.hopeless = true
 		return
--- a/internal/direct/gateway/processes.go
+++ b/internal/direct/gateway/processes.go
@@ -104,6 +104,7 @@
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
 	process := platformapi.Process{Server: server.ID, StartedAt: startedAt}
+	core.confirmProcess(process)
 	core.seeProcess(process, "answer")
 	if !job.continues || core.fitsProcess(core.now(), job, process) {
 		return true
--- a/internal/direct/gateway/store.go
+++ b/internal/direct/gateway/store.go
@@ -157,6 +157,9 @@
 	if !core.fleet.Put(server, revision) {
 		return
 	}
+	if known || !core.origins.learning {
+		core.origins.history.Confirm(core.now(), server.ID) // its process has written since this daemon first read the store
+	}
 	if member, ok := core.fleet.Member(server.ID); ok {
 		member.SeenAt = core.now()
 		core.origins.seeVersion(member.SeenAt, member.Service, member.Software)
--- a/internal/direct/gateway/versionhistory.go
+++ b/internal/direct/gateway/versionhistory.go
@@ -125,31 +125,43 @@
 		return errInterrupted
 	}
 	now := core.now()
-	if err := core.seeChanges(now, page.Items); err != nil {
+	entries, err := core.seeChanges(now, page.Items)
+	if err != nil {
 		return err
 	}
+	unconfirmed := core.recordUnconfirmed(now, entries)
 	core.origins.history.Complete(now)
-	core.log.Info("store's history shows which software versions there were", "After", past.createdAt-1, "AsOf", page.AsOf, "Changes", len(page.Items), "Mixed", core.origins.history.Several(now))
+	core.log.Info("store's history shows which software versions there were", "After", past.createdAt-1, "AsOf", page.AsOf, "Changes", len(page.Items), "Mixed", core.origins.history.Several(now), "Unconfirmed", unconfirmed)
 	return nil
 }
 
-// seeChanges records the software versions in changes of servers, each write by itself. The mutex must be held.
-func (core *core) seeChanges(now clock.Millis, changes []platformapi.Item) error {
-	written := make(map[string]bool)
+// lastEntry is the last entry that a server wrote.
+type lastEntry struct {
+	platformapi.Server
+	removed bool
+}
+
+// seeChanges records the software versions in changes of servers, each write by itself, and returns the last entry of each server. The mutex
+// must be held.
+func (core *core) seeChanges(now clock.Millis, changes []platformapi.Item) (map[string]*lastEntry, error) {
+	entries := make(map[string]*lastEntry) // by key
 	for _, item := range changes {
-		if item.Deleted && !written[item.Key] {
-			return errServerForgotten
+		entry, written := entries[item.Key]
+		if item.Deleted && !written {
+			return nil, errServerForgotten
 		}
-		written[item.Key] = true
 		if item.Deleted {
+			entry.removed = true
 			continue
 		}
+		entries[item.Key] = &lastEntry{}
 		decoded, err := core.decoder.Decode(item)
 		if err == nil && decoded.Server != nil { // an entry that is not understood names no server that is used
+			entries[item.Key].Server = *decoded.Server
 			core.origins.seeVersion(now, decoded.Server.Service, decoded.Server.Software)
 		}
 	}
-	return nil
+	return entries, nil
 }
 
 // recordRuns records what began the streams that a server works on, as it reports them, unless that is known already, and returns their
--- a/internal/direct/software/software_test.go
+++ b/internal/direct/software/software_test.go
@@ -167,17 +167,49 @@
 	history.Complete(2)
 	_, ok = history.Only(2, "s")
 	require.True(t, ok)
-	require.Zero(t, history.CompleteIn(2))
+	require.Zero(t, history.CompleteIn(2, "s"))
 
 	history.Interrupt(10)
 	_, ok = history.Only(10, "s")
 	require.False(t, ok)
-	require.Equal(t, software.Lifetime-5, history.CompleteIn(15))
+	require.Equal(t, software.Lifetime-5, history.CompleteIn(15, "s"))
 	history.See(10+software.Lifetime, "s", "v1")
 	_, ok = history.Only(10+software.Lifetime, "s")
 	require.True(t, ok)
 }
 
+// TestHistoryDoesNotShowProcessesThatNoEntryStates guards against streams that go on at the only version that entries have stated, though a
+// server had started again with another one.
+func TestHistoryDoesNotShowProcessesThatNoEntryStates(t *testing.T) {
+	history := software.NewHistory(0)
+	history.See(1, "s", "v1")
+	history.See(1, "other", "v1")
+	history.Confirm(0, "confirmed before")
+	for _, server := range []string{"a", "b", "confirmed before"} {
+		history.AddUnconfirmed(1, server, "s")
+	}
+	require.Empty(t, history.Unconfirmed(1, "s"), "the history is not complete")
+	history.Complete(1)
+	require.ElementsMatch(t, []string{"a", "b"}, history.Unconfirmed(1, "s"))
+	history.Confirm(1, "a")
+	_, ok := history.Only(1, "s")
+	require.False(t, ok)
+	require.True(t, history.Several(1))
+	require.Equal(t, software.Lifetime-4, history.CompleteIn(5, "s"))
+	_, ok = history.Only(1, "other")
+	require.True(t, ok)
+	history.Confirm(1, "b")
+	_, ok = history.Only(1, "s")
+	require.True(t, ok)
+	require.False(t, history.Several(1))
+
+	history.AddUnconfirmed(1, "c", "s")
+	history.Prune(software.Lifetime)
+	_, ok = history.Only(software.Lifetime+1, "other")
+	require.True(t, ok)
+	require.Empty(t, history.Unconfirmed(software.Lifetime+1, "s"))
+}
+
 // TestFilters guards against records that are sent to daemons which have them already, and against shares that leave
 // some out.
 func TestFilters(t *testing.T) {
