origins: a refusal of a stream whose service may still be confirmed names a time to return

Cause: CompleteIn counts servers that are not confirmed, so that callers were told that no further try can succeed, though a report or a heartbeat may confirm the servers within a moment.

Change: while all unconfirmed servers are still there, the refusal has the usual Retry-After.

--- a/internal/direct/gateway/confirmations.go
+++ b/internal/direct/gateway/confirmations.go
@@ -1,9 +1,10 @@
 package gateway
 
 import (
-	"context"
+	"slices"
 
 	"teaselmoor/internal/base/clock"
+	"teaselmoor/internal/direct/fleet"
 	"teaselmoor/internal/direct/platformapi"
 )
 
@@ -17,7 +18,7 @@
 	count := 0
 	for _, entry := range entries {
 		if entry.StartedAt == 0 || entry.removed && entry.Draining {
-			continue // an entry without a start stands for the process; one that drained was the last one's
+			continue // an entry without a start stands for the process, and one that drains is that of the last process
 		}
 		core.origins.history.AddUnconfirmed(now, entry.ID, entry.Service)
 		count++
@@ -34,32 +35,34 @@
 	}
 }
 
-// confirmServers reads the reports of the servers that must be confirmed before a service's history shows all software versions. It reports
-// false if there are none, or if they cannot be confirmed: one has been removed, or they are too many for one daemon. The mutex must be
-// held.
+// confirmable returns the servers that must be confirmed before a service's history shows all software versions. It is empty if there are
+// none, or if one has been removed, as that one cannot be confirmed. The mutex must be held.
+func (core *core) confirmable(now clock.Millis, service string) []*fleet.Member {
+	var members []*fleet.Member
+	for _, id := range core.origins.history.Unconfirmed(now, service) {
+		member, known := core.fleet.Member(id)
+		if !known {
+			return nil
+		}
+		members = append(members, member)
+	}
+	return members
+}
+
+// confirmServers reads the reports of the servers of a service that must be confirmed, and reports whether they may be soon: not if one
+// cannot be reached, or if they are too many for one daemon. The mutex must be held.
 func (gateway *Gateway) confirmServers(now clock.Millis, service string) bool {
 	core := gateway.core
-	unconfirmed := core.origins.history.Unconfirmed(now, service)
-	if len(unconfirmed) == 0 || len(unconfirmed) > maxReportsPerTick || !core.isEngine(service) {
+	members := core.confirmable(now, service)
+	unreachable := slices.ContainsFunc(members, func(member *fleet.Member) bool { return member.Suspect(now) })
+	if len(members) == 0 || len(members) > maxReportsPerTick || unreachable || !core.isEngine(service) {
 		return false
 	}
-	var targets []platformapi.Server
-	for _, id := range unconfirmed {
-		member, known := core.fleet.Member(id)
-		if !known || member.Suspect(now) {
-			return false
-		}
-		lastRequest, requested := core.reportRequestedAt[id]
+	for _, member := range members {
+		lastRequest, requested := core.reportRequestedAt[member.ID]
 		if !requested || now-lastRequest >= reportRetryInterval {
-			targets = append(targets, member.Server)
+			gateway.startReadingHoldings(now, member.Server)
 		}
 	}
-	for _, target := range targets {
-		core.reportRequestedAt[target.ID] = now
-		gateway.tasks.Go("confirmation "+target.ID, func(ctx context.Context) error {
-			gateway.readHoldings(ctx, target)
-			return nil
-		})
-	}
 	return true
 }
--- a/internal/direct/gateway/holdings.go
+++ b/internal/direct/gateway/holdings.go
@@ -26,15 +26,19 @@
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
 	for _, member := range core.unknownHoldings(now) {
-		core.reportRequestedAt[member.ID] = now
-		target := member.Server
-		gateway.tasks.Go("holdings "+target.ID, func(ctx context.Context) error {
-			gateway.readHoldings(ctx, target)
-			return nil
-		})
+		gateway.startReadingHoldings(now, member.Server)
 	}
 }
 
+// startReadingHoldings has a server's report be read. The mutex must be held.
+func (gateway *Gateway) startReadingHoldings(now clock.Millis, target platformapi.Server) {
+	gateway.core.reportRequestedAt[target.ID] = now
+	gateway.tasks.Go("holdings "+target.ID, func(ctx context.Context) error {
+		gateway.readHoldings(ctx, target)
+		return nil
+	})
+}
+
 // unknownHoldings returns the servers whose reports are to be read now. The mutex must be held.
 func (core *core) unknownHoldings(now clock.Millis) []*fleet.Member {
 	if core.catalog == nil || !core.mayReadReports(now) {
--- a/internal/direct/gateway/origins.go
+++ b/internal/direct/gateway/origins.go
@@ -98,10 +98,11 @@
 	return nil
 }
 
-// setUnknownRetryAfter sets when a caller whose stream is not known may try again: while this daemon starts, as others may know it,
-// or when the service will have had one version for long enough. Otherwise no further try can succeed. The mutex must be held.
+// setUnknownRetryAfter sets when a caller whose stream is not known may try again: soon while this daemon starts, as others may know it, or
+// while servers may still be confirmed, and otherwise when the service will have had one version for long enough. If that is too late, no
+// further try can succeed. The mutex must be held.
 func (core *core) setUnknownRetryAfter(now clock.Millis, job *job) {
-	if core.starting(now) {
+	if core.starting(now) || len(core.confirmable(now, job.service)) > 0 {
 		return
 	}
 	wait := core.origins.history.CompleteIn(now, job.service)
