throttle: a request's worth of level counts as one, whatever rounding leaves of it

What was seen: TestLimitIsUsed sends 5,999 of 8,000 at 3 daemons and 200 a second, each time, on arm64; amd64 rounds the other way, and passed. A bucket holds one request, so a level that falls short by rounding loses all that comes until it is asked again.

Change: the comparison has a tolerance of a thousand-millionth.

Result: the test passes on arm64; the sum over all daemons is checked as before.

--- a/internal/direct/throttle/share.go
+++ b/internal/direct/throttle/share.go
@@ -17,6 +17,10 @@
 // requests again.
 const minRate = 0.1
 
+// roundingTolerance is how much a level may fall short of a request because of rounding, in requests. A bucket that holds one request loses
+// what its rate yields until it is asked again.
+const roundingTolerance = 1e-9
+
 // share is a daemon's share of a server's limit: a token bucket that holds one request.
 type share struct {
 	rate      float64 // requests a second; 0 means that this daemon sends none
@@ -77,7 +81,7 @@
 		return true
 	}
 	entry.share.refill(now)
-	return entry.share.rate > 0 && entry.share.level >= 1
+	return entry.share.rate > 0 && entry.share.level >= 1-roundingTolerance
 }
 
 // Take takes a request to a server from the bucket.
