quarantine: ends of servers whose ids hold the separator are told apart

What was seen, by reading and a test: of a server "a#b" daemons did not learn the ends that others had noticed; two ends under one crashing request counted as one.

Cause: as of streams resumed at a number in their text: the first separator was searched for in a name that servers write freely.

Result: TestEndsCountWhateverServersAreCalled fails before (1 of 2), and passes.

--- a/internal/direct/quarantine/ends.go
+++ b/internal/direct/quarantine/ends.go
@@ -39,17 +39,27 @@
 // learnEnds takes over the ends that a record of another daemon names.
 func (list *List) learnEnds(now clock.Millis, record Record) {
 	for _, name := range record.Servers {
-		process, number, found := strings.Cut(name, endSeparator)
-		count, err := strconv.Atoi(number)
-		if !found || err != nil {
-			count = 1
-		}
+		process, count := parseEnd(name)
 		if list.ends[process].count < count {
 			list.ends[process] = processEnds{count: count, lastAt: now - record.Age}
 		}
 	}
 }
 
+// parseEnd returns the process that an end belongs to, and the number of the end. Ids of servers may hold the separator; what follows it in
+// the name of a process is no number then, as the name ends with the process's start.
+func parseEnd(name string) (process string, count int) {
+	at := strings.LastIndex(name, endSeparator)
+	if at < 0 {
+		return name, 1
+	}
+	count, err := strconv.Atoi(name[at+len(endSeparator):])
+	if err != nil {
+		return name, 1
+	}
+	return name[:at], count
+}
+
 // pruneEnds forgets processes whose records have been forgotten.
 func (list *List) pruneEnds(now clock.Millis) {
 	maps.DeleteFunc(list.ends, func(_ string, known processEnds) bool { return now-known.lastAt >= list.options.Keep })
--- a/internal/direct/quarantine/quarantine_test.go
+++ b/internal/direct/quarantine/quarantine_test.go
@@ -91,6 +91,20 @@
 	require.Equal(t, quarantine.Suspect, verdict(list, start+options.SameEnd+300, crasher))
 }
 
+// TestEndsCountWhateverServersAreCalled guards against ends that count as one, as the server's name holds what separates a name from a number.
+func TestEndsCountWhateverServersAreCalled(t *testing.T) {
+	for _, server := range []string{"a@0", "a#b@0", "a#3@0", "#@0"} {
+		list, peer := quarantine.New(options), quarantine.New(options)
+		ended(list, start, server, crasher)
+		merge(start+50, peer, list)
+		ended(peer, start+options.SameEnd+200, server, crasher)
+		require.Equal(t, 2, peer.ServerCount(crasher), server)
+		merge(start+options.SameEnd+250, list, peer)
+		ended(list, start+2*options.SameEnd+500, server, crasher)
+		require.Equal(t, 3, list.ServerCount(crasher), server)
+	}
+}
+
 // TestTrialsAreFew sends a content whenever it may be sent, and each time a server ends. The number of ends
 // is small, however long the requests keep coming, and they are not forgotten.
 func TestTrialsAreFew(t *testing.T) {
