origins: a daemon without a configuration reads no reports; none are read for a stream that is known

Cause: by reading the diff: servers to confirm are there once the store's items are read, also where the configuration among them is not understood; the look for a service in it would have ended the daemon.

--- a/internal/direct/gateway/models.go
+++ b/internal/direct/gateway/models.go
@@ -86,8 +86,11 @@
 	return core.turnsOf(server.Service).MayLoad(now, server.ID, core.modelStates(server.Service, service.Engine))
 }
 
-// isEngine reports whether the servers of a service run models. The mutex must be held.
+// isEngine reports whether the servers of a service run models. Without a configuration it is not known of any. The mutex must be held.
 func (core *core) isEngine(name string) bool {
+	if core.catalog == nil {
+		return false
+	}
 	service, ok := core.catalog.Services[name]
 	return ok && service.Engine != nil
 }
--- a/internal/direct/gateway/originqueries.go
+++ b/internal/direct/gateway/originqueries.go
@@ -122,11 +122,13 @@
 	core := gateway.core
 	for ctx.Err() == nil {
 		gateway.askLinked(query)
+		if _, recorded := core.origins.records.Find(query.message.Key); recorded || query.found != nil {
+			return
+		}
 		now := core.now()
-		_, recorded := core.origins.records.Find(query.message.Key)
 		_, inferred := core.inferredOrigin(now, query.message.Service)
 		learning := !inferred && (core.starting(now) || gateway.confirmServers(now, query.message.Service))
-		if query.found != nil || recorded || len(query.pending) == 0 && !learning {
+		if len(query.pending) == 0 && !learning {
 			return
 		}
 		check := originWait
--- a/internal/direct/gateway/versionhistory.go
+++ b/internal/direct/gateway/versionhistory.go
@@ -131,7 +131,8 @@
 	}
 	unconfirmed := core.recordUnconfirmed(now, entries)
 	core.origins.history.Complete(now)
-	core.log.Info("store's history shows which software versions there were", "After", past.createdAt-1, "AsOf", page.AsOf, "Changes", len(page.Items), "Mixed", core.origins.history.Several(now), "Unconfirmed", unconfirmed)
+	core.log.Info("store's history shows which software versions there were", "After", past.createdAt-1, "AsOf", page.AsOf, "Changes", len(page.Items),
+		"Mixed", core.origins.history.Several(now), "Unconfirmed", unconfirmed)
 	return nil
 }
 
