origins: what a candidate relays is selected when it is sent, not when it arrives

Callers saw: at a site with hubs, streams of a lost data centre were refused (StreamUnknown) although its candidates had their records.

Cause: a candidate decided on the arrival of a record whether to relay it to the next data centre, by the role that it saw for itself then. The record is sent once. In the same way records of another candidate's share were passed over for good.

Change: records of the own data centre are always published in the log; a filter (now a comparable value) selects at the time of sending, and a replica whose filter changes is sent the log again.

--- a/internal/direct/gateway/deltas.go
+++ b/internal/direct/gateway/deltas.go
@@ -46,7 +46,7 @@
 	usageDaemons   int          // number of daemons that it covered
 	warnings       warningsSent
 	speeds         speedsSent
-	origins        int64 // number of the last origin of a stream sent
+	origins        sentOrigins
 }
 
 // sentTo returns the record of what the peer at an address has been sent. The mutex must be
--- a/internal/direct/gateway/export_test.go
+++ b/internal/direct/gateway/export_test.go
@@ -34,6 +34,18 @@
 	gateway.core.members.Tick(gateway.core.now())
 }
 
+// SeeVersions has the daemon see servers of a service with several software versions.
+func (gateway *Gateway) SeeVersions(service string, versions ...string) {
+	for _, version := range versions {
+		gateway.core.origins.seeVersion(gateway.core.now(), service, version)
+	}
+}
+
+// ReplicateOrigins makes the periodic call that sends origins of streams to replicas.
+func (gateway *Gateway) ReplicateOrigins() {
+	gateway.replicateOrigins()
+}
+
 // PlacesShort reports whether requests with a short goal are placed by average loads.
 func (gateway *Gateway) PlacesShort() bool {
 	return gateway.core.shortLoads(&job{route: &catalog.Route{Goal: choose.CountsAge}}) != nil
--- a/internal/direct/gateway/forward_test.go
+++ b/internal/direct/gateway/forward_test.go
@@ -48,6 +48,16 @@
 }
 
 func newHubSite(t *testing.T) *hubSite {
+	site := newLoneSite(t)
+	for i := range topology.MeshLimit {
+		site.update(fmt.Sprint("d", i))
+	}
+	site.pass(500, "m1", "m2", "owner", "other")
+	return site
+}
+
+// newLoneSite returns a site whose hub knows no other daemon yet.
+func newLoneSite(t *testing.T) *hubSite {
 	site := &hubSite{now: 100_000}
 	settings := gateway.Settings{Name: "hub", DataCentre: "here", PeerAddress: "hub", Lease: clock.Second}
 	site.hub = gateway.New(t.Context(), settings, gateway.DefaultOptions(settings), gateway.Platform{}, slog.New(slog.DiscardHandler))
@@ -57,10 +67,6 @@
 	}
 	config := catalog.New(1, catalog.Limits{}, []*catalog.Service{{Name: "engines", Engine: &catalog.Engine{Slots: 12}}}, routes, nil)
 	site.hub.Prepare(site, func() clock.Millis { return site.now }, config, platformapi.Server{ID: "e1", Service: "engines", StartedAt: 1})
-	for i := range topology.MeshLimit {
-		site.update(fmt.Sprint("d", i))
-	}
-	site.pass(500, "m1", "m2", "owner", "other")
 	return site
 }
 
--- a/internal/direct/gateway/originreplicas.go
+++ b/internal/direct/gateway/originreplicas.go
@@ -11,18 +11,32 @@
 	"teaselmoor/internal/direct/topology"
 )
 
-// applyOrigins records the origins that a peer replicates. A candidate relays those of its data centre.
+// sentOrigins is what a replica has been sent of the log of origins.
+type sentOrigins struct {
+	next   int64 // number of the next record to look at
+	filter software.Filter
+}
+
+// selectBy sets the records that a replica gets from now on. Those passed over so far are looked at again if that changes: they may be among
+// the new ones.
+func (sentOrigins *sentOrigins) selectBy(filter software.Filter) {
+	if filter != sentOrigins.filter {
+		sentOrigins.next, sentOrigins.filter = 0, filter
+	}
+}
+
+// applyOrigins records the origins that a peer replicates. Those of this daemon's data centre are also published, as it relays them once it
+// is a candidate: the peer may have learnt that before.
 func (core *core) applyOrigins(from string, batches []software.Batch) {
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
 	now := core.now()
 	peer, known := core.members.Peer(from)
-	plan := core.members.Plan()
-	relays := known && !plan.Mesh && plan.Role == topology.Candidate && peer.DataCentre == core.settings.DataCentre
+	near := known && peer.DataCentre == core.settings.DataCentre
 	for _, batch := range batches {
 		core.seeProcess(batch.Origin.Process(), "peer "+from)
 		for _, key := range batch.Keys {
-			if core.origins.records.Put(now, key, batch.Origin) && relays {
+			if core.origins.records.Put(now, key, batch.Origin) && near {
 				core.origins.records.Publish(now, key, "")
 			}
 		}
@@ -81,10 +95,11 @@
 		return core.replicationInterval()
 	}
 	for _, replica := range core.replicas() {
-		sent := core.sentTo(replica.Address)
-		batches, next := core.origins.records.Since(sent.origins, maxReplicatedOrigins, replica.filter)
+		sent := &core.sentTo(replica.Address).origins
+		sent.selectBy(replica.filter)
+		batches, next := core.origins.records.Since(sent.next, maxReplicatedOrigins, sent.filter)
 		if len(batches) == 0 || gateway.send(replica.Address, peers.Message{Origins: batches}) {
-			sent.origins = next
+			sent.next = next
 		}
 	}
 	return core.replicationInterval()
--- a/internal/direct/software/records.go
+++ b/internal/direct/software/records.go
@@ -109,18 +109,24 @@
 	}
 }
 
-// Filter selects records of the log by their key, and by whether their streams have begun for this daemon.
-type Filter func(key Key, own bool) bool
-
-// Everything selects all records.
-func Everything(Key, bool) bool { return true }
+// Filter selects records of the log by their key, and by whether their streams have begun for this daemon. The zero value selects all.
+type Filter struct {
+	own          bool // only streams that have begun for this daemon
+	index, count int  // only keys of one of several shares; a count of 0: all keys
+}
 
 // Own selects the streams that have begun for this daemon.
-func Own(_ Key, own bool) bool { return own }
+var Own = Filter{own: true}
 
 // Share selects one of several equal shares of all records.
-func Share(index, count int) Filter {
-	return func(key Key, _ bool) bool { return int(uint64(key)%uint64(count)) == index }
+func Share(index, count int) Filter { return Filter{index: index, count: count} }
+
+// selects reports whether an entry of the log is selected.
+func (filter Filter) selects(entry logEntry) bool {
+	if filter.own && entry.server == "" {
+		return false
+	}
+	return filter.count == 0 || uint64(entry.key)%uint64(filter.count) == uint64(filter.index)
 }
 
 // Since returns the records of the log from a number on, at most limit of them, that a filter selects, and the
@@ -131,7 +137,7 @@
 	var batches []Batch
 	at := make(map[Origin]int)
 	for _, entry := range records.log[first:last] {
-		if !filter(entry.key, entry.server != "") {
+		if !filter.selects(entry) {
 			continue
 		}
 		i, ok := at[*entry.origin]
--- a/internal/direct/software/software_test.go
+++ b/internal/direct/software/software_test.go
@@ -48,18 +48,18 @@
 	origin, ok := records.Find(1)
 	require.True(t, ok)
 	require.Equal(t, first, origin)
-	batches, next := records.Since(0, 10, software.Everything)
+	batches, next := records.Since(0, 10, software.Filter{})
 	require.Len(t, batches, 1)
 
 	records.Prune(software.Lifetime + 10)
 	records.Prune(2*software.Lifetime + 20)
 	_, ok = records.Find(1)
 	require.False(t, ok)
-	batches, _ = records.Since(0, 10, software.Everything)
+	batches, _ = records.Since(0, 10, software.Filter{})
 	require.Empty(t, batches)
 	records.Put(2*software.Lifetime+20, 2, second)
 	records.Publish(2*software.Lifetime+20, 2, "a")
-	batches, _ = records.Since(next, 10, software.Everything)
+	batches, _ = records.Since(next, 10, software.Filter{})
 	require.Equal(t, []software.Batch{{Origin: second, Keys: []software.Key{2}}}, batches)
 }
 
@@ -91,7 +91,7 @@
 	}
 	got := make(map[software.Key]software.Origin)
 	for at := int64(0); len(got) < 10; {
-		batches, next := records.Since(at, 3, software.Everything)
+		batches, next := records.Since(at, 3, software.Filter{})
 		require.NotEmpty(t, batches)
 		at = next
 		for _, group := range batches {
@@ -120,13 +120,13 @@
 		records.Put(clock.Millis(key), software.Key(key), first)
 		records.Publish(clock.Millis(key), software.Key(key), server)
 	}
-	_, sent := records.Since(0, 10, software.Everything)
+	_, sent := records.Since(0, 10, software.Filter{})
 	records.Withdraw(5, "a", 1)
 	for key, want := range []software.Origin{first, first, {}} {
 		origin, _ := records.Find(software.Key(key))
 		require.Equal(t, want, origin, fmt.Sprint(key))
 	}
-	batches, _ := records.Since(sent, 10, software.Everything)
+	batches, _ := records.Since(sent, 10, software.Filter{})
 	require.Equal(t, []software.Batch{{Keys: []software.Key{2}}}, batches)
 }
 
@@ -222,7 +222,7 @@
 		filter software.Filter
 		want   []software.Key
 	}{
-		{software.Everything, []software.Key{0, 1, 2, 3}},
+		{software.Filter{}, []software.Key{0, 1, 2, 3}},
 		{software.Own, []software.Key{0, 2}},
 		{software.Share(1, 2), []software.Key{1, 3}},
 		{software.Share(0, 2), []software.Key{0, 2}},
--- a/internal/integration/harness/process.go
+++ b/internal/integration/harness/process.go
@@ -107,18 +107,26 @@
 		return
 	}
 	process.t.Logf("log of %s:\n%s", process.command.Path, tail(process.Log()))
-	if directory := os.Getenv(keptLogsVariable); directory != "" {
-		kept := filepath.Join(directory, fmt.Sprintf("%d.log", process.command.Process.Pid))
-		if err := os.WriteFile(kept, []byte(process.Log()), 0o600); err != nil {
-			process.t.Logf("cannot keep the log: %v", err)
-		}
+	if KeepsLogs() {
+		KeepLog(process.t, fmt.Sprintf("%d.log", process.command.Process.Pid), []byte(process.Log()))
 	}
 }
 
-// keptLogsVariable is the environment variable with the directory in which the whole logs of failed tests' processes are kept, by process
-// id; empty: they are removed.
+// keptLogsVariable is the environment variable with the directory in which the whole logs of failed tests are kept; empty: they are
+// removed.
 const keptLogsVariable = "TEASELMOOR_TEST_LOGS"
 
+// KeepsLogs reports whether the whole logs of failed tests are kept.
+func KeepsLogs() bool { return os.Getenv(keptLogsVariable) != "" }
+
+// KeepLog keeps a log of a failed test, under a file name.
+func KeepLog(t testing.TB, name string, log []byte) {
+	kept := filepath.Join(os.Getenv(keptLogsVariable), name)
+	if err := os.WriteFile(kept, log, 0o600); err != nil {
+		t.Logf("cannot keep the log: %v", err)
+	}
+}
+
 const maxShownLogBytes = 6000
 
 func tail(text string) string {
