platform: crowds of callers that do not behave, over the limits of the VM

Tests only: the crowds and the bounds stand before the product changes. Daemons run as processes without the race detector, so that their memory is that of users' daemons; what is checked is that they live, that resident memory and bytes received and not read stay within MemoryMb, descriptors within MaxFds less 200, and that an ordinary request and in calm the largest legal body are answered.

--- a/internal/integration/harness/process.go
+++ b/internal/integration/harness/process.go
@@ -26,6 +26,7 @@
 // program is a program of this module that is built once for all tests of a package.
 type program struct {
 	packagePath string
+	plain       bool // built without the race detector in any case
 	buildOnce   sync.Once
 	binaryPath  string
 	err         error
@@ -35,10 +36,12 @@
 	teaselmoor = &program{packagePath: "teaselmoor/cmd/teaselmoor"}
 	standIns   = &program{packagePath: "teaselmoor/cmd/standins"}
 	gateways   = &program{packagePath: "teaselmoor/cmd/teaselmoor-gateway"}
+
+	plainGateways = &program{packagePath: "teaselmoor/cmd/teaselmoor-gateway", plain: true}
 )
 
 // binary returns the path of the program's binary and builds it at the first use,
-// with the race detector if the test has it enabled.
+// with the race detector if the test has it enabled and the program is not to be plain.
 func (program *program) binary(t testing.TB) string {
 	t.Helper()
 	program.buildOnce.Do(func() {
@@ -48,7 +51,7 @@
 		}
 		program.binaryPath = filepath.Join(directory, filepath.Base(program.packagePath))
 		arguments := []string{"build", "-o", program.binaryPath}
-		if RaceEnabled {
+		if RaceEnabled && !program.plain {
 			arguments = append(arguments, "-race")
 		}
 		var out []byte
@@ -61,7 +64,7 @@
 
 // RemoveBinaries removes the built programs; TestMain calls it after the tests.
 func RemoveBinaries() {
-	for _, each := range []*program{teaselmoor, standIns, gateways} {
+	for _, each := range []*program{teaselmoor, standIns, gateways, plainGateways} {
 		if each.binaryPath != "" {
 			_ = os.RemoveAll(filepath.Dir(each.binaryPath))
 		}
@@ -80,6 +83,12 @@
 	return start(t, gateways, environment, arguments...)
 }
 
+// StartPlainGateway starts cmd/teaselmoor-gateway without the race detector, so that its memory is that of a daemon of users.
+func StartPlainGateway(t testing.TB, environment []string, arguments ...string) *Process {
+	t.Helper()
+	return start(t, plainGateways, environment, arguments...)
+}
+
 func start(t testing.TB, program *program, environment []string, arguments ...string) *Process {
 	t.Helper()
 	log, err := os.CreateTemp(t.TempDir(), "log")
@@ -170,6 +179,15 @@
 	return process.state.ExitCode()
 }
 
+// OpenDescriptors returns the number of open file descriptors of the process, 0 if it has ended.
+func (process *Process) OpenDescriptors() int {
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", process.command.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	return len(entries)
+}
+
 // ResidentBytes returns the resident memory of the process.
 func (process *Process) ResidentBytes() int64 {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", process.command.Process.Pid))
