footprint: one account for all that callers make a daemon hold

What callers saw: crowds that send bodies of legal size, or heads, and most stop short of their end, grow the process until its VM ends it.

Cause: each thing that is held is bounded, their sum is not.

Package footprint counts connections, heads, bodies as they arrive, kept answers and the descriptors that requests need, against MemoryMb and MaxFds. When it is full, a hold that made no progress for 0.5 s gives way, the largest first: a body is refused (503, NoRoom, to return), an idle connection or unfinished head is closed. Nothing is asked while there is room. Bodies are kept in pieces that are not copied to grow or to be sent, and released when the last send that may need them has been written. A length over the limit is refused by the head. Callers' sockets have receive buffers of 8 KiB; an answer of which nothing is read for as long as a connection may be idle is ended (it could be kept for ever); the garbage collector knows the VM's memory.

--- a/internal/decide/outcome/reason.go
+++ b/internal/decide/outcome/reason.go
@@ -56,6 +56,7 @@
 	EnginesRest         Reason = "EnginesRest"
 	ServiceOverloaded   Reason = "ServiceOverloaded"
 	DaemonCrowded       Reason = "DaemonCrowded"
+	DaemonFull          Reason = "DaemonFull"
 	EnginesUnreachable  Reason = "EnginesUnreachable"
 	StreamUnknown       Reason = "StreamUnknown"
 	NoSoftwareVersion   Reason = "NoSoftwareVersion"
@@ -108,6 +109,7 @@
 	EnginesLimited:      "Each server that could take the request had named how many it takes in a second, and had got as many.",
 	EnginesRest:         "Each server that could take the request had turned this daemon away of late and asked it for rest.",
 	ServiceOverloaded:   "The service had more requests in progress than it could answer in time, so this one was refused at once.",
+	DaemonFull:          "Callers made the process hold as much as its memory and descriptors allow, so the request was refused.",
 	DaemonCrowded:       "The process could not send the request on in time, as it had too many others or had stood still, so it was refused.",
 	EnginesUnreachable:  "The process had lost its links to all engines and services, and reached no other process that had not.",
 	StreamUnknown:       "The caller asked for the rest of a stream, and no process knew which software version had begun it.",
--- a/internal/direct/content/content.go
+++ b/internal/direct/content/content.go
@@ -19,9 +19,9 @@
 // differs between attempts.
 type Request struct {
 	Host    string
-	Target  string // path and query
-	Account string // name of the caller's account; empty where there are no accounts
-	Body    []byte
+	Target  string   // path and query
+	Account string   // name of the caller's account; empty where there are no accounts
+	Body    [][]byte // in pieces; where it is divided makes no difference
 }
 
 // PartID identifies a part of a prompt. The parts of an account are its own: another account's part with the same
@@ -43,7 +43,9 @@
 	for _, part := range []string{request.Host, request.Target, request.Account} {
 		writeField(hash, part)
 	}
-	hash.Write(request.Body)
+	for _, piece := range request.Body {
+		hash.Write(piece)
+	}
 	return ID(hash.Sum(nil)[:len(ID{})])
 }
 
--- a/internal/direct/content/content_test.go
+++ b/internal/direct/content/content_test.go
@@ -9,7 +9,7 @@
 )
 
 func TestDifferentRequestsHaveDifferentIDs(t *testing.T) {
-	request := content.Request{Host: "host", Target: "/path?a=1", Account: "account", Body: []byte("body")}
+	request := content.Request{Host: "host", Target: "/path?a=1", Account: "account", Body: [][]byte{[]byte("body")}}
 	require.Equal(t, content.Of(request), content.Of(request))
 	for name, change := range map[string]func(*content.Request){
 		"host":    func(request *content.Request) { request.Host = "other" },
@@ -31,12 +31,12 @@
 	require.NotEqual(t, part, content.PartID("", "5c1e"))
 	require.NotEqual(t, part, content.PartID("account", "5c1f"))
 	require.NotEqual(t, content.PartID("ab", "c"), content.PartID("a", "bc"))
-	require.NotEqual(t, content.PartID("", "5c1e"), content.Of(content.Request{Body: []byte("5c1e")}))
+	require.NotEqual(t, content.PartID("", "5c1e"), content.Of(content.Request{Body: [][]byte{[]byte("5c1e")}}))
 }
 
 // BenchmarkOf measures Of, which the daemon calls for each request.
 func BenchmarkOf(b *testing.B) {
-	request := content.Request{Host: "site.example", Target: "/contract/1", Account: "account", Body: make([]byte, 512)}
+	request := content.Request{Host: "site.example", Target: "/contract/1", Account: "account", Body: [][]byte{make([]byte, 512)}}
 	for b.Loop() {
 		content.Of(request)
 	}
--- a/internal/direct/gateway/answers.go
+++ b/internal/direct/gateway/answers.go
@@ -83,10 +83,14 @@
 	return gateway.lostResult(job, http.StatusBadGateway, ending.AnswerLost)
 }
 
+// mayRunAgain reports whether the request may be sent to another server although it may have run.
+func (job *job) mayRunAgain() bool {
+	return job.route.Repeatable() && job.mayHaveRun < job.route.Attempts
+}
+
 // lostResult is the result of a try that may have run but gave no usable answer.
 func (gateway *Gateway) lostResult(job *job, status int, reason ending.Reason) tryResult {
-	again := job.route.Repeatable() && job.mayHaveRun < job.route.Attempts
-	return tryResult{retry: again, needsBudget: true, status: status, reason: reason}
+	return tryResult{retry: job.mayRunAgain(), needsBudget: true, status: status, reason: reason}
 }
 
 // handleAnswer evaluates the head of an answer, and passes the answer on.
@@ -108,6 +112,7 @@
 		job.triedServers = append(job.triedServers, to.server.ID)
 		return gateway.lostResult(job, http.StatusBadGateway, ending.InvalidAnswer)
 	}
+	job.releaseSentBody(answer)
 	if !success {
 		return gateway.handleFailure(ctx, writer, job, to, answer)
 	}
@@ -166,7 +171,7 @@
 	gateway.recordOutcome(to, answer.StatusCode >= 500)
 	job.triedServers = append(job.triedServers, to.server.ID)
 	gateway.log.Info(ending.MessageServerFailed, "Request", job.headers.Attempt, "Server", to.server.ID, "Status", answer.StatusCode)
-	if answer.StatusCode >= 500 && job.route.Repeatable() && job.mayHaveRun < job.route.Attempts && gateway.reserveRetry(job) {
+	if answer.StatusCode >= 500 && job.mayRunAgain() && gateway.reserveRetry(job) {
 		answer.Drain(maxFailureBytes)
 		return tryResult{retry: true, status: http.StatusBadGateway, reason: ending.AnswerLost}
 	}
@@ -174,7 +179,7 @@
 		answer.Drain(maxFailureBytes)
 		return tryResult{status: http.StatusBadGateway, reason: ending.InvalidAnswer}
 	}
-	body, ended, err := gateway.readStart(answer, maxFailureBytes)
+	body, ended, err := gateway.readStart(job, answer, maxFailureBytes)
 	defer body.release()
 	if err != nil {
 		answer.Close(false)
--- a/internal/direct/gateway/callerconn.go
+++ b/internal/direct/gateway/callerconn.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -8,6 +9,7 @@
 	"time"
 
 	"teaselmoor/internal/direct/catalog"
+	"teaselmoor/internal/direct/footprint"
 	"teaselmoor/internal/direct/intake"
 	"teaselmoor/internal/direct/socket"
 )
@@ -16,11 +18,12 @@
 // a backlog is worked off quickly, and accepts no further ones while as many requests are read as may be at a time.
 type callerListener struct {
 	net.Listener
-	readers  *intake.Readers
-	limits   func() catalog.Limits    // of the configuration in force
-	refused  func(conn net.Conn) bool // reports whether a connection's request has been refused, as the daemon is crowded
-	counters *counters
-	log      *slog.Logger
+	readers   *intake.Readers
+	footprint *footprint.Account
+	limits    func() catalog.Limits // of the configuration in force
+	guard     *crowdGuard
+	counters  *counters
+	log       *slog.Logger
 }
 
 // Accept implements net.Listener.
@@ -40,7 +43,16 @@
 		if state.Readable && callerListener.refuse(conn) {
 			continue
 		}
-		return callerListener.wrap(conn, state.Readable), nil
+		accepted := callerListener.wrap(conn)
+		if accepted == nil {
+			callerListener.guard.refuseFull(conn)
+			_ = conn.Close() // the answer has been written
+			continue
+		}
+		if state.Readable {
+			accepted.beginRequest()
+		}
+		return accepted, nil
 	}
 }
 
@@ -48,7 +60,7 @@
 func (callerListener *callerListener) refuse(conn net.Conn) bool {
 	callerListener.readers.Acquire()
 	defer callerListener.readers.Release()
-	if !callerListener.refused(conn) {
+	if !callerListener.guard.refuse(conn) {
 		return false
 	}
 	_ = conn.Close() // the answer has been written
@@ -60,22 +72,38 @@
 type callerConn struct {
 	net.Conn
 	readers *intake.Readers
+	hold    *footprint.Hold
 	limits  func() catalog.Limits
+	head    headCost
 	between atomic.Bool // no byte of the next request has been read
 	idle    atomic.Bool // a request has ended, and the connection waits for the next one
 	counted atomic.Bool // it counts among those that are read from
+
+	// writeDeadline is the time limit that a request's handler has set for its answer, in Unix nanoseconds; 0: none.
+	writeDeadline atomic.Int64
 }
 
-// wrap returns a connection. If it is readable, it waits until it may be read from.
-func (callerListener *callerListener) wrap(conn net.Conn, readable bool) *callerConn {
-	callerConn := &callerConn{Conn: conn, readers: callerListener.readers, limits: callerListener.limits}
-	callerConn.between.Store(true)
-	if readable {
-		callerConn.beginRequest()
+// wrap returns a connection, or nil if there is no room for it.
+func (callerListener *callerListener) wrap(conn net.Conn) *callerConn {
+	hold, ok := callerListener.footprint.Open(func(phase footprint.Phase) { giveWay(conn, phase) })
+	if !ok {
+		return nil
 	}
+	callerConn := &callerConn{Conn: conn, readers: callerListener.readers, hold: hold, limits: callerListener.limits}
+	callerConn.between.Store(true)
 	return callerConn
 }
 
+// giveWay ends what a caller makes the daemon hold on a connection: the body that comes in, whose request can still be refused, or else the
+// connection.
+func giveWay(conn net.Conn, phase footprint.Phase) {
+	if phase == footprint.Receiving {
+		_ = conn.SetReadDeadline(time.Now()) // fails on a closed connection, which holds nothing more
+		return
+	}
+	_ = conn.Close() // nothing more is sent on it
+}
+
 // Read implements net.Conn.
 func (callerConn *callerConn) Read(buffer []byte) (int, error) {
 	if !callerConn.between.Load() {
@@ -85,6 +113,9 @@
 	if size > 0 && callerConn.between.CompareAndSwap(true, false) {
 		callerConn.beginRequest()
 	}
+	if size > 0 && !callerConn.countHead(buffer[:size]) {
+		return 0, io.EOF // which the HTTP server does not answer
+	}
 	return size, err
 }
 
@@ -108,6 +139,7 @@
 // Close implements net.Conn.
 func (callerConn *callerConn) Close() error {
 	callerConn.endRequest()
+	callerConn.hold.Close()
 	return callerConn.Conn.Close()
 }
 
@@ -130,6 +162,7 @@
 func watchCallers(conn net.Conn, state http.ConnState) {
 	if callerConn, ok := conn.(*callerConn); ok && state == http.StateIdle {
 		callerConn.endRequest()
+		callerConn.endAnswer()
 		callerConn.between.Store(true)
 		callerConn.idle.Store(true)
 	}
--- a/internal/direct/gateway/crowd.go
+++ b/internal/direct/gateway/crowd.go
@@ -57,15 +57,36 @@
 		reason = ending.Crowded
 		job.retryAfter = core.crowdedRetryAfter(job.progress.head, job, gateway.intake.Crowd())
 	}
-	refusal := &http.Response{
+	refusal := newRefusal(reason)
+	gateway.endRefused(refusal.Header, job, refusal.StatusCode, reason)
+	writeRefusal(conn, size, refusal)
+	return true
+}
+
+// refuseFull refuses the request of a new connection for which there is no room, if a request is there to be read.
+func (crowdGuard *crowdGuard) refuseFull(conn net.Conn) {
+	request, size := crowdGuard.peekRequest(conn)
+	if request == nil {
+		return
+	}
+	refusal := newRefusal(ending.NoRoom)
+	crowdGuard.gateway.endRefused(refusal.Header, &job{incoming: request, arrived: crowdGuard.gateway.core.now()}, refusal.StatusCode, ending.NoRoom)
+	writeRefusal(conn, size, refusal)
+}
+
+// newRefusal returns the answer to a request that is refused before its connection is handed to the HTTP server.
+func newRefusal(reason ending.Reason) *http.Response {
+	return &http.Response{
 		StatusCode: http.StatusServiceUnavailable, ProtoMajor: 1, ProtoMinor: 1, Header: make(http.Header), Close: true,
 		Body: io.NopCloser(strings.NewReader(string(reason))), ContentLength: int64(len(reason)),
 	}
-	gateway.endRefused(refusal.Header, job, refusal.StatusCode, reason)
+}
+
+// writeRefusal writes a refusal to a connection on which a number of bytes are there to be read.
+func writeRefusal(conn net.Conn, size int, refusal *http.Response) {
 	_ = conn.SetDeadline(time.Now().Add(crowdWriteTimeout))
 	_, _ = io.CopyN(io.Discard, conn, int64(size)) // with bytes unread, closing the connection would reset it
 	_ = refusal.Write(conn)                        // the caller may have disconnected
-	return true
 }
 
 // peekRequest returns the request whose head is there to be read on a connection, and the number of bytes that are there; nil if there is
--- a/internal/direct/gateway/dispatch.go
+++ b/internal/direct/gateway/dispatch.go
@@ -1,9 +1,7 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
@@ -109,7 +107,7 @@
 	tryCtx = upstream.WithSent(tryCtx, job.place.Release)
 	answer, err := gateway.pool.Send(tryCtx, to.server.Address, upstream.Call{
 		Request: gateway.forwardedRequest(tryCtx, job, to, left), Name: job.headers.Attempt, Matches: gateway.answerMatcher(job),
-		Identification: gateway.identification(tryCtx, job, to),
+		Body: job.body.pieces, Identification: gateway.identification(tryCtx, job, to),
 	})
 	if err != nil {
 		return gateway.handleNoAnswer(ctx, job, to, err)
@@ -167,10 +165,7 @@
 	added.AccountsListed, added.Account = job.accountsListed, job.account.Name
 	request := &http.Request{
 		Method: job.incoming.Method, URL: &url.URL{Opaque: job.incoming.RequestURI}, Host: job.incoming.Host,
-		Header: gateway.protocol.ForwardedHeader(job.incoming.Header, added), ContentLength: int64(len(job.body)),
-	}
-	if len(job.body) > 0 {
-		request.Body = io.NopCloser(bytes.NewReader(job.body))
+		Header: gateway.protocol.ForwardedHeader(job.incoming.Header, added), ContentLength: job.body.size,
 	}
 	return request.WithContext(ctx)
 }
--- a/internal/direct/gateway/events.go
+++ b/internal/direct/gateway/events.go
@@ -30,7 +30,7 @@
 
 // newEventReader returns a reader of a request's answer.
 func (gateway *Gateway) newEventReader(job *job, answer *upstream.Answer) *eventReader {
-	return &eventReader{answer: answer, buffer: &keptBytes{budget: gateway.kept}, scanner: eventstream.NewScanner(job.lastEventID), goesOn: job.headSent}
+	return &eventReader{answer: answer, buffer: &keptBytes{budget: gateway.kept, hold: job.hold}, scanner: eventstream.NewScanner(job.lastEventID), goesOn: job.headSent}
 }
 
 // next returns the complete events that have arrived, or the error that ended the stream.
--- a/internal/direct/gateway/handler.go
+++ b/internal/direct/gateway/handler.go
@@ -11,6 +11,7 @@
 	"teaselmoor/internal/direct/catalog"
 	"teaselmoor/internal/direct/content"
 	"teaselmoor/internal/direct/ending"
+	"teaselmoor/internal/direct/footprint"
 	"teaselmoor/internal/direct/intake"
 	"teaselmoor/internal/direct/late"
 	"teaselmoor/internal/direct/platformapi"
@@ -25,7 +26,8 @@
 	headers        platformapi.RequestHeaders
 	incoming       *http.Request
 	entry          string // the daemon that received the request from its caller, if it is another one
-	body           []byte
+	body           body
+	hold           *footprint.Hold // of the connection that it came on
 	content        content.ID
 	keys           []content.ID // by which the quarantine knows it: the content, then the parts of its prompt
 	configVersion  int64        // version of the configuration that the request is served with
@@ -102,12 +104,24 @@
 	if from.daemon != "" {
 		writer.Header().Set(proxiedHeader, answeredByServer)
 	}
-	job, status, reason := gateway.accept(writer, request, config, from)
+	hold, end, ok := gateway.holdOf(request)
+	if !ok {
+		gateway.refuse(writer, &job{incoming: request, entry: from.daemon, arrived: gateway.core.now()}, http.StatusServiceUnavailable, ending.NoRoom)
+		return
+	}
+	defer end()
+	job, status, reason := gateway.accept(writer, request, config, from, hold)
+	defer job.releaseBody()
 	defer gateway.refundIfNotRun(job)
 	if status != 0 {
 		gateway.refuse(writer, job, status, reason)
 		return
 	}
+	if !hold.BeginWork() {
+		gateway.refuse(writer, job, http.StatusServiceUnavailable, ending.NoRoom)
+		return
+	}
+	defer hold.EndWork()
 	if status, reason := gateway.takeIn(job); status != 0 {
 		gateway.refuse(writer, job, status, reason)
 		return
@@ -121,12 +135,12 @@
 
 // accept finds the route of a request, admits the caller and reads the body. If the request is
 // refused, accept returns the status and reason to answer with; otherwise the status is 0.
-func (gateway *Gateway) accept(writer http.ResponseWriter, request *http.Request, config *catalog.Catalog, from entry) (*job, int, ending.Reason) {
+func (gateway *Gateway) accept(writer http.ResponseWriter, request *http.Request, config *catalog.Catalog, from entry, hold *footprint.Hold) (*job, int, ending.Reason) {
 	core := gateway.core
 	now := core.now()
 	unread := sinceReceived(request)
 	job := &job{
-		incoming: request, arrived: now - unread, progress: progress{unread: unread, head: now}, lastEventAt: now - unread,
+		incoming: request, hold: hold, arrived: now - unread, progress: progress{unread: unread, head: now}, lastEventAt: now - unread,
 		configVersion: config.Version, entry: from.daemon, mayHaveRun: from.runs, afterAtEntry: from.after,
 	}
 	headers, err := gateway.protocol.ParseRequest(request)
@@ -164,7 +178,7 @@
 		return job, status, reason
 	}
 	job.progress.body = core.now()
-	job.findKeys(content.Request{Host: request.Host, Target: request.RequestURI, Account: job.account.Name, Body: job.body})
+	job.findKeys(content.Request{Host: request.Host, Target: request.RequestURI, Account: job.account.Name, Body: job.body.pieces})
 	if !from.counted {
 		core.recordForRetries(job)
 	}
--- a/internal/direct/gateway/handover.go
+++ b/internal/direct/gateway/handover.go
@@ -94,7 +94,7 @@
 	if err != nil {
 		return false
 	}
-	answer, err := gateway.sendToPeer(ctx, address, request)
+	answer, err := gateway.sendToPeer(ctx, address, request, nil)
 	if err != nil {
 		return false
 	}
--- a/internal/direct/gateway/kept.go
+++ b/internal/direct/gateway/kept.go
@@ -6,10 +6,12 @@
 
 	"github.com/pkg/errors"
 
+	"teaselmoor/internal/direct/footprint"
 	"teaselmoor/internal/direct/upstream"
 )
 
-// keptBudget bounds the bytes of answers that this daemon keeps in memory at a time, over all requests.
+// keptBudget bounds the part of the account of what callers make this daemon hold that answers may take: the bytes of answers that it keeps in
+// memory at a time, over all requests.
 type keptBudget struct {
 	limit int64
 	taken atomic.Int64
@@ -33,6 +35,7 @@
 type keptBytes struct {
 	bytes   []byte
 	budget  *keptBudget
+	hold    *footprint.Hold
 	counted int64
 }
 
@@ -46,8 +49,7 @@
 		return false
 	}
 	added := int64(max(0, capacity-freeKeptBytes)) - keptBytes.counted
-	if keptBytes.budget.taken.Add(added) > keptBytes.budget.limit && added > 0 {
-		keptBytes.budget.taken.Add(-added)
+	if added > 0 && !keptBytes.count(added) {
 		return false
 	}
 	keptBytes.counted += added
@@ -57,6 +59,15 @@
 	return true
 }
 
+// count counts bytes towards the budget and the account, and reports whether both allow it.
+func (keptBytes *keptBytes) count(added int64) bool {
+	if keptBytes.budget.taken.Add(added) <= keptBytes.budget.limit && keptBytes.hold.GrowAnswer(added) {
+		return true
+	}
+	keptBytes.budget.taken.Add(-added)
+	return false
+}
+
 // read reads once into the room that there is.
 func (keptBytes *keptBytes) read(from io.Reader) error {
 	size, err := from.Read(keptBytes.bytes[len(keptBytes.bytes):cap(keptBytes.bytes)])
@@ -67,13 +78,14 @@
 // release takes the buffer out of the budget. It must no longer be used.
 func (keptBytes *keptBytes) release() {
 	keptBytes.budget.taken.Add(-keptBytes.counted)
+	keptBytes.hold.Release(keptBytes.counted)
 	keptBytes.bytes, keptBytes.counted = nil, 0
 }
 
 // readStart reads an answer as far as the limit and the budget allow, and reports whether it has ended. The caller must release
 // what was read.
-func (gateway *Gateway) readStart(answer *upstream.Answer, limit int) (start *keptBytes, ended bool, err error) {
-	start = &keptBytes{budget: gateway.kept}
+func (gateway *Gateway) readStart(job *job, answer *upstream.Answer, limit int) (start *keptBytes, ended bool, err error) {
+	start = &keptBytes{budget: gateway.kept, hold: job.hold}
 	for start.grow(limit) {
 		err = start.read(answer.Body)
 		if errors.Is(err, io.EOF) {
--- a/internal/direct/gateway/metrics.go
+++ b/internal/direct/gateway/metrics.go
@@ -40,6 +40,7 @@
 	gateway.core.writeGauges(page)
 	gateway.writePeerTraffic(page)
 	gateway.writeIntake(page)
+	gateway.writeFootprint(page)
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
 	writeGauge(page, gauge{"teaselmoor_heap_bytes", float64(memory.HeapInuse)})
--- a/internal/direct/gateway/peercalls.go
+++ b/internal/direct/gateway/peercalls.go
@@ -15,11 +15,11 @@
 // sendHeader is the number of a request to a peer, which the peer's answer bears too.
 const sendHeader = internalHeaders + "Send"
 
-// sendToPeer sends a request to the peer at an address.
-func (gateway *Gateway) sendToPeer(ctx context.Context, address string, request *http.Request) (*upstream.Answer, error) {
+// sendToPeer sends a request to the peer at an address, with a body in pieces if there are any.
+func (gateway *Gateway) sendToPeer(ctx context.Context, address string, request *http.Request, body [][]byte) (*upstream.Answer, error) {
 	name := strconv.FormatInt(gateway.peerSends.Add(1), 10)
 	request.Header.Set(sendHeader, name)
-	answer, err := gateway.peerPool.Send(ctx, address, upstream.Call{Request: request, Name: name, Matches: matchPeerAnswer(name)})
+	answer, err := gateway.peerPool.Send(ctx, address, upstream.Call{Request: request, Body: body, Name: name, Matches: matchPeerAnswer(name)})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/direct/gateway/proxy.go
+++ b/internal/direct/gateway/proxy.go
@@ -1,9 +1,7 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"maps"
 	"net/http"
 	"net/url"
@@ -90,7 +88,7 @@
 	gateway.announceTakeUp(job)
 	job.progress.recordSent(now)
 	gateway.log.Info(ending.MessageRequestProxied, "Request", job.headers.Attempt, "Peer", peer.Name, "LeftMillis", left, "Tried", job.peersTried)
-	answer, err := gateway.sendToPeer(upstream.WithSent(ctx, job.place.Release), peer.Address, gateway.proxiedRequest(ctx, job, left))
+	answer, err := gateway.sendToPeer(upstream.WithSent(ctx, job.place.Release), peer.Address, gateway.proxiedRequest(ctx, job, left), job.body.pieces)
 	if err != nil {
 		return gateway.handleLostPeer(ctx, job, peer, err)
 	}
@@ -104,7 +102,7 @@
 	added := platformapi.ForwardHeaders{TimeLeft: left, Urgency: -1, LastEventID: job.lastEventID}
 	request := &http.Request{
 		Method: job.incoming.Method, URL: &url.URL{Opaque: job.incoming.RequestURI}, Host: job.incoming.Host,
-		Header: gateway.protocol.ForwardedHeader(job.incoming.Header, added), ContentLength: int64(len(job.body)),
+		Header: gateway.protocol.ForwardedHeader(job.incoming.Header, added), ContentLength: job.body.size,
 	}
 	maps.DeleteFunc(request.Header, func(name string, _ []string) bool { return isInternal(name) }) // a caller's own
 	request.Header.Set(entryHeader, gateway.settings.Name)
@@ -119,9 +117,6 @@
 	if job.continues && job.originKnown {
 		request.Header.Set(originHeader, formatOrigin(job.origin))
 	}
-	if len(job.body) > 0 {
-		request.Body = io.NopCloser(bytes.NewReader(job.body))
-	}
 	return request.WithContext(ctx)
 }
 
@@ -158,7 +153,7 @@
 // peerReasons are the reasons of refusals that depend on the peer, so that another one may take the
 // request.
 var peerReasons = []ending.Reason{
-	ending.Unreachable, ending.NoConfiguration, ending.NoRoute, ending.BadRequest, ending.UnknownKey, ending.StaleAccounts, ending.TooLarge, ending.Crowded,
+	ending.Unreachable, ending.NoConfiguration, ending.NoRoute, ending.BadRequest, ending.UnknownKey, ending.StaleAccounts, ending.TooLarge, ending.Crowded, ending.NoRoom,
 }
 
 // handlePeerAnswer passes on the answer that a peer has received from a server, or decides how to go on
@@ -212,6 +207,7 @@
 
 // relayProxied passes on a server's answer that a peer has passed on.
 func (gateway *Gateway) relayProxied(ctx context.Context, writer http.ResponseWriter, job *job, peer topology.Daemon, answer *upstream.Answer) tryResult {
+	job.releaseSentBody(answer)
 	to := peerAssignment(peer.Name, answer)
 	if job.route.Kind == catalog.Streaming && answer.StatusCode/100 == 2 {
 		return gateway.relayStream(ctx, writer, job, to, nil, answer)
@@ -220,7 +216,7 @@
 	if answer.StatusCode/100 != 2 {
 		reason = ending.ServerFailure
 	}
-	body, ended, err := gateway.readStart(answer, maxWholeBytes)
+	body, ended, err := gateway.readStart(job, answer, maxWholeBytes)
 	defer body.release()
 	if err != nil {
 		answer.Close(false)
--- a/internal/direct/gateway/relay.go
+++ b/internal/direct/gateway/relay.go
@@ -38,7 +38,7 @@
 // relayWhole reads an answer to its end before the caller sees any of it, so that an answer
 // that breaks off can still be replaced by another server's.
 func (gateway *Gateway) relayWhole(ctx context.Context, writer http.ResponseWriter, job *job, to assignment, answer *upstream.Answer) tryResult {
-	body, ended, err := gateway.readStart(answer, maxWholeBytes)
+	body, ended, err := gateway.readStart(job, answer, maxWholeBytes)
 	defer body.release()
 	if err != nil {
 		answer.Close(false)
--- a/internal/direct/gateway/run.go
+++ b/internal/direct/gateway/run.go
@@ -14,6 +14,7 @@
 
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/base/task"
+	"teaselmoor/internal/direct/footprint"
 	"teaselmoor/internal/direct/intake"
 	"teaselmoor/internal/direct/lease"
 	"teaselmoor/internal/direct/mirror"
@@ -70,6 +71,7 @@
 	intake          *intake.Intake
 	readers         *intake.Readers
 	kept            *keptBudget // of answers that are kept until they are whole
+	footprint       *footprint.Account
 	answerTimes     *answerTimes
 	tasks           *task.Group
 	counters        *counters
@@ -91,6 +93,9 @@
 	gateway.entryLeases.leases = lease.New(options.Leases)
 	gateway.heartbeats.targets = make(map[string]*heartbeatsTarget)
 	gateway.kept = newKeptBudget(settings.MemoryMB)
+	gateway.footprint = footprint.New(options.Footprint, footprint.LimitsOf(settings.MemoryMB, settings.MaxFDs), gateway.core.now, func() int {
+		return gateway.pool.OpenCount() + gateway.peerPool.OpenCount()
+	})
 	gateway.network = peers.New(options.Peers, settings.Name, gateway, gateway.tasks)
 	return gateway
 }
@@ -136,13 +141,14 @@
 	for _, each := range []struct {
 		address  string
 		listener *net.Listener
+		buffer   int
 	}{
-		{gateway.settings.CallerAddress, &opened.callers},
-		{gateway.settings.ReadyAddress, &opened.ready},
-		{gateway.settings.PeerAddress, &opened.peers},
-		{gateway.settings.MetricsAddress, &opened.metrics},
+		{gateway.settings.CallerAddress, &opened.callers, callerReceiveBuffer},
+		{gateway.settings.ReadyAddress, &opened.ready, callerReceiveBuffer},
+		{gateway.settings.PeerAddress, &opened.peers, peerReceiveBuffer},
+		{gateway.settings.MetricsAddress, &opened.metrics, callerReceiveBuffer},
 	} {
-		listener, err := net.Listen("tcp", each.address)
+		listener, err := listenTCP(each.address, each.buffer)
 		if err != nil {
 			return opened, errors.Wrap(err, "listen")
 		}
@@ -152,7 +158,7 @@
 }
 
 func (gateway *Gateway) start(opened listeners, callers *http.Server) {
-	gateway.serve("callers", &callerListener{Listener: opened.callers, readers: gateway.readers, limits: gateway.core.callerLimits, refused: newCrowdGuard(gateway).refuse, counters: gateway.counters, log: gateway.log}, callers)
+	gateway.serve("callers", &callerListener{Listener: opened.callers, readers: gateway.readers, footprint: gateway.footprint, limits: gateway.core.callerLimits, guard: newCrowdGuard(gateway), counters: gateway.counters, log: gateway.log}, callers)
 	gateway.serve("ready", opened.ready, &http.Server{Handler: http.HandlerFunc(gateway.serveReady), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes})
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peers.Path, gateway.network)
@@ -177,6 +183,7 @@
 	gateway.every("speeds", speedInterval, gateway.updateSpeeds)
 	gateway.every("links", linkCheckInterval, gateway.checkLinks)
 	gateway.every("sweep", sweepInterval, gateway.closeExpired)
+	gateway.every("footprint", sweepInterval, newFootprintLog(gateway).logChanges)
 }
 
 func (gateway *Gateway) serve(name string, listener net.Listener, server *http.Server) {
--- a/internal/direct/gateway/settings.go
+++ b/internal/direct/gateway/settings.go
@@ -15,6 +15,7 @@
 	"teaselmoor/internal/direct/claims"
 	"teaselmoor/internal/direct/demand"
 	"teaselmoor/internal/direct/fleet"
+	"teaselmoor/internal/direct/footprint"
 	"teaselmoor/internal/direct/intake"
 	"teaselmoor/internal/direct/lease"
 	"teaselmoor/internal/direct/loading"
@@ -41,8 +42,9 @@
 	ReadyAddress   string
 	PeerAddress    string
 	MetricsAddress string
-	Seeds          []string // peer addresses; some may be stale or down
-	MemoryMB       int64
+	Seeds          []string     // peer addresses; some may be stale or down
+	MemoryMB       int64        // 0: unknown
+	MaxFDs         int          // file descriptors; 0: unknown
 	Capacity       int          // in thousandths of a core
 	Fenced         bool         // servers check the fencing numbers of orders
 	Lease          clock.Millis // time without orders before another daemon may send orders to a server
@@ -125,6 +127,7 @@
 	Shed       shed.Options
 	Intake     intake.Options
 	Leases     lease.Options
+	Footprint  footprint.Options
 
 	// Short has requests with a short goal to plain services placed without the load counts of
 	// other daemons at a site with hubs.
@@ -192,7 +195,7 @@
 		Fleet: fleet.DefaultOptions(), Weights: choose.DefaultWeights(), Hold: choose.DefaultDelayPolicy(), Turns: prefill.DefaultOptions(), Loading: loading.DefaultOptions(),
 		Mirror: mirror.DefaultOptions(), Peers: peers.DefaultOptions(), Membership: membership.DefaultOptions(), Tenure: claims.DefaultOptions(settings.Lease, settings.Fenced),
 		Upstream: upstream.DefaultOptions(), Quarantine: quarantine.DefaultOptions(), Demand: demand.DefaultOptions(), Links: reach.DefaultOptions(),
-		Speeds: speed.DefaultOptions(), Refusals: DefaultRefusals(), Shed: shed.DefaultOptions(), Intake: intake.DefaultOptions(), Leases: lease.DefaultOptions(),
+		Speeds: speed.DefaultOptions(), Refusals: DefaultRefusals(), Shed: shed.DefaultOptions(), Intake: intake.DefaultOptions(), Leases: lease.DefaultOptions(), Footprint: footprint.DefaultOptions(),
 
 		Short: true, TellInterval: 100, ReadingInterval: 20, HubInterval: 50, WorkPause: 30, UpdateInterval: 500, VersionGrace: 2500,
 		LoadPatience: 0.8, WantInterval: 400,
--- a/internal/direct/gateway/trials.go
+++ b/internal/direct/gateway/trials.go
@@ -172,7 +172,7 @@
 	if err != nil {
 		return 0
 	}
-	answer, err := gateway.sendToPeer(ctx, asked.examiner.Address, request)
+	answer, err := gateway.sendToPeer(ctx, asked.examiner.Address, request, nil)
 	if err != nil {
 		return 0
 	}
--- a/internal/direct/upstream/exchange.go
+++ b/internal/direct/upstream/exchange.go
@@ -1,12 +1,12 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 
@@ -16,6 +16,8 @@
 // Call is a request that is sent once.
 type Call struct {
 	Request *http.Request
+	// Body replaces the request's own body, in pieces, which are not copied. The request must state its length.
+	Body [][]byte
 	// Name is what the response is known by. Calls with the same name are sent on different connections, and one without a name
 	// is sent on a connection of its own.
 	Name    string
@@ -37,14 +39,15 @@
 	pool      *Pool
 	conn      *conn
 	written   chan error  // nil when the request was written before the response was read
+	isWritten atomic.Bool // the whole request has been written
 	stop      func() bool // stops closing the connection when the context ends
 }
 
 // Send sends a request and returns when the head of its response has arrived. The connection is closed when the context ends.
 // Errors are of type *Error. One with Refused set means that the process was not accepted.
 func (pool *Pool) Send(ctx context.Context, address string, call Call) (*Answer, error) {
-	var encoded bytes.Buffer
-	if err := call.Request.Write(&encoded); err != nil {
+	encoded, err := call.encode(pool.options.InlineBytes)
+	if err != nil {
 		return nil, &Error{Err: errors.Wrap(err, "encode request")}
 	}
 	for ended := 0; ; {
@@ -62,7 +65,7 @@
 			continue
 		}
 		if err == nil {
-			answer, err = pool.roundTrip(ctx, used, call, encoded.Bytes())
+			answer, err = pool.roundTrip(ctx, used, call, encoded)
 		}
 		var failed *Error
 		if errors.As(err, &failed) && !failed.Sent && !failed.Refused && used.reused && ctx.Err() == nil {
@@ -82,7 +85,7 @@
 }
 
 // roundTrip writes a request to a connection and reads the head of its response.
-func (pool *Pool) roundTrip(ctx context.Context, used *conn, call Call, encoded []byte) (*Answer, error) {
+func (pool *Pool) roundTrip(ctx context.Context, used *conn, call Call, encoded [][]byte) (*Answer, error) {
 	answer := &Answer{StartedAt: used.startedAt, pool: pool, conn: used}
 	answer.stop = context.AfterFunc(ctx, used.reset)
 	used.recordRequest(call.Name)
@@ -105,33 +108,27 @@
 }
 
 // writeRequest writes a short request at once, and a longer one in the background.
-func (answer *Answer) writeRequest(encoded []byte, inline int) error {
-	if len(encoded) <= inline {
-		written, err := answer.conn.Write(encoded)
+func (answer *Answer) writeRequest(encoded [][]byte, inline int) error {
+	if len(encoded) == 1 && len(encoded[0]) <= inline {
+		written, err := answer.conn.Write(encoded[0])
 		if err != nil {
 			return &Error{Sent: written > 0 || !answer.conn.reused, Err: errors.Wrap(err, "send request")}
 		}
+		answer.isWritten.Store(true)
 		return nil
 	}
 	answer.written = make(chan error, 1)
-	go func() { answer.written <- answer.conn.writePieces(encoded) }()
+	go func() {
+		err := answer.conn.writePieces(encoded)
+		answer.isWritten.Store(err == nil)
+		answer.written <- err
+	}()
 	return nil
 }
 
-// pieceBytes is the size of the pieces in which a long request is written.
-const pieceBytes = 64 << 10
-
-// writePieces writes a long request in pieces. A single call would go on after the connection was reset
-// for as long as the server reads faster than it writes.
-func (conn *conn) writePieces(encoded []byte) error {
-	for len(encoded) > 0 {
-		written, err := conn.Write(encoded[:min(pieceBytes, len(encoded))])
-		if err != nil {
-			return err
-		}
-		encoded = encoded[written:]
-	}
-	return nil
+// IsWritten reports whether the whole request has been written, so that its body is no longer used.
+func (answer *Answer) IsWritten() bool {
+	return answer.isWritten.Load()
 }
 
 // discard resets the connection of a failed exchange.
--- a/internal/direct/upstream/pool.go
+++ b/internal/direct/upstream/pool.go
@@ -69,11 +69,13 @@
 	started  time.Time
 	lastRead atomic.Int64 // when a byte last arrived, in nanoseconds after started; 0: never
 	lastDial atomic.Int64 // when a connection was last opened
-	mutex    sync.Mutex   // guards the fields below
-	idle     map[string][]*conn
-	open     map[string]int // by address: connections in use or idle
-	opened   int64
-	strays   map[Match]int64
+	// openCount is the number of open connections.
+	openCount atomic.Int64
+	mutex     sync.Mutex // guards the fields below
+	idle      map[string][]*conn
+	open      map[string]int // by address: connections in use or idle
+	opened    int64
+	strays    map[Match]int64
 }
 
 // New returns an empty pool.
@@ -110,6 +112,11 @@
 	return pool.opened
 }
 
+// OpenCount returns the number of open connections, in use or idle.
+func (pool *Pool) OpenCount() int {
+	return int(pool.openCount.Load())
+}
+
 // idleMargin is subtracted from a server's idle timeout, so that a request is not
 // sent while the server closes the connection. It exceeds a round trip on a slow
 // link.
@@ -141,6 +148,7 @@
 func (pool *Pool) closeLocked(closed *conn) {
 	_ = closed.Conn.Close()
 	pool.open[closed.address]--
+	pool.openCount.Add(-1)
 	if pool.open[closed.address] <= 0 {
 		delete(pool.open, closed.address)
 	}
@@ -184,6 +192,7 @@
 	defer pool.mutex.Unlock()
 	pool.opened++
 	pool.open[address]++
+	pool.openCount.Add(1)
 	heads := &headReader{Reader: activityReader{dialed, pool}}
 	return &conn{Conn: dialed, number: pool.opened, address: address, reader: bufio.NewReaderSize(heads, pool.options.BufferBytes), heads: heads}, nil
 }
