--- a/internal/direct/footprint/footprint.go
+++ b/internal/direct/footprint/footprint.go
@@ -72,7 +72,7 @@
 
 // DefaultOptions returns options by which a body of 4 MiB, at the least pace that counts as progress, takes a minute.
 func DefaultOptions() Options {
-	return Options{Connection: 40 << 10, SmallBody: 64 << 10, Quantum: 32 << 10, StallTime: 500, WriteStallTime: 2000, MakeRoomTimeout: 500}
+	return Options{Connection: 48 << 10, SmallBody: 64 << 10, Quantum: 32 << 10, StallTime: 500, WriteStallTime: 2000, MakeRoomTimeout: 500}
 }
 
 // Account is the sum of what is held. The zero value is not usable; use New.
--- a/internal/direct/gateway/callerconn.go
+++ b/internal/direct/gateway/callerconn.go
@@ -79,6 +79,8 @@
 	idle    atomic.Bool // a request has ended, and the connection waits for the next one
 	counted atomic.Bool // it counts among those that are read from
 
+	// idleTimeout is how long the connection may be idle, in milliseconds; 0: not known.
+	idleTimeout atomic.Int64
 	// writeDeadline is the time limit that a request's handler has set for its answer, in Unix nanoseconds; 0: none.
 	writeDeadline atomic.Int64
 }
@@ -126,6 +128,7 @@
 		return callerConn.Conn.SetReadDeadline(deadline) // none, or a read is to end
 	}
 	limits := callerConn.limits()
+	callerConn.idleTimeout.Store(int64(limits.IdleTimeout))
 	timeout := limits.HeaderTimeout
 	if callerConn.idle.CompareAndSwap(true, false) {
 		timeout = limits.IdleTimeout
--- a/internal/direct/gateway/footprint.go
+++ b/internal/direct/gateway/footprint.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/footprint"
 )
 
@@ -22,7 +23,7 @@
 const (
 	// callerReceiveBuffer is the size in bytes of the kernel's buffer for what comes on a caller's connection and has not been read. The kernel
 	// takes twice as much.
-	callerReceiveBuffer = 8 << 10
+	callerReceiveBuffer = 16 << 10
 	// peerReceiveBuffer is the same for the connections of peers, which are far fewer and bring long messages.
 	peerReceiveBuffer = 32 << 10
 )
@@ -150,7 +151,7 @@
 // pieceDeadline returns the time limit for the next piece of an answer.
 func (callerConn *callerConn) pieceDeadline() time.Time {
 	timeout := writeTimeout
-	if idle := callerConn.limits().IdleTimeout; idle > 0 {
+	if idle := clock.Millis(callerConn.idleTimeout.Load()); idle > 0 {
 		timeout = min(timeout, idle.Duration())
 	}
 	deadline := time.Now().Add(timeout)
