--- a/internal/direct/footprint/footprint.go
+++ b/internal/direct/footprint/footprint.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"teaselmoor/internal/base/clock"
 )
 
@@ -75,6 +77,17 @@
 	return Options{Connection: 48 << 10, SmallBody: 64 << 10, Quantum: 32 << 10, StallTime: 500, WriteStallTime: 2000, MakeRoomTimeout: 500}
 }
 
+// Check reports the first option that is invalid.
+func (options Options) Check() error {
+	switch {
+	case options.Connection <= 0 || options.SmallBody <= 0 || options.Quantum <= 0:
+		return errors.New("Footprint.Connection, Footprint.SmallBody and Footprint.Quantum must be above 0")
+	case options.StallTime <= 0 || options.WriteStallTime <= 0 || options.MakeRoomTimeout <= 0:
+		return errors.New("Footprint.StallTime, Footprint.WriteStallTime and Footprint.MakeRoomTimeout must be above 0")
+	}
+	return nil
+}
+
 // Account is the sum of what is held. The zero value is not usable; use New.
 type Account struct {
 	options Options
--- a/internal/direct/footprint/footprint_test.go
+++ b/internal/direct/footprint/footprint_test.go
@@ -54,6 +54,19 @@
 	return footprint.Limits{Bytes: 400, LargeBytes: 300, Descriptors: math.MaxInt}
 }
 
+func TestInvalidOptionsAreNamed(t *testing.T) {
+	require.NoError(t, footprint.DefaultOptions().Check())
+	for name, change := range map[string]func(*footprint.Options){
+		"Connection":      func(options *footprint.Options) { options.Connection = 0 },
+		"StallTime":       func(options *footprint.Options) { options.StallTime = -1 },
+		"MakeRoomTimeout": func(options *footprint.Options) { options.MakeRoomTimeout = 0 },
+	} {
+		options := footprint.DefaultOptions()
+		change(&options)
+		require.ErrorContains(t, options.Check(), name)
+	}
+}
+
 func TestLimitsLeaveRoomForTheDaemon(t *testing.T) {
 	limits := footprint.LimitsOf(160, 4100)
 	require.EqualValues(t, 48<<20, limits.Bytes)
