gateway: a body that gives way is refused where its caller sees it

Cause: callerConn.Write asked the hold first, and a hold that has given way wrote nothing more, its own refusal included. Evidence: a trace of TestStalledCallerSeesItsRefusal: the connections without an answer ended some 0.7 s after they began, as many as the log counts BodiesEnded; requests refused for want of room were all answered.

Why this works: of connections that give way only those whose body came in stay open, and just these have an answer to write; the others are closed, so writing fails by itself.

--- a/internal/direct/gateway/footprint.go
+++ b/internal/direct/gateway/footprint.go
@@ -120,12 +120,10 @@
 	writeTimeout = time.Minute
 )
 
-// Write implements net.Conn. A caller that reads no piece of an answer for as long as a connection may be idle loses the connection.
+// Write implements net.Conn. A caller that reads no piece of an answer for as long as a connection may be idle loses the connection. A body
+// that gave way still has its refusal written; other connections that gave way are closed.
 func (callerConn *callerConn) Write(data []byte) (int, error) {
-	before, ok := callerConn.hold.Enter(footprint.Sending)
-	if !ok {
-		return 0, net.ErrClosed
-	}
+	before, entered := callerConn.hold.Enter(footprint.Sending)
 	total := 0
 	for {
 		piece := data[total:min(len(data), total+writePiece)]
@@ -142,8 +140,8 @@
 			break
 		}
 	}
-	if _, ok := callerConn.hold.Enter(before); !ok {
-		return total, net.ErrClosed
+	if entered {
+		callerConn.hold.Enter(before) // fails if it gave way meanwhile, and is closed
 	}
 	return total, nil
 }
