review: case 7, a cut watch counts as an outage of the store

Cause: a watch that is cut makes the time until the next answer count as an outage, after which servers that have been removed are used for 2.3 s.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/teaselmoor-gateway ] && [ -x target/review-standin-2 ] || exit 2
-exec target/review-standin-2 late-in-shutdown "$folder"
+exec target/review-standin-2 watches-cut "$folder"
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -24,6 +24,7 @@
 	"seeds-lost":         seedsLost,
 	"foreign-entry":      foreignEntry,
 	"encoded-slash":      encodedSlash,
+	"watches-cut":        watchesCut,
 }
 
 func main() {
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -25,7 +25,8 @@
 	mutex    sync.Mutex // guards the fields below
 	full     bool       // the runner has no room: it rejects requests
 	running  map[string]time.Time
-	ran      map[string]int       // runs, by attempt
+	ran      map[string]int // runs, by attempt
+	lastRun  time.Time
 	broken   []string             // attempts whose connection ended while they ran
 	foreign  []string             // what came where the rest of a body was due
 	adapters map[string]time.Time // when the load of each adapter ends
@@ -224,6 +225,7 @@
 func (runner *runner) run(conn net.Conn, attempt string, body []byte) bool {
 	runner.mutex.Lock()
 	runner.ran[attempt]++
+	runner.lastRun = time.Now()
 	runner.running[attempt] = time.Now()
 	runner.mutex.Unlock()
 	runner.bench.note("%s runs %s, with a body of %d bytes", runner.id, attempt, len(body))
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -11,13 +11,14 @@
 	"time"
 )
 
-// item is an item of the store.
+// item is an item of the store, or an event of a watch.
 type item struct {
 	Key       string
-	Value     []byte // base64 in JSON
+	Value     []byte `json:",omitempty"` // base64 in JSON
 	Revision  int64
-	CreateRev int64
-	Lease     int64
+	CreateRev int64 `json:",omitempty"`
+	Lease     int64 `json:",omitempty"`
+	Deleted   bool  `json:",omitempty"`
 }
 
 // store is the platform's metadata store.
@@ -26,8 +27,10 @@
 
 	mutex    sync.Mutex // guards the fields below
 	revision int64
-	items    map[string]item
-	changed  chan struct{} // closed and replaced at each change
+	items    map[string]item // with those that were removed
+	changed  chan struct{}   // closed and replaced at each change
+	cutAfter time.Duration   // a watch that has waited for so long is cut; 0: none is
+	cuts     int
 }
 
 func newStore() (*store, error) {
@@ -53,16 +56,36 @@
 	}
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
-	store.revision++
-	created := store.revision
-	if known, ok := store.items[key]; ok {
+	created := store.revision + 1
+	if known, ok := store.items[key]; ok && !known.Deleted {
 		created = known.CreateRev
 	}
-	store.items[key] = item{Key: key, Value: encoded, Revision: store.revision, CreateRev: created}
+	store.write(item{Key: key, Value: encoded, CreateRev: created})
+}
+
+// remove removes an item.
+func (store *store) remove(key string) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.write(item{Key: key, Deleted: true})
+}
+
+// write writes an item under the next revision. The mutex must be held.
+func (store *store) write(item item) {
+	store.revision++
+	item.Revision = store.revision
+	store.items[item.Key] = item
 	close(store.changed)
 	store.changed = make(chan struct{})
 }
 
+// cutWatches has watches be cut that have waited for some time.
+func (store *store) cutWatches(after time.Duration) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.cutAfter = after
+}
+
 // since returns the items under a prefix that were written after a revision, and the store's revision.
 func (store *store) since(prefix string, after int64) ([]item, int64, <-chan struct{}) {
 	store.mutex.Lock()
@@ -82,6 +105,7 @@
 	if request.URL.Query().Get("after") != "" {
 		items = items[:0] // all fit into one page
 	}
+	items = slices.DeleteFunc(items, func(item item) bool { return item.Deleted })
 	slices.SortFunc(items, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
 	writeJSON(writer, map[string]any{"items": items, "MorePages": false, "AsOf": revision})
 }
@@ -91,6 +115,7 @@
 	after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
 	wait, _ := strconv.ParseInt(query.Get("WaitMs"), 10, 64)
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	cut := store.cut()
 	for {
 		items, revision, changed := store.since(query.Get("Prefix"), after)
 		if len(items) > 0 {
@@ -102,12 +127,36 @@
 		case <-timeout:
 			writeJSON(writer, map[string]any{"events": items, "AsOf": revision})
 			return
+		case <-cut:
+			store.cutWatch(writer)
+			return
 		case <-request.Context().Done():
 			return
 		}
 	}
 }
 
+// cut returns a channel from which can be received when a watch that begins now is to be cut; nil: it is not.
+func (store *store) cut() <-chan time.Time {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	if store.cutAfter == 0 {
+		return nil
+	}
+	return time.After(store.cutAfter)
+}
+
+// cutWatch ends the connection of a watch without an answer.
+func (store *store) cutWatch(writer http.ResponseWriter) {
+	store.mutex.Lock()
+	store.cuts++
+	store.mutex.Unlock()
+	conn, _, err := http.NewResponseController(writer).Hijack()
+	if err == nil {
+		_ = conn.Close()
+	}
+}
+
 func writeJSON(writer http.ResponseWriter, value any) {
 	writer.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(writer).Encode(value)
