--- a/review/standin-2/shutdown.go
+++ b/review/standin-2/shutdown.go
@@ -11,12 +11,13 @@
 	"time"
 )
 
-// The course of the case: when clients begin to send their requests after the SIGTERM, in how many pieces, and how far apart these are.
-// The last piece comes 4.2 s after the SIGTERM.
+// The course of the case: when clients begin to send their requests after the SIGTERM, and over which links. The last bytes of a body
+// come 4.2 s after the SIGTERM.
 const (
 	sendAfter     = 200 * time.Millisecond
-	pieces        = 11
-	pieceInterval = 400 * time.Millisecond
+	bodySize      = 1 << 20
+	pieces        = 100
+	pieceInterval = 40 * time.Millisecond // 2.1 Mbit/s
 )
 
 // A stream takes 3.5 s, and would end within the grace period.
@@ -90,13 +91,13 @@
 	defer func() { _ = conn.Close() }()
 	attempt := attemptOf(client)
 	head := requestHead("/lohu930/2f", attempt, 15*time.Second, "Model: "+model+"\r\nToken-Usage: 500,261\r\nPrompt-Prefix: 5c1e07a2:300,e4402b7d:200\r\n")
-	text := withLength(head, strings.Repeat("prompt ", 400))
+	text := withLength(head, strings.Repeat("x", bodySize))
 	size := (len(text) + pieces - 1) / pieces
 	bench.note("client %d begins to send %s, %.3f s after the SIGTERM", client, attempt, time.Since(began).Seconds())
+	next := time.Now()
 	for sent := 0; sent < len(text); sent += size {
-		if sent > 0 {
-			time.Sleep(pieceInterval)
-		}
+		time.Sleep(time.Until(next))
+		next = next.Add(pieceInterval)
 		if _, err := conn.Write([]byte(text[sent:min(len(text), sent+size)])); err != nil {
 			return answer{err: err}
 		}
