claims: daemons that hear nobody do not share servers

Cause: a daemon that has seeds but hears nobody claimed all servers after 2 s, as if it were the only one. The token was the wall clock's millisecond with 10 bits of a hash of the daemon's name, so that two daemons that start together could have the same one, and both added the same step after a refusal. With different tokens the servers changed hands every 4 s.

Change: the token's low part is drawn for each claim. A daemon that is alone, or that was refused for the token of a daemon it does not hear, watches the server's count of accepted orders and claims it only when no order has come for the lease. Its first order names the count it expects.

--- a/internal/decide/node/owning.go
+++ b/internal/decide/node/owning.go
@@ -1,10 +1,13 @@
 package node
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"strconv"
 
+	"github.com/cespare/xxhash/v2"
+
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/base/ident"
 	"teaselmoor/internal/control/config"
@@ -230,9 +233,14 @@
 	return listed && !node.peers.Silent(node.now, claim.Owner, node.silenceTimeout(claim.Owner))
 }
 
+// fenceDraw returns the drawn part of a fencing number. It differs between daemons, their starts and engines.
+func (node *Node) fenceDraw(engine ident.EngineID) uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%s/%d/%s/%d", node.options.Self, node.options.Incarnation, engine, node.now))
+}
+
 func (node *Node) claim(engine *config.Engine, handover message.Handover, handedOver bool) {
 	highest := max(node.ownerRole.claims[engine.Name].Fence, handover.Fence)
-	fence := ownership.NextFence(node.now, node.options.Self, highest)
+	fence := ownership.NextFence(node.now, node.fenceDraw(engine.Name), highest)
 	owned := &ownedEngine{owner: owner.New(node.options.Self, *engine, fence, node.options.Owner)}
 	node.ownerRole.owned[engine.Name] = owned
 	node.ownerRole.claims[engine.Name] = ownership.EngineClaim{
--- a/internal/direct/claims/claim.go
+++ b/internal/direct/claims/claim.go
@@ -26,7 +26,7 @@
 	live := registry.Live(now)
 	var claimed []string
 	for _, server := range servers {
-		if registry.isFirstChoice(live, server) && registry.isFree(now, server) {
+		if registry.isFirstChoice(live, server) && registry.isFree(now, server) && registry.ordersCeased(now, server) {
 			registry.claimServer(now, server)
 			claimed = append(claimed, server)
 		}
@@ -98,17 +98,14 @@
 		state = &serverState{}
 		registry.servers[server] = state
 	}
-	registry.raiseFence(state)
+	highest := ident.Fence(state.fence)
+	state.watch.expected = registry.mustWatch(state)
+	state.fence = int64(ownership.NextFence(registry.wall(), registry.random.Uint64(), highest))
 	state.owner = registry.self
 	state.ownerLastContact = now
 	state.claimedAt = now
 }
 
-// raiseFence replaces the fencing number by a higher one of this daemon.
-func (registry *Registry) raiseFence(state *serverState) {
-	state.fence = int64(ownership.NextFence(registry.wall(), ident.DaemonID(registry.self), ident.Fence(state.fence)))
-}
-
 // Claims returns this daemon's claims, sorted by server, and records that they are sent
 // to peers now.
 func (registry *Registry) Claims(now clock.Millis) []Claim {
--- a/internal/direct/claims/claims.go
+++ b/internal/direct/claims/claims.go
@@ -9,6 +9,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 
 	"teaselmoor/internal/base/clock"
 )
@@ -20,6 +21,7 @@
 	ownerLastContact clock.Millis // time of the owner's last heartbeat, plus any excess of its Interval over updateInterval
 	lastOrderAt      clock.Millis // latest time at which an owner may have sent an order, as far as known
 	claimedAt        clock.Millis // when this daemon claimed the server
+	watch            orderWatch
 }
 
 // Registry holds the claims of one daemon and those that it knows of other daemons.
@@ -35,15 +37,18 @@
 	firstContact       map[string]clock.Millis // time of each peer's first heartbeat since the last start, pause or promotion
 	orderSendersByPeer map[string][]string     // daemons that may send orders, as last reported by each peer
 	idle               map[string]bool         // whether each peer keeps its servers but claims no more
+	alone              bool                    // no other daemon is heard although there should be others
+	random             *rand.Rand              // source of the drawn parts of fencing numbers and waits
 	// minStartWait is the minimum time between started and the first claims.
 	minStartWait clock.Millis
 	servers      map[string]*serverState
 }
 
-// New returns the claims of a daemon that starts now and knows of no other claims.
-func New(options Options, self string, now clock.Millis, wall clock.Source) *Registry {
+// New returns the claims of a daemon that starts now and knows of no other claims. Its random numbers must differ from those of all other
+// daemons and starts.
+func New(options Options, self string, now clock.Millis, wall clock.Source, random *rand.Rand) *Registry {
 	return &Registry{
-		options: options, self: self, wall: wall, started: now, lastTick: now, claimsSentAt: now,
+		options: options, self: self, wall: wall, random: random, started: now, lastTick: now, claimsSentAt: now,
 		lastContact: make(map[string]clock.Millis), firstContact: make(map[string]clock.Millis), orderSendersByPeer: make(map[string][]string),
 		idle:    make(map[string]bool),
 		servers: make(map[string]*serverState),
--- a/internal/direct/claims/heartbeat.go
+++ b/internal/direct/claims/heartbeat.go
@@ -54,6 +54,7 @@
 	// A claim with a lower number is accepted if the daemon with the higher one is
 	// silent or no longer owns the server: the sender is then the one that sends orders.
 	state.owner = peer
+	state.watch = orderWatch{}
 	state.fence = max(state.fence, claim.Fence)
 	state.ownerLastContact = until
 	state.lastOrderAt = max(state.lastOrderAt, now-claim.Idle)
--- a/internal/direct/claims/orders.go
+++ b/internal/direct/claims/orders.go
@@ -40,23 +40,28 @@
 // still on their way.
 func (registry *Registry) Renew(server string) {
 	if state, ok := registry.servers[server]; ok && state.owner == registry.self {
-		registry.raiseFence(state)
+		state.fence += 1 + registry.random.Int64N(renewalSpan)
 	}
 }
 
+// renewalSpan is the number of fencing numbers among which the next one of a claim is drawn, those of a millisecond: the numbers of a claim that
+// is renewed often do not run ahead of the wall clock.
+const renewalSpan = 1 << 10
+
 // fenceStep is added to a fencing number that a server refused: 10 s in the milliseconds
-// of the wall clock, which exceeds the skew between clocks, shifted past the low 10 bits
-// that distinguish daemons.
+// of the wall clock, which exceeds the skew between clocks, in 1024 parts each.
 const fenceStep = 10_000 << 10
 
 // Fenced gives up the claim to a server that refused an order because it has seen a higher
-// fencing number.
+// fencing number. Unless a peer turns out to have claimed it, the server is watched.
 func (registry *Registry) Fenced(now clock.Millis, server string) {
 	state, ok := registry.servers[server]
 	if !ok {
 		return
 	}
-	state.owner = ""
 	state.fence += fenceStep
+	if state.owner == registry.self {
+		registry.Contest(now, server)
+	}
 	state.lastOrderAt = now
 }
--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -72,6 +72,7 @@
 	promptBuckets     *choose.PromptBucket                 // prompt tokens recently sent to each server by all daemons of a mesh
 	requestedAt       map[platformapi.Adapter]clock.Millis // when callers last requested an adapter here
 	reportRequestedAt map[string]clock.Millis              // when a server's report was last requested because its table is unknown
+	ordersWatchedAt   map[string]clock.Millis              // by server: when its orders were last asked for
 	quarantine        *quarantine.List                     // requests that servers have crashed on
 	trials            *quarantine.Examiner                 // those that this daemon has granted as the site's examiner
 	examined          map[content.ID]int                   // lost requests whose servers are being probed, by key
@@ -167,6 +168,7 @@
 		crowdPromises:     newCrowdPromises(),
 		requestedAt:       make(map[platformapi.Adapter]clock.Millis),
 		reportRequestedAt: make(map[string]clock.Millis),
+		ordersWatchedAt:   make(map[string]clock.Millis),
 		lostRequests:      make(map[string]*serverLosses),
 		quarantine:        quarantine.New(options.Quarantine),
 		trials:            quarantine.NewExaminer(),
@@ -184,7 +186,7 @@
 		holdingsChanged:   make(chan struct{}),
 		speeds:            newServerSpeeds(settings.Name, options.Speeds),
 
-		claims:                 claims.New(options.Tenure, settings.Name, now(), wall),
+		claims:                 claims.New(options.Tenure, settings.Name, now(), wall, newRandom()),
 		orderWorkers:           make(map[string]*orderWorker),
 		modelTurns:             make(map[string]*loading.Turns),
 		owners:                 make(map[string]string),
@@ -205,13 +207,18 @@
 		usageChanged: make(chan struct{}, 1),
 		deltaDue:     make(chan struct{}, 1),
 	}
-	core.random = rand.New(rand.NewPCG(uint64(core.incarnation), xxhash.Sum64String(settings.Name)))
+	core.random = newRandom()
 	core.ledger.SetReserveShare(options.Refusals.ReserveShare)
 	core.lastHubAt = now()
 	core.members = membership.New(options.Membership, core.self(), core.lastHubAt, core.incarnation, core.hasOtherSeeds())
 	return core
 }
 
+// newRandom returns a source of random numbers that differ from those of all other daemons and starts.
+func newRandom() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
+
 // hasOtherSeeds reports whether the seeds include other daemons.
 func (core *core) hasOtherSeeds() bool {
 	return slices.ContainsFunc(core.settings.Seeds, func(seed string) bool { return seed != core.settings.PeerAddress })
--- a/internal/direct/gateway/gossip.go
+++ b/internal/direct/gateway/gossip.go
@@ -178,7 +178,9 @@
 	core.promptBuckets.Retain(known)
 	core.loadAverage.Retain(known)
 	core.pruneShedding()
-	maps.DeleteFunc(core.reportRequestedAt, func(server string, _ clock.Millis) bool { _, ok := core.fleet.Member(server); return !ok })
+	gone := func(server string, _ clock.Millis) bool { return !known(server) }
+	maps.DeleteFunc(core.reportRequestedAt, gone)
+	maps.DeleteFunc(core.ordersWatchedAt, gone)
 	core.mutex.Unlock()
 	gateway.updateConnections()
 	if changed {
@@ -186,6 +188,7 @@
 	}
 	gateway.sendWarnings() // also to newly connected peers
 	gateway.readUnknownHoldings(now)
+	gateway.watchOrders(now)
 	gateway.updateClaims(now)
 	if address != "" {
 		gateway.send(address, peers.Message{Pull: &pull})
--- a/internal/direct/gateway/orders.go
+++ b/internal/direct/gateway/orders.go
@@ -43,17 +43,22 @@
 	if core.members.Role() != topology.Candidate || core.links.CutOff() {
 		return false
 	}
+	claimed := core.claims.Claim(now, core.engineIDs())
+	for _, server := range claimed {
+		gateway.startOrderWorker(server)
+	}
+	return len(claimed) > 0
+}
+
+// engineIDs returns the ids of all model engines. The mutex must be held.
+func (core *core) engineIDs() []string {
 	var servers []string
 	for _, member := range core.fleet.Members() {
 		if core.isEngine(member.Service) {
 			servers = append(servers, member.ID)
 		}
 	}
-	claimed := core.claims.Claim(now, servers)
-	for _, server := range claimed {
-		gateway.startOrderWorker(server)
-	}
-	return len(claimed) > 0
+	return servers
 }
 
 // dropOrderWorkers stops the workers of servers that are no longer known or that this daemon no
@@ -171,6 +176,7 @@
 		core.log.Info("base model load ordered", "Server", server, "Model", order.Adapter.Model, "Ends", core.turnsOf(member.Service).RemainingTimes(now))
 	}
 	order.Owner, order.Fence = core.settings.Name, fence
+	order.Expected, order.HasExpected = core.claims.ExpectedOrders(server)
 	core.claims.Ordered(now, server)
 	core.mutex.Unlock()
 	gateway.sendOrder(ctx, target, worker, order)
@@ -196,18 +202,31 @@
 		line = append(line, "Error", err.Error())
 	}
 	core.log.Info("order sent", line...)
-	if result == platformapi.Fenced {
-		core.claims.Fenced(now, target.ID)
-	}
-	if result == platformapi.Unknown {
-		core.claims.Renew(target.ID)
-		core.fleet.MarkUnreachable(now, target.ID)
-		core.links.ConnectFailed(now)
-	}
+	core.updateClaim(now, target.ID, order, result)
 	worker.planner.HandleResult(now, order, result, core.traffic())
 	gateway.publishTable(target.ID, worker)
 }
 
+// updateClaim applies the result of an order to the claim to its server. The mutex must be held.
+func (core *core) updateClaim(now clock.Millis, server string, order platformapi.Order, result platformapi.Result) {
+	switch result {
+	case platformapi.Fenced:
+		core.claims.Fenced(now, server)
+	case platformapi.Conflict:
+		if order.HasExpected {
+			core.log.Info("server has another owner", "Server", server, "ExpectedOrders", order.Expected)
+			core.claims.Contest(now, server)
+		}
+	case platformapi.Unknown:
+		core.claims.Confirmed(server)
+		core.claims.Renew(server)
+		core.fleet.MarkUnreachable(now, server)
+		core.links.ConnectFailed(now)
+	case platformapi.Accepted, platformapi.NothingToDo, platformapi.Doubtful:
+		core.claims.Confirmed(server)
+	}
+}
+
 // doubtHoldings has a server's report read again, as the answer to an order may have been that to an earlier one.
 func (gateway *Gateway) doubtHoldings(server string, worker *orderWorker) {
 	core := gateway.core
--- a/internal/direct/platformapi/platformapi.go
+++ b/internal/direct/platformapi/platformapi.go
@@ -216,6 +216,9 @@
 	Version int // to load; 0: the newest
 	Owner   string
 	Fence   int64
+	// HasExpected is true if the server carries out the order only if it has accepted Expected orders before.
+	HasExpected bool
+	Expected    int64
 }
 
 // Result classifies a server's answer to an order.
@@ -226,7 +229,7 @@
 	Unknown      Result = iota // no answer; the order may have been accepted
 	Accepted                   // the order is being carried out
 	NothingToDo                // the server is already in the ordered state
-	Conflict                   // another order is in progress
+	Conflict                   // another order is in progress, or the server has not accepted as many orders as expected
 	Fenced                     // the server has seen a higher fencing number
 	InvalidOrder               // the server does not support the order
 	WrongServer                // the address belongs to another server
@@ -248,7 +251,8 @@
 type Report struct {
 	Leaving   bool // the server announces that it will end soon
 	StartedAt int64
-	Busy      bool // a model is being loaded or unloaded
+	Busy      bool  // a model is being loaded or unloaded
+	Orders    int64 // that the server has accepted since its start
 	Models    []Holding
 	Incoming  []Adapter // being loaded
 	Runs      []Run
