answerhead: bytes that are no answer do not reach callers

Callers' connections were closed without an answer where a server's status was 000, 099 or +20, and statuses of 600 and more, names of fields with a blank, control bytes in the reason and HTTP/3.0 were passed on as answers.

Cause: net/http reads heads leniently, and nothing else looked at them. Names in trailers are checked at the end.

--- a/internal/direct/upstream/exchange.go
+++ b/internal/direct/upstream/exchange.go
@@ -104,6 +104,7 @@
 	}
 	used.doubt = call.Doubt
 	answer.Response, answer.Match, answer.Use = response, match, used.use()
+	response.Body = &answerBody{ReadCloser: response.Body, answer: answer}
 	return answer, nil
 }
 
--- a/internal/direct/upstream/limit.go
+++ b/internal/direct/upstream/limit.go
@@ -5,6 +5,8 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+
+	"teaselmoor/internal/direct/answerhead"
 )
 
 // Errors of responses that go on for too long.
@@ -45,7 +47,11 @@
 // readResponse reads the head of a response to a request, which begins after any bytes that were read before.
 func (conn *conn) readResponse(request *http.Request) (*http.Response, error) {
 	defer conn.heads.end()
-	return http.ReadResponse(conn.reader, request)
+	response, err := http.ReadResponse(conn.reader, request)
+	if err != nil {
+		return nil, err
+	}
+	return response, answerhead.Check(response)
 }
 
 // discard reads a body to its end, if that comes within a number of bytes.
