upstream: a part of an answer is not complete if the upload was reset

Callers got a part of an answer as a complete one: a server answered a long upload at once with a 200 without a length, sent a part and reset the connection, and the writer of the request took the error, so that the reader found a plain end.

Cause: only the reader was asked how the connection had ended.

--- a/internal/direct/socket/socket.go
+++ b/internal/direct/socket/socket.go
@@ -103,6 +103,21 @@
 	stateCloseWait = 8
 )
 
+// Reset reports whether a connection has ended at once in both directions, as after a reset, and not only in the other side's. It is true
+// also if an earlier read or write has had the error of the reset, after which the next one finds a plain end.
+func Reset(conn net.Conn) bool {
+	raw, ok := rawConn(conn)
+	if !ok {
+		return false
+	}
+	reset := false
+	err := raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		reset = err == nil && info.State == stateClose
+	})
+	return err == nil && reset
+}
+
 // closedByPeer reports whether the other side has closed the connection, also while there are bytes to read before that.
 func closedByPeer(fd uintptr) bool {
 	info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
