gateway: a stopping daemon refuses what it would cut off

Cause: a request was passed on without a look at the time that is left before requests in progress are cut. Change: before a request is taken in, and each time it is sent, the time within which most answers on its route are complete is held against the cut; what would be cut is refused as not run, with 503.

--- a/internal/direct/ending/ending.go
+++ b/internal/direct/ending/ending.go
@@ -65,6 +65,7 @@
 	ServersFull       Reason = "ServersFull"        // the servers that could take it are brittle and have no room
 	Crowded           Reason = "Crowded"            // this daemon could not send it on in time, as it has too many others or stood still
 	NoRoom            Reason = "NoRoom"             // callers make this daemon hold as much as its memory and descriptors allow
+	Stopping          Reason = "Stopping"           // this daemon is stopping, and the answer would probably not end before it does
 	Overloaded        Reason = "Overloaded"         // the service has more requests than it can answer in time
 	AdapterNotReady   Reason = "AdapterNotReady"    // its adapter was not loaded in time
 	Quarantined       Reason = "CrashesServers"     // servers crashed while they ran requests like it
@@ -89,7 +90,7 @@
 	TriesUsed: outcome.EngineRefused, Deadline: outcome.DeadlinePassed, Timeout: outcome.AnswerLate,
 	AnswerLost: outcome.ServiceLost, InvalidAnswer: outcome.InvalidAnswer, CallerLeft: outcome.CallerGone,
 	StreamBroken: outcome.Truncated, UnknownKey: outcome.Unauthorized, StaleAccounts: outcome.OldConfiguration,
-	BodyTimeout: outcome.BodyTimeout, Crowded: outcome.DaemonCrowded, NoRoom: outcome.DaemonFull,
+	BodyTimeout: outcome.BodyTimeout, Crowded: outcome.DaemonCrowded, NoRoom: outcome.DaemonFull, Stopping: outcome.ShuttingDown,
 	AccountLimit: outcome.CallerLimit, Quarantined: outcome.CrashesEngines, Suspected: outcome.CrashesEngines,
 	ServersLimited: outcome.EnginesLimited, ServersPaused: outcome.EnginesRest,
 	Overloaded: outcome.ServiceOverloaded, Unreachable: outcome.EnginesUnreachable, ServersFull: outcome.QueueFull,
--- a/internal/direct/gateway/answertimes.go
+++ b/internal/direct/gateway/answertimes.go
@@ -14,14 +14,15 @@
 }
 
 // answerTimes estimates, for each route, how long an answer takes from when the request is sent to the server that answers until the answer
-// is complete or its first event is there. The zero value is not usable; use newAnswerTimes.
+// is complete or its first event is there, and until it is complete. The zero value is not usable; use newAnswerTimes.
 type answerTimes struct {
-	mutex   sync.Mutex // guards byRoute
+	mutex   sync.Mutex // guards the fields below
 	byRoute map[string]answerTime
+	whole   map[string]answerTime // until the answer is complete
 }
 
 func newAnswerTimes() *answerTimes {
-	return &answerTimes{byRoute: make(map[string]answerTime)}
+	return &answerTimes{byRoute: make(map[string]answerTime), whole: make(map[string]answerTime)}
 }
 
 const (
@@ -33,31 +34,42 @@
 	maxAnswerShare = 0.5
 )
 
-// record records how long a successful answer took.
-func (answerTimes *answerTimes) record(route *catalog.Route, took clock.Millis) {
+// record records how long a successful answer took until it was complete or its first event was there, and until it was complete.
+func (answerTimes *answerTimes) record(route *catalog.Route, first, whole clock.Millis) {
 	answerTimes.mutex.Lock()
 	defer answerTimes.mutex.Unlock()
-	former, known := answerTimes.byRoute[route.Name]
-	if !known && len(answerTimes.byRoute) >= maxSeries {
-		clear(answerTimes.byRoute) // routes of earlier configurations, most of them
+	observe(answerTimes.byRoute, route.Name, first)
+	observe(answerTimes.whole, route.Name, whole)
+}
+
+// observe adds a time to the estimate of a route.
+func observe(byRoute map[string]answerTime, route string, took clock.Millis) {
+	former, known := byRoute[route]
+	if !known && len(byRoute) >= maxSeries {
+		clear(byRoute) // routes of earlier configurations, most of them
 	}
 	if !known {
 		former = answerTime{mean: float64(took)}
 	}
 	difference := float64(took) - former.mean
-	answerTimes.byRoute[route.Name] = answerTime{
+	byRoute[route] = answerTime{
 		mean:      former.mean + answerTimeWeight*difference,
 		deviation: former.deviation + answerTimeWeight*(math.Abs(difference)-former.deviation),
 	}
 }
 
+// most returns the time within which most answers come.
+func (answerTime answerTime) most() clock.Millis {
+	return clock.Millis(answerTime.mean + answerTimeDeviations*answerTime.deviation)
+}
+
 // expected returns the time within which most answers on a route come. Without an answer so far they are taken to meet the route's goal.
 func (answerTimes *answerTimes) expected(route *catalog.Route) clock.Millis {
 	answerTimes.mutex.Lock()
 	defer answerTimes.mutex.Unlock()
 	expected := route.Goal
 	if known, ok := answerTimes.byRoute[route.Name]; ok {
-		expected = clock.Millis(known.mean + answerTimeDeviations*known.deviation)
+		expected = known.most()
 	}
 	if route.Timeout > 0 {
 		expected = min(expected, clock.Millis(maxAnswerShare*float64(route.Timeout)))
@@ -65,13 +77,22 @@
 	return expected
 }
 
+// expectedWhole returns the time within which most answers on a route are complete. It returns false without an answer so far.
+func (answerTimes *answerTimes) expectedWhole(route *catalog.Route) (clock.Millis, bool) {
+	answerTimes.mutex.Lock()
+	defer answerTimes.mutex.Unlock()
+	known, ok := answerTimes.whole[route.Name]
+	return known.most(), ok
+}
+
 // recordAnswerTime records how long the answer to a request took that ends with a success.
 func (gateway *Gateway) recordAnswerTime(job *job, ended clock.Millis) {
 	if job.progress.lastSent == 0 {
 		return
 	}
+	first := ended
 	if job.stream.FirstAt > 0 {
-		ended = job.stream.FirstAt
+		first = job.stream.FirstAt
 	}
-	gateway.answerTimes.record(job.route, ended-job.progress.lastSent)
+	gateway.answerTimes.record(job.route, first-job.progress.lastSent, ended-job.progress.lastSent)
 }
--- a/internal/direct/gateway/body.go
+++ b/internal/direct/gateway/body.go
@@ -107,7 +107,7 @@
 	}
 	conn := connOf(job.incoming)
 	if conn != nil {
-		_ = conn.SetReadDeadline(time.Now().Add((job.deadline - gateway.core.now()).Duration())) // fails on a closed connection, as reading does
+		_ = conn.SetReadDeadline(gateway.bodyDeadline(job)) // fails on a closed connection, as reading does
 	}
 	err := gateway.receive(writer, job, limit)
 	if status, reason := bodyFailure(err); status != 0 {
--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -111,6 +111,7 @@
 	peerNames     map[string]string // names of the daemons that connections are kept to, by address
 	seedAddresses map[string]bool   // seed addresses that connections are kept to
 	leaving       bool              // this daemon is stopping
+	endsAt        clock.Millis      // when requests in progress are cut off then
 
 	// Work of other daemons as they report it.
 	snapshots map[string]peers.DaemonShare       // by daemon, this one included
--- a/internal/direct/gateway/dispatch.go
+++ b/internal/direct/gateway/dispatch.go
@@ -55,6 +55,9 @@
 		if job.mayHaveRun > 0 && ending.PromisesNotRun(result.status) {
 			result.status = http.StatusBadGateway // an earlier try may have run
 		}
+		if result.reason == ending.Stopping {
+			writer.Header().Set("Connection", "close")
+		}
 		gateway.refuse(writer, job, result.status, result.reason)
 		return
 	}
@@ -91,6 +94,9 @@
 	if callerLeft(job.incoming) {
 		gateway.abandon(job)
 	}
+	if refused := gateway.refuseStopping(now, job); refused != nil {
+		return *refused
+	}
 	if !gateway.core.sendRetry(now, job) {
 		return tryResult{status: http.StatusServiceUnavailable, reason: ending.RetryBudgetSpent}
 	}
--- a/internal/direct/gateway/handler.go
+++ b/internal/direct/gateway/handler.go
@@ -122,6 +122,10 @@
 		return
 	}
 	defer hold.EndWork()
+	if refused := gateway.refuseStopping(gateway.core.now(), job); refused != nil {
+		gateway.failRequest(writer, job, *refused)
+		return
+	}
 	if status, reason := gateway.takeIn(job); status != 0 {
 		gateway.refuse(writer, job, status, reason)
 		return
--- a/internal/direct/gateway/proxy.go
+++ b/internal/direct/gateway/proxy.go
@@ -35,9 +35,9 @@
 // answer within a round trip.
 const maxPeerTries = 8
 
-// unreachableRetryAfter is the time that a caller is told to wait whose request reaches no server from
-// here: a retry reaches another daemon, which may.
-const unreachableRetryAfter = 100 * clock.Millisecond
+// elsewhereRetryAfter is the time that a caller is told to wait whose request this daemon cannot serve, as it reaches no server or stops: a
+// retry reaches another daemon, which may.
+const elsewhereRetryAfter = 100 * clock.Millisecond
 
 // needsPeer reports whether a request has to be sent to a peer, as this daemon reaches no server.
 func (gateway *Gateway) needsPeer(job *job) bool {
@@ -58,6 +58,9 @@
 		gateway.abandon(job)
 	}
 	core := gateway.core
+	if refused := gateway.refuseStopping(core.now(), job); refused != nil {
+		return *refused
+	}
 	core.mutex.Lock()
 	now := core.now()
 	left := job.deadline - now
@@ -68,7 +71,7 @@
 		return tryResult{status: http.StatusServiceUnavailable, reason: ending.Deadline}
 	case !ok || job.peersTried >= maxPeerTries:
 		core.mutex.Unlock()
-		job.retryAfter = unreachableRetryAfter
+		job.retryAfter = elsewhereRetryAfter
 		return tryResult{status: http.StatusServiceUnavailable, reason: ending.Unreachable}
 	}
 	if !job.retry.Send(now, core.retryAllowance.Share(now)) {
@@ -153,7 +156,7 @@
 // peerReasons are the reasons of refusals that depend on the peer, so that another one may take the
 // request.
 var peerReasons = []ending.Reason{
-	ending.Unreachable, ending.NoConfiguration, ending.NoRoute, ending.BadRequest, ending.UnknownKey, ending.StaleAccounts, ending.TooLarge, ending.Crowded, ending.NoRoom,
+	ending.Unreachable, ending.NoConfiguration, ending.NoRoute, ending.BadRequest, ending.UnknownKey, ending.StaleAccounts, ending.TooLarge, ending.Crowded, ending.NoRoom, ending.Stopping,
 }
 
 // handlePeerAnswer passes on the answer that a peer has received from a server, or decides how to go on
--- a/internal/direct/gateway/run.go
+++ b/internal/direct/gateway/run.go
@@ -263,19 +263,11 @@
 		return nil
 	}
 	core := gateway.core
-	core.mutex.Lock()
-	core.leaving = true
-	core.claims.Release()
-	core.members.Leave()
-	core.mutex.Unlock()
+	core.beginStopping()
 	gateway.sendUpdate(core.now(), gateway.network.ConnectedAddresses())
 	gateway.log.Info("stopping")
 	time.Sleep(gateway.options.LeaveSpan.Duration())
-	core.mutex.Lock()
-	grace := core.settings.Grace
-	core.mutex.Unlock()
-	remaining := grace - gateway.options.LeaveSpan - gateway.options.ExitMargin
-	ctx, cancel := context.WithTimeout(ctx, remaining.Duration())
+	ctx, cancel := context.WithTimeout(ctx, (core.ends() - core.now()).Duration())
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
 		gateway.log.Warn("requests cut off by the end of the grace span", "Error", err.Error())
