upstream: an empty body in chunks is no body

Cause: one piece with nothing in it counted as a body of unknown length. Change: the bytes of the pieces decide.

TestBodiesArriveHoweverTheyAreFramed fails on (504 for the empty body in chunks) and passes.

--- a/internal/direct/upstream/encode.go
+++ b/internal/direct/upstream/encode.go
@@ -8,7 +8,7 @@
 
 // encode returns a request as it is written: one piece if it has up to a number of bytes, or else its head and the pieces of its body.
 func (call Call) encode(inline int) ([][]byte, error) {
-	if len(call.Body) == 0 {
+	if call.bodySize() == 0 {
 		var whole bytes.Buffer
 		err := call.Request.Write(&whole)
 		return [][]byte{whole.Bytes()}, err
@@ -29,6 +29,16 @@
 	return [][]byte{head.Bytes()}, nil
 }
 
+// bodySize returns the number of bytes of the body. A body in pieces may turn out to be empty: net/http would announce chunks for one whose
+// length is 0 and write none, so that the server takes the next request for them.
+func (call Call) bodySize() int {
+	size := 0
+	for _, piece := range call.Body {
+		size += len(piece)
+	}
+	return size
+}
+
 // errHeadOnly ends the encoding of a request after its head.
 var errHeadOnly = errors.New("only the head is encoded")
 
