gateway: what began a stream is inferred from a fresh view of the store

Callers got streams of two software versions: a daemon that was cut off, and whose link to the store was silent, went on at v1 with streams that had begun at servers of v2, which had joined meanwhile.

Cause: it inferred the version from what it had read before, as no call had failed yet. Change: the inference counts only if the store has answered a call that began after the request was looked at.

--- a/internal/direct/gateway/originqueries.go
+++ b/internal/direct/gateway/originqueries.go
@@ -73,9 +73,7 @@
 // askOrigin asks peers what began the stream that a request continues. The mutex must be held; it is released during
 // the wait.
 func (gateway *Gateway) askOrigin(ctx context.Context, job *job) (software.Origin, originSource) {
-	ctx, cancel := context.WithTimeout(ctx, originWait.Duration())
-	defer cancel()
-	return gateway.queryPeers(ctx, peers.OriginQuery{Key: software.KeyOf(job.streamAttempt()), Service: job.service})
+	return gateway.queryPeers(ctx, originWait, peers.OriginQuery{Key: software.KeyOf(job.streamAttempt()), Service: job.service})
 }
 
 const (
@@ -91,23 +89,26 @@
 	return now-core.origins.startedAt < startSpan && (core.origins.learning || core.hasOtherSeeds())
 }
 
-// queryPeers asks all linked peers, and returns what they and this daemon know. The mutex must be held; it is released
+// queryPeers asks all linked peers, waits for them, and returns what they and this daemon know. What this daemon infers counts only if the store
+// has answered it since: servers of a new version may have joined while it was cut off or stood still. The mutex must be held; it is released
 // during the wait.
-func (gateway *Gateway) queryPeers(ctx context.Context, message peers.OriginQuery) (software.Origin, originSource) {
+func (gateway *Gateway) queryPeers(ctx context.Context, wait clock.Millis, message peers.OriginQuery) (software.Origin, originSource) {
 	core := gateway.core
 	core.origins.lastID++
 	message.ID = core.origins.lastID
 	query := newOriginQuery(message)
 	if len(core.origins.queries) < maxOriginQueries && core.origins.limiter.Allow(core.now()) {
 		core.origins.queries[message.ID] = query
-		gateway.awaitAnswers(ctx, query)
+		gateway.awaitAnswers(ctx, wait, query)
 		delete(core.origins.queries, message.ID)
 	}
 	if recorded, ok := core.origins.records.Find(message.Key); ok {
 		return recorded, originRecorded // meanwhile
 	}
-	if inferred, ok := core.inferredOrigin(core.now(), message.Service); ok {
-		query.inferred[inferred] = true
+	if _, ok := core.inferredOrigin(core.now(), message.Service); ok && query.found == nil && gateway.refreshStore(ctx) {
+		if inferred, ok := core.inferredOrigin(core.now(), message.Service); ok {
+			query.inferred[inferred] = true
+		}
 	}
 	if core.origins.history.Mixed(message.Service) {
 		query.inferred[software.Origin{}] = true // whatever peers infer that do not know all versions yet
@@ -118,7 +119,9 @@
 // awaitAnswers asks linked peers and waits until one knows the stream or all have answered. A daemon that has just started and cannot
 // infer the answer goes on to ask those that it gets connected to, and waits for the store's history and for servers to confirm it. The mutex
 // must be held; it is released during the wait.
-func (gateway *Gateway) awaitAnswers(ctx context.Context, query *originQuery) {
+func (gateway *Gateway) awaitAnswers(ctx context.Context, wait clock.Millis, query *originQuery) {
+	ctx, cancel := context.WithTimeout(ctx, wait.Duration())
+	defer cancel()
 	core := gateway.core
 	for ctx.Err() == nil {
 		gateway.askLinked(query)
@@ -214,13 +217,11 @@
 
 // relayOriginQuery asks hubs, and answers a query with what they know.
 func (gateway *Gateway) relayOriginQuery(ctx context.Context, from string, query *peers.OriginQuery) {
-	ctx, cancel := context.WithTimeout(ctx, relayedOriginWait.Duration())
-	defer cancel()
 	core := gateway.core
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
 	relayed := peers.OriginQuery{Key: query.Key, Service: query.Service, Relayed: core.members.Plan().Role == topology.Candidate}
-	origin, source := gateway.queryPeers(ctx, relayed)
+	origin, source := gateway.queryPeers(ctx, relayedOriginWait, relayed)
 	gateway.answerOrigin(from, query.ID, origin, source)
 }
 
