claims: a candidate with a hub watches contested servers too

A server that was refused to the second candidate of a data centre would have stayed without an owner: it has a hub, and so reads no reports for holdings. Nothing is scanned while no server is contested.

--- a/internal/direct/claims/watch.go
+++ b/internal/direct/claims/watch.go
@@ -29,6 +29,19 @@
 	registry.alone = alone
 }
 
+// Watches reports whether any server may have to be watched.
+func (registry *Registry) Watches() bool {
+	if registry.alone {
+		return true
+	}
+	for _, state := range registry.servers {
+		if state.watch.contested {
+			return true
+		}
+	}
+	return false
+}
+
 // Watched returns those of the servers whose orders have to be counted now, before this daemon may claim them.
 func (registry *Registry) Watched(now clock.Millis, servers []string) []string {
 	live := registry.Live(now)
--- a/internal/direct/claims/watch_test.go
+++ b/internal/direct/claims/watch_test.go
@@ -75,7 +75,9 @@
 	daemon.Contest(now, "s")
 	_, ok = daemon.Holds("s")
 	require.False(t, ok)
+	require.True(t, daemon.Watches())
 	require.Equal(t, []string{"s"}, daemon.Watched(now, []string{"s"}))
 	daemon.ApplyHeartbeat(now, claims.Heartbeat{Peer: "b", Interval: 500, Claims: []claims.Claim{{Server: "s", Fence: 7}}})
 	require.Empty(t, daemon.Watched(now, []string{"s"}))
+	require.False(t, daemon.Watches())
 }
--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -87,14 +87,14 @@
 	brittle           *brittle.Servers                     // servers that must not turn many requests away
 	links             *reach.Monitor                       // whether this daemon reaches any server
 	outages           *outage.Monitor                      // whether the store is away
-	refresh           *storeRefresh
-	handedOver        bool          // this daemon has given up its servers as it reaches none
-	linksProbed       chan struct{} // closed at the end of the round of probes that is running
-	origins           *origins      // of streams
-	proxies           *proxies      // peers that take requests while it reaches none
-	turns             *promptTurns  // prompts that wait to be admitted at engines
-	holdingsChanged   chan struct{} // closed and replaced when holdings change
-	speeds            serverSpeeds  // of engines
+	refresh           *storeRefresh                        // calls of the store that requests wait for
+	handedOver        bool                                 // this daemon has given up its servers as it reaches none
+	linksProbed       chan struct{}                        // closed at the end of the round of probes that is running
+	origins           *origins                             // of streams
+	proxies           *proxies                             // peers that take requests while it reaches none
+	turns             *promptTurns                         // prompts that wait to be admitted at engines
+	holdingsChanged   chan struct{}                        // closed and replaced when holdings change
+	speeds            serverSpeeds                         // of engines
 
 	// Ownership of servers, and the servers that this daemon owns.
 	claims                 *claims.Registry
--- a/internal/direct/gateway/orderwatch.go
+++ b/internal/direct/gateway/orderwatch.go
@@ -5,6 +5,7 @@
 
 	"teaselmoor/internal/base/clock"
 	"teaselmoor/internal/direct/platformapi"
+	"teaselmoor/internal/direct/topology"
 )
 
 // watchOrders has servers be asked how many orders they have accepted, those that may have an owner which this daemon does not hear.
@@ -24,7 +25,8 @@
 
 // watchedServers returns the servers that are asked now, at most maxReportsPerTick. The mutex must be held.
 func (core *core) watchedServers(now clock.Millis) []platformapi.Server {
-	if core.catalog == nil || core.leaving || !core.mayReadReports(now) {
+	mayClaim := core.members.Role() == topology.Candidate || core.mayReadReports(now)
+	if core.catalog == nil || core.leaving || !mayClaim || !core.claims.Watches() {
 		return nil
 	}
 	var targets []platformapi.Server
