claims: a watched server is asked once more before it is claimed

The count is now read after the drawn wait, which is up to 2 s, so that the second daemon sees the first one's orders more often. Where servers know Expect its first order is refused anyway.

--- a/internal/direct/claims/watch.go
+++ b/internal/direct/claims/watch.go
@@ -10,7 +10,7 @@
 
 // claimSpread is the longest further wait before a server that is watched is claimed. It is drawn, so that of several daemons that do not
 // hear each other one claims first and the others see its orders.
-const claimSpread = clock.Second
+const claimSpread = 2 * clock.Second
 
 // orderWatch is what is known of the orders that a server has accepted, as it reports them.
 type orderWatch struct {
@@ -18,8 +18,7 @@
 	counted   bool         // the fields below are known
 	count     int64        // orders that the server has accepted
 	countedAt clock.Millis // when the server was last asked
-	changedAt clock.Millis // when the count was first seen, or last seen to have changed
-	wait      clock.Millis // drawn at changedAt
+	freeAt    clock.Millis // Options.Quiet and a drawn wait after the count was first seen, or last seen to have changed
 	expected  bool         // no order under the claim of this daemon has been accepted yet
 }
 
@@ -48,14 +47,22 @@
 	var watched []string
 	for _, server := range servers {
 		state := registry.servers[server]
-		due := state == nil || !state.watch.counted || now-state.watch.countedAt >= watchInterval
-		if due && registry.mustWatch(state) && registry.isFirstChoice(live, server) {
+		if state.isCountDue(now) && registry.mustWatch(state) && registry.isFirstChoice(live, server) {
 			watched = append(watched, server)
 		}
 	}
 	return watched
 }
 
+// isCountDue reports whether the orders of a server have to be counted, if it is watched: at intervals, and once more before it is claimed.
+func (state *serverState) isCountDue(now clock.Millis) bool {
+	if state == nil || !state.watch.counted {
+		return true
+	}
+	watch := state.watch
+	return now-watch.countedAt >= watchInterval || now >= watch.freeAt && watch.countedAt < watch.freeAt
+}
+
 // mustWatch reports whether a server that this daemon does not own may have an owner that it does not hear.
 func (registry *Registry) mustWatch(state *serverState) bool {
 	if state == nil {
@@ -73,22 +80,22 @@
 	}
 	watch := &state.watch
 	if !watch.counted || watch.count != count {
-		watch.changedAt = now
-		watch.wait = clock.Millis(registry.random.Int64N(int64(claimSpread)))
+		watch.freeAt = now + registry.options.Quiet + clock.Millis(registry.random.Int64N(int64(claimSpread)))
 	}
 	watch.counted, watch.count, watch.countedAt = true, count, now
 }
 
-// ordersCeased reports whether a server that must be watched has accepted no orders for Options.Quiet.
+// ordersCeased reports whether a server that must be watched has accepted no orders for Options.Quiet and the drawn wait, as it has reported
+// after that.
 func (registry *Registry) ordersCeased(now clock.Millis, server string) bool {
 	state := registry.servers[server]
 	if !registry.mustWatch(state) {
 		return true
 	}
-	if state == nil || !state.watch.counted || now-state.watch.countedAt >= maxCountAge {
+	if state == nil || !state.watch.counted {
 		return false
 	}
-	return now >= state.watch.changedAt+registry.options.Quiet+state.watch.wait
+	return state.watch.countedAt >= state.watch.freeAt && now-state.watch.countedAt < maxCountAge
 }
 
 // ExpectedOrders returns how many orders a server must have accepted for the first order under this daemon's claim to be carried out. It
--- a/internal/direct/gateway/core.go
+++ b/internal/direct/gateway/core.go
@@ -73,7 +73,7 @@
 	promptBuckets     *choose.PromptBucket                 // prompt tokens recently sent to each server by all daemons of a mesh
 	requestedAt       map[platformapi.Adapter]clock.Millis // when callers last requested an adapter here
 	reportRequestedAt map[string]clock.Millis              // when a server's report was last requested because its table is unknown
-	ordersWatchedAt   map[string]clock.Millis              // by server: when its orders were last asked for
+	ordersWatchedAt   map[string]clock.Millis              // by server: when it was last asked for the count of its orders, if it has not answered
 	quarantine        *quarantine.List                     // requests that servers have crashed on
 	trials            *quarantine.Examiner                 // those that this daemon has granted as the site's examiner
 	examined          map[content.ID]int                   // lost requests whose servers are being probed, by key
--- a/internal/direct/gateway/orderwatch.go
+++ b/internal/direct/gateway/orderwatch.go
@@ -50,6 +50,7 @@
 	core := gateway.core
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
+	delete(core.ordersWatchedAt, target.ID)
 	core.claims.CountOrders(core.now(), target.ID, report.Orders)
 	core.log.Debug("orders counted", "Server", target.ID, "Orders", report.Orders)
 }
